build: add the base modules, the design page and the check script

Cause: an empty repository. Change: Makefile (release and sanitizer modes), dependency script, formatter and linter settings, error table, clock, counters, resource vector, logger, the interfaces between core and I/O layer, and docs/design.md.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,80 @@
+# magnoliadock build.  Targets: all (default), check, demo, format, lint, clean.
+# MODE=release (default) or MODE=asan selects the build folder and the flags.
+
+MODE ?= release
+BUILD := build/$(MODE)
+CC := gcc
+PKGS := libprotobuf-c libmicrohttpd libcurl glib-2.0 jansson libxxhash
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lev -lm
+CFLAGS_release := -O2 -g
+CFLAGS_asan := -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer \
+  -fno-sanitize-recover=undefined
+CPPFLAGS := -D_GNU_SOURCE -Isrc -Isrc/io -Isrc/proto -Itests $(PKG_CFLAGS)
+CFLAGS := -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes -Werror \
+  -Wno-unused-parameter $(CFLAGS_$(MODE))
+
+CORE_SRCS := $(filter-out src/main.c,$(wildcard src/*.c))
+IO_SRCS := $(wildcard src/io/*.c)
+PROTO_SRCS := $(wildcard src/proto/*.pb-c.c)
+LIB_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(CORE_SRCS) $(IO_SRCS) $(PROTO_SRCS))
+MAIN_OBJS := $(BUILD)/src/main.o
+# tests/test_*.c hold CUnit suites, tests/standin*.c the stand-in program and
+# tests/fake_*.c shared fakes.
+TEST_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/test_*.c \
+  tests/fake_*.c))
+STANDIN_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/standin*.c))
+FORMAT_SRCS := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] \
+  src/io/*.[ch] tests/*.[ch]))
+
+all: $(BUILD)/magnoliadock $(BUILD)/standin $(BUILD)/unit-tests
+
+$(BUILD)/magnoliadock: $(MAIN_OBJS) $(LIB_OBJS)
+	$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/standin: $(STANDIN_OBJS) $(LIB_OBJS)
+	$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/unit-tests: $(TEST_OBJS) $(LIB_OBJS)
+	$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS) -lcunit
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+# Generated code is committed; run this after editing src/proto/peer.proto.
+proto:
+	protoc-c --proto_path=src/proto --c_out=src/proto src/proto/peer.proto
+
+format:
+	clang-format -i $(FORMAT_SRCS)
+
+format-check:
+	clang-format --dry-run -Werror $(FORMAT_SRCS)
+
+TIDY_SRCS := $(filter %.c,$(FORMAT_SRCS))
+lint:
+	cppcheck --quiet --error-exitcode=1 --std=c11 -j 8 --inline-suppr \
+	  --enable=warning,portability --suppress=missingInclude \
+	  --suppress=nullPointerRedundantCheck --suppress=checkersReport \
+	  -D_GNU_SOURCE -Isrc -Isrc/io -Isrc/proto \
+	  $(filter %.c,$(FORMAT_SRCS))
+	printf '%s\n' $(TIDY_SRCS) | xargs -P 8 -n 1 scripts/tidy
+
+deps:
+	scripts/install-deps
+
+check: deps
+	scripts/check
+
+demo: deps
+	$(MAKE) all
+	scripts/demo
+
+clean:
+	rm -rf build
+
+-include $(LIB_OBJS:.o=.d) $(MAIN_OBJS:.o=.d) $(TEST_OBJS:.o=.d) \
+  $(STANDIN_OBJS:.o=.d)
+
+.PHONY: all proto format format-check lint deps check demo clean
--- /dev/null
+++ b/src/io/instances.h
@@ -0,0 +1,60 @@
+#ifndef MAGNOLIADOCK_INSTANCES_H
+#define MAGNOLIADOCK_INSTANCES_H
+
+#include "clk.h"
+#include "error.h"
+#include "httpc.h"
+#include "resource.h"
+
+/* NAME
+     instances - follows the platform's instance list
+
+   Polls the list once a second with the last revision seen, so that a quiet
+   list costs a few hundred bytes a second whatever its size.  */
+
+typedef enum
+{
+  INSTANCE_WORKER,
+  INSTANCE_BACKEND,
+  INSTANCE_ENTRY
+} instance_kind_t;
+
+typedef enum
+{
+  INSTANCE_LIVE,
+  INSTANCE_LEAVING,
+  INSTANCE_GONE
+} instance_state_t;
+
+typedef struct
+{
+  char *id;
+  instance_kind_t kind;
+  instance_state_t state;
+  char *zone;
+  char *rack;
+  int64_t incarnation;
+  char *url;
+  char *peer;    /* IP:PORT of an entry's peer port, or NULL */
+  char *service; /* of a backend server, or NULL */
+  resource_t capacity;
+} instance_t;
+
+typedef struct instances instances_t;
+
+/* Called for every instance that is new or changed, also for one that turned
+   gone.  INSTANCE lives until the next call for the same id.  */
+typedef void (*instance_changed_t) (void *context, const instance_t *instance);
+
+/* CLIENT and CLOCK stay the caller's.  ZONE limits workers and backend
+   servers; entries of all zones are followed.  LIST_URL is copied.  */
+instances_t *instances_new (httpc_t *client, const clk_t *clock,
+                            struct ev_loop *loop, const char *list_url,
+                            const char *zone, instance_changed_t changed,
+                            void *context);
+void instances_free (instances_t *instances);
+
+/* Milliseconds since the last whole answer, -1 if there was none.  */
+int64_t instances_age_ms (const instances_t *instances);
+
+#endif
--- /dev/null
+++ b/src/io/log.c
@@ -0,0 +1,120 @@
+#include "log.h"
+
+#include <glib.h>
+#include <stdarg.h>
+#include <stdint.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define LINES_PER_EVENT_PER_S 20
+#define EVENT_SLOTS 64
+
+/* Lines already written in the current second, for each event name.  */
+typedef struct
+{
+  const char *event;
+  time_t second;
+  uint32_t written;
+  uint32_t suppressed;
+} event_rate_t;
+
+static const char *const level_names[] = { "debug", "info", "warn", "error" };
+
+static struct
+{
+  log_level_t threshold;
+  event_rate_t rates[EVENT_SLOTS];
+} state = { .threshold = LOG_INFO };
+
+void
+log_set_level (log_level_t level)
+{
+  state.threshold = level;
+}
+
+bool
+log_level_parse (const char *name, log_level_t *level)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (level_names); i++)
+    if (strcmp (name, level_names[i]) == 0)
+      {
+        *level = (log_level_t)i;
+        return true;
+      }
+  return false;
+}
+
+/* Returns whether a line of EVENT may be written now; *SUPPRESSED is set to
+   the number of lines dropped since the last one that was.  */
+static bool
+take_line (const char *event, time_t second, uint32_t *suppressed)
+{
+  event_rate_t *rate = &state.rates[g_str_hash (event) % EVENT_SLOTS];
+  *suppressed = 0;
+  if (rate->event == NULL || strcmp (rate->event, event) != 0)
+    *rate = (event_rate_t){ .event = event, .second = second };
+  if (rate->second != second)
+    {
+      *suppressed = rate->suppressed;
+      *rate = (event_rate_t){ .event = event, .second = second };
+    }
+  if (rate->written >= LINES_PER_EVENT_PER_S)
+    {
+      rate->suppressed++;
+      return false;
+    }
+  rate->written++;
+  return true;
+}
+
+static void
+append_value (GString *line, const char *value)
+{
+  if (value != NULL && value[0] != '\0'
+      && strpbrk (value, " \t\r\n\"\\=") == NULL)
+    {
+      g_string_append (line, value);
+      return;
+    }
+  char *escaped = g_strescape (value != NULL ? value : "", NULL);
+  g_string_append_printf (line, "\"%s\"", escaped);
+  g_free (escaped);
+}
+
+void
+log_event (log_level_t level, const char *event, ...)
+{
+  if (level < state.threshold)
+    return;
+
+  struct timespec now;
+  clock_gettime (CLOCK_REALTIME, &now);
+  uint32_t suppressed;
+  if (!take_line (event, now.tv_sec, &suppressed))
+    return;
+
+  struct tm utc;
+  gmtime_r (&now.tv_sec, &utc);
+  char stamp[32];
+  strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &utc);
+  GString *line = g_string_sized_new (160);
+  g_string_append_printf (line, "time=%s.%03ldZ level=%s event=%s", stamp,
+                          now.tv_nsec / 1000000, level_names[level], event);
+  if (suppressed > 0)
+    g_string_append_printf (line, " suppressed=%u", suppressed);
+
+  va_list args;
+  va_start (args, event);
+  const char *key;
+  while ((key = va_arg (args, const char *)) != NULL)
+    {
+      g_string_append_printf (line, " %s=", key);
+      append_value (line, va_arg (args, const char *));
+    }
+  va_end (args);
+  g_string_append_c (line, '\n');
+  ssize_t ignored = write (STDERR_FILENO, line->str, line->len);
+  (void)ignored;
+  g_string_free (line, TRUE);
+}
--- /dev/null
+++ b/src/io/log.h
@@ -0,0 +1,36 @@
+#ifndef MAGNOLIADOCK_LOG_H
+#define MAGNOLIADOCK_LOG_H
+
+#include <stdbool.h>
+
+/* NAME
+     log - one key=value line on standard error for each event
+
+   Example:
+     time=2026-12-04T07:00:00.123Z level=info event=peer_up entry=e2 zone=t2
+
+   Values that hold spaces, quotes or control characters are quoted and
+   escaped.  A line is written with one write(2).  */
+
+typedef enum
+{
+  LOG_DEBUG,
+  LOG_INFO,
+  LOG_WARN,
+  LOG_ERROR
+} log_level_t;
+
+/* Lines below LEVEL are dropped.  Default: LOG_INFO.  */
+void log_set_level (log_level_t level);
+
+/* Reads "debug", "info", "warn" or "error" into *LEVEL.  Returns whether NAME
+   is one of them.  */
+bool log_level_parse (const char *name, log_level_t *level);
+
+/* Writes EVENT with pairs (const char *key, const char *value) that end with a
+   NULL key.  Repeats of the same EVENT above 20 a second are dropped and their
+   number is stated in a later line of the same event as suppressed=N.  */
+void log_event (log_level_t level, const char *event, ...)
+    __attribute__ ((sentinel));
+
+#endif
--- /dev/null
+++ b/src/main.c
@@ -0,0 +1,52 @@
+#include "error.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define VERSION "0.1.0"
+
+typedef struct
+{
+  const char *name;
+  int (*run) (int argc, char **argv);
+  const char *summary;
+} command_t;
+
+static const command_t commands[] = {
+  { NULL, NULL, NULL },
+};
+
+static void
+print_usage (FILE *out)
+{
+  fputs ("usage: magnoliadock COMMAND [OPTION...]\n\ncommands:\n", out);
+  for (const command_t *command = commands; command->name; command++)
+    fprintf (out, "  %-10s %s\n", command->name, command->summary);
+  fputs ("\nmagnoliadock COMMAND --help prints a command's options.\n", out);
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc < 2)
+    {
+      print_usage (stderr);
+      return err_info (ERR_USAGE)->exit_code;
+    }
+  if (strcmp (argv[1], "--version") == 0)
+    {
+      puts ("magnoliadock " VERSION);
+      return 0;
+    }
+  if (strcmp (argv[1], "--help") == 0 || strcmp (argv[1], "help") == 0)
+    {
+      print_usage (stdout);
+      return 0;
+    }
+  for (const command_t *command = commands; command->name; command++)
+    if (strcmp (argv[1], command->name) == 0)
+      return command->run (argc - 1, argv + 1);
+  fprintf (stderr, "magnoliadock: unknown command \"%s\" (see --help)\n",
+           argv[1]);
+  return err_info (ERR_USAGE)->exit_code;
+}
--- /dev/null
+++ b/src/resource.c
@@ -0,0 +1,50 @@
+#include "resource.h"
+
+resource_t
+resource_add (resource_t a, resource_t b)
+{
+  a.cpu_millis += b.cpu_millis;
+  a.memory_mib += b.memory_mib;
+  a.accelerators += b.accelerators;
+  return a;
+}
+
+resource_t
+resource_sub (resource_t a, resource_t b)
+{
+  a.cpu_millis -= b.cpu_millis;
+  a.memory_mib -= b.memory_mib;
+  a.accelerators -= b.accelerators;
+  return a;
+}
+
+bool
+resource_fits (resource_t need, resource_t free)
+{
+  return need.cpu_millis <= free.cpu_millis
+         && need.memory_mib <= free.memory_mib
+         && need.accelerators <= free.accelerators;
+}
+
+bool
+resource_negative (resource_t r)
+{
+  return r.cpu_millis < 0 || r.memory_mib < 0 || r.accelerators < 0;
+}
+
+static double
+larger_ratio (double largest, int64_t used, int64_t total)
+{
+  if (total <= 0)
+    return largest;
+  double ratio = (double)used / (double)total;
+  return ratio > largest ? ratio : largest;
+}
+
+double
+resource_dominant_share (resource_t used, resource_t total)
+{
+  double share = larger_ratio (0.0, used.cpu_millis, total.cpu_millis);
+  share = larger_ratio (share, used.memory_mib, total.memory_mib);
+  return larger_ratio (share, used.accelerators, total.accelerators);
+}
--- /dev/null
+++ b/tests/standin.c
@@ -0,0 +1,8 @@
+#include <stdio.h>
+
+int
+main (void)
+{
+  puts ("standin: no role given");
+  return 2;
+}
--- /dev/null
+++ b/tests/test.h
@@ -0,0 +1,18 @@
+#ifndef MAGNOLIADOCK_TEST_H
+#define MAGNOLIADOCK_TEST_H
+
+#include <CUnit/CUnit.h>
+#include <stdint.h>
+
+/* NAME
+     test - suites of the unit test program
+
+   Each tests/test_MODULE.c defines one suite array that ends with
+   CU_SUITE_INFO_NULL and is listed in test_main.c.  */
+
+extern CU_SuiteInfo test_base_suites[];
+
+/* Seed of the random cases, from --seed; printed at the start.  */
+uint32_t test_seed (void);
+
+#endif
--- /dev/null
+++ b/tests/test_main.c
@@ -0,0 +1,50 @@
+#include "test.h"
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DEFAULT_SEED 20261204
+
+static CU_SuiteInfo *const suites[] = {
+  test_base_suites,
+};
+
+static uint32_t seed = DEFAULT_SEED;
+
+uint32_t
+test_seed (void)
+{
+  return seed;
+}
+
+/* Usage: unit-tests [--seed N] [SUITE]  */
+int
+main (int argc, char **argv)
+{
+  const char *only = NULL;
+  for (int i = 1; i < argc; i++)
+    if (strcmp (argv[i], "--seed") == 0 && i + 1 < argc)
+      seed = (uint32_t)strtoul (argv[++i], NULL, 10);
+    else
+      only = argv[i];
+
+  if (CU_initialize_registry () != CUE_SUCCESS)
+    return EXIT_FAILURE;
+  for (size_t i = 0; i < sizeof suites / sizeof suites[0]; i++)
+    if (CU_register_suites (suites[i]) != CUE_SUCCESS)
+      {
+        fprintf (stderr, "unit-tests: %s\n", CU_get_error_msg ());
+        return EXIT_FAILURE;
+      }
+  printf ("seed %u\n", seed);
+  CU_basic_set_mode (CU_BRM_NORMAL);
+  if (only != NULL)
+    CU_basic_run_suite (CU_get_suite (only));
+  else
+    CU_basic_run_tests ();
+  unsigned failed = CU_get_number_of_tests_failed ();
+  CU_cleanup_registry ();
+  return failed > 0 ? EXIT_FAILURE : EXIT_SUCCESS;
+}
