--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -5,6 +5,7 @@
 #include "counter.h"
 #include "error.h"
 
+#include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -16,7 +17,10 @@
    told through dispatch_actions_t, what has happened comes in through the
    functions below.  Strings passed in are copied, strings passed out live
    until the callback returns.  A callback must not call back into the same
-   dispatch_t before it returns, except for dispatch_attempt_started.  */
+   dispatch_t before it returns, except for dispatch_attempt_started.
+
+   Entries are named "ENTRY@INCARNATION" everywhere in this interface, so that
+   a replaced entry is another one.  */
 
 typedef struct dispatch dispatch_t;
 
@@ -38,6 +42,13 @@
   bool replayable;     /* the whole request body is kept for a retry */
   bool handed_over;    /* came from another entry: never handed over again */
   int64_t deadline_ms; /* instant of the clock */
+  /* Id given by the caller, NULL if it gave none.  Repeats of the same id
+     (same service and team) are recognised.  */
+  const char *request_id;
+  /* Of a handed-over request: incarnation of the sending entry and the id it
+     gave in HandOver.  */
+  uint64_t origin_incarnation;
+  uint64_t origin_id;
 } dispatch_request_t;
 
 typedef struct
@@ -49,15 +60,42 @@
   bool leaving;
   uint32_t request_limit;    /* requests at once */
   uint32_t connection_limit; /* connections at once */
+  /* From the instance list.  A higher one is another process: the ledger of
+     the old one is dropped, its requests in flight are still waited for.  */
+  int64_t incarnation;
 } dispatch_backend_t;
 
-/* One process's slots in a message between entries.  */
+/* One process's slots in a message between entries.  BACKEND is the ledger's
+   name of the process ("ID@INCARNATION"), opaque to the I/O layer.  */
 typedef struct
 {
   const char *backend;
-  uint64_t given; /* total ever given by the sender to the receiver */
+  uint64_t given;   /* total ever given by the sender to the receiver */
+  uint64_t learned; /* total the sender has learned from the receiver */
+  bool confirm;     /* the sender asks for a ledger in return */
 } dispatch_given_t;
 
+/* One process's transfers between the sender of a closing statement and the
+   gone entry MEMBER.  */
+typedef struct
+{
+  const char *member;
+  const char *backend;
+  uint64_t given;   /* by the sender to MEMBER */
+  uint64_t learned; /* by the sender from MEMBER */
+} dispatch_closing_t;
+
+/* Admission policy and limits of one service.  Fields that are 0 or NULL take
+   the default.  */
+typedef struct
+{
+  const char *policy;           /* "fair" (default), "fifo" or "strict" */
+  uint32_t weight[CLASS_COUNT]; /* guaranteed shares, default 50, 35, 15 */
+  uint32_t queue_limit;         /* queued per class and team, default 2048 */
+  int64_t spill_after_ms;       /* queue wait before a hand-over, 50 */
+  uint32_t retry_percent;       /* retries per 100 requests, default 10 */
+} dispatch_policy_t;
+
 typedef struct
 {
   /* Sends request ID to a backend server.  FRESH asks for a new connection.
@@ -80,6 +118,15 @@
   /* Asks ENTRY for up to COUNT slots of SERVICE.  */
   void (*want_slots) (void *context, const char *entry, const char *service,
                       uint32_t count);
+  /* Asks ENTRY for its closing statement about the gone MEMBERS.  Repeated
+     until it is answered.  */
+  void (*closing_request) (void *context, const char *entry,
+                           const char *const *members, uint32_t count);
+  /* Sends ENTRY the closing statement about MEMBERS.  */
+  void (*closing_statement) (void *context, const char *entry,
+                             const char *const *members, uint32_t count,
+                             const dispatch_closing_t *items,
+                             uint32_t item_count);
 } dispatch_actions_t;
 
 /* ACTIONS, CLOCK and REGISTRY stay the caller's and outlive the result.
@@ -104,8 +151,16 @@
 void dispatch_attempt_started (dispatch_t *dispatch, uint64_t id,
                                uint32_t attempt);
 
+/* The request body of ID is no longer kept whole (REPLAYABLE false), or is
+   now known to be.  */
+void dispatch_set_replayable (dispatch_t *dispatch, uint64_t id,
+                              bool replayable);
+
 /* ATTEMPT of request ID has ended and its slot is free.  KIND is ERR_OK for a
-   whole answer.  STATUS is the HTTP status, 0 if none.  Late or doubled calls
+   whole answer.  STATUS is the HTTP status, 0 if none.  OUTCOME is what is
+   known of this attempt alone; ERR_CONNECT_FAILED with OUTCOME_NOT_RUN
+   promises that no byte of the request has left.  The I/O layer ends attempts
+   that outlive the request's deadline with ERR_TIMEOUT.  Late or doubled calls
    are ignored and counted.  */
 void dispatch_attempt_ended (dispatch_t *dispatch, uint64_t id,
                              uint32_t attempt, err_kind_t kind,
@@ -114,7 +169,8 @@
 void dispatch_probe_ended (dispatch_t *dispatch, const char *backend,
                            err_kind_t kind);
 
-/* Adds, changes or removes a backend server of the own zone.  */
+/* Adds or changes a backend server of the own zone, or removes one that the
+   instance list shows as gone (a leaving one is set with LEAVING).  */
 void dispatch_backend_set (dispatch_t *dispatch,
                            const dispatch_backend_t *backend);
 void dispatch_backend_remove (dispatch_t *dispatch, const char *id);
@@ -132,6 +188,74 @@
 void dispatch_peer_wants (dispatch_t *dispatch, const char *entry,
                           const char *service, uint32_t count);
 
+/* Sets what the configuration says of SERVICE.  Returns ERR_BAD_REQUEST for
+   an unknown policy name.  Queued requests stay queued.  */
+err_kind_t dispatch_service_set (dispatch_t *dispatch, const char *service,
+                                 const dispatch_policy_t *policy);
+/* Urgent marks of TEAM above URGENT_PER_S count as standard (0: none are
+   urgent); BURST marks may come at once.  WEIGHT is its share among the teams
+   of a class (0: 1).  Teams that were never set have no such limit.  */
+void dispatch_team_set (dispatch_t *dispatch, const char *team,
+                        double urgent_per_s, double burst, uint32_t weight);
+
+/* Slot shares.  Until dispatch_shares_expect or the first row, an entry counts
+   as alone in its zone and uses the whole limit of every process.  An entry
+   with a table service calls dispatch_shares_expect before anything else and
+   then has no slot until a row that names it is loaded.
+
+   The I/O layer reads the row shares/ZONE about once a second and after every
+   transaction on it, whatever its result, and loads what it found; then it
+   calls dispatch_shares_propose and writes the value if there is one, with a
+   check of the returned version.  */
+void dispatch_shares_expect (dispatch_t *dispatch);
+/* VALUE is borrowed; NULL with VERSION 0 if the row is absent.  A version
+   below the one loaded is ignored.  Returns ERR_BAD_REQUEST, and changes
+   nothing, if VALUE is not a shares row.  */
+err_kind_t dispatch_shares_load (dispatch_t *dispatch, int64_t version,
+                                 const json_t *value);
+/* Returns the row that should replace the one of *VERSION (new reference), or
+   NULL if nothing is to be changed now: it adds this entry, adds or drops
+   processes and retires gone entries once their statements are complete.  */
+json_t *dispatch_shares_propose (dispatch_t *dispatch, int64_t *version);
+/* MEMBER will never run again: the instance list shows it as gone, or a higher
+   incarnation of the same instance has announced itself.  */
+void dispatch_member_gone (dispatch_t *dispatch, const char *member);
+/* Answers with the closing_statement action.  */
+void dispatch_peer_closing_request (dispatch_t *dispatch, const char *entry,
+                                    const char *const *members,
+                                    uint32_t count);
+void dispatch_peer_closing_statement (dispatch_t *dispatch, const char *entry,
+                                      const char *const *members,
+                                      uint32_t count,
+                                      const dispatch_closing_t *items,
+                                      uint32_t item_count);
+
+/* Planned stop: refuses new requests, serves the queued ones and gives every
+   idle slot to peers.  */
+void dispatch_drain (dispatch_t *dispatch);
+/* Returns whether nothing is queued or in flight and the peers have learned
+   all slots given to them (or there is no peer to give to).  */
+bool dispatch_drained (const dispatch_t *dispatch);
+
+/* What another entry is told of a request that it handed over.  */
+typedef enum
+{
+  DISPATCH_NEVER_SEEN, /* and a later arrival will be refused */
+  DISPATCH_IN_FLIGHT,
+  DISPATCH_ENDED
+} dispatch_seen_t;
+
+/* Answers an OutcomeQuery.  OUTCOME, KIND and STATUS are set for
+   DISPATCH_ENDED only.  Outcomes are remembered for 120 s.  */
+dispatch_seen_t dispatch_outcome_query (dispatch_t *dispatch,
+                                        uint64_t origin_incarnation,
+                                        uint64_t origin_id, outcome_t *outcome,
+                                        err_kind_t *kind, uint16_t *status);
+
+/* Returns queues by class and team, slots, ejected processes and the shares
+   row as JSON for status pages (new reference).  */
+json_t *dispatch_status (const dispatch_t *dispatch);
+
 /* Own free slots and queue length of SERVICE, for the heartbeat.  */
 void dispatch_load (const dispatch_t *dispatch, const char *service,
                     uint32_t *free_slots, uint32_t *queued);
