--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -1,60 +1,22 @@
-#include "dispatch.h"
-
-#include <glib.h>
+#include "dispatch_internal.h"
 
 #define TICK_MS 10
+#define US_PER_MS 1000
+#define REQUEST_CHUNK 1024
+#define FIRST_ID_SIZE 4096
+#define REVIEW_PERIOD_MS 1000
+#define PROBE_PERIOD_MS 100
+/* Outcomes are promised for twice the longest deadline.  */
+#define OUTCOME_KEEP_MS 120000
+/* 40 bytes each: at most 16 MiB for each of the two tables.  */
+#define OUTCOME_CAPACITY 400000
+#define RETRY_AFTER_MS 1000
 
-typedef struct
-{
-  char *id;
-  char *service;
-  char *url;
-  bool leaving;
-  uint32_t limit;
-  uint32_t in_flight;
-} process_t;
-
-typedef struct
-{
-  uint64_t id;
-  char *service;
-  int64_t deadline_ms;
-  uint32_t attempt;
-  process_t *process; /* NULL while queued */
-  bool idempotent;
-  bool replayable;
-  bool started;
-  outcome_t worst;
-} request_t;
-
-struct dispatch
-{
-  const dispatch_actions_t *actions;
-  void *context;
-  const clk_t *clock;
-  GRand *random;
-  GPtrArray *processes; /* process_t */
-  GHashTable *requests; /* id -> request_t */
-  GQueue *queue;        /* request_t without a process */
-  bool draining;
-};
-
-static void
-process_free (gpointer data)
-{
-  process_t *process = data;
-  g_free (process->id);
-  g_free (process->service);
-  g_free (process->url);
-  g_free (process);
-}
-
-static void
-request_free (gpointer data)
+void
+dispatch_read_clock (dispatch_t *dispatch)
 {
-  request_t *request = data;
-  g_free (request->service);
-  g_free (request);
+  dispatch->now_us = clk_now_ns (dispatch->clock) / 1000;
+  dispatch->now_ms = dispatch->now_us / US_PER_MS;
 }
 
 dispatch_t *
@@ -63,14 +25,32 @@
               const clk_t *clock, counter_registry_t *registry, uint32_t seed)
 {
   dispatch_t *dispatch = g_new0 (dispatch_t, 1);
+  dispatch->self = g_strdup (self);
+  dispatch->zone = g_strdup (zone);
   dispatch->actions = actions;
   dispatch->context = context;
   dispatch->clock = clock;
   dispatch->random = g_rand_new_with_seed (seed);
-  dispatch->processes = g_ptr_array_new_with_free_func (process_free);
-  dispatch->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal,
-                                              NULL, request_free);
-  dispatch->queue = g_queue_new ();
+  dispatch_metrics_init (&dispatch->metrics, registry);
+  dispatch->services = g_hash_table_new (g_str_hash, g_str_equal);
+  dispatch->service_list
+      = g_ptr_array_new_with_free_func (dispatch_service_free);
+  dispatch->processes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                               dispatch_process_free);
+  dispatch->numbered = g_ptr_array_new ();
+  dispatch->removed = g_ptr_array_new_with_free_func (dispatch_process_free);
+  dispatch->peers = g_ptr_array_new ();
+  dispatch->team_numbers = g_hash_table_new (g_str_hash, g_str_equal);
+  dispatch->teams = g_array_new (FALSE, TRUE, sizeof (team_t));
+  dispatch_team (dispatch, "", true);
+  dispatch->share = share_new (self);
+  dispatch->caller_ids = outcome_table_new (OUTCOME_KEEP_MS, OUTCOME_CAPACITY);
+  dispatch->handed_ids = outcome_table_new (OUTCOME_KEEP_MS, OUTCOME_CAPACITY);
+  dispatch->id_size = FIRST_ID_SIZE;
+  dispatch->ids = g_new0 (request_t *, FIRST_ID_SIZE);
+  dispatch->chunks = g_ptr_array_new_with_free_func (g_free);
+  dispatch_read_clock (dispatch);
+  dispatch->wheel_done = dispatch->now_ms / WHEEL_SLOT_MS;
   return dispatch;
 }
 
@@ -79,272 +59,550 @@
 {
   if (dispatch == NULL)
     return;
-  g_queue_free (dispatch->queue);
-  g_hash_table_unref (dispatch->requests);
-  g_ptr_array_unref (dispatch->processes);
+  for (guint i = 0; i < dispatch->peers->len; i++)
+    {
+      peer_t *peer = g_ptr_array_index (dispatch->peers, i);
+      g_free (peer->name);
+      g_free (peer->zone);
+      g_free (peer);
+    }
+  g_ptr_array_unref (dispatch->peers);
+  dispatch_teams_free (dispatch);
+  g_hash_table_unref (dispatch->processes);
+  g_ptr_array_unref (dispatch->numbered);
+  g_ptr_array_unref (dispatch->removed);
+  g_hash_table_unref (dispatch->services);
+  g_ptr_array_unref (dispatch->service_list);
+  share_free (dispatch->share);
+  outcome_table_free (dispatch->caller_ids);
+  outcome_table_free (dispatch->handed_ids);
+  g_ptr_array_unref (dispatch->chunks);
+  g_free (dispatch->ids);
   g_rand_free (dispatch->random);
+  g_free (dispatch->self);
+  g_free (dispatch->zone);
   g_free (dispatch);
 }
 
-static process_t *
-pick_process (dispatch_t *dispatch, const char *service)
+static request_t **
+id_bucket (const dispatch_t *dispatch, uint64_t id)
 {
-  process_t *best = NULL;
-  guint count = dispatch->processes->len;
-  guint start
-      = count > 0 ? g_rand_int_range (dispatch->random, 0, (gint32)count) : 0;
-  for (guint i = 0; i < count; i++)
-    {
-      process_t *process
-          = g_ptr_array_index (dispatch->processes, (start + i) % count);
-      if (g_strcmp0 (process->service, service) == 0 && !process->leaving
-          && process->in_flight < process->limit
-          && (best == NULL || process->in_flight < best->in_flight))
-        best = process;
-    }
-  return best;
+  uint64_t mixed = id * UINT64_C (0x9e3779b97f4a7c15);
+  return &dispatch->ids[(mixed >> 32) & (dispatch->id_size - 1)];
 }
 
-static void
-finish (dispatch_t *dispatch, request_t *request, err_kind_t kind)
+static request_t *
+find_request (const dispatch_t *dispatch, uint64_t id)
 {
-  outcome_t outcome = MAX (err_info (kind)->outcome, request->worst);
-  if (kind == ERR_CONNECT_FAILED)
-    outcome = request->worst;
-  dispatch->actions->refuse (dispatch->context, request->id, kind, outcome,
-                             kind == ERR_DRAINING ? 1000 : 0, err_name (kind));
-  g_hash_table_remove (dispatch->requests, &request->id);
+  request_t *request = *id_bucket (dispatch, id);
+  while (request != NULL && request->id != id)
+    request = request->chain;
+  return request;
 }
 
 static void
-place_queued (dispatch_t *dispatch)
-{
-  GList *next = NULL;
-  for (GList *link = dispatch->queue->head; link != NULL; link = next)
+grow_ids (dispatch_t *dispatch)
+{
+  request_t **old = dispatch->ids;
+  uint32_t old_size = dispatch->id_size;
+  dispatch->id_size *= 2;
+  dispatch->ids = g_new0 (request_t *, dispatch->id_size);
+  for (uint32_t i = 0; i < old_size; i++)
+    while (old[i] != NULL)
+      {
+        request_t *request = old[i];
+        old[i] = request->chain;
+        request_t **bucket = id_bucket (dispatch, request->id);
+        request->chain = *bucket;
+        *bucket = request;
+      }
+  g_free (old);
+}
+
+static request_t *
+take_request (dispatch_t *dispatch, uint64_t id)
+{
+  if (dispatch->free_requests == NULL)
     {
-      next = link->next;
-      request_t *request = link->data;
-      if (request->deadline_ms <= clk_now_ms (dispatch->clock))
+      request_t *chunk = g_new0 (request_t, REQUEST_CHUNK);
+      g_ptr_array_add (dispatch->chunks, chunk);
+      for (int i = 0; i < REQUEST_CHUNK; i++)
         {
-          g_queue_delete_link (dispatch->queue, link);
-          finish (dispatch, request, ERR_DEADLINE);
-          continue;
+          chunk[i].chain = dispatch->free_requests;
+          dispatch->free_requests = &chunk[i];
         }
-      process_t *process = pick_process (dispatch, request->service);
-      if (process == NULL)
-        continue;
-      g_queue_delete_link (dispatch->queue, link);
-      process->in_flight++;
-      request->process = process;
-      request->attempt++;
-      dispatch->actions->send (dispatch->context, request->id,
-                               request->attempt, process->id, process->url,
-                               !request->idempotent);
-    }
-}
-
-void
-dispatch_submit (dispatch_t *dispatch, const dispatch_request_t *request)
-{
-  request_t *own = g_new0 (request_t, 1);
-  own->id = request->id;
-  own->service = g_strdup (request->service);
-  own->deadline_ms = request->deadline_ms;
-  own->idempotent = request->idempotent;
-  own->replayable = request->replayable;
-  own->worst = OUTCOME_NOT_RUN;
-  g_hash_table_insert (dispatch->requests, &own->id, own);
-  if (dispatch->draining)
-    {
-      finish (dispatch, own, ERR_DRAINING);
-      return;
     }
-  g_queue_push_tail (dispatch->queue, own);
-  place_queued (dispatch);
+  if (dispatch->request_count >= dispatch->id_size)
+    grow_ids (dispatch);
+  request_t *request = dispatch->free_requests;
+  dispatch->free_requests = request->chain;
+  *request = (request_t){ .id = id };
+  request_t **bucket = id_bucket (dispatch, id);
+  request->chain = *bucket;
+  *bucket = request;
+  dispatch->request_count++;
+  return request;
 }
 
-void
-dispatch_cancel (dispatch_t *dispatch, uint64_t id)
+static void
+release_request (dispatch_t *dispatch, request_t *request)
 {
-  request_t *request = g_hash_table_lookup (dispatch->requests, &id);
-  if (request == NULL || request->process != NULL)
-    return;
-  g_queue_remove (dispatch->queue, request);
-  g_hash_table_remove (dispatch->requests, &id);
+  dispatch_clear_timer (request);
+  request_t **link = id_bucket (dispatch, request->id);
+  while (*link != request)
+    link = &(*link)->chain;
+  *link = request->chain;
+  request->chain = dispatch->free_requests;
+  dispatch->free_requests = request;
+  dispatch->request_count--;
 }
 
 void
-dispatch_attempt_started (dispatch_t *dispatch, uint64_t id, uint32_t attempt)
-{
-  request_t *request = g_hash_table_lookup (dispatch->requests, &id);
-  if (request != NULL && request->attempt == attempt)
-    request->started = true;
+dispatch_set_timer (dispatch_t *dispatch, request_t *request, int64_t due_ms)
+{
+  dispatch_clear_timer (request);
+  request->due_ms = due_ms;
+  int64_t slot = (due_ms + WHEEL_SLOT_MS - 1) / WHEEL_SLOT_MS;
+  /* A later instant is looked at again when its slot comes round.  */
+  slot = CLAMP (slot, dispatch->wheel_done + 1,
+                dispatch->wheel_done + WHEEL_SLOTS - 1);
+  request_t **head = &dispatch->wheel[slot % WHEEL_SLOTS];
+  request->wheel_next = *head;
+  request->wheel_link = head;
+  if (*head != NULL)
+    (*head)->wheel_link = &request->wheel_next;
+  *head = request;
 }
 
 void
-dispatch_set_replayable (dispatch_t *dispatch, uint64_t id, bool replayable)
+dispatch_clear_timer (request_t *request)
 {
-  request_t *request = g_hash_table_lookup (dispatch->requests, &id);
-  if (request != NULL)
-    request->replayable = replayable;
+  if (request->wheel_link == NULL)
+    return;
+  *request->wheel_link = request->wheel_next;
+  if (request->wheel_next != NULL)
+    request->wheel_next->wheel_link = request->wheel_link;
+  request->wheel_link = NULL;
 }
 
-void
-dispatch_attempt_ended (dispatch_t *dispatch, uint64_t id, uint32_t attempt,
-                        err_kind_t kind, uint16_t status, outcome_t outcome)
+/* Records how REQUEST ended.  A caller's request that was not run is
+   forgotten, so that it may be repeated under the same id; one from another
+   entry is kept, since a late copy of it must not run.  */
+static void
+remember (dispatch_t *dispatch, const request_t *request, err_kind_t kind,
+          uint16_t status, outcome_t outcome)
 {
-  request_t *request = g_hash_table_lookup (dispatch->requests, &id);
-  if (request == NULL || request->attempt != attempt
-      || request->process == NULL)
+  if (request->table == NULL)
     return;
-  request->process->in_flight--;
-  request->process = NULL;
-  if (outcome == OUTCOME_RAN || request->worst == OUTCOME_NOT_RUN)
-    request->worst = outcome;
-  bool again = request->idempotent
-                   ? err_info (kind)->retryable
-                   : kind == ERR_CONNECT_FAILED && outcome == OUTCOME_NOT_RUN;
-  if (kind == ERR_OK || request->started)
-    g_hash_table_remove (dispatch->requests, &id);
-  else if (again && request->replayable && request->attempt < 3)
-    g_queue_push_head (dispatch->queue, request);
-  else
-    finish (dispatch, request, kind);
-  place_queued (dispatch);
+  if (request->table == dispatch->caller_ids
+      && (request->idempotent || outcome == OUTCOME_NOT_RUN))
+    {
+      outcome_forget (request->table, request->key);
+      return;
+    }
+  outcome_record_t record = { outcome, kind, status };
+  outcome_end (request->table, request->key, dispatch->now_ms, record);
 }
 
-void
-dispatch_probe_ended (dispatch_t *dispatch, const char *backend,
-                      err_kind_t kind)
+static void
+refuse (dispatch_t *dispatch, uint64_t id, err_kind_t kind, outcome_t outcome,
+        int64_t retry_after_ms, const char *detail)
 {
+  counter_add (dispatch->metrics.refused[kind], 1);
+  dispatch->actions->refuse (dispatch->context, id, kind, outcome,
+                             retry_after_ms, detail);
 }
 
-static process_t *
-find_process (dispatch_t *dispatch, const char *id)
+static const char *
+detail_of (err_kind_t kind)
 {
-  for (guint i = 0; i < dispatch->processes->len; i++)
+  switch (kind)
     {
-      process_t *process = g_ptr_array_index (dispatch->processes, i);
-      if (g_strcmp0 (process->id, id) == 0)
-        return process;
+    case ERR_UNKNOWN_SERVICE:
+      return "no backend server of this service is known";
+    case ERR_QUEUE_FULL:
+      return "the queue of this class and team is full";
+    case ERR_DEADLINE:
+      return "the deadline does not leave time to wait for a slot";
+    case ERR_NO_CAPACITY:
+      return "no backend server of this service can be reached";
+    case ERR_DRAINING:
+      return "this entry is stopping";
+    case ERR_IN_FLIGHT:
+      return "a request with this id is in flight";
+    case ERR_CONFLICT:
+      return "a request with this id has ended already";
+    default:
+      return "the backend server did not answer in full";
     }
-  return NULL;
 }
 
 void
-dispatch_backend_set (dispatch_t *dispatch, const dispatch_backend_t *backend)
-{
-  process_t *process = find_process (dispatch, backend->id);
-  if (process == NULL)
+dispatch_finish (dispatch_t *dispatch, request_t *request, err_kind_t kind,
+                 int64_t retry_after_ms)
+{
+  uint64_t id = request->id;
+  outcome_t outcome = (outcome_t)request->worst;
+  remember (dispatch, request, kind, 0, outcome);
+  release_request (dispatch, request);
+  refuse (dispatch, id, kind, outcome, retry_after_ms, detail_of (kind));
+}
+
+/* Registers the id of a request that is known by one.  Returns false, with the
+   request answered, if it must not run.  */
+static bool
+begin_outcome (dispatch_t *dispatch, const dispatch_request_t *from,
+               outcome_table_t *table, outcome_key_t key)
+{
+  outcome_record_t record = { OUTCOME_NOT_RUN, ERR_OK, 0 };
+  outcome_seen_t seen = outcome_begin (table, key, dispatch->now_ms, &record);
+  if (seen == OUTCOME_SEEN_ENDED && from->idempotent
+      && table == dispatch->caller_ids)
     {
-      process = g_new0 (process_t, 1);
-      process->id = g_strdup (backend->id);
-      process->service = g_strdup (backend->service);
-      g_ptr_array_add (dispatch->processes, process);
+      outcome_forget (table, key);
+      seen = outcome_begin (table, key, dispatch->now_ms, NULL);
+    }
+  switch (seen)
+    {
+    case OUTCOME_SEEN_NEVER:
+      return true;
+    case OUTCOME_SEEN_IN_FLIGHT:
+      refuse (dispatch, from->id, ERR_IN_FLIGHT, OUTCOME_UNKNOWN, 0,
+              detail_of (ERR_IN_FLIGHT));
+      return false;
+    case OUTCOME_SEEN_ENDED:
+      refuse (dispatch, from->id, ERR_CONFLICT, record.outcome, 0,
+              detail_of (ERR_CONFLICT));
+      return false;
+    case OUTCOME_SEEN_BARRED:
+      refuse (dispatch, from->id, ERR_CONFLICT, OUTCOME_NOT_RUN, 0,
+              "the sender has asked for the outcome before");
+      return false;
+    default:
+      refuse (dispatch, from->id, ERR_QUEUE_FULL, OUTCOME_NOT_RUN,
+              RETRY_AFTER_MS, "no more outcomes can be remembered");
+      return false;
     }
-  g_free (process->url);
-  process->url = g_strdup (backend->url);
-  process->leaving = backend->leaving;
-  process->limit = backend->request_limit;
-  place_queued (dispatch);
-}
-
-void
-dispatch_backend_remove (dispatch_t *dispatch, const char *id)
-{
-  process_t *process = find_process (dispatch, id);
-  if (process != NULL)
-    process->leaving = true;
-}
-
-void
-dispatch_peer_up (dispatch_t *dispatch, const char *entry, const char *zone)
-{
 }
 
-void
-dispatch_peer_down (dispatch_t *dispatch, const char *entry)
+/* Returns why a request must be refused at once, ERR_OK if it may wait.  */
+static err_kind_t
+judge (dispatch_t *dispatch, const service_t *service,
+       const dispatch_request_t *from, uint32_t team, class_t class,
+       int64_t *retry_after_ms)
 {
+  *retry_after_ms = RETRY_AFTER_MS;
+  if (dispatch->draining)
+    return ERR_DRAINING;
+  if (from->deadline_ms <= dispatch->now_ms)
+    return ERR_DEADLINE;
+  if (service->free_count > 0 && admit_count (service->admit) == 0)
+    return ERR_OK;
+  if (service->processes->len == 0
+      && (from->handed_over || !dispatch_has_remote (dispatch, service)))
+    return ERR_NO_CAPACITY;
+  int64_t wait_ms
+      = admit_wait_ms (service->admit, class, team, service->own_slots);
+  if (wait_ms > 0)
+    *retry_after_ms = wait_ms;
+  return dispatch->now_ms + wait_ms >= from->deadline_ms ? ERR_DEADLINE
+                                                         : ERR_OK;
+}
+
+static class_t
+class_of (dispatch_t *dispatch, const dispatch_request_t *from, uint32_t team)
+{
+  team_t *row = &g_array_index (dispatch->teams, team_t, team);
+  /* The entry that handed it over has counted the mark already.  */
+  if (from->class == CLASS_URGENT && row->limited && !from->handed_over
+      && !ratelimit_take (&row->urgent, dispatch->now_ms))
+    return CLASS_STANDARD;
+  return from->class;
 }
 
-void
-dispatch_peer_load (dispatch_t *dispatch, const char *entry,
-                    const char *service, uint32_t free_slots, uint32_t queued)
-{
+static void
+enqueue_new (dispatch_t *dispatch, service_t *service,
+             const dispatch_request_t *from, uint32_t team, class_t class,
+             outcome_table_t *table, outcome_key_t key)
+{
+  request_t *request = take_request (dispatch, from->id);
+  request->service = service;
+  request->item.class = class;
+  request->item.team = team;
+  request->item.since_ms = dispatch->now_ms;
+  request->submitted_us = dispatch->now_us;
+  request->deadline_ms = from->deadline_ms;
+  request->idempotent = from->idempotent;
+  request->replayable = from->replayable;
+  request->handed_over = from->handed_over;
+  request->table = table;
+  request->key = key;
+  request->worst = OUTCOME_NOT_RUN;
+  request->phase = PHASE_QUEUED;
+  if (!admit_push (service->admit, &request->item))
+    {
+      int64_t wait_ms
+          = admit_wait_ms (service->admit, class, team, service->own_slots);
+      dispatch_finish (dispatch, request, ERR_QUEUE_FULL,
+                       wait_ms > 0 ? wait_ms : RETRY_AFTER_MS);
+      return;
+    }
+  retry_budget_earn (&service->budget);
+  dispatch_pump (dispatch, service);
+  /* The pump may have sent other requests and left this one waiting.  */
+  request = find_request (dispatch, from->id);
+  if (request == NULL || !request->item.queued)
+    return;
+  dispatch_set_timer (dispatch, request, request->deadline_ms);
+  dispatch_want (dispatch, service);
+  if (service->processes->len == 0)
+    dispatch_spill (dispatch, service);
 }
 
 void
-dispatch_peer_ledger (dispatch_t *dispatch, const char *entry,
-                      const dispatch_given_t *given, uint32_t count)
-{
+dispatch_submit (dispatch_t *dispatch, const dispatch_request_t *from)
+{
+  dispatch_read_clock (dispatch);
+  class_t class = MIN (from->class, CLASS_BULK);
+  counter_add (dispatch->metrics.requests[class], 1);
+  const char *team_name = from->team != NULL ? from->team : "";
+  outcome_table_t *table = NULL;
+  outcome_key_t key = { from->origin_incarnation, from->origin_id };
+  if (from->handed_over)
+    table = dispatch->handed_ids;
+  else if (from->request_id != NULL)
+    {
+      table = dispatch->caller_ids;
+      key = outcome_caller_key (from->service, team_name, from->request_id);
+    }
+  if (table != NULL && !begin_outcome (dispatch, from, table, key))
+    return;
+  service_t *service = g_hash_table_lookup (dispatch->services, from->service);
+  uint32_t team = dispatch_team (dispatch, team_name, false);
+  int64_t retry_after_ms = 0;
+  err_kind_t kind = ERR_UNKNOWN_SERVICE;
+  if (service != NULL)
+    {
+      class = class_of (dispatch, from, team);
+      kind = judge (dispatch, service, from, team, class, &retry_after_ms);
+    }
+  if (kind == ERR_OK)
+    {
+      enqueue_new (dispatch, service, from, team, class, table, key);
+      return;
+    }
+  request_t refused = { .table = table, .key = key };
+  remember (dispatch, &refused, kind, 0, OUTCOME_NOT_RUN);
+  refuse (dispatch, from->id, kind, OUTCOME_NOT_RUN, retry_after_ms,
+          detail_of (kind));
 }
 
 void
-dispatch_peer_wants (dispatch_t *dispatch, const char *entry,
-                     const char *service, uint32_t count)
-{
-}
-
-err_kind_t
-dispatch_service_set (dispatch_t *dispatch, const char *service,
-                      const dispatch_policy_t *policy)
+dispatch_cancel (dispatch_t *dispatch, uint64_t id)
 {
-  return ERR_OK;
+  dispatch_read_clock (dispatch);
+  request_t *request = find_request (dispatch, id);
+  if (request == NULL)
+    return;
+  if (request->phase == PHASE_IN_FLIGHT || request->phase == PHASE_HANDED_OVER)
+    {
+      request->cancelled = true;
+      return;
+    }
+  if (request->item.queued)
+    admit_remove (request->service->admit, &request->item);
+  remember (dispatch, request, ERR_CANCELLED, 0, (outcome_t)request->worst);
+  release_request (dispatch, request);
 }
 
 void
-dispatch_team_set (dispatch_t *dispatch, const char *team, double urgent_per_s,
-                   double burst, uint32_t weight)
+dispatch_attempt_started (dispatch_t *dispatch, uint64_t id, uint32_t attempt)
 {
+  request_t *request = find_request (dispatch, id);
+  if (request == NULL || request->attempt != attempt || request->started)
+    return;
+  request->started = true;
+  request->first_byte_us = clk_now_ns (dispatch->clock) / 1000;
 }
 
 void
-dispatch_shares_expect (dispatch_t *dispatch)
+dispatch_set_replayable (dispatch_t *dispatch, uint64_t id, bool replayable)
 {
+  request_t *request = find_request (dispatch, id);
+  if (request != NULL)
+    request->replayable = replayable;
 }
 
-err_kind_t
-dispatch_shares_load (dispatch_t *dispatch, int64_t version,
-                      const json_t *value)
-{
-  return ERR_OK;
+/* Frees the slot of REQUEST and tells what its process did.  */
+static void
+end_at_process (dispatch_t *dispatch, request_t *request, err_kind_t kind,
+                uint16_t status)
+{
+  process_t *process = request->process;
+  service_t *service = request->service;
+  double held_ms = (double)(dispatch->now_us - request->sent_us) / US_PER_MS;
+  int64_t first_us
+      = request->started ? request->first_byte_us : dispatch->now_us;
+  double latency_ms = (double)(first_us - request->sent_us) / US_PER_MS;
+  outlier_result_t result = OUTLIER_OK;
+  if (kind == ERR_CONNECT_FAILED)
+    result = OUTLIER_CONNECT_FAILED;
+  else if (status >= 500 || (kind != ERR_OK && kind != ERR_CANCELLED))
+    result = OUTLIER_FAILED;
+  request->process = NULL;
+  process->in_flight--;
+  service->in_flight--;
+  if (kind == ERR_OK)
+    admit_served (service->admit, request->item.class, held_ms);
+  if (process->removed)
+    {
+      if (process->in_flight == 0)
+        g_ptr_array_remove_fast (dispatch->removed, process);
+      return;
+    }
+  dispatch_note_result (dispatch, process, result, latency_ms);
+  if (service->owed > 0)
+    dispatch_pay_owed (dispatch, process);
+  dispatch_refresh (dispatch, process);
 }
 
-json_t *
-dispatch_shares_propose (dispatch_t *dispatch, int64_t *version)
+/* Puts a request back that another zone's entry has refused.  */
+static bool
+requeue_refused (dispatch_t *dispatch, request_t *request, err_kind_t kind,
+                 outcome_t outcome)
 {
-  return NULL;
+  dispatch_peer_load_of (request->service, request->peer)->free_slots = 0;
+  if (outcome != OUTCOME_NOT_RUN || !request->replayable
+      || !err_info (kind)->retryable
+      || request->deadline_ms <= dispatch->now_ms)
+    return false;
+  request->no_hand_over = true;
+  request->phase = PHASE_QUEUED;
+  admit_push_front (request->service->admit, &request->item);
+  dispatch_set_timer (dispatch, request, request->deadline_ms);
+  return true;
 }
 
-void
-dispatch_member_gone (dispatch_t *dispatch, const char *member)
-{
+static void
+retry_or_finish (dispatch_t *dispatch, request_t *request, err_kind_t kind,
+                 outcome_t outcome)
+{
+  retry_case_t failed = { request->idempotent,
+                          request->replayable,
+                          request->started,
+                          request->attempt,
+                          kind,
+                          outcome };
+  int64_t due_ms
+      = dispatch->now_ms
+        + retry_backoff_ms (request->attempt, g_rand_int (dispatch->random));
+  if (!retry_allowed (&failed) || due_ms >= request->deadline_ms
+      || !retry_budget_take (&request->service->budget))
+    {
+      dispatch_finish (dispatch, request, kind, 0);
+      return;
+    }
+  counter_add (dispatch->metrics.retries, 1);
+  request->phase = PHASE_BACKOFF;
+  dispatch_set_timer (dispatch, request, due_ms);
 }
 
 void
-dispatch_peer_closing_request (dispatch_t *dispatch, const char *entry,
-                               const char *const *members, uint32_t count)
+dispatch_attempt_ended (dispatch_t *dispatch, uint64_t id, uint32_t attempt,
+                        err_kind_t kind, uint16_t status, outcome_t outcome)
 {
+  dispatch_read_clock (dispatch);
+  request_t *request = find_request (dispatch, id);
+  if (request == NULL || request->attempt != attempt
+      || (request->phase != PHASE_IN_FLIGHT
+          && request->phase != PHASE_HANDED_OVER))
+    {
+      counter_add (dispatch->metrics.late_ends, 1);
+      return;
+    }
+  service_t *service = request->service;
+  bool remote = request->phase == PHASE_HANDED_OVER;
+  if (!remote)
+    end_at_process (dispatch, request, kind, status);
+  if (kind == ERR_OK)
+    outcome = OUTCOME_RAN;
+  request->worst = (uint8_t)retry_combine ((outcome_t)request->worst, outcome);
+  if (kind == ERR_OK || request->started || request->cancelled)
+    {
+      remember (dispatch, request, kind, status, (outcome_t)request->worst);
+      release_request (dispatch, request);
+    }
+  else if (!remote || !requeue_refused (dispatch, request, kind, outcome))
+    retry_or_finish (dispatch, request, kind, outcome);
+  dispatch_pump (dispatch, service);
 }
 
-void
-dispatch_peer_closing_statement (dispatch_t *dispatch, const char *entry,
-                                 const char *const *members, uint32_t count,
-                                 const dispatch_closing_t *items,
-                                 uint32_t item_count)
+static void
+fire_timer (dispatch_t *dispatch, request_t *request)
 {
+  if (request->phase == PHASE_BACKOFF)
+    {
+      request->phase = PHASE_QUEUED;
+      admit_push_front (request->service->admit, &request->item);
+      dispatch_set_timer (dispatch, request, request->deadline_ms);
+      return;
+    }
+  if (request->item.queued)
+    admit_remove (request->service->admit, &request->item);
+  dispatch_finish (dispatch, request, ERR_DEADLINE, RETRY_AFTER_MS);
 }
 
-void
-dispatch_drain (dispatch_t *dispatch)
+static void
+run_timers (dispatch_t *dispatch)
 {
-  dispatch->draining = true;
+  int64_t last = dispatch->now_ms / WHEEL_SLOT_MS;
+  int64_t first = MAX (dispatch->wheel_done + 1, last - WHEEL_SLOTS + 1);
+  dispatch->wheel_done = MAX (dispatch->wheel_done, last);
+  for (int64_t slot = first; slot <= last; slot++)
+    {
+      request_t *request = dispatch->wheel[slot % WHEEL_SLOTS];
+      while (request != NULL)
+        {
+          request_t *next = request->wheel_next;
+          dispatch_clear_timer (request);
+          if (request->due_ms > dispatch->now_ms)
+            dispatch_set_timer (dispatch, request, request->due_ms);
+          else
+            fire_timer (dispatch, request);
+          request = next;
+        }
+    }
 }
 
-bool
-dispatch_drained (const dispatch_t *dispatch)
+int64_t
+dispatch_tick (dispatch_t *dispatch)
 {
-  return g_hash_table_size (dispatch->requests) == 0;
+  dispatch_read_clock (dispatch);
+  bool review = dispatch->now_ms >= dispatch->next_review_ms;
+  bool probe = dispatch->now_ms >= dispatch->next_probe_ms;
+  if (review)
+    dispatch->next_review_ms = dispatch->now_ms + REVIEW_PERIOD_MS;
+  if (probe)
+    dispatch->next_probe_ms = dispatch->now_ms + PROBE_PERIOD_MS;
+  run_timers (dispatch);
+  for (guint i = 0; i < dispatch->service_list->len; i++)
+    {
+      service_t *service = g_ptr_array_index (dispatch->service_list, i);
+      if (review)
+        dispatch_review (dispatch, service);
+      if (probe && service->ejected > 0)
+        dispatch_start_probes (dispatch, service);
+      dispatch_pump (dispatch, service);
+      dispatch_spill (dispatch, service);
+      dispatch_want (dispatch, service);
+    }
+  dispatch_lend_tick (dispatch);
+  if (review)
+    {
+      outcome_expire (dispatch->caller_ids, dispatch->now_ms);
+      outcome_expire (dispatch->handed_ids, dispatch->now_ms);
+    }
+  return TICK_MS;
 }
 
 dispatch_seen_t
@@ -352,41 +610,20 @@
                         uint64_t origin_id, outcome_t *outcome,
                         err_kind_t *kind, uint16_t *status)
 {
-  *outcome = OUTCOME_UNKNOWN;
-  *kind = ERR_INTERNAL;
-  *status = 0;
+  dispatch_read_clock (dispatch);
+  outcome_key_t key = { origin_incarnation, origin_id };
+  outcome_record_t record = { OUTCOME_NOT_RUN, ERR_CONFLICT, 0 };
+  outcome_seen_t seen
+      = outcome_query (dispatch->handed_ids, key, dispatch->now_ms, &record);
+  if (seen == OUTCOME_SEEN_IN_FLIGHT)
+    return DISPATCH_IN_FLIGHT;
+  if (seen == OUTCOME_SEEN_NEVER || seen == OUTCOME_SEEN_BARRED)
+    return DISPATCH_NEVER_SEEN;
+  /* Without room for a bar, a later arrival could still run.  */
+  if (seen == OUTCOME_TABLE_FULL)
+    record = (outcome_record_t){ OUTCOME_UNKNOWN, ERR_INTERNAL, 0 };
+  *outcome = record.outcome;
+  *kind = record.kind;
+  *status = record.status;
   return DISPATCH_ENDED;
 }
-
-json_t *
-dispatch_status (const dispatch_t *dispatch)
-{
-  return json_pack ("{s:i, s:i}", "queued",
-                    (int)g_queue_get_length (dispatch->queue), "requests",
-                    (int)g_hash_table_size (dispatch->requests));
-}
-
-void
-dispatch_load (const dispatch_t *dispatch, const char *service,
-               uint32_t *free_slots, uint32_t *queued)
-{
-  *free_slots = 0;
-  *queued = 0;
-  for (guint i = 0; i < dispatch->processes->len; i++)
-    {
-      const process_t *process = g_ptr_array_index (dispatch->processes, i);
-      if (g_strcmp0 (process->service, service) == 0 && !process->leaving)
-        *free_slots
-            += process->limit - MIN (process->limit, process->in_flight);
-    }
-  for (GList *link = dispatch->queue->head; link != NULL; link = link->next)
-    if (g_strcmp0 (((request_t *)link->data)->service, service) == 0)
-      ++*queued;
-}
-
-int64_t
-dispatch_tick (dispatch_t *dispatch)
-{
-  place_queued (dispatch);
-  return TICK_MS;
-}
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -138,8 +138,12 @@
 void dispatch_free (dispatch_t *dispatch);
 
 /* Takes a request; it is answered by exactly one of: an attempt that ends with
-   ERR_OK, or the refuse action.  The refuse action may run before this
-   returns.  */
+   ERR_OK, an attempt that ends with another kind after
+   dispatch_attempt_started (its caller's connection is closed), the refuse
+   action, or dispatch_cancel. The refuse action may run before this returns;
+   its outcome takes all earlier attempts into account.  Its kinds include
+   ERR_IN_FLIGHT and ERR_CONFLICT for a repeated request_id, the latter with
+   the remembered outcome.  */
 void dispatch_submit (dispatch_t *dispatch, const dispatch_request_t *request);
 
 /* The caller has gone.  A queued request is dropped; one in flight goes on
@@ -169,8 +173,9 @@
 void dispatch_probe_ended (dispatch_t *dispatch, const char *backend,
                            err_kind_t kind);
 
-/* Adds or changes a backend server of the own zone, or removes one that the
-   instance list shows as gone (a leaving one is set with LEAVING).  */
+/* Adds or changes a backend server of the own zone (its service never
+   changes), or removes one that the instance list shows as gone (a leaving one
+   is set with LEAVING).  */
 void dispatch_backend_set (dispatch_t *dispatch,
                            const dispatch_backend_t *backend);
 void dispatch_backend_remove (dispatch_t *dispatch, const char *id);
@@ -179,6 +184,8 @@
 void dispatch_peer_up (dispatch_t *dispatch, const char *entry,
                        const char *zone);
 void dispatch_peer_down (dispatch_t *dispatch, const char *entry);
+/* ENTRY has begun a planned stop: it is given no more slots or requests.  */
+void dispatch_peer_leaving (dispatch_t *dispatch, const char *entry);
 /* Free slots and queue length that ENTRY advertises for SERVICE.  */
 void dispatch_peer_load (dispatch_t *dispatch, const char *entry,
                          const char *service, uint32_t free_slots,
@@ -203,11 +210,14 @@
    with a table service calls dispatch_shares_expect before anything else and
    then has no slot until a row that names it is loaded.
 
-   The I/O layer reads the row shares/ZONE about once a second and after every
-   transaction on it, whatever its result, and loads what it found; then it
-   calls dispatch_shares_propose and writes the value if there is one, with a
-   check of the returned version.  */
+   The I/O layer reads the row shares/ZONE when dispatch_shares_read_due says
+   so (asked once a second) and after every transaction on it, whatever its
+   result, and loads what it found; then it calls dispatch_shares_propose and
+   writes the value if there is one, with a check of the returned version.  */
 void dispatch_shares_expect (dispatch_t *dispatch);
+/* Returns whether the row should be read now: every second while something is
+   to be changed in it, else every 10 s.  */
+bool dispatch_shares_read_due (dispatch_t *dispatch);
 /* VALUE is borrowed; NULL with VERSION 0 if the row is absent.  A version
    below the one loaded is ignored.  Returns ERR_BAD_REQUEST, and changes
    nothing, if VALUE is not a shares row.  */
@@ -234,7 +244,9 @@
    idle slot to peers.  */
 void dispatch_drain (dispatch_t *dispatch);
 /* Returns whether nothing is queued or in flight and the peers have learned
-   all slots given to them (or there is no peer to give to).  */
+   all slots given to them (or there is no peer to give to).  The only entry of
+   a zone then proposes a row without itself, which the I/O layer writes before
+   the process ends, so that the next entry starts with all slots.  */
 bool dispatch_drained (const dispatch_t *dispatch);
 
 /* What another entry is told of a request that it handed over.  */
--- /dev/null
+++ b/src/dispatch_lend.c
@@ -0,0 +1,504 @@
+#include "dispatch_internal.h"
+
+/* A SlotWant that brought nothing is repeated to another peer after this.  */
+#define WANT_PAUSE_MS 100
+/* Most slots asked for in one message.  */
+#define WANT_MAX 1024
+#define RESEND_PERIOD_MS 500
+#define CLOSING_PERIOD_MS 500
+/* A quiet zone reads its row this often, so that a large row costs little.  */
+#define QUIET_READ_MS 10000
+#define READ_PERIOD_MS 1000
+/* Keeps a ledger message within the frame limit of 1 MiB.  */
+#define LEDGER_ITEMS_MAX 4096
+
+peer_load_t *
+dispatch_peer_load_of (service_t *service, uint32_t peer)
+{
+  if (peer >= service->loads->len)
+    g_array_set_size (service->loads, peer + 1);
+  return &g_array_index (service->loads, peer_load_t, peer);
+}
+
+static uint32_t
+find_peer (const dispatch_t *dispatch, const char *name)
+{
+  for (guint i = 0; i < dispatch->peers->len; i++)
+    {
+      const peer_t *peer = g_ptr_array_index (dispatch->peers, i);
+      if (peer->up && g_strcmp0 (peer->name, name) == 0)
+        return i;
+    }
+  return SHARE_NONE;
+}
+
+static peer_t *
+peer_at (const dispatch_t *dispatch, uint32_t peer)
+{
+  return g_ptr_array_index (dispatch->peers, peer);
+}
+
+static void
+send_ledger (dispatch_t *dispatch, const peer_t *peer, bool resend)
+{
+  if (!resend && !share_has_message (dispatch->share, peer->member))
+    return;
+  uint32_t count = 0;
+  const dispatch_given_t *items
+      = share_message (dispatch->share, peer->member, resend, &count);
+  for (uint32_t sent = 0; sent < count; sent += LEDGER_ITEMS_MAX)
+    dispatch->actions->send_ledger (dispatch->context, peer->name,
+                                    items + sent,
+                                    MIN (count - sent, LEDGER_ITEMS_MAX));
+}
+
+void
+dispatch_peer_up (dispatch_t *dispatch, const char *entry, const char *zone)
+{
+  dispatch_read_clock (dispatch);
+  uint32_t number = find_peer (dispatch, entry);
+  if (number == SHARE_NONE)
+    {
+      for (number = 0;
+           number < dispatch->peers->len && peer_at (dispatch, number)->up;
+           number++)
+        ;
+      if (number == dispatch->peers->len)
+        g_ptr_array_add (dispatch->peers, g_new0 (peer_t, 1));
+    }
+  peer_t *peer = peer_at (dispatch, number);
+  char *name = g_strdup (entry);
+  g_free (peer->name);
+  g_free (peer->zone);
+  peer->name = name;
+  peer->zone = g_strdup (zone);
+  peer->up = true;
+  peer->leaving = false;
+  peer->own_zone = g_strcmp0 (zone, dispatch->zone) == 0;
+  if (!peer->own_zone)
+    return;
+  peer->member = share_member (dispatch->share, entry);
+  send_ledger (dispatch, peer, true);
+}
+
+void
+dispatch_peer_down (dispatch_t *dispatch, const char *entry)
+{
+  uint32_t number = find_peer (dispatch, entry);
+  if (number == SHARE_NONE)
+    return;
+  peer_at (dispatch, number)->up = false;
+  for (guint i = 0; i < dispatch->service_list->len; i++)
+    {
+      service_t *service = g_ptr_array_index (dispatch->service_list, i);
+      peer_load_t *load = dispatch_peer_load_of (service, number);
+      service->owed -= load->owed;
+      *load = (peer_load_t){ 0 };
+    }
+}
+
+void
+dispatch_peer_leaving (dispatch_t *dispatch, const char *entry)
+{
+  uint32_t number = find_peer (dispatch, entry);
+  if (number != SHARE_NONE)
+    peer_at (dispatch, number)->leaving = true;
+}
+
+/* Returns whether PEER may be given slots.  */
+static bool
+may_give (const dispatch_t *dispatch, const peer_t *peer)
+{
+  return peer->up && peer->own_zone && !peer->leaving
+         && share_may_give (dispatch->share, peer->member);
+}
+
+void
+dispatch_peer_load (dispatch_t *dispatch, const char *entry, const char *name,
+                    uint32_t free_slots, uint32_t queued)
+{
+  uint32_t number = find_peer (dispatch, entry);
+  if (number == SHARE_NONE)
+    return;
+  peer_load_t *load
+      = dispatch_peer_load_of (dispatch_service (dispatch, name), number);
+  load->free_slots = free_slots;
+  load->queued = queued;
+}
+
+void
+dispatch_load (const dispatch_t *dispatch, const char *name,
+               uint32_t *free_slots, uint32_t *queued)
+{
+  const service_t *service = g_hash_table_lookup (dispatch->services, name);
+  *free_slots
+      = service != NULL && !dispatch->draining ? service->free_slots : 0;
+  *queued = service != NULL ? admit_count (service->admit) : 0;
+}
+
+/* Returns the own-zone peer with the most idle slots, else in turn one that
+   has none, as it may hold more than its part; SHARE_NONE if there is none. */
+static uint32_t
+lender (const dispatch_t *dispatch, service_t *service)
+{
+  uint32_t best = SHARE_NONE, most = 0, busy = SHARE_NONE;
+  guint count = dispatch->peers->len;
+  for (guint k = 0; k < count; k++)
+    {
+      guint i = (service->next_busy_peer + k) % count;
+      const peer_t *peer = peer_at (dispatch, i);
+      if (!peer->up || !peer->own_zone)
+        continue;
+      uint32_t idle = dispatch_peer_load_of (service, i)->free_slots;
+      if (idle > most)
+        {
+          most = idle;
+          best = i;
+        }
+      if (busy == SHARE_NONE)
+        busy = i;
+    }
+  if (best != SHARE_NONE || busy == SHARE_NONE)
+    return best;
+  service->next_busy_peer = busy + 1;
+  return busy;
+}
+
+void
+dispatch_want (dispatch_t *dispatch, service_t *service)
+{
+  uint32_t queued = admit_count (service->admit);
+  if (queued == 0 || service->free_count > 0
+      || dispatch->now_ms < service->want_again_ms)
+    return;
+  uint32_t from = lender (dispatch, service);
+  if (from == SHARE_NONE)
+    return;
+  service->want_again_ms = dispatch->now_ms + WANT_PAUSE_MS;
+  /* Half of what was idle will be left; nothing if it does not answer.  */
+  dispatch_peer_load_of (service, from)->free_slots /= 2;
+  counter_add (dispatch->metrics.slot_wants, 1);
+  dispatch->actions->want_slots (dispatch->context,
+                                 peer_at (dispatch, from)->name, service->name,
+                                 MIN (queued, WANT_MAX));
+}
+
+static uint32_t
+idle_at (const process_t *process)
+{
+  int64_t idle = (int64_t)process->slots - process->in_flight;
+  return idle > 0 ? (uint32_t)idle : 0;
+}
+
+static void
+give (dispatch_t *dispatch, process_t *process, uint32_t member,
+      uint32_t count)
+{
+  share_give (dispatch->share, member, process->number, count);
+  counter_add (dispatch->metrics.slots_given, count);
+  dispatch_refresh (dispatch, process);
+}
+
+/* Gives up to WANTED idle slots, first at most half of each process's, so that
+   both sides can use many processes.  Returns how many were given.  */
+static uint32_t
+give_idle (dispatch_t *dispatch, service_t *service, uint32_t member,
+           uint32_t wanted)
+{
+  uint32_t given = 0;
+  guint count = service->processes->len;
+  guint start = count > 0 ? g_rand_int (dispatch->random) % count : 0;
+  for (int whole = 0; whole < 2; whole++)
+    for (guint i = 0; i < count && given < wanted; i++)
+      {
+        process_t *process = service->processes->pdata[(start + i) % count];
+        uint32_t idle = process->counted_free;
+        if (whole == 0)
+          idle = (idle + 1) / 2;
+        uint32_t part = MIN (idle, wanted - given);
+        if (part == 0)
+          continue;
+        give (dispatch, process, member, part);
+        given += part;
+      }
+  return given;
+}
+
+/* Slots of SERVICE that each live member may keep while others wait.  */
+static uint32_t
+even_part (const dispatch_t *dispatch, const service_t *service)
+{
+  uint32_t total = 0;
+  for (guint i = 0; i < service->processes->len; i++)
+    total += share_limit (
+        dispatch->share,
+        ((const process_t *)service->processes->pdata[i])->number);
+  return total / share_live_members (dispatch->share);
+}
+
+void
+dispatch_peer_wants (dispatch_t *dispatch, const char *entry, const char *name,
+                     uint32_t count)
+{
+  dispatch_read_clock (dispatch);
+  uint32_t number = find_peer (dispatch, entry);
+  service_t *service = g_hash_table_lookup (dispatch->services, name);
+  if (number == SHARE_NONE || service == NULL
+      || !peer_at (dispatch, number)->own_zone)
+    return;
+  peer_t *peer = peer_at (dispatch, number);
+  if (peer->leaving)
+    return;
+  if (!share_may_give (dispatch->share, peer->member))
+    {
+      /* A member that joined after the row was read last.  */
+      dispatch->next_read_ms = MIN (dispatch->next_read_ms, dispatch->now_ms);
+      return;
+    }
+  peer_load_t *load = dispatch_peer_load_of (service, number);
+  uint32_t given = 0;
+  if (admit_count (service->admit) == 0)
+    given = give_idle (dispatch, service, peer->member,
+                       MIN (count, (service->free_slots + 1) / 2));
+  send_ledger (dispatch, peer, false);
+  service->owed -= load->owed;
+  load->owed = 0;
+  uint32_t part = even_part (dispatch, service);
+  if (given == 0 && service->own_slots > part + service->owed)
+    load->owed
+        = MIN (count, (service->own_slots - part - service->owed + 1) / 2);
+  service->owed += load->owed;
+}
+
+void
+dispatch_pay_owed (dispatch_t *dispatch, process_t *process)
+{
+  service_t *service = process->service;
+  for (guint i = 0; i < service->loads->len && idle_at (process) > 0; i++)
+    {
+      peer_load_t *load = dispatch_peer_load_of (service, i);
+      if (load->owed == 0)
+        continue;
+      if (!may_give (dispatch, peer_at (dispatch, i)))
+        {
+          service->owed -= load->owed;
+          load->owed = 0;
+          continue;
+        }
+      load->owed--;
+      service->owed--;
+      give (dispatch, process, peer_at (dispatch, i)->member, 1);
+      /* What is still owed goes out together with the next tick.  */
+      if (load->owed == 0)
+        send_ledger (dispatch, peer_at (dispatch, i), false);
+    }
+}
+
+void
+dispatch_peer_ledger (dispatch_t *dispatch, const char *entry,
+                      const dispatch_given_t *given, uint32_t count)
+{
+  dispatch_read_clock (dispatch);
+  uint32_t number = find_peer (dispatch, entry);
+  if (number == SHARE_NONE || !peer_at (dispatch, number)->own_zone)
+    return;
+  peer_t *peer = peer_at (dispatch, number);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint32_t changed
+          = share_receive (dispatch->share, peer->member, &given[i]);
+      if (changed == SHARE_NONE || changed >= dispatch->numbered->len
+          || dispatch->numbered->pdata[changed] == NULL)
+        continue;
+      process_t *process = dispatch->numbered->pdata[changed];
+      int32_t before = process->slots;
+      dispatch_refresh (dispatch, process);
+      counter_add (dispatch->metrics.slots_learned, process->slots - before);
+      process->service->want_again_ms = dispatch->now_ms;
+    }
+  send_ledger (dispatch, peer, false);
+  for (guint i = 0; i < dispatch->service_list->len; i++)
+    dispatch_pump (dispatch, g_ptr_array_index (dispatch->service_list, i));
+}
+
+static void
+refresh_all (dispatch_t *dispatch)
+{
+  for (guint i = 0; i < dispatch->numbered->len; i++)
+    if (dispatch->numbered->pdata[i] != NULL)
+      dispatch_refresh (dispatch, dispatch->numbered->pdata[i]);
+}
+
+void
+dispatch_shares_expect (dispatch_t *dispatch)
+{
+  share_expect (dispatch->share);
+  refresh_all (dispatch);
+}
+
+err_kind_t
+dispatch_shares_load (dispatch_t *dispatch, int64_t version,
+                      const json_t *value)
+{
+  dispatch_read_clock (dispatch);
+  err_kind_t kind
+      = share_load (dispatch->share, version, value, dispatch->now_ms);
+  if (kind != ERR_OK)
+    return kind;
+  dispatch->next_read_ms
+      = dispatch->now_ms
+        + (share_wants_row (dispatch->share) ? READ_PERIOD_MS : QUIET_READ_MS);
+  refresh_all (dispatch);
+  for (guint i = 0; i < dispatch->service_list->len; i++)
+    dispatch_pump (dispatch, g_ptr_array_index (dispatch->service_list, i));
+  return ERR_OK;
+}
+
+bool
+dispatch_shares_read_due (dispatch_t *dispatch)
+{
+  dispatch_read_clock (dispatch);
+  if (share_wants_row (dispatch->share))
+    dispatch->next_read_ms
+        = MIN (dispatch->next_read_ms, dispatch->now_ms + READ_PERIOD_MS);
+  if (dispatch->now_ms < dispatch->next_read_ms)
+    return false;
+  dispatch->next_read_ms = dispatch->now_ms + READ_PERIOD_MS;
+  return true;
+}
+
+json_t *
+dispatch_shares_propose (dispatch_t *dispatch, int64_t *version)
+{
+  dispatch_read_clock (dispatch);
+  bool leave = dispatch->draining && dispatch->request_count == 0;
+  if (dispatch->draining && !leave)
+    return NULL;
+  return share_propose (dispatch->share, leave, dispatch->now_ms, version);
+}
+
+void
+dispatch_member_gone (dispatch_t *dispatch, const char *member)
+{
+  dispatch_read_clock (dispatch);
+  share_member_gone (dispatch->share, share_member (dispatch->share, member),
+                     dispatch->now_ms);
+}
+
+void
+dispatch_peer_closing_request (dispatch_t *dispatch, const char *entry,
+                               const char *const *members, uint32_t count)
+{
+  GArray *items = share_close (dispatch->share, members, count);
+  dispatch->actions->closing_statement (
+      dispatch->context, entry, members, count,
+      (const dispatch_closing_t *)(void *)items->data, items->len);
+  g_array_unref (items);
+}
+
+void
+dispatch_peer_closing_statement (dispatch_t *dispatch, const char *entry,
+                                 const char *const *members, uint32_t count,
+                                 const dispatch_closing_t *items,
+                                 uint32_t item_count)
+{
+  share_statement (dispatch->share, share_member (dispatch->share, entry),
+                   members, count, items, item_count);
+}
+
+static void
+request_closing (dispatch_t *dispatch)
+{
+  GPtrArray *retiring = share_retiring (dispatch->share, dispatch->now_ms);
+  if (retiring == NULL)
+    return;
+  const char *name;
+  for (uint32_t i = 0; (name = share_member_name (dispatch->share, i)) != NULL;
+       i++)
+    if (share_statement_missing (dispatch->share, i, retiring)
+        && find_peer (dispatch, name) != SHARE_NONE)
+      dispatch->actions->closing_request (dispatch->context, name,
+                                          (const char *const *)retiring->pdata,
+                                          retiring->len);
+  g_ptr_array_unref (retiring);
+}
+
+/* Gives every idle slot of a stopping entry to peers in turn.  */
+static void
+give_all (dispatch_t *dispatch)
+{
+  guint peers = dispatch->peers->len;
+  guint turn = 0;
+  for (uint32_t number = 0; number < share_process_count (dispatch->share);
+       number++)
+    {
+      process_t *process = number < dispatch->numbered->len
+                               ? dispatch->numbered->pdata[number]
+                               : NULL;
+      if (process != NULL && admit_count (process->service->admit) > 0)
+        continue;
+      int64_t idle = share_slots (dispatch->share, number);
+      if (process != NULL)
+        idle -= process->in_flight;
+      for (guint tried = 0; idle > 0 && tried < peers; tried++)
+        {
+          const peer_t *peer = peer_at (dispatch, turn++ % peers);
+          if (!may_give (dispatch, peer))
+            continue;
+          share_give (dispatch->share, peer->member, number, (uint32_t)idle);
+          if (process != NULL)
+            dispatch_refresh (dispatch, process);
+          break;
+        }
+    }
+}
+
+void
+dispatch_lend_tick (dispatch_t *dispatch)
+{
+  share_settle (dispatch->share);
+  if (dispatch->draining)
+    give_all (dispatch);
+  bool resend = dispatch->now_ms >= dispatch->next_resend_ms;
+  if (resend)
+    dispatch->next_resend_ms = dispatch->now_ms + RESEND_PERIOD_MS;
+  for (guint i = 0; i < dispatch->peers->len; i++)
+    {
+      const peer_t *peer = peer_at (dispatch, i);
+      if (peer->up && peer->own_zone)
+        send_ledger (dispatch, peer, resend);
+    }
+  if (dispatch->now_ms >= dispatch->next_closing_ms)
+    {
+      dispatch->next_closing_ms = dispatch->now_ms + CLOSING_PERIOD_MS;
+      request_closing (dispatch);
+    }
+}
+
+void
+dispatch_drain (dispatch_t *dispatch)
+{
+  dispatch->draining = true;
+}
+
+bool
+dispatch_drained (const dispatch_t *dispatch)
+{
+  if (dispatch->request_count > 0)
+    return false;
+  bool has_peer = false;
+  for (guint i = 0; i < dispatch->peers->len; i++)
+    {
+      const peer_t *peer = peer_at (dispatch, i);
+      if (!peer->up || !peer->own_zone)
+        continue;
+      has_peer |= may_give (dispatch, peer);
+      if (!share_confirmed (dispatch->share, peer->member))
+        return false;
+    }
+  for (uint32_t number = 0;
+       has_peer && number < share_process_count (dispatch->share); number++)
+    if (share_slots (dispatch->share, number) > 0)
+      return false;
+  return true;
+}
--- /dev/null
+++ b/src/dispatch_place.c
@@ -0,0 +1,403 @@
+#include "dispatch_internal.h"
+
+#include <string.h>
+
+/* The connections of a process are divided evenly between up to this many
+   entries of its zone.  */
+#define ENTRIES_PER_ZONE 8
+#define DEFAULT_CONNECTIONS 64
+#define DEFAULT_QUEUE_LIMIT 2048
+#define DEFAULT_SPILL_AFTER_MS 50
+#define DEFAULT_RETRY_PERCENT 10
+
+static const uint32_t default_weight[CLASS_COUNT] = { 50, 35, 15 };
+
+service_t *
+dispatch_service (dispatch_t *dispatch, const char *name)
+{
+  service_t *service = g_hash_table_lookup (dispatch->services, name);
+  if (service != NULL)
+    return service;
+  service = g_new0 (service_t, 1);
+  service->name = g_strdup (name);
+  admit_settings_t settings = { .queue_limit = DEFAULT_QUEUE_LIMIT };
+  memcpy (settings.weight, default_weight, sizeof settings.weight);
+  service->admit = admit_new (&settings);
+  for (guint i = 0; i < dispatch->teams->len; i++)
+    admit_team_weight (service->admit, i,
+                       g_array_index (dispatch->teams, team_t, i).weight);
+  retry_budget_init (&service->budget, DEFAULT_RETRY_PERCENT);
+  service->spill_after_ms = DEFAULT_SPILL_AFTER_MS;
+  service->processes = g_ptr_array_new ();
+  service->loads = g_array_new (FALSE, TRUE, sizeof (peer_load_t));
+  g_hash_table_insert (dispatch->services, service->name, service);
+  g_ptr_array_add (dispatch->service_list, service);
+  return service;
+}
+
+void
+dispatch_service_free (gpointer data)
+{
+  service_t *service = data;
+  admit_free (service->admit);
+  g_ptr_array_unref (service->processes);
+  g_array_unref (service->loads);
+  g_free (service->free);
+  g_free (service->name);
+  g_free (service);
+}
+
+err_kind_t
+dispatch_service_set (dispatch_t *dispatch, const char *name,
+                      const dispatch_policy_t *policy)
+{
+  service_t *service = dispatch_service (dispatch, name);
+  admit_settings_t settings = { policy->policy, { 0 }, policy->queue_limit };
+  if (settings.queue_limit == 0)
+    settings.queue_limit = DEFAULT_QUEUE_LIMIT;
+  for (int i = 0; i < CLASS_COUNT; i++)
+    settings.weight[i]
+        = policy->weight[i] > 0 ? policy->weight[i] : default_weight[i];
+  if (!admit_configure (service->admit, &settings))
+    return ERR_BAD_REQUEST;
+  service->spill_after_ms = policy->spill_after_ms > 0
+                                ? policy->spill_after_ms
+                                : DEFAULT_SPILL_AFTER_MS;
+  service->budget.per_request
+      = (policy->retry_percent > 0 ? policy->retry_percent
+                                   : DEFAULT_RETRY_PERCENT)
+        / 100.0;
+  return ERR_OK;
+}
+
+void
+dispatch_process_free (gpointer data)
+{
+  process_t *process = data;
+  g_free (process->id);
+  g_free (process->url);
+  g_free (process);
+}
+
+static void
+set_free (service_t *service, process_t *process, bool is_free)
+{
+  if (is_free == (process->free_index != SHARE_NONE))
+    return;
+  if (is_free)
+    {
+      process->free_index = service->free_count;
+      service->free[service->free_count++] = process;
+      return;
+    }
+  process_t *last = service->free[--service->free_count];
+  service->free[process->free_index] = last;
+  last->free_index = process->free_index;
+  process->free_index = SHARE_NONE;
+}
+
+void
+dispatch_refresh (dispatch_t *dispatch, process_t *process)
+{
+  service_t *service = process->service;
+  int32_t slots = share_slots (dispatch->share, process->number);
+  service->own_slots
+      += (uint32_t)MAX (slots, 0) - (uint32_t)MAX (process->slots, 0);
+  process->slots = slots;
+  uint32_t usable = MIN ((uint32_t)MAX (slots, 0),
+                         process->connection_cap - process->outlier.probing);
+  uint32_t free_slots = 0;
+  if (!process->leaving && !process->removed && !process->outlier.ejected
+      && usable > process->in_flight)
+    free_slots = usable - process->in_flight;
+  service->free_slots += free_slots - process->counted_free;
+  process->counted_free = free_slots;
+  set_free (service, process, free_slots > 0);
+}
+
+static process_t *
+find_process (const dispatch_t *dispatch, const char *id)
+{
+  return g_hash_table_lookup (dispatch->processes, id);
+}
+
+static process_t *
+add_process (dispatch_t *dispatch, const dispatch_backend_t *backend)
+{
+  service_t *service = dispatch_service (dispatch, backend->service);
+  process_t *process = g_new0 (process_t, 1);
+  process->id = g_strdup (backend->id);
+  process->service = service;
+  process->incarnation = backend->incarnation;
+  process->free_index = SHARE_NONE;
+  char *key = g_strdup_printf ("%s@%" G_GINT64_FORMAT, backend->id,
+                               backend->incarnation);
+  process->number = share_process (dispatch->share, key);
+  g_free (key);
+  process->index = service->processes->len;
+  g_ptr_array_add (service->processes, process);
+  if (service->processes->len > service->free_size)
+    {
+      service->free_size = MAX (64, service->free_size * 2);
+      service->free = g_renew (process_t *, service->free, service->free_size);
+    }
+  if (process->number >= dispatch->numbered->len)
+    g_ptr_array_set_size (dispatch->numbered, (gint)process->number + 1);
+  dispatch->numbered->pdata[process->number] = process;
+  g_hash_table_insert (dispatch->processes, process->id, process);
+  return process;
+}
+
+void
+dispatch_backend_remove (dispatch_t *dispatch, const char *id)
+{
+  dispatch_read_clock (dispatch);
+  process_t *process = find_process (dispatch, id);
+  if (process == NULL)
+    return;
+  service_t *service = process->service;
+  process->removed = true;
+  dispatch_refresh (dispatch, process);
+  service->own_slots -= (uint32_t)MAX (process->slots, 0);
+  service->ejected -= process->outlier.ejected;
+  g_ptr_array_remove_index_fast (service->processes, process->index);
+  if (process->index < service->processes->len)
+    ((process_t *)service->processes->pdata[process->index])->index
+        = process->index;
+  dispatch->numbered->pdata[process->number] = NULL;
+  share_process_gone (dispatch->share, process->number, dispatch->now_ms);
+  g_hash_table_steal (dispatch->processes, id);
+  if (process->in_flight > 0)
+    g_ptr_array_add (dispatch->removed, process);
+  else
+    dispatch_process_free (process);
+}
+
+void
+dispatch_backend_set (dispatch_t *dispatch, const dispatch_backend_t *backend)
+{
+  dispatch_read_clock (dispatch);
+  process_t *process = find_process (dispatch, backend->id);
+  if (process != NULL && backend->incarnation < process->incarnation)
+    return;
+  if (process != NULL && backend->incarnation > process->incarnation)
+    {
+      dispatch_backend_remove (dispatch, backend->id);
+      process = NULL;
+    }
+  if (process == NULL)
+    process = add_process (dispatch, backend);
+  if (g_strcmp0 (process->url, backend->url) != 0)
+    {
+      g_free (process->url);
+      process->url = g_strdup (backend->url);
+    }
+  process->leaving = backend->leaving;
+  uint32_t connections = backend->connection_limit > 0
+                             ? backend->connection_limit
+                             : DEFAULT_CONNECTIONS;
+  process->connection_cap = MAX (connections / ENTRIES_PER_ZONE, 1);
+  share_process_listed (dispatch->share, process->number,
+                        backend->request_limit, dispatch->now_ms);
+  dispatch_refresh (dispatch, process);
+  dispatch_pump (dispatch, process->service);
+}
+
+static bool
+less_loaded (const process_t *a, const process_t *b)
+{
+  return (uint64_t)a->in_flight * (uint32_t)b->slots
+         < (uint64_t)b->in_flight * (uint32_t)a->slots;
+}
+
+/* Power of two choices among the processes that have a free own slot, other
+   than AVOID if there is another.  */
+static process_t *
+pick_process (dispatch_t *dispatch, const service_t *service,
+              const process_t *avoid)
+{
+  uint32_t count = service->free_count;
+  if (count == 1)
+    return service->free[0];
+  uint32_t draw = g_rand_int (dispatch->random);
+  uint32_t first = (uint32_t)(((uint64_t)(draw & 0xffff) * count) >> 16);
+  uint32_t second = (uint32_t)(((uint64_t)(draw >> 16) * (count - 1)) >> 16);
+  second += second >= first;
+  process_t *a = service->free[first];
+  process_t *b = service->free[second];
+  if (a == avoid)
+    return b;
+  if (b == avoid)
+    return a;
+  return less_loaded (b, a) ? b : a;
+}
+
+static void
+send_request (dispatch_t *dispatch, request_t *request, process_t *process)
+{
+  dispatch_clear_timer (request);
+  if (request->attempt == 0)
+    histogram_add (dispatch->metrics.wait[request->item.class],
+                   (uint64_t)(dispatch->now_us - request->submitted_us));
+  request->phase = PHASE_IN_FLIGHT;
+  request->process = process;
+  request->last_process = process;
+  request->sent_us = dispatch->now_us;
+  request->attempt++;
+  process->in_flight++;
+  process->service->in_flight++;
+  dispatch_refresh (dispatch, process);
+  dispatch->actions->send (dispatch->context, request->id, request->attempt,
+                           process->id, process->url, !request->idempotent);
+}
+
+void
+dispatch_pump (dispatch_t *dispatch, service_t *service)
+{
+  while (service->free_count > 0)
+    {
+      admit_item_t *item = admit_pop (service->admit, dispatch->now_ms);
+      if (item == NULL)
+        return;
+      request_t *request = (request_t *)(void *)item;
+      send_request (dispatch, request,
+                    pick_process (dispatch, service, request->last_process));
+    }
+}
+
+/* Returns the peer of another zone that advertises the most free slots for
+   SERVICE, or SHARE_NONE.  */
+static uint32_t
+best_remote (const dispatch_t *dispatch, const service_t *service)
+{
+  uint32_t best = SHARE_NONE, most = 0;
+  for (guint i = 0; i < service->loads->len; i++)
+    {
+      const peer_load_t *load
+          = &g_array_index (service->loads, peer_load_t, i);
+      const peer_t *peer = g_ptr_array_index (dispatch->peers, i);
+      if (!peer->up || peer->leaving || peer->own_zone
+          || load->free_slots <= most)
+        continue;
+      most = load->free_slots;
+      best = i;
+    }
+  return best;
+}
+
+bool
+dispatch_has_remote (const dispatch_t *dispatch, const service_t *service)
+{
+  return best_remote (dispatch, service) != SHARE_NONE;
+}
+
+void
+dispatch_spill (dispatch_t *dispatch, service_t *service)
+{
+  while (service->free_count == 0)
+    {
+      request_t *request = (request_t *)(void *)admit_peek (service->admit);
+      if (request == NULL || request->handed_over || request->no_hand_over)
+        return;
+      if (service->processes->len > 0
+          && dispatch->now_ms - request->item.since_ms
+                 < service->spill_after_ms)
+        return;
+      uint32_t remote = best_remote (dispatch, service);
+      if (remote == SHARE_NONE)
+        return;
+      const peer_t *peer = g_ptr_array_index (dispatch->peers, remote);
+      /* Each hand-over uses up one of the advertised slots until the peer's
+         next heartbeat.  */
+      g_array_index (service->loads, peer_load_t, remote).free_slots--;
+      admit_pop (service->admit, dispatch->now_ms);
+      dispatch_clear_timer (request);
+      request->phase = PHASE_HANDED_OVER;
+      request->peer = remote;
+      request->attempt++;
+      request->sent_us = dispatch->now_us;
+      counter_add (dispatch->metrics.hand_overs, 1);
+      dispatch->actions->hand_over (dispatch->context, request->id,
+                                    request->attempt, peer->name);
+    }
+}
+
+void
+dispatch_note_result (dispatch_t *dispatch, process_t *process,
+                      outlier_result_t result, double latency_ms)
+{
+  service_t *service = process->service;
+  if (outlier_note (&process->outlier, result, latency_ms)
+      && outlier_eject (&process->outlier, service->ejected,
+                        service->processes->len, dispatch->now_ms))
+    {
+      service->ejected++;
+      counter_add (dispatch->metrics.ejections, 1);
+    }
+}
+
+typedef struct
+{
+  dispatch_t *dispatch;
+  service_t *service;
+} review_t;
+
+static void
+review_changed (void *context, uint32_t index, outlier_reason_t reason)
+{
+  const review_t *review = context;
+  process_t *process = review->service->processes->pdata[index];
+  if (reason == OUTLIER_NONE)
+    review->service->ejected--;
+  else
+    {
+      review->service->ejected++;
+      counter_add (review->dispatch->metrics.ejections, 1);
+    }
+  dispatch_refresh (review->dispatch, process);
+}
+
+void
+dispatch_review (dispatch_t *dispatch, service_t *service)
+{
+  guint count = service->processes->len;
+  if (count == 0)
+    return;
+  outlier_t **members = g_new (outlier_t *, count);
+  for (guint i = 0; i < count; i++)
+    members[i] = &((process_t *)service->processes->pdata[i])->outlier;
+  review_t review = { dispatch, service };
+  outlier_review (members, count, dispatch->now_ms, review_changed, &review);
+  g_free (members);
+}
+
+void
+dispatch_start_probes (dispatch_t *dispatch, service_t *service)
+{
+  for (guint i = 0; i < service->processes->len; i++)
+    {
+      process_t *process = service->processes->pdata[i];
+      /* The probe's connection counts like a request's.  */
+      if (!outlier_probe_due (&process->outlier, dispatch->now_ms)
+          || process->in_flight >= process->connection_cap)
+        continue;
+      outlier_probe_started (&process->outlier);
+      dispatch->actions->probe (dispatch->context, process->id, process->url);
+    }
+}
+
+void
+dispatch_probe_ended (dispatch_t *dispatch, const char *backend,
+                      err_kind_t kind)
+{
+  dispatch_read_clock (dispatch);
+  process_t *process = find_process (dispatch, backend);
+  if (process == NULL)
+    return;
+  bool was_ejected = process->outlier.ejected;
+  outlier_probe_ended (&process->outlier, kind == ERR_OK, dispatch->now_ms);
+  if (was_ejected && !process->outlier.ejected)
+    process->service->ejected--;
+  dispatch_refresh (dispatch, process);
+  dispatch_pump (dispatch, process->service);
+}
--- /dev/null
+++ b/src/share.c
@@ -0,0 +1,327 @@
+#include "share_internal.h"
+
+#include <string.h>
+
+static void
+member_free (gpointer data)
+{
+  share_member_t *member = data;
+  g_free (member->name);
+  g_array_unref (member->pairs);
+  g_array_unref (member->dirty);
+  g_hash_table_unref (member->statements);
+  g_free (member);
+}
+
+share_t *
+share_new (const char *self)
+{
+  share_t *share = g_new0 (share_t, 1);
+  share->self = g_strdup (self);
+  share->rules = (share_rules_t){ true, true };
+  share->processes = g_array_new (FALSE, TRUE, sizeof (share_process_t));
+  share->free = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  share->process_numbers = g_hash_table_new (g_str_hash, g_str_equal);
+  share->members = g_ptr_array_new_with_free_func (member_free);
+  share->member_numbers = g_hash_table_new (g_str_hash, g_str_equal);
+  share->message = g_array_new (FALSE, FALSE, sizeof (dispatch_given_t));
+  return share;
+}
+
+void
+share_free (share_t *share)
+{
+  if (share == NULL)
+    return;
+  for (guint i = 0; i < share->processes->len; i++)
+    g_free (share_process_at (share, i)->key);
+  g_array_unref (share->processes);
+  g_array_unref (share->free);
+  g_hash_table_unref (share->process_numbers);
+  g_ptr_array_unref (share->members);
+  g_hash_table_unref (share->member_numbers);
+  g_array_unref (share->message);
+  json_decref (share->row);
+  g_free (share->self);
+  g_free (share);
+}
+
+void
+share_set_rules (share_t *share, share_rules_t rules)
+{
+  share->rules = rules;
+}
+
+void
+share_expect (share_t *share)
+{
+  share->expecting = true;
+  for (guint i = 0; i < share->processes->len; i++)
+    share_recount (share, i);
+}
+
+uint32_t
+share_process (share_t *share, const char *key)
+{
+  gpointer number = NULL;
+  if (g_hash_table_lookup_extended (share->process_numbers, key, NULL,
+                                    &number))
+    return GPOINTER_TO_UINT (number);
+  uint32_t process = share->processes->len;
+  if (share->free->len > 0)
+    {
+      process = g_array_index (share->free, uint32_t, share->free->len - 1);
+      g_array_set_size (share->free, share->free->len - 1);
+    }
+  else
+    g_array_set_size (share->processes, process + 1);
+  share_process_t *added = share_process_at (share, process);
+  *added = (share_process_t){ .key = g_strdup (key) };
+  g_hash_table_insert (share->process_numbers, added->key,
+                       GUINT_TO_POINTER (process));
+  return process;
+}
+
+void
+share_process_listed (share_t *share, uint32_t process, uint32_t limit,
+                      int64_t now_ms)
+{
+  share_process_t *listed = share_process_at (share, process);
+  if (listed->gone)
+    return;
+  if (!listed->listed)
+    listed->changed_ms = now_ms;
+  listed->listed = true;
+  /* What a row has once divided does not change with the list.  */
+  if (!listed->in_row)
+    listed->limit = limit;
+  share_recount (share, process);
+}
+
+void
+share_process_drop (share_t *share, uint32_t process)
+{
+  for (guint i = 0; i < share->members->len; i++)
+    {
+      share_member_t *member = share_member_at (share, i);
+      if (process >= member->pairs->len)
+        continue;
+      share_pair_t *pair = share_pair (member, process);
+      if (pair->given > pair->confirmed)
+        member->unconfirmed--;
+      /* A dirty mark stands for an entry in the list of dirty processes.  */
+      *pair = (share_pair_t){ .dirty = pair->dirty };
+    }
+}
+
+void
+share_process_free (share_t *share, uint32_t process)
+{
+  share_process_t *freed = share_process_at (share, process);
+  g_hash_table_remove (share->process_numbers, freed->key);
+  g_free (freed->key);
+  *freed = (share_process_t){ 0 };
+  g_array_append_val (share->free, process);
+}
+
+void
+share_process_gone (share_t *share, uint32_t process, int64_t now_ms)
+{
+  share_process_t *gone = share_process_at (share, process);
+  if (!gone->in_row)
+    {
+      share_process_drop (share, process);
+      share_process_free (share, process);
+      return;
+    }
+  if (!gone->gone)
+    gone->changed_ms = now_ms;
+  gone->gone = true;
+  gone->listed = false;
+}
+
+uint32_t
+share_process_count (const share_t *share)
+{
+  return share->processes->len;
+}
+
+int32_t
+share_slots (const share_t *share, uint32_t process)
+{
+  return share_process_at (share, process)->slots;
+}
+
+uint32_t
+share_limit (const share_t *share, uint32_t process)
+{
+  return share_process_at (share, process)->limit;
+}
+
+share_pair_t *
+share_pair (share_member_t *member, uint32_t process)
+{
+  if (process >= member->pairs->len)
+    g_array_set_size (member->pairs, process + 1);
+  return &g_array_index (member->pairs, share_pair_t, process);
+}
+
+void
+share_recount (share_t *share, uint32_t process)
+{
+  share_process_t *counted = share_process_at (share, process);
+  if (!share->expecting && !share->loaded)
+    {
+      counted->slots = (int32_t)counted->limit;
+      return;
+    }
+  if (!share_is_member (share))
+    {
+      counted->slots = 0;
+      return;
+    }
+  int64_t slots = counted->base + counted->undeducted;
+  for (guint i = 0; i < share->members->len; i++)
+    {
+      const share_member_t *member = share_member_at (share, i);
+      if (process >= member->pairs->len)
+        continue;
+      const share_pair_t *pair
+          = &g_array_index (member->pairs, share_pair_t, process);
+      slots += (int64_t)pair->learned - (int64_t)pair->given;
+    }
+  counted->slots = (int32_t)slots;
+}
+
+uint32_t
+share_member (share_t *share, const char *name)
+{
+  gpointer number = NULL;
+  if (g_hash_table_lookup_extended (share->member_numbers, name, NULL,
+                                    &number))
+    return GPOINTER_TO_UINT (number);
+  share_member_t *member = g_new0 (share_member_t, 1);
+  member->name = g_strdup (name);
+  member->pairs = g_array_new (FALSE, TRUE, sizeof (share_pair_t));
+  member->dirty = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  member->statements = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                              (GDestroyNotify)g_array_unref);
+  g_ptr_array_add (share->members, member);
+  g_hash_table_insert (share->member_numbers, member->name,
+                       GUINT_TO_POINTER (share->members->len - 1));
+  return share->members->len - 1;
+}
+
+bool
+share_may_give (const share_t *share, uint32_t member)
+{
+  const share_member_t *to = share_member_at (share, member);
+  return share_is_member (share) && to->in_row && !to->closed && !to->gone;
+}
+
+static void
+mark_dirty (share_member_t *member, share_pair_t *pair, uint32_t process)
+{
+  if (!pair->dirty)
+    g_array_append_val (member->dirty, process);
+  pair->dirty = true;
+}
+
+void
+share_give (share_t *share, uint32_t member, uint32_t process, uint32_t count)
+{
+  share_member_t *to = share_member_at (share, member);
+  share_process_t *from = share_process_at (share, process);
+  share_pair_t *pair = share_pair (to, process);
+  if (pair->given == pair->confirmed)
+    to->unconfirmed++;
+  pair->given += count;
+  if (share->rules.deduct_before_send)
+    from->slots -= (int32_t)count;
+  else
+    from->undeducted += (int32_t)count;
+  mark_dirty (to, pair, process);
+}
+
+void
+share_settle (share_t *share)
+{
+  if (share->rules.deduct_before_send)
+    return;
+  for (guint i = 0; i < share->processes->len; i++)
+    {
+      share_process_t *process = share_process_at (share, i);
+      if (process->undeducted == 0)
+        continue;
+      process->slots -= process->undeducted;
+      process->undeducted = 0;
+    }
+}
+
+uint32_t
+share_receive (share_t *share, uint32_t member, const dispatch_given_t *item)
+{
+  share_member_t *from = share_member_at (share, member);
+  if (from->closed)
+    return SHARE_NONE;
+  if (share->loaded && !from->in_row)
+    share->stale = true;
+  uint32_t process = share_process (share, item->backend);
+  share_pair_t *pair = share_pair (from, process);
+  uint64_t confirmed = MIN (item->learned, pair->given);
+  if (confirmed > pair->confirmed)
+    {
+      pair->confirmed = confirmed;
+      if (confirmed == pair->given)
+        from->unconfirmed--;
+    }
+  if (item->confirm)
+    mark_dirty (from, pair, process);
+  if (item->given <= pair->learned)
+    return SHARE_NONE;
+  pair->learned = item->given;
+  share_recount (share, process);
+  return process;
+}
+
+bool
+share_has_message (const share_t *share, uint32_t member)
+{
+  return share_member_at (share, member)->dirty->len > 0;
+}
+
+const dispatch_given_t *
+share_message (share_t *share, uint32_t member, bool resend, uint32_t *count)
+{
+  share_member_t *to = share_member_at (share, member);
+  if (resend && to->unconfirmed > 0)
+    for (guint i = 0; i < to->pairs->len; i++)
+      {
+        share_pair_t *pair = &g_array_index (to->pairs, share_pair_t, i);
+        if (pair->given > pair->confirmed)
+          mark_dirty (to, pair, i);
+      }
+  g_array_set_size (share->message, 0);
+  for (guint i = 0; i < to->dirty->len; i++)
+    {
+      uint32_t process = g_array_index (to->dirty, uint32_t, i);
+      share_pair_t *pair = share_pair (to, process);
+      pair->dirty = false;
+      /* The number may have been dropped since.  */
+      if (share_process_at (share, process)->key == NULL || to->closed)
+        continue;
+      dispatch_given_t item
+          = { share_process_at (share, process)->key, pair->given,
+              pair->learned, pair->given > pair->confirmed };
+      g_array_append_val (share->message, item);
+    }
+  g_array_set_size (to->dirty, 0);
+  *count = share->message->len;
+  return (const dispatch_given_t *)(void *)share->message->data;
+}
+
+bool
+share_confirmed (const share_t *share, uint32_t member)
+{
+  return share_member_at (share, member)->unconfirmed == 0;
+}
--- /dev/null
+++ b/src/share_internal.h
@@ -0,0 +1,94 @@
+#ifndef MAGNOLIADOCK_SHARE_INTERNAL_H
+#define MAGNOLIADOCK_SHARE_INTERNAL_H
+
+#include "share.h"
+
+/* Shared by share.c (ledger and messages) and share_row.c (row and
+   retirement).  */
+
+typedef struct
+{
+  char *key; /* NULL: free number */
+  uint32_t limit;
+  int32_t base;
+  int32_t slots;
+  int32_t undeducted; /* only under broken rules */
+  bool in_row;
+  bool listed;
+  bool gone;
+  int64_t changed_ms; /* since when the row and the list differ */
+} share_process_t;
+
+/* Totals between this entry and one member for one process.  */
+typedef struct
+{
+  uint64_t given;
+  uint64_t learned;
+  uint64_t confirmed; /* of given, as the member has said */
+  bool dirty;
+} share_pair_t;
+
+/* Net transfer of a statement: learned minus given.  */
+typedef struct
+{
+  char *key; /* numbers may be used again before the retirement */
+  int64_t net;
+} share_net_t;
+
+typedef struct
+{
+  char *name;
+  bool in_row;
+  bool closed; /* nothing is given to it or learned from it any more */
+  bool gone;
+  int64_t gone_ms;
+  GArray *pairs; /* share_pair_t by process */
+  GArray *dirty; /* uint32_t, processes to be sent */
+  uint32_t unconfirmed;
+  GHashTable *statements; /* name of a gone member -> GArray of share_net_t */
+} share_member_t;
+
+struct share
+{
+  char *self;
+  share_rules_t rules;
+  bool expecting;
+  bool loaded;
+  bool was_member;
+  bool expelled; /* the row dropped this entry */
+  bool stale;    /* a member unknown to the row has spoken */
+  int64_t version;
+  json_t *row;
+  GArray *processes; /* share_process_t */
+  GArray *free;      /* uint32_t, numbers to use again */
+  GHashTable *process_numbers;
+  GPtrArray *members; /* share_member_t */
+  GHashTable *member_numbers;
+  GArray *message; /* dispatch_given_t */
+};
+
+static inline share_process_t *
+share_process_at (const share_t *share, uint32_t process)
+{
+  return &g_array_index (share->processes, share_process_t, process);
+}
+
+static inline share_member_t *
+share_member_at (const share_t *share, uint32_t member)
+{
+  return g_ptr_array_index (share->members, member);
+}
+
+/* Returns the totals of MEMBER and PROCESS, making them.  */
+share_pair_t *share_pair (share_member_t *member, uint32_t process);
+
+/* Forgets the totals of PROCESS with every member.  */
+void share_process_drop (share_t *share, uint32_t process);
+
+/* Makes the number of PROCESS, whose totals are 0, free for another one.  */
+void share_process_free (share_t *share, uint32_t process);
+
+/* Sets the slots of PROCESS from base and totals.  */
+void share_recount (share_t *share, uint32_t process);
+
+#endif
--- /dev/null
+++ b/src/share_row.c
@@ -0,0 +1,487 @@
+#include "share_internal.h"
+
+#include <xxhash.h>
+
+/* Longest request deadline plus 2 s: a request that a dead entry sent can
+   still run at a backend server for that long.  */
+#define RETIRE_AFTER_MS 62000
+/* Pause between the entries that could make the same change, so that the next
+   one steps in only if the first does not.  */
+#define RANK_PAUSE_MS 2000
+
+int64_t
+share_version (const share_t *share)
+{
+  return share->version;
+}
+
+json_t *
+share_row (const share_t *share)
+{
+  return share->row;
+}
+
+bool
+share_is_member (const share_t *share)
+{
+  return share->was_member && !share->expelled;
+}
+
+static json_t *
+row_members (const json_t *row)
+{
+  return json_object_get (row, "members");
+}
+
+static bool
+all_integers (json_t *object)
+{
+  const char *key;
+  json_t *value;
+  if (!json_is_object (object))
+    return false;
+  json_object_foreach (object, key, value)
+  {
+    if (!json_is_integer (value))
+      return false;
+  }
+  return true;
+}
+
+static bool
+row_is_valid (const json_t *row)
+{
+  const char *name;
+  json_t *bases;
+  if (!json_is_object (row_members (row))
+      || !all_integers (json_object_get (row, "limits")))
+    return false;
+  json_object_foreach (row_members (row), name, bases)
+  {
+    if (!all_integers (bases))
+      return false;
+  }
+  return true;
+}
+
+static void
+drop_process (share_t *share, uint32_t process)
+{
+  share_process_t *dropped = share_process_at (share, process);
+  share_process_drop (share, process);
+  /* Some entry has seen it as gone, which is final; the list of this one still
+     shows it and would add it again under a new number.  */
+  if (dropped->listed)
+    {
+      dropped->gone = true;
+      dropped->listed = false;
+      dropped->base = 0;
+      return;
+    }
+  share_process_free (share, process);
+}
+
+/* A member that the row has dropped was retired with this entry's statement;
+   the new base accounts for what went between the two.  A member that is not
+   in the row and not closed has joined later than this row.  */
+static void
+drop_member (share_member_t *member)
+{
+  if (!member->closed)
+    return;
+  g_array_set_size (member->pairs, 0);
+  g_array_set_size (member->dirty, 0);
+  member->unconfirmed = 0;
+  g_hash_table_remove_all (member->statements);
+}
+
+static void
+load_processes (share_t *share, const json_t *row, int64_t now_ms)
+{
+  const char *key;
+  json_t *value;
+  bool *was_in_row = g_new0 (bool, share->processes->len + 1);
+  guint known = share->processes->len;
+  for (guint i = 0; i < known; i++)
+    {
+      was_in_row[i] = share_process_at (share, i)->in_row;
+      share_process_at (share, i)->in_row = false;
+      share_process_at (share, i)->base = 0;
+    }
+  json_object_foreach (json_object_get (row, "limits"), key, value)
+  {
+    share_process_t *process
+        = share_process_at (share, share_process (share, key));
+    process->in_row = true;
+    process->limit = (uint32_t)json_integer_value (value);
+  }
+  for (guint i = 0; i < known; i++)
+    if (was_in_row[i] && !share_process_at (share, i)->in_row)
+      {
+        share_process_at (share, i)->changed_ms = now_ms;
+        drop_process (share, i);
+      }
+  g_free (was_in_row);
+  json_object_foreach (json_object_get (row_members (row), share->self), key,
+                       value)
+  {
+    share_process_at (share, share_process (share, key))->base
+        = (int32_t)json_integer_value (value);
+  }
+}
+
+err_kind_t
+share_load (share_t *share, int64_t version, const json_t *value,
+            int64_t now_ms)
+{
+  if (value != NULL && !row_is_valid (value))
+    return ERR_BAD_REQUEST;
+  if (share->loaded && version <= share->version)
+    return ERR_OK;
+  json_decref (share->row);
+  share->row = value != NULL ? json_deep_copy (value) : NULL;
+  share->version = version;
+  share->loaded = true;
+  share->stale = false;
+
+  const char *name;
+  json_t *bases;
+  for (guint i = 0; i < share->members->len; i++)
+    share_member_at (share, i)->in_row = false;
+  json_object_foreach (row_members (share->row), name, bases)
+  {
+    if (strcmp (name, share->self) != 0)
+      share_member_at (share, share_member (share, name))->in_row = true;
+  }
+  for (guint i = 0; i < share->members->len; i++)
+    if (!share_member_at (share, i)->in_row)
+      drop_member (share_member_at (share, i));
+  load_processes (share, share->row, now_ms);
+  if (json_object_get (row_members (share->row), share->self) != NULL)
+    share->was_member = true;
+  else if (share->was_member)
+    share->expelled = true;
+  for (guint i = 0; i < share->processes->len; i++)
+    share_recount (share, i);
+  return ERR_OK;
+}
+
+uint32_t
+share_live_members (const share_t *share)
+{
+  uint32_t count = 1;
+  for (guint i = 0; i < share->members->len; i++)
+    count += share_member_at (share, i)->in_row
+             && !share_member_at (share, i)->gone;
+  return count;
+}
+
+const char *
+share_member_name (const share_t *share, uint32_t i)
+{
+  return i < share->members->len ? share_member_at (share, i)->name : NULL;
+}
+
+/* Returns how many live members come before this entry in the rendezvous order
+   for KEY.  */
+static uint32_t
+rank_of_self (const share_t *share, const char *key)
+{
+  XXH64_hash_t seed = XXH3_64bits (key, strlen (key));
+  XXH64_hash_t own
+      = XXH3_64bits_withSeed (share->self, strlen (share->self), seed);
+  uint32_t rank = 0;
+  for (guint i = 0; i < share->members->len; i++)
+    {
+      const share_member_t *member = share_member_at (share, i);
+      if (!member->in_row || member->gone)
+        continue;
+      XXH64_hash_t hash
+          = XXH3_64bits_withSeed (member->name, strlen (member->name), seed);
+      rank += hash > own;
+    }
+  return rank;
+}
+
+static bool
+is_due (const share_t *share, const char *key, int64_t since_ms,
+        int64_t now_ms)
+{
+  return since_ms + rank_of_self (share, key) * RANK_PAUSE_MS <= now_ms;
+}
+
+bool
+share_wants_row (const share_t *share)
+{
+  if (!share->loaded || !share_is_member (share) || share->stale)
+    return true;
+  for (guint i = 0; i < share->members->len; i++)
+    if (share_member_at (share, i)->in_row && share_member_at (share, i)->gone)
+      return true;
+  for (guint i = 0; i < share->processes->len; i++)
+    {
+      const share_process_t *process = share_process_at (share, i);
+      if (process->key != NULL
+          && ((process->listed && !process->in_row)
+              || (process->gone && process->in_row)))
+        return true;
+    }
+  return false;
+}
+
+void
+share_member_gone (share_t *share, uint32_t member, int64_t now_ms)
+{
+  share_member_t *gone = share_member_at (share, member);
+  if (gone->gone)
+    return;
+  gone->gone = true;
+  gone->gone_ms = now_ms;
+}
+
+GArray *
+share_close (share_t *share, const char *const *names, uint32_t count)
+{
+  GArray *items = g_array_new (FALSE, FALSE, sizeof (dispatch_closing_t));
+  for (uint32_t i = 0; i < count; i++)
+    {
+      share_member_t *member
+          = share_member_at (share, share_member (share, names[i]));
+      member->closed = true;
+      for (guint p = 0; p < member->pairs->len; p++)
+        {
+          const share_pair_t *pair
+              = &g_array_index (member->pairs, share_pair_t, p);
+          if (pair->given == 0 && pair->learned == 0)
+            continue;
+          dispatch_closing_t item
+              = { member->name, share_process_at (share, p)->key, pair->given,
+                  pair->learned };
+          g_array_append_val (items, item);
+        }
+    }
+  return items;
+}
+
+static void
+clear_net (gpointer data)
+{
+  g_free (((share_net_t *)data)->key);
+}
+
+void
+share_statement (share_t *share, uint32_t member, const char *const *names,
+                 uint32_t count, const dispatch_closing_t *items,
+                 uint32_t item_count)
+{
+  share_member_t *from = share_member_at (share, member);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      GArray *nets = g_array_new (FALSE, FALSE, sizeof (share_net_t));
+      g_array_set_clear_func (nets, clear_net);
+      for (uint32_t k = 0; k < item_count; k++)
+        {
+          if (strcmp (items[k].member, names[i]) != 0)
+            continue;
+          share_net_t net
+              = { g_strdup (items[k].backend),
+                  (int64_t)items[k].learned - (int64_t)items[k].given };
+          g_array_append_val (nets, net);
+        }
+      g_hash_table_replace (from->statements, g_strdup (names[i]), nets);
+    }
+}
+
+GPtrArray *
+share_retiring (share_t *share, int64_t now_ms)
+{
+  if (!share_is_member (share))
+    return NULL;
+  GPtrArray *names = g_ptr_array_new ();
+  int64_t since_ms = 0;
+  for (guint i = 0; i < share->members->len; i++)
+    {
+      share_member_t *member = share_member_at (share, i);
+      if (!member->in_row || !member->gone)
+        continue;
+      g_ptr_array_add (names, member->name);
+      since_ms = MAX (since_ms, member->gone_ms + RETIRE_AFTER_MS);
+    }
+  /* All gone members at once: what went between two of them is unknown, but
+     cancels out.  */
+  if (names->len > 0 && is_due (share, "retire", since_ms, now_ms))
+    return names;
+  g_ptr_array_unref (names);
+  return NULL;
+}
+
+bool
+share_statement_missing (const share_t *share, uint32_t i,
+                         const GPtrArray *retiring)
+{
+  const share_member_t *member = share_member_at (share, i);
+  if (!member->in_row || member->gone)
+    return false;
+  for (guint k = 0; k < retiring->len; k++)
+    if (!g_hash_table_contains (member->statements,
+                                g_ptr_array_index (retiring, k)))
+      return true;
+  return false;
+}
+
+static void
+add_base (json_t *bases, const char *key, int64_t by)
+{
+  int64_t value = json_integer_value (json_object_get (bases, key)) + by;
+  if (value == 0)
+    json_object_del (bases, key);
+  else
+    json_object_set_new (bases, key, json_integer (value));
+}
+
+/* Writes the base of each survivor with the gone members left out, and what is
+   left of each limit to this entry.  */
+static void
+rebase (share_t *share, json_t *row, const GPtrArray *retiring)
+{
+  json_t *members = row_members (row);
+  for (guint k = 0; k < retiring->len; k++)
+    json_object_del (members, g_ptr_array_index (retiring, k));
+  for (guint i = 0; i < share->members->len; i++)
+    {
+      share_member_t *member = share_member_at (share, i);
+      json_t *bases = json_object_get (members, member->name);
+      if (bases == NULL)
+        continue;
+      for (guint k = 0; k < retiring->len; k++)
+        {
+          const GArray *nets = g_hash_table_lookup (
+              member->statements, g_ptr_array_index (retiring, k));
+          for (guint n = 0; nets != NULL && n < nets->len; n++)
+            {
+              const share_net_t *net = &g_array_index (nets, share_net_t, n);
+              if (json_object_get (json_object_get (row, "limits"), net->key)
+                  != NULL)
+                add_base (bases, net->key, net->net);
+            }
+        }
+    }
+  const char *key, *name;
+  json_t *limit, *bases, *own = json_object ();
+  json_object_foreach (json_object_get (row, "limits"), key, limit)
+  {
+    int64_t rest = json_integer_value (limit);
+    json_object_foreach (members, name, bases)
+    {
+      if (strcmp (name, share->self) != 0)
+        rest -= json_integer_value (json_object_get (bases, key));
+    }
+    if (rest != 0)
+      json_object_set_new (own, key, json_integer (rest));
+  }
+  json_object_set_new (members, share->self, own);
+}
+
+static bool
+retire (share_t *share, json_t *row, int64_t now_ms)
+{
+  GPtrArray *retiring = share_retiring (share, now_ms);
+  if (retiring == NULL)
+    return false;
+  bool complete = true;
+  for (guint i = 0; i < share->members->len; i++)
+    if (share->rules.wait_for_statements
+        && share_statement_missing (share, i, retiring))
+      complete = false;
+  if (complete)
+    {
+      g_array_unref (share_close (share, (const char *const *)retiring->pdata,
+                                  retiring->len));
+      rebase (share, row, retiring);
+    }
+  g_ptr_array_unref (retiring);
+  return complete;
+}
+
+static bool
+update_processes (share_t *share, json_t *row, bool first, int64_t now_ms)
+{
+  bool changed = false;
+  json_t *limits = json_object_get (row, "limits");
+  json_t *own = json_object_get (row_members (row), share->self);
+  for (guint i = 0; i < share->processes->len; i++)
+    {
+      const share_process_t *process = share_process_at (share, i);
+      if (process->key == NULL)
+        continue;
+      bool add = process->listed && !process->in_row;
+      bool drop = process->gone && process->in_row;
+      if ((!add && !drop)
+          || (!first
+              && !is_due (share, process->key, process->changed_ms, now_ms)))
+        continue;
+      changed = true;
+      if (add)
+        {
+          json_object_set_new (limits, process->key,
+                               json_integer (process->limit));
+          json_object_set_new (own, process->key,
+                               json_integer (process->limit));
+          continue;
+        }
+      const char *name;
+      json_t *bases;
+      json_object_del (limits, process->key);
+      json_object_foreach (row_members (row), name, bases)
+      {
+        json_object_del (bases, process->key);
+      }
+    }
+  return changed;
+}
+
+/* Starts the row of a zone without members: all slots are this entry's.  */
+static json_t *
+first_row (share_t *share, int64_t now_ms)
+{
+  json_t *limits
+      = share->row != NULL
+            ? json_deep_copy (json_object_get (share->row, "limits"))
+            : json_object ();
+  json_t *row = json_pack ("{s:{s:O}, s:o}", "members", share->self, limits,
+                           "limits", json_deep_copy (limits));
+  json_decref (limits);
+  update_processes (share, row, true, now_ms);
+  return row;
+}
+
+json_t *
+share_propose (share_t *share, bool leave, int64_t now_ms, int64_t *version)
+{
+  if (!share->loaded || share->expelled)
+    return NULL;
+  *version = share->version;
+  if (json_object_size (row_members (share->row)) == 0)
+    return leave ? NULL : first_row (share, now_ms);
+  json_t *row = json_deep_copy (share->row);
+  json_t *members = row_members (row);
+  bool changed = false;
+  if (leave)
+    {
+      /* Nobody is left to learn the slots, so the next entry starts anew.  */
+      if (json_object_size (members) == 1 && share_is_member (share))
+        changed = json_object_del (members, share->self) == 0;
+    }
+  else
+    {
+      if (!share_is_member (share))
+        changed
+            = json_object_set_new (members, share->self, json_object ()) == 0;
+      changed |= update_processes (share, row, false, now_ms);
+      changed |= retire (share, row, now_ms);
+    }
+  if (changed)
+    return row;
+  json_decref (row);
+  return NULL;
+}
