--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -60,13 +60,13 @@
   bool leaving;
   uint32_t request_limit;    /* requests at once */
   uint32_t connection_limit; /* connections at once */
-  /* From the instance list.  A higher one is another process: the ledger of
-     the old one is dropped, its requests in flight are still waited for.  */
+  /* From the instance list.  A higher one is a restarted process: its record
+     of failures starts anew, its slots stay divided as they are.  */
   int64_t incarnation;
 } dispatch_backend_t;
 
 /* One process's slots in a message between entries.  BACKEND is the ledger's
-   name of the process ("ID@INCARNATION"), opaque to the I/O layer.  */
+   name of the process, opaque to the I/O layer.  */
 typedef struct
 {
   const char *backend;
--- a/src/dispatch_internal.h
+++ b/src/dispatch_internal.h
@@ -31,6 +31,7 @@
   uint32_t index;  /* in service->processes */
   bool leaving;
   bool removed;
+  uint32_t request_limit;  /* as listed */
   uint32_t connection_cap; /* of this entry */
   int32_t slots;           /* copy of the ledger's */
   uint32_t in_flight;
@@ -188,6 +189,8 @@
 void dispatch_process_free (gpointer process);
 /* Updates the copies of slots and the set of free processes.  */
 void dispatch_refresh (dispatch_t *dispatch, process_t *process);
+/* Finds the number of PROCESS in the ledger, which a new row may change.  */
+void dispatch_resolve (dispatch_t *dispatch, process_t *process);
 /* Sends waiting requests while there are free slots.  */
 void dispatch_pump (dispatch_t *dispatch, service_t *service);
 /* Hands waiting requests over to other zones if they have waited long.  */
--- a/src/dispatch_lend.c
+++ b/src/dispatch_lend.c
@@ -348,7 +348,11 @@
   dispatch->next_read_ms
       = dispatch->now_ms
         + (share_wants_row (dispatch->share) ? READ_PERIOD_MS : QUIET_READ_MS);
-  refresh_all (dispatch);
+  GHashTableIter iter;
+  gpointer process = NULL;
+  g_hash_table_iter_init (&iter, dispatch->processes);
+  while (g_hash_table_iter_next (&iter, NULL, &process))
+    dispatch_resolve (dispatch, process);
   for (guint i = 0; i < dispatch->service_list->len; i++)
     dispatch_pump (dispatch, g_ptr_array_index (dispatch->service_list, i));
   return ERR_OK;
--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -121,19 +121,66 @@
   return g_hash_table_lookup (dispatch->processes, id);
 }
 
+/* Tells the ledger which number it must not use for PROCESS any more.  */
+static void
+release_number (dispatch_t *dispatch, process_t *process)
+{
+  if (process->number == SHARE_NONE)
+    return;
+  dispatch->numbered->pdata[process->number] = NULL;
+  share_process_gone (dispatch->share, process->number, dispatch->now_ms);
+  process->number = SHARE_NONE;
+}
+
+void
+dispatch_resolve (dispatch_t *dispatch, process_t *process)
+{
+  uint32_t number
+      = share_resolve (dispatch->share, process->id, process->incarnation);
+  if (number != process->number)
+    {
+      release_number (dispatch, process);
+      process->number = number;
+      if (number >= dispatch->numbered->len)
+        g_ptr_array_set_size (dispatch->numbered, (gint)number + 1);
+      dispatch->numbered->pdata[number] = process;
+    }
+  share_process_listed (dispatch->share, number, process->request_limit,
+                        dispatch->now_ms);
+  dispatch_refresh (dispatch, process);
+}
+
+/* Returns the removed process ID, which still has requests in flight, out of
+   the list of those: they may have reached the one that runs now.  */
+static process_t *
+take_removed (dispatch_t *dispatch, const char *id, const service_t *service)
+{
+  for (guint i = 0; i < dispatch->removed->len; i++)
+    {
+      process_t *process = dispatch->removed->pdata[i];
+      if (process->service == service && strcmp (process->id, id) == 0)
+        return g_ptr_array_steal_index_fast (dispatch->removed, i);
+    }
+  return NULL;
+}
+
 static process_t *
 add_process (dispatch_t *dispatch, const dispatch_backend_t *backend)
 {
   service_t *service = dispatch_service (dispatch, backend->service);
-  process_t *process = g_new0 (process_t, 1);
-  process->id = g_strdup (backend->id);
-  process->service = service;
+  process_t *process = take_removed (dispatch, backend->id, service);
+  if (process == NULL)
+    {
+      process = g_new0 (process_t, 1);
+      process->id = g_strdup (backend->id);
+      process->service = service;
+      process->free_index = SHARE_NONE;
+    }
+  process->removed = false;
+  process->outlier = (outlier_t){ 0 };
+  process->slots = 0;
   process->incarnation = backend->incarnation;
-  process->free_index = SHARE_NONE;
-  char *key = g_strdup_printf ("%s@%" G_GINT64_FORMAT, backend->id,
-                               backend->incarnation);
-  process->number = share_process (dispatch->share, key);
-  g_free (key);
+  process->number = SHARE_NONE;
   process->index = service->processes->len;
   g_ptr_array_add (service->processes, process);
   if (service->processes->len > service->free_size)
@@ -141,9 +188,6 @@
       service->free_size = MAX (64, service->free_size * 2);
       service->free = g_renew (process_t *, service->free, service->free_size);
     }
-  if (process->number >= dispatch->numbered->len)
-    g_ptr_array_set_size (dispatch->numbered, (gint)process->number + 1);
-  dispatch->numbered->pdata[process->number] = process;
   g_hash_table_insert (dispatch->processes, process->id, process);
   return process;
 }
@@ -158,14 +202,13 @@
   service_t *service = process->service;
   process->removed = true;
   dispatch_refresh (dispatch, process);
+  release_number (dispatch, process);
   service->own_slots -= (uint32_t)MAX (process->slots, 0);
   service->ejected -= process->outlier.ejected;
   g_ptr_array_remove_index_fast (service->processes, process->index);
   if (process->index < service->processes->len)
     ((process_t *)service->processes->pdata[process->index])->index
         = process->index;
-  dispatch->numbered->pdata[process->number] = NULL;
-  share_process_gone (dispatch->share, process->number, dispatch->now_ms);
   g_hash_table_steal (dispatch->processes, id);
   if (process->in_flight > 0)
     g_ptr_array_add (dispatch->removed, process);
@@ -180,13 +223,16 @@
   process_t *process = find_process (dispatch, backend->id);
   if (process != NULL && backend->incarnation < process->incarnation)
     return;
-  if (process != NULL && backend->incarnation > process->incarnation)
-    {
-      dispatch_backend_remove (dispatch, backend->id);
-      process = NULL;
-    }
   if (process == NULL)
     process = add_process (dispatch, backend);
+  /* Requests in flight keep their slots: while the list was behind, they may
+     have reached the restarted process.  */
+  if (backend->incarnation > process->incarnation)
+    {
+      process->incarnation = backend->incarnation;
+      process->service->ejected -= process->outlier.ejected;
+      process->outlier = (outlier_t){ 0 };
+    }
   if (g_strcmp0 (process->url, backend->url) != 0)
     {
       g_free (process->url);
@@ -197,9 +243,8 @@
                              ? backend->connection_limit
                              : DEFAULT_CONNECTIONS;
   process->connection_cap = MAX (connections / ENTRIES_PER_ZONE, 1);
-  share_process_listed (dispatch->share, process->number,
-                        backend->request_limit, dispatch->now_ms);
-  dispatch_refresh (dispatch, process);
+  process->request_limit = backend->request_limit;
+  dispatch_resolve (dispatch, process);
   dispatch_pump (dispatch, process->service);
 }
 
--- a/src/share.c
+++ b/src/share.c
@@ -22,6 +22,8 @@
   share->processes = g_array_new (FALSE, TRUE, sizeof (share_process_t));
   share->free = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   share->process_numbers = g_hash_table_new (g_str_hash, g_str_equal);
+  share->row_numbers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   share->members = g_ptr_array_new_with_free_func (member_free);
   share->member_numbers = g_hash_table_new (g_str_hash, g_str_equal);
   share->message = g_array_new (FALSE, FALSE, sizeof (dispatch_given_t));
@@ -38,6 +40,7 @@
   g_array_unref (share->processes);
   g_array_unref (share->free);
   g_hash_table_unref (share->process_numbers);
+  g_hash_table_unref (share->row_numbers);
   g_ptr_array_unref (share->members);
   g_hash_table_unref (share->member_numbers);
   g_array_unref (share->message);
@@ -82,16 +85,29 @@
   return process;
 }
 
+uint32_t
+share_resolve (share_t *share, const char *id, int64_t incarnation)
+{
+  gpointer number = NULL;
+  if (g_hash_table_lookup_extended (share->row_numbers, id, NULL, &number))
+    return GPOINTER_TO_UINT (number);
+  char *key = g_strdup_printf ("%s@%" G_GINT64_FORMAT, id, incarnation);
+  uint32_t process = share_process (share, key);
+  g_free (key);
+  return process;
+}
+
 void
 share_process_listed (share_t *share, uint32_t process, uint32_t limit,
                       int64_t now_ms)
 {
   share_process_t *listed = share_process_at (share, process);
-  if (listed->gone)
+  if (listed->dropped)
     return;
   if (!listed->listed)
     listed->changed_ms = now_ms;
   listed->listed = true;
+  listed->gone = false;
   /* What a row has once divided does not change with the list.  */
   if (!listed->in_row)
     listed->limit = limit;
--- a/src/share.h
+++ b/src/share.h
@@ -40,10 +40,16 @@
 
 /* Returns the number of process KEY, making it.  */
 uint32_t share_process (share_t *share, const char *key);
+/* Returns the number that stands for backend server ID, which runs now as
+   INCARNATION.  A restarted process goes on under the key that the row has for
+   its id: entries that have not yet seen the restart still send to the same
+   address, so its slots must not be divided anew.  */
+uint32_t share_resolve (share_t *share, const char *id, int64_t incarnation);
 /* The instance list shows the process; LIMIT is what it takes at once.  */
 void share_process_listed (share_t *share, uint32_t process, uint32_t limit,
                            int64_t now_ms);
-/* The process will never run again; its number must not be used any more.  */
+/* The process does not run any more, or goes on under another number.  PROCESS
+   must be resolved again before it is used.  */
 void share_process_gone (share_t *share, uint32_t process, int64_t now_ms);
 /* Numbers are below this.  */
 uint32_t share_process_count (const share_t *share);
--- a/src/share_internal.h
+++ b/src/share_internal.h
@@ -16,6 +16,7 @@
   bool in_row;
   bool listed;
   bool gone;
+  bool dropped;       /* by a row, for good: its key never returns */
   int64_t changed_ms; /* since when the row and the list differ */
 } share_process_t;
 
@@ -59,10 +60,11 @@
   bool stale;    /* a member unknown to the row has spoken */
   int64_t version;
   json_t *row;
-  GArray *processes; /* share_process_t */
-  GArray *free;      /* uint32_t, numbers to use again */
-  GHashTable *process_numbers;
-  GPtrArray *members; /* share_member_t */
+  GArray *processes;           /* share_process_t */
+  GArray *free;                /* uint32_t, numbers to use again */
+  GHashTable *process_numbers; /* key -> number */
+  GHashTable *row_numbers;     /* backend id -> number of its key in the row */
+  GPtrArray *members;          /* share_member_t */
   GHashTable *member_numbers;
   GArray *message; /* dispatch_given_t */
 };
--- a/src/share_row.c
+++ b/src/share_row.c
@@ -1,5 +1,6 @@
 #include "share_internal.h"
 
+#include <string.h>
 #include <xxhash.h>
 
 /* Longest request deadline plus 2 s: a request that a dead entry sent can
@@ -69,13 +70,14 @@
 {
   share_process_t *dropped = share_process_at (share, process);
   share_process_drop (share, process);
+  dropped->base = 0;
+  dropped->gone = false;
   /* Some entry has seen it as gone, which is final; the list of this one still
-     shows it and would add it again under a new number.  */
+     shows it and would add the same key again.  */
   if (dropped->listed)
     {
-      dropped->gone = true;
       dropped->listed = false;
-      dropped->base = 0;
+      dropped->dropped = true;
       return;
     }
   share_process_free (share, process);
@@ -95,6 +97,14 @@
   g_hash_table_remove_all (member->statements);
 }
 
+/* Returns the backend server's id of KEY ("ID@INCARNATION"), owned.  */
+static char *
+id_of_key (const char *key)
+{
+  const char *at = strrchr (key, '@');
+  return at != NULL ? g_strndup (key, (gsize)(at - key)) : g_strdup (key);
+}
+
 static void
 load_processes (share_t *share, const json_t *row, int64_t now_ms)
 {
@@ -108,10 +118,13 @@
       share_process_at (share, i)->in_row = false;
       share_process_at (share, i)->base = 0;
     }
+  g_hash_table_remove_all (share->row_numbers);
   json_object_foreach (json_object_get (row, "limits"), key, value)
   {
-    share_process_t *process
-        = share_process_at (share, share_process (share, key));
+    uint32_t number = share_process (share, key);
+    share_process_t *process = share_process_at (share, number);
+    g_hash_table_insert (share->row_numbers, id_of_key (key),
+                         GUINT_TO_POINTER (number));
     process->in_row = true;
     process->limit = (uint32_t)json_integer_value (value);
   }
@@ -320,7 +333,7 @@
                          const GPtrArray *retiring)
 {
   const share_member_t *member = share_member_at (share, i);
-  if (!member->in_row || member->gone)
+  if (!member->in_row || member->gone || !share->rules.wait_for_statements)
     return false;
   for (guint k = 0; k < retiring->len; k++)
     if (!g_hash_table_contains (member->statements,
@@ -390,8 +403,7 @@
     return false;
   bool complete = true;
   for (guint i = 0; i < share->members->len; i++)
-    if (share->rules.wait_for_statements
-        && share_statement_missing (share, i, retiring))
+    if (share_statement_missing (share, i, retiring))
       complete = false;
   if (complete)
     {
@@ -414,8 +426,10 @@
       const share_process_t *process = share_process_at (share, i);
       if (process->key == NULL)
         continue;
-      bool add = process->listed && !process->in_row;
-      bool drop = process->gone && process->in_row;
+      bool add = process->listed && !process->in_row && !process->dropped;
+      /* Until then an entry with an older list may still send there.  */
+      bool drop = process->gone && process->in_row
+                  && process->changed_ms + RETIRE_AFTER_MS <= now_ms;
       if ((!add && !drop)
           || (!first
               && !is_due (share, process->key, process->changed_ms, now_ms)))
