--- /dev/null
+++ b/tests/standin_control.c
@@ -0,0 +1,225 @@
+#include "standin.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+#define KEPT 100
+
+static GHashTable *counts; /* kind -> number of violations */
+static GPtrArray *details;
+static unsigned total;
+
+void
+standin_violation (const char *kind, const char *format, ...)
+{
+  if (counts == NULL)
+    {
+      counts = g_hash_table_new (g_str_hash, g_str_equal);
+      details = g_ptr_array_new_with_free_func (g_free);
+    }
+  total++;
+  unsigned before = GPOINTER_TO_UINT (g_hash_table_lookup (counts, kind));
+  g_hash_table_insert (counts, (char *)kind, GUINT_TO_POINTER (before + 1));
+  if (details->len >= KEPT)
+    return;
+  va_list arguments;
+  va_start (arguments, format);
+  g_autofree char *text = g_strdup_vprintf (format, arguments);
+  va_end (arguments);
+  char *line = g_strdup_printf ("%s: %s", kind, text);
+  g_ptr_array_add (details, line);
+  fprintf (stderr, "standin: violation: %s\n", line);
+}
+
+unsigned
+standin_violation_count (void)
+{
+  return total;
+}
+
+static json_t *
+violations (void)
+{
+  json_t *by_kind = json_object (), *list = json_array ();
+  if (counts != NULL)
+    {
+      GHashTableIter iter;
+      void *kind, *count;
+      g_hash_table_iter_init (&iter, counts);
+      while (g_hash_table_iter_next (&iter, &kind, &count))
+        json_object_set_new (by_kind, kind,
+                             json_integer (GPOINTER_TO_UINT (count)));
+      for (unsigned i = 0; i < details->len; i++)
+        json_array_append_new (list,
+                               json_string (g_ptr_array_index (details, i)));
+    }
+  return json_pack ("{s:i, s:o, s:o}", "violations", (int)total, "kinds",
+                    by_kind, "details", list);
+}
+
+/* Whether ONE is what the query of REQUEST names: an id, or all of a zone,
+   kind, rack or service.  */
+static bool
+is_named (const standin_request_t *request, const standin_instance_t *one)
+{
+  const struct
+  {
+    const char *name, *value;
+  } filters[] = { { "id", one->id },
+                  { "zone", one->zone },
+                  { "kind", one->kind },
+                  { "rack", one->rack },
+                  { "service", one->service } };
+  bool any = false;
+  for (size_t i = 0; i < G_N_ELEMENTS (filters); i++)
+    {
+      const char *wanted = standin_query (request, filters[i].name);
+      if (wanted != NULL && g_strcmp0 (wanted, filters[i].value) != 0)
+        return false;
+      any |= wanted != NULL;
+    }
+  return any;
+}
+
+static void
+set_state (standin_request_t *request, standin_instance_t *one)
+{
+  const char *state = standin_query (request, "state");
+  const char *incarnation = standin_query (request, "incarnation");
+  const standin_fault_t dead = { .mode = MODE_DOWN };
+  standin_set_state (one, state,
+                     incarnation ? g_ascii_strtoll (incarnation, NULL, 10)
+                                 : one->incarnation);
+  if (strcmp (state, "gone") == 0 && one->worker != NULL)
+    standin_worker_mode (one, &dead);
+  if (strcmp (state, "gone") == 0 && one->backend != NULL)
+    standin_backend_mode (one, &dead);
+}
+
+static bool
+parse_mode (const char *name, standin_mode_t *mode)
+{
+  static const struct
+  {
+    const char *name;
+    standin_mode_t mode;
+  } modes[] = { { "ok", MODE_UP },         { "fail", MODE_FAIL },
+                { "refuse", MODE_REFUSE }, { "frozen", MODE_HANG },
+                { "hang", MODE_HANG },     { "dead", MODE_DOWN },
+                { "slow", MODE_SLOW },     { "cut", MODE_CUT },
+                { "lose", MODE_LOSE } };
+  for (size_t i = 0; name != NULL && i < G_N_ELEMENTS (modes); i++)
+    if (strcmp (name, modes[i].name) == 0)
+      {
+        *mode = modes[i].mode;
+        return true;
+      }
+  return false;
+}
+
+/* POST instance|worker|backend.  Returns the number of instances changed, -1
+   if the query is not understood.  */
+static int
+change_instances (standin_request_t *request, const char *name)
+{
+  const char *state = standin_query (request, "state");
+  const char *mode = standin_query (request, "mode");
+  const char *delay = standin_query (request, "delay_ms");
+  bool reboot = g_strcmp0 (mode, "reboot") == 0;
+  standin_fault_t fault
+      = { .delay_ms = delay ? g_ascii_strtoll (delay, NULL, 10) : 0 };
+  bool by_state = strcmp (name, "instance") == 0;
+  if (by_state ? state == NULL : !reboot && !parse_mode (mode, &fault.mode))
+    return -1;
+  int changed = 0;
+  for (unsigned i = 0; i < standin_instances->len; i++)
+    {
+      standin_instance_t *one = g_ptr_array_index (standin_instances, i);
+      if (!is_named (request, one))
+        continue;
+      bool worker = strcmp (name, "worker") == 0 && one->worker != NULL;
+      bool backend = strcmp (name, "backend") == 0 && one->backend != NULL;
+      if (by_state)
+        set_state (request, one);
+      else if (worker && reboot)
+        standin_worker_reboot (one);
+      else if (worker)
+        standin_worker_mode (one, &fault);
+      else if (backend && !reboot)
+        standin_backend_mode (one, &fault);
+      changed += by_state || worker || backend;
+    }
+  return changed;
+}
+
+static void
+silence (standin_request_t *request)
+{
+  static const struct
+  {
+    const char *name;
+    standin_scope_t scope;
+  } scopes[] = { { "platform", SCOPE_PLATFORM },
+                 { "workers", SCOPE_WORKERS },
+                 { "backends", SCOPE_BACKENDS } };
+  const char *name = standin_query (request, "scope");
+  unsigned count = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (scopes); i++)
+    if (name == NULL || strcmp (name, scopes[i].name) == 0)
+      count += standin_silence (scopes[i].scope);
+  standin_answer (request, 200,
+                  json_pack ("{s:i}", "connections", (int)count));
+}
+
+static void
+answer_get (standin_request_t *request, const char *path)
+{
+  if (strcmp (path, "violations") == 0)
+    standin_answer (request, 200, violations ());
+  else if (strcmp (path, "summary") == 0)
+    standin_answer (request, 200,
+                    json_pack ("{s:i, s:o, s:o, s:o}", "violations",
+                               (int)total, "table",
+                               standin_platform_summary (), "workers",
+                               standin_worker_summary (), "requests",
+                               standin_backend_summary ()));
+  else if (strcmp (path, "tasks") == 0)
+    standin_answer (request, 200, standin_tasks ());
+  else if (strcmp (path, "deployment") == 0)
+    standin_answer (request, 200, standin_deployment ());
+  else
+    standin_error (request, 404, "not_found", path);
+}
+
+void
+standin_control (standin_request_t *request, const char *path)
+{
+  if (strcmp (request->method, "GET") == 0)
+    {
+      answer_get (request, path);
+      return;
+    }
+  if (strcmp (path, "quit") == 0)
+    standin_quit ();
+  else if (strcmp (path, "silence") == 0)
+    {
+      silence (request);
+      return;
+    }
+  else if (strcmp (path, "instance") == 0 || strcmp (path, "worker") == 0
+           || strcmp (path, "backend") == 0)
+    {
+      int changed = change_instances (request, path);
+      if (changed <= 0)
+        standin_error (request, 400, "bad_request", "no such change");
+      else
+        standin_answer (request, 200, json_pack ("{s:i}", "changed", changed));
+      return;
+    }
+  else if (!standin_platform_control (request, path))
+    {
+      standin_error (request, 400, "bad_request", "no such fault");
+      return;
+    }
+  standin_answer (request, 200, json_object ());
+}
--- /dev/null
+++ b/tests/standin_platform.c
@@ -0,0 +1,511 @@
+#include "standin.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define DEFAULT_PAGE 500
+#define MAX_PAGE 1000
+#define STALE_LIMIT 3600 /* seconds of write rates kept */
+
+/* VALUE is NULL for a deleted row, whose version is kept so that the row
+   continues above it when it is created again.  */
+typedef struct
+{
+  int64_t version;
+  json_t *value;
+} row_t;
+
+/* Rows per second that may still be read or written now.  */
+typedef struct
+{
+  double tokens;
+  int64_t filled_ms;
+} bucket_t;
+
+static GTree *table;
+static GHashTable *objects;
+static int64_t revision = 1;
+static standin_fault_t list_fault, table_fault, objects_fault;
+static GHashTable *zone_faults; /* zone -> standin_fault_t */
+static int lose_replies;
+static bool lose_silently;
+static bucket_t write_bucket, read_bucket;
+static GArray *writes_in_second; /* unsigned, from the first write on */
+static int64_t first_write_ms;
+static unsigned transactions, conflicts, row_writes, row_reads, throttled,
+    lost_replies, list_reads;
+
+static int
+compare_keys (const void *a, const void *b, void *unused)
+{
+  return strcmp (a, b);
+}
+
+static void
+free_row (void *row)
+{
+  json_decref (((row_t *)row)->value);
+  g_free (row);
+}
+
+static void
+free_bytes (void *bytes)
+{
+  g_bytes_unref (bytes);
+}
+
+void
+standin_platform_begin (void)
+{
+  table = g_tree_new_full (compare_keys, NULL, g_free, free_row);
+  objects
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_bytes);
+  zone_faults
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  writes_in_second = g_array_new (FALSE, TRUE, sizeof (unsigned));
+}
+
+/* Returns whether FAULT already decides what becomes of REQUEST.  */
+static bool
+faulty (standin_request_t *request, const standin_fault_t *fault)
+{
+  if (fault == NULL)
+    return false;
+  if (fault->mode == MODE_DOWN)
+    {
+      standin_error (request, 503, "store_unavailable", "injected fault");
+      request->retry_after_s = 1;
+      return true;
+    }
+  if (fault->mode == MODE_HANG)
+    request->delay_ms = STANDIN_NEVER;
+  else if (fault->mode == MODE_SLOW)
+    request->delay_ms = fault->delay_ms;
+  return fault->mode == MODE_HANG;
+}
+
+/* Takes COUNT from BUCKET.  One larger than the burst passes when the bucket
+   is full, and leaves a debt.  */
+static bool
+take (bucket_t *bucket, int rate, unsigned count)
+{
+  int64_t now_ms = standin_now_ms ();
+  if (rate <= 0)
+    return true;
+  bucket->tokens += (double)(now_ms - bucket->filled_ms) * rate / 1000.0;
+  bucket->filled_ms = now_ms;
+  if (bucket->tokens > rate)
+    bucket->tokens = rate;
+  if (bucket->tokens < (count < (unsigned)rate ? count : (unsigned)rate))
+    {
+      throttled++;
+      return false;
+    }
+  bucket->tokens -= count;
+  return true;
+}
+
+static void
+over_rate (standin_request_t *request)
+{
+  standin_error (request, 429, "over_rate", "rows a second above the rate");
+  request->retry_after_s = 1;
+}
+
+/* Shows the changes that are older than the list's lag.  */
+static void
+publish (void)
+{
+  if (list_fault.mode == MODE_STALE)
+    return;
+  int64_t due_ms = standin_now_ms () - standin_options.list_lag_ms;
+  for (unsigned i = 0; i < standin_instances->len; i++)
+    {
+      standin_instance_t *one = g_ptr_array_index (standin_instances, i);
+      if (one->changed_ms > due_ms
+          || (strcmp (one->state, one->shown_state) == 0
+              && one->incarnation == one->shown_incarnation))
+        continue;
+      g_free (one->shown_state);
+      one->shown_state = g_strdup (one->state);
+      one->shown_incarnation = one->incarnation;
+      one->shown_revision = ++revision;
+    }
+}
+
+static void
+answer_list (standin_request_t *request)
+{
+  if (faulty (request, &list_fault))
+    return;
+  publish ();
+  list_reads++;
+  const char *since_text = standin_query (request, "since");
+  const char *zone = standin_query (request, "zone");
+  int64_t since = since_text ? g_ascii_strtoll (since_text, NULL, 10) : 0;
+  bool full = since <= 0 || since > revision;
+  json_t *rows = json_array ();
+  for (unsigned i = 0; i < standin_instances->len; i++)
+    {
+      standin_instance_t *one = g_ptr_array_index (standin_instances, i);
+      bool in_zone = zone != NULL && strcmp (zone, one->zone) == 0;
+      if ((!full && one->shown_revision <= since)
+          || (!in_zone && strcmp (one->kind, "entry") != 0))
+        continue;
+      if (in_zone && strcmp (one->shown_state, "live") != 0
+          && one->leaving_shown_ms == 0)
+        one->leaving_shown_ms = standin_now_ms ();
+      json_array_append_new (
+          rows,
+          json_pack (
+              "{s:s, s:s, s:s, s:s*, s:s, s:I, s:s*, s:s*, s:s*, s:I, s:I, "
+              "s:I}",
+              "id", one->id, "kind", one->kind, "zone", one->zone, "rack",
+              one->rack, "state", one->shown_state, "incarnation",
+              (json_int_t)one->shown_incarnation, "url", one->url, "peer",
+              one->peer, "service", one->service, "cpu_millis",
+              (json_int_t)one->cpu_millis, "memory_mib",
+              (json_int_t)one->memory_mib, "accelerators",
+              (json_int_t)one->accelerators));
+    }
+  standin_answer (request, 200,
+                  json_pack ("{s:I, s:b, s:o}", "revision",
+                             (json_int_t)revision, "full", full, "instances",
+                             rows));
+}
+
+void
+standin_set_state (standin_instance_t *instance, const char *state,
+                   int64_t incarnation)
+{
+  g_free (instance->state);
+  instance->state = g_strdup (state);
+  instance->incarnation = incarnation;
+  instance->changed_ms = standin_now_ms ();
+  if (strcmp (state, "live") == 0)
+    instance->leaving_shown_ms = 0;
+}
+
+static int64_t
+version_of (const char *key)
+{
+  const row_t *row = g_tree_lookup (table, key);
+  return row != NULL && row->value != NULL ? row->version : 0;
+}
+
+static json_t *
+row_json (const char *key, const row_t *row)
+{
+  return json_pack ("{s:s, s:I, s:O}", "key", key, "version",
+                    (json_int_t)row->version, "value", row->value);
+}
+
+static void
+answer_row (standin_request_t *request, const char *key)
+{
+  if (!take (&read_bucket, standin_options.read_rate, 1))
+    {
+      over_rate (request);
+      return;
+    }
+  row_reads++;
+  const row_t *row = g_tree_lookup (table, key);
+  if (row == NULL || row->value == NULL)
+    standin_error (request, 404, "not_found", key);
+  else
+    standin_answer (request, 200, row_json (key, row));
+}
+
+/* A page counts as one read for each row in it, at least one.  */
+static void
+answer_page (standin_request_t *request)
+{
+  const char *prefix = standin_query (request, "prefix");
+  const char *after = standin_query (request, "after");
+  const char *limit_text = standin_query (request, "limit");
+  long limit = limit_text ? strtol (limit_text, NULL, 10) : DEFAULT_PAGE;
+  limit = CLAMP (limit, 1, MAX_PAGE);
+  if (prefix == NULL)
+    prefix = "";
+  const char *from = after && strcmp (after, prefix) > 0 ? after : prefix;
+  json_t *rows = json_array ();
+  bool more = false;
+  for (GTreeNode *node = g_tree_lower_bound (table, from); node != NULL;
+       node = g_tree_node_next (node))
+    {
+      const char *key = g_tree_node_key (node);
+      const row_t *row = g_tree_node_value (node);
+      if (!g_str_has_prefix (key, prefix))
+        break;
+      if (row->value == NULL || (after && strcmp (key, after) <= 0))
+        continue;
+      more = json_array_size (rows) >= (size_t)limit;
+      if (more)
+        break;
+      json_array_append_new (rows, row_json (key, row));
+    }
+  unsigned count = MAX (1, (unsigned)json_array_size (rows));
+  if (!take (&read_bucket, standin_options.read_rate, count))
+    {
+      json_decref (rows);
+      over_rate (request);
+      return;
+    }
+  row_reads += count;
+  standin_answer (request, 200,
+                  json_pack ("{s:o, s:b}", "rows", rows, "more", more));
+}
+
+static json_t *
+failed_checks (json_t *checks)
+{
+  json_t *failed = json_array ();
+  size_t i;
+  json_t *check;
+  json_array_foreach (checks, i, check)
+  {
+    const char *key = json_string_value (json_object_get (check, "key"));
+    int64_t wanted = json_integer_value (json_object_get (check, "version"));
+    if (version_of (key) != wanted)
+      json_array_append_new (failed,
+                             json_pack ("{s:s, s:I}", "key", key, "version",
+                                        (json_int_t)version_of (key)));
+  }
+  return failed;
+}
+
+static void
+count_writes (unsigned count)
+{
+  int64_t now_ms = standin_now_ms ();
+  if (first_write_ms == 0)
+    first_write_ms = now_ms;
+  unsigned second = (unsigned)((now_ms - first_write_ms) / 1000);
+  if (second >= writes_in_second->len && second < STALE_LIMIT)
+    g_array_set_size (writes_in_second, second + 1);
+  if (second < writes_in_second->len)
+    g_array_index (writes_in_second, unsigned, second) += count;
+  row_writes += count;
+}
+
+static json_t *
+commit (json_t *writes)
+{
+  json_t *versions = json_object ();
+  size_t i;
+  json_t *write;
+  json_array_foreach (writes, i, write)
+  {
+    const char *key = json_string_value (json_object_get (write, "key"));
+    json_t *value = json_object_get (write, "value");
+    row_t *row = g_tree_lookup (table, key);
+    if (row == NULL)
+      {
+        row = g_new0 (row_t, 1);
+        g_tree_insert (table, g_strdup (key), row);
+      }
+    json_decref (row->value);
+    row->value = json_is_null (value) ? NULL : json_incref (value);
+    row->version++;
+    json_object_set_new (versions, key,
+                         json_integer (row->value ? row->version : 0));
+  }
+  return versions;
+}
+
+static bool
+well_formed (json_t *list, const char *second)
+{
+  size_t i;
+  json_t *one;
+  if (list != NULL && !json_is_array (list))
+    return false;
+  json_array_foreach (
+      list, i, one) if (!json_is_string (json_object_get (one, "key"))
+                        || json_object_get (one, second) == NULL) return false;
+  return true;
+}
+
+static void
+run_transaction (standin_request_t *request, json_t *body)
+{
+  json_t *checks = json_object_get (body, "checks");
+  json_t *writes = json_object_get (body, "writes");
+  if (!well_formed (checks, "version") || !well_formed (writes, "value"))
+    {
+      standin_error (request, 400, "bad_request", "malformed transaction");
+      return;
+    }
+  unsigned count = (unsigned)json_array_size (writes);
+  if (!take (&write_bucket, standin_options.write_rate, count))
+    {
+      over_rate (request);
+      return;
+    }
+  transactions++;
+  json_t *failed = failed_checks (checks);
+  if (json_array_size (failed) > 0)
+    {
+      conflicts++;
+      standin_answer (
+          request, 409,
+          json_pack ("{s:b, s:o}", "committed", 0, "failed", failed));
+      return;
+    }
+  json_decref (failed);
+  count_writes (count);
+  standin_answer (
+      request, 200,
+      json_pack ("{s:b, s:o}", "committed", 1, "versions", commit (writes)));
+  if (lose_replies > 0 && count > 0)
+    {
+      lose_replies--;
+      lost_replies++;
+      if (lose_silently)
+        request->delay_ms = STANDIN_NEVER;
+      else
+        request->close = true;
+    }
+}
+
+static void
+answer_table (standin_request_t *request, const char *path)
+{
+  if (faulty (request, &table_fault))
+    return;
+  if (strcmp (request->method, "GET") == 0
+      && g_str_has_prefix (path, "/v1/rows/"))
+    answer_row (request, path + strlen ("/v1/rows/"));
+  else if (strcmp (request->method, "GET") == 0
+           && strcmp (path, "/v1/rows") == 0)
+    answer_page (request);
+  else if (strcmp (request->method, "POST") == 0
+           && strcmp (path, "/v1/txn") == 0)
+    {
+      json_t *body = standin_body (request);
+      if (body != NULL)
+        run_transaction (request, body);
+      json_decref (body);
+    }
+  else
+    standin_error (request, 404, "not_found", path);
+}
+
+static void
+answer_object (standin_request_t *request, const char *path)
+{
+  if (faulty (request, &objects_fault))
+    return;
+  const char *prefix = "/v1/objects/";
+  if (!g_str_has_prefix (path, prefix) || path[strlen (prefix)] == '\0')
+    {
+      standin_error (request, 404, "not_found", path);
+      return;
+    }
+  const char *name = path + strlen (prefix);
+  GBytes *old = g_hash_table_lookup (objects, name);
+  if (strcmp (request->method, "PUT") == 0)
+    {
+      g_hash_table_insert (
+          objects, g_strdup (name),
+          g_bytes_new (request->body->data, request->body->len));
+      standin_answer (request, 200, json_object ());
+    }
+  else if (old == NULL)
+    standin_error (request, 404, "not_found", name);
+  else if (strcmp (request->method, "DELETE") == 0)
+    {
+      g_hash_table_remove (objects, name);
+      standin_answer (request, 200, json_object ());
+    }
+  else
+    {
+      gsize length;
+      const void *data = g_bytes_get_data (old, &length);
+      request->status = 200;
+      request->answer = g_memdup2 (data, length);
+      request->answer_length = length;
+    }
+}
+
+void
+standin_platform (standin_request_t *request, const char *path,
+                  const char *zone)
+{
+  const standin_fault_t *cut
+      = zone ? g_hash_table_lookup (zone_faults, zone) : NULL;
+  if (faulty (request, cut))
+    return;
+  if (strcmp (path, "/list/v1/instances") == 0)
+    answer_list (request);
+  else if (g_str_has_prefix (path, "/table/"))
+    answer_table (request, path + strlen ("/table"));
+  else if (g_str_has_prefix (path, "/objects/"))
+    answer_object (request, path + strlen ("/objects"));
+  else
+    standin_error (request, 404, "not_found", path);
+}
+
+bool
+standin_platform_control (standin_request_t *request, const char *name)
+{
+  static const struct
+  {
+    const char *name;
+    standin_mode_t mode;
+  } modes[] = { { "up", MODE_UP },     { "down", MODE_DOWN },
+                { "hang", MODE_HANG }, { "cut", MODE_HANG },
+                { "slow", MODE_SLOW }, { "stale", MODE_STALE } };
+  const char *mode = standin_query (request, "mode");
+  const char *delay = standin_query (request, "delay_ms");
+  const char *lose = standin_query (request, "lose");
+  const char *zone = standin_query (request, "zone");
+  standin_fault_t *fault = NULL;
+  if (strcmp (name, "list") == 0)
+    fault = &list_fault;
+  else if (strcmp (name, "table") == 0)
+    fault = &table_fault;
+  else if (strcmp (name, "objects") == 0)
+    fault = &objects_fault;
+  else if (strcmp (name, "zone") == 0 && zone != NULL)
+    {
+      fault = g_new0 (standin_fault_t, 1);
+      g_hash_table_insert (zone_faults, g_strdup (zone), fault);
+    }
+  else
+    return false;
+  if (lose != NULL)
+    {
+      const char *how = standin_query (request, "lose_how");
+      lose_replies = (int)strtol (lose, NULL, 10);
+      lose_silently = how != NULL && strcmp (how, "silent") == 0;
+    }
+  if (delay != NULL)
+    fault->delay_ms = g_ascii_strtoll (delay, NULL, 10);
+  for (size_t i = 0; mode != NULL && i < G_N_ELEMENTS (modes); i++)
+    if (strcmp (mode, modes[i].name) == 0)
+      {
+        fault->mode = modes[i].mode;
+        return true;
+      }
+  return mode == NULL && lose != NULL;
+}
+
+json_t *
+standin_platform_summary (void)
+{
+  unsigned most = 0;
+  for (unsigned i = 0; i < writes_in_second->len; i++)
+    most = MAX (most, g_array_index (writes_in_second, unsigned, i));
+  json_t *each = json_array ();
+  for (unsigned i = 0; i < writes_in_second->len; i++)
+    json_array_append_new (
+        each, json_integer (g_array_index (writes_in_second, unsigned, i)));
+  return json_pack (
+      "{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:o}", "transactions",
+      (int)transactions, "conflicts", (int)conflicts, "row_writes",
+      (int)row_writes, "row_reads", (int)row_reads, "throttled",
+      (int)throttled, "lost_replies", (int)lost_replies, "list_reads",
+      (int)list_reads, "rows", (int)g_tree_nnodes (table),
+      "row_writes_in_a_second_max", (int)most, "row_writes_each_second", each);
+}
