--- /dev/null
+++ b/src/io/workers.h
@@ -0,0 +1,153 @@
+#ifndef MAGNOLIADOCK_WORKERS_H
+#define MAGNOLIADOCK_WORKERS_H
+
+#include "error.h"
+#include "httpc.h"
+#include "resource.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* NAME
+     workers - client of the workers (docs/contracts/worker.md)
+
+   The calls go through a table of function pointers, so that another way to
+   reach workers is one new file.  Arguments are copied.  Each call is answered
+   exactly once from the loop, within 2 s.  */
+
+typedef struct workers workers_t;
+
+typedef struct
+{
+  const char *task;
+  int64_t generation;
+  const char *job;
+  const char *kind;
+  resource_t size;
+  const char *command;
+  int64_t run_ms;
+} workers_start_t;
+
+typedef enum
+{
+  WORKERS_RUNNING,
+  WORKERS_STALE,
+  WORKERS_NO_CAPACITY,
+  WORKERS_WRONG_INCARNATION,
+  WORKERS_FAILED
+} workers_start_result_t;
+
+typedef enum
+{
+  WORKERS_TASK_RUNNING,
+  WORKERS_TASK_ENDED,
+  WORKERS_TASK_FAILED,
+  WORKERS_TASK_STOPPED
+} workers_task_state_t;
+
+typedef struct
+{
+  const char *task;
+  int64_t generation;
+} workers_task_id_t;
+
+typedef struct
+{
+  const char *task;
+  int64_t generation;
+  workers_task_state_t state;
+  int32_t exit;
+  int64_t cpu_millis; /* used */
+  int64_t memory_mib; /* used */
+  int64_t usage_age_ms;
+} workers_task_t;
+
+typedef enum
+{
+  WORKERS_STOP_GRACEFUL,
+  WORKERS_STOP_NOW,
+  WORKERS_STOP_CHECKPOINT
+} workers_stop_mode_t;
+
+typedef struct
+{
+  const char *task;
+  int64_t generation;
+  workers_stop_mode_t mode;
+} workers_stop_t;
+
+typedef enum
+{
+  WORKERS_STOP_STOPPED, /* confirmed */
+  WORKERS_STOP_ENDED,   /* confirmed: it had ended before */
+  WORKERS_STOP_STOPPING,
+  WORKERS_STOP_UNKNOWN /* confirmed: the worker now refuses this generation */
+} workers_stop_result_t;
+
+/* KIND of all callbacks: ERR_OK, ERR_CONNECT_FAILED (surely not carried out),
+   ERR_TIMEOUT (unknown: repeat, all calls are safe to repeat), ERR_NOT_FOUND,
+   ERR_INTERNAL (answer not understood, counts as unknown).  RESULTS are in the
+   order of the request and live until the callback returns.  */
+typedef void (*workers_started_t) (void *context, err_kind_t kind,
+                                   const workers_start_result_t *results,
+                                   uint32_t count);
+/* INCARNATION is the worker's own; if it is not the one asked for, TASKS is
+   empty and nothing of the old incarnation runs any more.  */
+typedef void (*workers_leased_t) (void *context, err_kind_t kind,
+                                  int64_t incarnation,
+                                  const workers_task_t *tasks, uint32_t count);
+typedef void (*workers_stopped_t) (void *context, err_kind_t kind,
+                                   const workers_stop_result_t *results,
+                                   uint32_t count);
+typedef void (*workers_throttled_t) (void *context, err_kind_t kind);
+
+typedef struct
+{
+  /* URL is the worker's, from the instance list.  */
+  void (*start) (workers_t *self, const char *url, int64_t incarnation,
+                 int64_t lease_ms, const workers_start_t *starts,
+                 uint32_t count, workers_started_t done, void *context);
+  /* Renews every task held and acknowledges ACK.  */
+  void (*lease) (workers_t *self, const char *url, int64_t incarnation,
+                 int64_t lease_ms, const workers_task_id_t *ack,
+                 uint32_t count, workers_leased_t done, void *context);
+  void (*stop) (workers_t *self, const char *url, int64_t incarnation,
+                const workers_stop_t *stops, uint32_t count,
+                workers_stopped_t done, void *context);
+  void (*throttle) (workers_t *self, const char *url, const char *task,
+                    int64_t generation, int64_t cpu_millis,
+                    workers_throttled_t done, void *context);
+} workers_ops_t;
+
+struct workers
+{
+  const workers_ops_t *ops;
+};
+
+/* CLIENT stays the caller's and outlives the result.  */
+workers_t *workers_http_new (httpc_t *client);
+/* Ends open calls without calling them back.  */
+void workers_http_free (workers_t *workers);
+
+/* What an answer means; used by the calls above and tested by itself.
+   *DETAIL is set to a static text that names what was wrong with an answer, or
+   NULL.  */
+
+/* Fills RESULTS[COUNT]; an answer that lacks one of the tasks is not
+   understood.  TASKS holds the names that were asked for.  */
+err_kind_t workers_http_read_start (const httpc_result_t *result,
+                                    const char *const *tasks, uint32_t count,
+                                    workers_start_result_t *results,
+                                    const char **detail);
+err_kind_t workers_http_read_stop (const httpc_result_t *result,
+                                   const char *const *tasks, uint32_t count,
+                                   workers_stop_result_t *results,
+                                   const char **detail);
+/* *TASKS gets COUNT rows (free with g_free) whose strings live as long as
+ *ANSWER, which the caller releases with json_decref.  */
+err_kind_t workers_http_read_lease (const httpc_result_t *result,
+                                    int64_t *incarnation,
+                                    workers_task_t **tasks, uint32_t *count,
+                                    void **answer, const char **detail);
+
+#endif
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -174,6 +174,8 @@
 /* standin_backend.c */
 bool standin_backend_begin (void);
 void standin_backend_end (void);
+/* The backend server that the accepted socket FD is connected to.  */
+standin_instance_t *standin_backend_at (int fd);
 void standin_backend_mode (standin_instance_t *instance,
                            const standin_fault_t *fault);
 json_t *standin_backend_summary (void);
--- a/tests/standin_backend.c
+++ b/tests/standin_backend.c
@@ -23,11 +23,21 @@
 static GThread *accept_thread;
 static int wake[2] = { -1, -1 };
 static bool ending;
-static GHashTable *run_once; /* ids of non-idempotent requests */
+static GHashTable *by_address; /* IPv4 address -> standin_instance_t */
+static GHashTable *run_once;   /* ids of non-idempotent requests */
 static unsigned total;
 
+standin_instance_t *
+standin_backend_at (int fd)
+{
+  struct sockaddr_in address = { 0 };
+  socklen_t length = sizeof address;
+  getsockname (fd, (struct sockaddr *)&address, &length);
+  return g_hash_table_lookup (by_address, &address.sin_addr.s_addr);
+}
+
 static int
-listen_on (const standin_instance_t *instance)
+listen_on (standin_instance_t *instance)
 {
   char ip[32] = "";
   int port = 0;
@@ -37,6 +47,10 @@
   struct sockaddr_in address
       = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
   inet_pton (AF_INET, ip, &address.sin_addr);
+  g_hash_table_insert (
+      by_address,
+      g_memdup2 (&address.sin_addr.s_addr, sizeof address.sin_addr.s_addr),
+      instance);
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   int one = 1;
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
@@ -258,6 +272,7 @@
 bool
 standin_backend_begin (void)
 {
+  by_address = g_hash_table_new_full (g_int_hash, g_int_equal, g_free, NULL);
   run_once = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   if (pipe (wake) != 0)
     return false;
--- a/tests/standin_control.c
+++ b/tests/standin_control.c
@@ -5,8 +5,8 @@
 
 #define KEPT 100
 
-static GHashTable *counts; /* kind -> number of violations */
-static GPtrArray *details;
+static json_t *counts; /* kind -> number of violations */
+static json_t *details;
 static unsigned total;
 
 void
@@ -14,21 +14,20 @@
 {
   if (counts == NULL)
     {
-      counts = g_hash_table_new (g_str_hash, g_str_equal);
-      details = g_ptr_array_new_with_free_func (g_free);
+      counts = json_object ();
+      details = json_array ();
     }
   total++;
-  unsigned before = GPOINTER_TO_UINT (g_hash_table_lookup (counts, kind));
-  g_hash_table_insert (counts, (char *)kind, GUINT_TO_POINTER (before + 1));
-  if (details->len >= KEPT)
+  json_int_t before = json_integer_value (json_object_get (counts, kind));
+  json_object_set_new (counts, kind, json_integer (before + 1));
+  if (json_array_size (details) >= KEPT)
     return;
   va_list arguments;
   va_start (arguments, format);
   g_autofree char *text = g_strdup_vprintf (format, arguments);
   va_end (arguments);
-  char *line = g_strdup_printf ("%s: %s", kind, text);
-  g_ptr_array_add (details, line);
-  fprintf (stderr, "standin: violation: %s\n", line);
+  json_array_append_new (details, json_sprintf ("%s: %s", kind, text));
+  fprintf (stderr, "standin: violation: %s: %s\n", kind, text);
 }
 
 unsigned
@@ -40,21 +39,8 @@
 static json_t *
 violations (void)
 {
-  json_t *by_kind = json_object (), *list = json_array ();
-  if (counts != NULL)
-    {
-      GHashTableIter iter;
-      void *kind, *count;
-      g_hash_table_iter_init (&iter, counts);
-      while (g_hash_table_iter_next (&iter, &kind, &count))
-        json_object_set_new (by_kind, kind,
-                             json_integer (GPOINTER_TO_UINT (count)));
-      for (unsigned i = 0; i < details->len; i++)
-        json_array_append_new (list,
-                               json_string (g_ptr_array_index (details, i)));
-    }
-  return json_pack ("{s:i, s:o, s:o}", "violations", (int)total, "kinds",
-                    by_kind, "details", list);
+  return json_pack ("{s:i, s:O*, s:O*}", "violations", (int)total, "kinds",
+                    counts, "details", details);
 }
 
 /* Whether ONE is what the query of REQUEST names: an id, or all of a zone,
--- a/tests/standin_deploy.c
+++ b/tests/standin_deploy.c
@@ -116,8 +116,9 @@
   if (deployment == NULL)
     return false;
   unsigned zones = 0;
-  while (deployment->zones[zones] != NULL)
+  do
     zones++;
+  while (deployment->zones[zones] != NULL);
   int total = deployment->groups[0].count + deployment->groups[1].count;
   for (int g = 0; g < 2; g++)
     {
--- a/tests/standin_http.c
+++ b/tests/standin_http.c
@@ -188,33 +188,6 @@
   return count;
 }
 
-static standin_instance_t *
-backend_at (int fd)
-{
-  struct sockaddr_in address;
-  socklen_t length = sizeof address;
-  if (getsockname (fd, (struct sockaddr *)&address, &length) != 0)
-    return NULL;
-  uint32_t ip = ntohl (address.sin_addr.s_addr);
-  g_autofree char *prefix
-      = g_strdup_printf ("http://%u.%u.%u.%u:", ip >> 24, ip >> 16 & 255,
-                         ip >> 8 & 255, ip & 255);
-  static GHashTable *cache; /* url prefix -> instance, standin_lock */
-  if (cache == NULL)
-    cache = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  standin_instance_t *found = g_hash_table_lookup (cache, prefix);
-  for (unsigned i = 0; found == NULL && i < standin_instances->len; i++)
-    {
-      standin_instance_t *instance = g_ptr_array_index (standin_instances, i);
-      if (instance->backend && g_str_has_prefix (instance->url, prefix))
-        {
-          found = instance;
-          g_hash_table_insert (cache, g_strdup (prefix), found);
-        }
-    }
-  return found;
-}
-
 static void
 connection_changed (void *context, struct MHD_Connection *mhd,
                     void **socket_context,
@@ -230,7 +203,7 @@
                 ->connect_fd;
       connection->scope = role->scope;
       if (role->scope == SCOPE_BACKENDS)
-        connection->instance = backend_at (connection->fd);
+        connection->instance = standin_backend_at (connection->fd);
       *socket_context = connection;
       g_hash_table_add (connections, connection);
       if (connection->instance)
--- a/tests/standin_worker.c
+++ b/tests/standin_worker.c
@@ -428,7 +428,7 @@
   const char *slash = strchr (path, '/');
   g_autofree char *id = slash ? g_strndup (path, (gsize)(slash - path)) : NULL;
   standin_instance_t *instance = standin_find (id);
-  if (instance == NULL || instance->worker == NULL)
+  if (slash == NULL || instance == NULL || instance->worker == NULL)
     {
       standin_error (request, 404, "not_found", path);
       return;
