--- a/src/io/objects.h
+++ b/src/io/objects.h
@@ -40,7 +40,7 @@
 
 /* CLIENT stays the caller's and outlives the result.  URL has no '/' at the
    end and is copied.  NAME in the calls holds letters, digits and "-_./" only;
-   any other one fails with ERR_BAD_REQUEST.  */
+   any other one fails with ERR_BAD_REQUEST before the call returns.  */
 objects_t *objects_http_new (httpc_t *client, const char *url);
 /* Ends open calls without calling them back.  */
 void objects_http_free (objects_t *objects);
--- /dev/null
+++ b/src/io/table_http.c
@@ -0,0 +1,462 @@
+#include "table_http.h"
+
+#include "answer.h"
+#include "log.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define PAGE_ROWS 500
+/* A scan waits this often for the read rate, then fails.  */
+#define SCAN_WAITS 10
+/* Without Retry-After a refusal is repeated no sooner.  */
+#define DEFAULT_PAUSE_MS 1000
+/* Entries that were refused together do not come back together.  */
+#define PAUSE_JITTER_MS 250
+
+typedef struct
+{
+  table_t base;
+  httpc_t *client;
+  struct ev_loop *loop;
+  const clk_t *clock;
+  char *url;
+  GHashTable *open; /* call_t, owned */
+  int64_t reads_from_ms, writes_from_ms;
+} table_http_t;
+
+typedef struct
+{
+  table_http_t *table;
+  httpc_call_t *http;
+  ev_timer timer; /* failure of a call that is not made, or wait of a scan */
+  char *place;    /* key or prefix, for logs */
+  table_read_done_t read_done;
+  table_txn_done_t txn_done;
+  void *context;
+  json_t *rows; /* of a scan, so far */
+  int waits;
+  table_row_t *writes; /* keys only, owned */
+  uint32_t write_count;
+} call_t;
+
+static err_kind_t
+read_fields (json_t *object, table_row_t *row, const char **detail)
+{
+  row->key = answer_string (object, "key");
+  row->version = answer_integer (object, "version", -1);
+  row->value = json_object_get (object, "value");
+  *detail = row->key == NULL     ? "key is not a string"
+            : row->version < 1   ? "version is not a positive integer"
+            : row->value == NULL ? "value is missing"
+                                 : NULL;
+  return *detail == NULL ? ERR_OK : ERR_INTERNAL;
+}
+
+err_kind_t
+table_http_read_row (const httpc_result_t *result, const char *key,
+                     json_t **value, table_row_t *row, const char **detail)
+{
+  *detail = NULL;
+  *value = NULL;
+  *row = (table_row_t){ .key = key };
+  err_kind_t kind = answer_kind (result);
+  if (kind == ERR_NOT_FOUND)
+    return ERR_OK;
+  if (kind != ERR_OK)
+    return kind;
+  *value = answer_parse (result, detail);
+  kind = *value ? read_fields (*value, row, detail) : ERR_INTERNAL;
+  if (kind == ERR_OK && strcmp (row->key, key) != 0)
+    {
+      *detail = "key is not the one asked for";
+      kind = ERR_INTERNAL;
+    }
+  if (kind != ERR_OK)
+    {
+      json_decref (*value);
+      *value = NULL;
+    }
+  return kind;
+}
+
+err_kind_t
+table_http_read_page (const httpc_result_t *result, json_t **rows, bool *more,
+                      const char **detail)
+{
+  *detail = NULL;
+  *rows = NULL;
+  err_kind_t kind = answer_kind (result);
+  if (kind != ERR_OK)
+    return kind == ERR_NOT_FOUND ? ERR_INTERNAL : kind;
+  json_t *answer = answer_parse (result, detail);
+  if (answer == NULL)
+    return ERR_INTERNAL;
+  json_t *list = json_object_get (answer, "rows");
+  const json_t *flag = json_object_get (answer, "more");
+  if (!json_is_array (list) || !json_is_boolean (flag))
+    {
+      *detail = "rows is not an array or more is not a boolean";
+      kind = ERR_INTERNAL;
+    }
+  *more = json_is_true (flag);
+  if (kind == ERR_OK && *more && json_array_size (list) == 0)
+    {
+      *detail = "page without rows says that there are more";
+      kind = ERR_INTERNAL;
+    }
+  size_t i;
+  json_t *one;
+  table_row_t row;
+  json_array_foreach (list, i, one)
+  {
+    if (kind == ERR_OK)
+      kind = read_fields (one, &row, detail);
+  }
+  if (kind == ERR_OK)
+    *rows = json_incref (list);
+  json_decref (answer);
+  return kind;
+}
+
+/* Reads a 200 or 409 answer.  One that is not understood leaves the outcome
+   unknown.  */
+static err_kind_t
+read_txn_body (const httpc_result_t *result, const table_row_t *writes,
+               uint32_t count, int64_t *versions, const char **detail)
+{
+  json_t *answer = answer_parse (result, detail);
+  const json_t *committed = json_object_get (answer, "committed");
+  const json_t *given = json_object_get (answer, "versions");
+  err_kind_t kind = ERR_TIMEOUT;
+  if (result->status == 409 && json_is_false (committed))
+    kind = ERR_CONFLICT;
+  else if (result->status == 200 && json_is_true (committed))
+    {
+      kind = ERR_OK;
+      for (uint32_t i = 0; i < count && kind == ERR_OK; i++)
+        {
+          versions[i] = answer_integer (given, writes[i].key, -1);
+          if (versions[i] < 0)
+            {
+              *detail = "versions lacks a written key";
+              kind = ERR_TIMEOUT;
+            }
+        }
+    }
+  else if (answer != NULL)
+    *detail = "committed does not match the status";
+  json_decref (answer);
+  return kind;
+}
+
+err_kind_t
+table_http_read_txn (const httpc_result_t *result, const table_row_t *writes,
+                     uint32_t count, int64_t *versions, const char **detail)
+{
+  *detail = NULL;
+  if (result->kind != ERR_OK)
+    return result->outcome == OUTCOME_NOT_RUN ? ERR_STORE_UNAVAILABLE
+                                              : ERR_TIMEOUT;
+  switch (result->status)
+    {
+    case 200:
+    case 409:
+      return read_txn_body (result, writes, count, versions, detail);
+    case 429:
+    case 503:
+      return ERR_STORE_UNAVAILABLE;
+    default:
+      if (result->status >= 400 && result->status < 500)
+        {
+          *detail = "transaction refused as malformed";
+          return ERR_STORE_UNAVAILABLE;
+        }
+      *detail = "unexpected status";
+      return ERR_TIMEOUT;
+    }
+}
+
+static void
+call_free (call_t *call)
+{
+  ev_timer_stop (call->table->loop, &call->timer);
+  g_hash_table_remove (call->table->open, call);
+  for (uint32_t i = 0; i < call->write_count; i++)
+    g_free ((char *)call->writes[i].key);
+  g_free (call->writes);
+  json_decref (call->rows);
+  g_free (call->place);
+  g_free (call);
+}
+
+static void
+end_read (call_t *call, err_kind_t kind, const table_row_t *rows,
+          uint32_t count)
+{
+  call->read_done (call->context, kind, rows, count);
+  call_free (call);
+}
+
+static call_t *
+call_new (table_http_t *table, const char *place, void *context)
+{
+  call_t *call = g_new0 (call_t, 1);
+  call->table = table;
+  call->place = g_strdup (place);
+  call->context = context;
+  call->timer.data = call;
+  g_hash_table_add (table->open, call);
+  return call;
+}
+
+/* Notes until when the service asked to be left alone: writes and reads for
+   themselves when a rate was exceeded, both when it is down.  */
+static void
+note_pause (table_http_t *table, const httpc_result_t *result, bool write)
+{
+  if (result->kind != ERR_OK
+      || (result->status != 429 && result->status != 503))
+    return;
+  int64_t pause_ms = result->retry_after_s > 0
+                         ? (int64_t)result->retry_after_s * 1000
+                         : DEFAULT_PAUSE_MS;
+  int64_t from_ms = clk_now_ms (table->clock) + pause_ms
+                    + g_random_int_range (0, PAUSE_JITTER_MS);
+  if (write || result->status == 503)
+    table->writes_from_ms = MAX (table->writes_from_ms, from_ms);
+  if (!write || result->status == 503)
+    table->reads_from_ms = MAX (table->reads_from_ms, from_ms);
+}
+
+static void
+on_refused (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  call_t *call = timer->data;
+  if (call->txn_done != NULL)
+    {
+      call->txn_done (call->context, ERR_STORE_UNAVAILABLE, NULL, 0);
+      call_free (call);
+    }
+  else
+    end_read (call, ERR_STORE_UNAVAILABLE, NULL, 0);
+}
+
+/* Fails CALL from the loop if the service asked to be left alone.  */
+static bool
+refused (call_t *call, int64_t from_ms)
+{
+  if (clk_now_ms (call->table->clock) >= from_ms)
+    return false;
+  ev_timer_init (&call->timer, on_refused, 0.0, 0.0);
+  ev_timer_start (call->table->loop, &call->timer);
+  return true;
+}
+
+static void
+on_row (void *context, const httpc_result_t *result)
+{
+  call_t *call = context;
+  json_t *value;
+  table_row_t row;
+  const char *detail;
+  note_pause (call->table, result, false);
+  err_kind_t kind
+      = table_http_read_row (result, call->place, &value, &row, &detail);
+  if (kind == ERR_INTERNAL)
+    answer_log_bad ("table", call->place, result, detail);
+  end_read (call, kind, kind == ERR_OK ? &row : NULL, kind == ERR_OK);
+  json_decref (value);
+}
+
+static void
+table_get (table_t *self, const char *key, table_read_done_t done,
+           void *context)
+{
+  table_http_t *table = (table_http_t *)self;
+  call_t *call = call_new (table, key, context);
+  call->read_done = done;
+  if (refused (call, table->reads_from_ms))
+    return;
+  g_autofree char *escaped = g_uri_escape_string (key, "/", FALSE);
+  g_autofree char *url
+      = g_strdup_printf ("%s/v1/rows/%s", table->url, escaped);
+  call->http = httpc_call (table->client, "GET", url, NULL, ANSWER_LIMIT_MS,
+                           on_row, call);
+}
+
+static void ask_page (call_t *call);
+
+static void
+on_waited (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  ask_page (timer->data);
+}
+
+static void
+end_scan (call_t *call)
+{
+  size_t count = json_array_size (call->rows);
+  table_row_t *rows = g_new0 (table_row_t, count + 1);
+  const char *detail;
+  for (size_t i = 0; i < count; i++)
+    read_fields (json_array_get (call->rows, i), &rows[i], &detail);
+  end_read (call, ERR_OK, rows, (uint32_t)count);
+  g_free (rows);
+}
+
+static void
+on_page (void *context, const httpc_result_t *result)
+{
+  call_t *call = context;
+  json_t *rows;
+  bool more = false;
+  const char *detail;
+  call->http = NULL;
+  err_kind_t kind = table_http_read_page (result, &rows, &more, &detail);
+  if (result->kind == ERR_OK && result->status == 429
+      && call->waits++ < SCAN_WAITS)
+    {
+      /* A large scan alone exceeds the read rate; it waits and goes on.  */
+      double wait_s = result->retry_after_s > 0 ? result->retry_after_s : 1;
+      ev_timer_init (&call->timer, on_waited, wait_s, 0.0);
+      ev_timer_start (call->table->loop, &call->timer);
+      return;
+    }
+  note_pause (call->table, result, false);
+  if (kind == ERR_INTERNAL)
+    answer_log_bad ("table", call->place, result, detail);
+  if (kind == ERR_OK)
+    json_array_extend (call->rows, rows);
+  json_decref (rows);
+  if (kind != ERR_OK)
+    end_read (call, kind, NULL, 0);
+  else if (more)
+    ask_page (call);
+  else
+    end_scan (call);
+}
+
+static void
+ask_page (call_t *call)
+{
+  size_t count = json_array_size (call->rows);
+  const json_t *last
+      = count > 0 ? json_array_get (call->rows, count - 1) : NULL;
+  const char *after = last ? answer_string (last, "key") : NULL;
+  g_autofree char *prefix = g_uri_escape_string (call->place, NULL, FALSE);
+  g_autofree char *from
+      = after ? g_uri_escape_string (after, NULL, FALSE) : NULL;
+  g_autofree char *url = g_strdup_printf (
+      "%s/v1/rows?prefix=%s&limit=%d%s%s", call->table->url, prefix, PAGE_ROWS,
+      from ? "&after=" : "", from ? from : "");
+  call->http = httpc_call (call->table->client, "GET", url, NULL,
+                           ANSWER_LIMIT_MS, on_page, call);
+}
+
+static void
+table_scan (table_t *self, const char *prefix, table_read_done_t done,
+            void *context)
+{
+  table_http_t *table = (table_http_t *)self;
+  call_t *call = call_new (table, prefix, context);
+  call->read_done = done;
+  call->rows = json_array ();
+  if (!refused (call, table->reads_from_ms))
+    ask_page (call);
+}
+
+static void
+on_txn (void *context, const httpc_result_t *result)
+{
+  call_t *call = context;
+  const char *detail;
+  int64_t *versions = g_new0 (int64_t, call->write_count + 1);
+  note_pause (call->table, result, true);
+  err_kind_t kind = table_http_read_txn (result, call->writes,
+                                         call->write_count, versions, &detail);
+  if (detail != NULL)
+    answer_log_bad ("table", call->place, result, detail);
+  call->txn_done (call->context, kind, kind == ERR_OK ? versions : NULL,
+                  kind == ERR_OK ? call->write_count : 0);
+  g_free (versions);
+  call_free (call);
+}
+
+static char *
+txn_body (const table_row_t *checks, uint32_t check_count,
+          const table_row_t *writes, uint32_t write_count)
+{
+  json_t *check_list = json_array (), *write_list = json_array ();
+  for (uint32_t i = 0; i < check_count; i++)
+    json_array_append_new (
+        check_list, json_pack ("{s:s, s:I}", "key", checks[i].key, "version",
+                               (json_int_t)checks[i].version));
+  for (uint32_t i = 0; i < write_count; i++)
+    json_array_append_new (write_list,
+                           json_pack ("{s:s, s:O?}", "key", writes[i].key,
+                                      "value", writes[i].value));
+  json_t *body
+      = json_pack ("{s:o, s:o}", "checks", check_list, "writes", write_list);
+  char *text = json_dumps (body, JSON_COMPACT);
+  json_decref (body);
+  return text;
+}
+
+static void
+table_txn (table_t *self, const table_row_t *checks, uint32_t check_count,
+           const table_row_t *writes, uint32_t write_count,
+           table_txn_done_t done, void *context)
+{
+  table_http_t *table = (table_http_t *)self;
+  call_t *call
+      = call_new (table, write_count > 0 ? writes[0].key : "txn", context);
+  call->txn_done = done;
+  call->writes = g_new0 (table_row_t, write_count + 1);
+  call->write_count = write_count;
+  for (uint32_t i = 0; i < write_count; i++)
+    call->writes[i].key = g_strdup (writes[i].key);
+  if (refused (call, table->writes_from_ms))
+    return;
+  char *body = txn_body (checks, check_count, writes, write_count);
+  g_autofree char *url = g_strconcat (table->url, "/v1/txn", NULL);
+  call->http = httpc_call (table->client, "POST", url, body, ANSWER_LIMIT_MS,
+                           on_txn, call);
+  free (body);
+}
+
+table_t *
+table_http_new (httpc_t *client, struct ev_loop *loop, const clk_t *clock,
+                const char *url)
+{
+  static const table_ops_t ops = { table_get, table_scan, table_txn };
+  table_http_t *table = g_new0 (table_http_t, 1);
+  table->base.ops = &ops;
+  table->client = client;
+  table->loop = loop;
+  table->clock = clock;
+  table->url = g_strdup (url);
+  table->open = g_hash_table_new (NULL, NULL);
+  return &table->base;
+}
+
+void
+table_http_free (table_t *self)
+{
+  if (self == NULL)
+    return;
+  table_http_t *table = (table_http_t *)self;
+  GHashTableIter iter;
+  call_t *call;
+  while (g_hash_table_size (table->open) > 0)
+    {
+      g_hash_table_iter_init (&iter, table->open);
+      g_hash_table_iter_next (&iter, (void **)&call, NULL);
+      if (call->http != NULL)
+        httpc_cancel (call->http);
+      call_free (call);
+    }
+  g_hash_table_unref (table->open);
+  g_free (table->url);
+  g_free (table);
+}
--- a/src/io/table_http.h
+++ b/src/io/table_http.h
@@ -15,10 +15,11 @@
    until then fail at once with ERR_STORE_UNAVAILABLE, so that a service that
    is over its rate gets no more load.  */
 
-/* CLIENT stays the caller's and outlives the result.  URL ("http://IP:PORT"
+/* CLIENT, LOOP and CLOCK stay the caller's.  URL ("http://IP:PORT"
    with an optional path, no '/' at the end) is copied.  Free the result with
    table_http_free, which ends open calls without calling them back.  */
-table_t *table_http_new (httpc_t *client, const clk_t *clock, const char *url);
+table_t *table_http_new (httpc_t *client, struct ev_loop *loop,
+                         const clk_t *clock, const char *url);
 void table_http_free (table_t *table);
 
 /* What an answer of the table service means; used by table_http and tested by
