job, sched: add the job specification, the rows and the facade's interface

Cause of the change of the include flags: -Isrc lets src/sched.h shadow the C library's <sched.h>, which <pthread.h> includes. -iquote keeps our headers for the quoted form only.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,8 @@
 CFLAGS_release := -O2 -g
 CFLAGS_asan := -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer \
   -fno-sanitize-recover=undefined
-CPPFLAGS := -D_GNU_SOURCE -Isrc -Isrc/io -Isrc/proto -Itests $(PKG_CFLAGS)
+CPPFLAGS := -D_GNU_SOURCE -iquote src -iquote src/io -iquote src/proto \
+  -iquote tests $(PKG_CFLAGS)
 CFLAGS := -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes -Werror \
   -Wno-unused-parameter $(CFLAGS_$(MODE))
 
--- /dev/null
+++ b/src/job.h
@@ -0,0 +1,166 @@
+#ifndef MAGNOLIADOCK_JOB_H
+#define MAGNOLIADOCK_JOB_H
+
+#include "dispatch.h"
+#include "error.h"
+#include "resource.h"
+
+#include <jansson.h>
+
+/* NAME
+     job - specification of a job and the JSON rows of the task side
+
+   Rows are read into plain structures and written from them; the structures
+   own their strings and arrays unless stated.  */
+
+#define JOB_MAX_TASKS 20000
+#define JOB_ID_MAX 64
+
+typedef enum
+{
+  JOB_SERVICE,
+  JOB_BATCH,
+  JOB_ALL_AT_ONCE,
+  JOB_KIND_COUNT
+} job_kind_t;
+
+typedef enum
+{
+  JOB_ACCEPTED,
+  JOB_CANCELLING,
+  JOB_CANCELLED,
+  JOB_ENDED,
+  JOB_REFUSED,
+  JOB_STATE_COUNT
+} job_state_t;
+
+/* Letters of the "state" string of a part row.  */
+typedef enum
+{
+  TASK_WAITING = 'w',
+  TASK_ASSIGNED = 'a',
+  TASK_ENDED = 'e',
+  TASK_FAILED = 'f',
+  TASK_CANCELLED = 'x'
+} task_state_t;
+
+typedef struct
+{
+  char *id; /* NULL until one is chosen */
+  job_kind_t kind;
+  class_t class;
+  char *team;
+  uint32_t tasks;
+  resource_t size; /* of each task */
+  char *command;
+  int64_t run_ms;       /* declared run time, 0: unknown */
+  int32_t max_failures; /* of one task before it is given up, -1: no limit */
+  int64_t backoff_ms;   /* wait before the first restart, doubled for each */
+  char **zones;         /* NULL-terminated; NULL: every zone */
+  int32_t priority;     /* -100 to 100, higher goes first in class and team */
+  bool throttle;        /* may be given less processor time under pressure */
+} job_spec_t;
+
+/* Reads JSON into a new specification.  Returns NULL and an error in
+   ERROR_DOMAIN that names the field and what was expected.  */
+job_spec_t *job_spec_parse (const json_t *json, GError **error);
+json_t *job_spec_to_json (const job_spec_t *spec);
+void job_spec_free (job_spec_t *spec);
+
+const char *job_kind_name (job_kind_t kind);
+const char *job_state_name (job_state_t state);
+const char *job_class_name (class_t class);
+bool job_class_parse (const char *name, class_t *class);
+
+/* Whether ID has 1 to JOB_ID_MAX letters, digits, '.', '_' and '-'.  */
+bool job_id_valid (const char *id);
+
+/* One zone's share of a job, in the job row.  */
+typedef struct
+{
+  char *zone;
+  uint32_t first; /* number of its first task */
+  uint32_t tasks;
+  bool done;   /* all its tasks have reached their last state */
+  bool failed; /* a task was given up */
+} job_part_t;
+
+/* Row job/ID.  */
+typedef struct
+{
+  job_spec_t *spec;
+  job_state_t state;
+  char *reason;       /* why refused or stopped, "" if none */
+  char *submit_id;    /* names the submission for good */
+  int64_t created_ms; /* wall clock */
+  int64_t ended_ms;   /* wall clock, 0 until the job has ended */
+  GPtrArray *parts;   /* job_part_t, owned */
+} job_row_t;
+
+job_row_t *job_row_new (job_spec_t *spec, const char *submit_id,
+                        int64_t created_ms);
+void job_row_add_part (job_row_t *row, const char *zone, uint32_t first,
+                       uint32_t tasks);
+job_part_t *job_row_part (const job_row_t *row, const char *zone);
+job_row_t *job_row_parse (const json_t *json, GError **error);
+json_t *job_row_to_json (const job_row_t *row, const char *write_id);
+void job_row_free (job_row_t *row);
+
+/* Row part/ZONE/ID: one entry for each task.  */
+typedef struct
+{
+  uint32_t generation;
+  int32_t worker; /* index in workers, -1: none */
+  uint16_t failures;
+  char state; /* task_state_t */
+} part_task_t;
+
+typedef struct
+{
+  uint32_t first;
+  GArray *tasks;        /* part_task_t */
+  GPtrArray *workers;   /* char *, owned */
+  GPtrArray *failed_on; /* char *, owned: healthy workers it failed on */
+} part_row_t;
+
+part_row_t *part_row_new (uint32_t first, uint32_t tasks);
+part_row_t *part_row_parse (const json_t *json, GError **error);
+json_t *part_row_to_json (const part_row_t *row, const char *write_id);
+void part_row_free (part_row_t *row);
+
+/* Row worker/ZONE/ID.  */
+typedef struct
+{
+  char *task; /* "JOB/NUMBER" */
+  uint32_t generation;
+  resource_t size; /* what is reserved for it */
+} worker_assignment_t;
+
+typedef struct
+{
+  int64_t incarnation;
+  GArray *assignments; /* worker_assignment_t */
+  bool held;           /* nothing is placed here but probes */
+} worker_row_t;
+
+worker_row_t *worker_row_new (int64_t incarnation);
+void worker_row_assign (worker_row_t *row, const char *task,
+                        uint32_t generation, resource_t size);
+worker_row_t *worker_row_parse (const json_t *json, GError **error);
+json_t *worker_row_to_json (const worker_row_t *row, const char *write_id);
+void worker_row_free (worker_row_t *row);
+
+/* Keys, new strings.  */
+char *job_key (const char *id);
+char *part_key (const char *zone, const char *id);
+char *worker_key (const char *zone, const char *id);
+
+/* Splits "JOB/NUMBER"; JOB must hold JOB_ID_MAX + 1 bytes.  Returns whether
+   TASK has that form.  */
+bool task_name_split (const char *task, char *job, uint32_t *number);
+
+json_t *resource_to_json (resource_t size);
+/* "cpu_millis=1 memory_mib=2 accelerators=0", a new string.  */
+char *resource_text (resource_t size);
+
+#endif
--- /dev/null
+++ b/src/sched.h
@@ -0,0 +1,224 @@
+#ifndef MAGNOLIADOCK_SCHED_H
+#define MAGNOLIADOCK_SCHED_H
+
+#include "clk.h"
+#include "counter.h"
+#include "error.h"
+#include "job.h"
+#include "resource.h"
+
+#include <jansson.h>
+
+/* NAME
+     sched - facade of the task side of one entry
+
+   Does no I/O.  Rows of the table service, worker reports and changes of the
+   instance list come in; transactions and worker commands go out through
+   sched_actions_t.  Every entry of a zone runs one; the entry on duty for the
+   zone (rendezvous hashing over the live entries) places tasks and renews
+   leases, the others take submissions and cancels.  Nothing breaks when two
+   entries believe that they are on duty: every change is a transaction that
+   checks the versions of all rows it was derived from.
+
+   Strings and JSON passed in are copied or referenced, those passed out live
+   until the callback returns.  Every action may be answered from inside the
+   action or later; each request with a tag is answered exactly once.  */
+
+typedef struct sched sched_t;
+
+typedef struct
+{
+  const char *key;
+  int64_t version; /* 0: absent */
+  json_t *value;   /* borrowed; NULL: absent, or delete in a write */
+} sched_row_t;
+
+typedef struct
+{
+  const char *task; /* "JOB/NUMBER" */
+  uint32_t generation;
+  const char *job;
+  job_kind_t kind;
+  resource_t size;
+  const char *command;
+  int64_t run_ms;
+} sched_start_t;
+
+typedef enum
+{
+  STOP_GRACEFUL,
+  STOP_NOW,
+  STOP_CHECKPOINT
+} stop_mode_t;
+
+typedef struct
+{
+  const char *task;
+  uint32_t generation;
+  stop_mode_t mode; /* of a stop; unused in an acknowledgement */
+} sched_stop_t;
+
+typedef enum
+{
+  START_RUNNING,
+  START_STALE,
+  START_NO_CAPACITY,
+  START_WRONG_INCARNATION,
+  START_FAILED
+} start_result_t;
+
+typedef enum
+{
+  STOP_STOPPED,
+  STOP_ENDED,
+  STOP_STOPPING,
+  STOP_UNKNOWN
+} stop_result_t;
+
+typedef enum
+{
+  REPORT_RUNNING,
+  REPORT_ENDED,
+  REPORT_FAILED,
+  REPORT_STOPPED
+} report_state_t;
+
+/* One task in the answer to a lease message.  */
+typedef struct
+{
+  const char *task;
+  uint32_t generation;
+  report_state_t state;
+  int32_t exit;
+  int64_t cpu_millis; /* used, -1: not reported */
+  int64_t memory_mib; /* used, -1: not reported */
+  int64_t usage_age_ms;
+} sched_report_t;
+
+typedef struct
+{
+  const char *id;
+  const char *url;
+  int64_t incarnation;
+} sched_worker_ref_t;
+
+typedef struct
+{
+  /* Answered by sched_rows_read.  KEYS are single rows; a scan asks for all
+     rows whose key starts with PREFIX.  */
+  void (*read) (void *context, uint64_t tag, const char *const *keys,
+                uint32_t count);
+  void (*scan) (void *context, uint64_t tag, const char *prefix);
+  /* Answered by sched_txn_ended.  */
+  void (*txn) (void *context, uint64_t tag, const sched_row_t *checks,
+               uint32_t check_count, const sched_row_t *writes,
+               uint32_t write_count);
+  /* Answered by sched_started, sched_leased and sched_stopped.  */
+  void (*start) (void *context, uint64_t tag, const sched_worker_ref_t *worker,
+                 int64_t lease_ms, const sched_start_t *starts,
+                 uint32_t count);
+  void (*lease) (void *context, uint64_t tag, const sched_worker_ref_t *worker,
+                 int64_t lease_ms, const sched_stop_t *acks, uint32_t count);
+  void (*stop) (void *context, uint64_t tag, const sched_worker_ref_t *worker,
+                const sched_stop_t *stops, uint32_t count);
+  /* Not answered.  */
+  void (*throttle) (void *context, const sched_worker_ref_t *worker,
+                    const char *task, uint32_t generation, int64_t cpu_millis);
+  /* Answers sched_submit and sched_cancel.  KIND is ERR_OK when the row is
+     committed, ERR_TIMEOUT when that is unknown, else the refusal; MESSAGE is
+     for people.  For a submission ID is the job's.  */
+  void (*answer) (void *context, void *token, err_kind_t kind, const char *id,
+                  const char *message);
+} sched_actions_t;
+
+typedef struct
+{
+  const char *entry; /* id of this entry */
+  int64_t incarnation;
+  const char *zone;
+  const char *pack_rule; /* "first-fit", "best-fit", "alignment",
+                            "keep-accelerators"; NULL: the last */
+  uint32_t rows_per_s;   /* row writes a second; 0: 200 */
+  uint32_t seed;
+} sched_options_t;
+
+/* ACTIONS, CLOCK and REGISTRY stay the caller's; OPTIONS is copied.  */
+sched_t *sched_new (const sched_options_t *options,
+                    const sched_actions_t *actions, void *context,
+                    const clk_t *clock, counter_registry_t *registry);
+void sched_free (sched_t *sched);
+
+/* Instances from the list.  */
+typedef enum
+{
+  SCHED_LIVE,
+  SCHED_LEAVING,
+  SCHED_GONE
+} sched_instance_state_t;
+
+typedef struct
+{
+  const char *id;
+  const char *rack;
+  const char *url;
+  int64_t incarnation;
+  sched_instance_state_t state;
+  resource_t capacity;
+} sched_instance_t;
+
+void sched_worker_set (sched_t *sched, const sched_instance_t *worker);
+/* An entry of any zone, this one included.  LIVE false: gone, leaving or not
+   answering.  */
+void sched_entry_set (sched_t *sched, const char *id, const char *zone,
+                      bool live);
+/* The list has been read whole; a worker with a row that was never listed
+   counts as gone from the first such call on.  */
+void sched_list_read (sched_t *sched);
+
+/* Quota of TEAM; used for the fair order.  A team without one is measured
+   against a fiftieth of the zone.  */
+void sched_team_set (sched_t *sched, const char *team, resource_t quota);
+/* Guaranteed share of CLASS in percent (default 50, 35, 15).  */
+void sched_class_set (sched_t *sched, class_t class, uint32_t percent);
+
+/* Answers to actions.  ROWS lists, for a read, every key asked for.  */
+void sched_rows_read (sched_t *sched, uint64_t tag, err_kind_t kind,
+                      const sched_row_t *rows, uint32_t count);
+void sched_txn_ended (sched_t *sched, uint64_t tag, err_kind_t kind,
+                      const int64_t *versions, uint32_t count);
+/* KIND is ERR_OK if the worker answered.  RESULTS in the order of the
+   starts.  */
+void sched_started (sched_t *sched, uint64_t tag, err_kind_t kind,
+                    const start_result_t *results, uint32_t count);
+void sched_leased (sched_t *sched, uint64_t tag, err_kind_t kind,
+                   int64_t incarnation, const sched_report_t *reports,
+                   uint32_t count);
+void sched_stopped (sched_t *sched, uint64_t tag, err_kind_t kind,
+                    const stop_result_t *results, uint32_t count);
+
+/* Takes a job in JSON.  Answered by the answer action with TOKEN, maybe before
+   this returns.  */
+void sched_submit (sched_t *sched, const json_t *spec, void *token);
+/* Cancels job ID.  ERR_OK means that the cancel is committed; the job shows
+   "cancelled" once every stop is confirmed.  */
+void sched_cancel (sched_t *sched, const char *id, void *token);
+
+/* Periodic work; call every 50 ms.  */
+void sched_tick (sched_t *sched);
+
+/* New JSON values for the operators' API.  */
+json_t *sched_jobs (const sched_t *sched);
+/* NULL if ID is unknown here.  */
+json_t *sched_job (const sched_t *sched, const char *id);
+json_t *sched_explain (const sched_t *sched, const char *id);
+/* Fleet, queue, duty and age of the rows.  */
+json_t *sched_status (const sched_t *sched);
+
+/* The entry on duty for the own zone, NULL if no entry is live.  Borrowed.  */
+const char *sched_duty (const sched_t *sched);
+/* Team of job ID, NULL if unknown.  Borrowed.  */
+const char *sched_job_team (const sched_t *sched, const char *id);
+/* Whether the rows have been read since the start.  */
+bool sched_ready (const sched_t *sched);
+
+#endif
