doc, auth, burn, confrev: add the core of operating the system

Keys unknown to an older entry are skipped in stored sections, so that an accepted revision comes into force while versions are mixed.

--- /dev/null
+++ b/src/confrev.c
@@ -0,0 +1,281 @@
+#include "confrev.h"
+
+#include <string.h>
+
+struct confrev
+{
+  const clk_t *clock;
+  int64_t revision;
+  confrev_source_t source;
+  int64_t store_seen_ms; /* -1: never */
+  doc_t *doc;
+  GHashTable *sections; /* name -> confrev_section_t */
+  GHashTable *peers;    /* entry -> peer_t */
+};
+
+typedef struct
+{
+  char *zone;
+  int64_t revision;
+  int64_t seen_ms;
+} peer_t;
+
+static void
+section_free (void *data)
+{
+  confrev_section_t *section = data;
+  g_free (section->name);
+  g_free (section->text);
+  g_free (section);
+}
+
+static void
+peer_free (void *data)
+{
+  peer_t *peer = data;
+  g_free (peer->zone);
+  g_free (peer);
+}
+
+static GHashTable *
+sections_new (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, NULL, section_free);
+}
+
+confrev_t *
+confrev_new (const clk_t *clock)
+{
+  confrev_t *confrev = g_new0 (confrev_t, 1);
+  confrev->clock = clock;
+  confrev->store_seen_ms = -1;
+  confrev->sections = sections_new ();
+  confrev->peers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, peer_free);
+  return confrev;
+}
+
+void
+confrev_free (confrev_t *confrev)
+{
+  if (confrev == NULL)
+    return;
+  doc_unref (confrev->doc);
+  g_hash_table_destroy (confrev->sections);
+  g_hash_table_destroy (confrev->peers);
+  g_free (confrev);
+}
+
+int64_t
+confrev_revision (const confrev_t *confrev)
+{
+  return confrev->revision;
+}
+
+confrev_source_t
+confrev_source (const confrev_t *confrev)
+{
+  return confrev->source;
+}
+
+doc_t *
+confrev_document (const confrev_t *confrev)
+{
+  return confrev->doc;
+}
+
+int64_t
+confrev_store_age_ms (const confrev_t *confrev)
+{
+  return confrev->store_seen_ms < 0
+             ? -1
+             : clk_now_ms (confrev->clock) - confrev->store_seen_ms;
+}
+
+const confrev_section_t *
+confrev_section (const confrev_t *confrev, const char *name)
+{
+  return g_hash_table_lookup (confrev->sections, name);
+}
+
+int64_t
+confrev_version (const confrev_t *confrev, const char *name)
+{
+  const confrev_section_t *section = confrev_section (confrev, name);
+  return section != NULL ? section->version : 0;
+}
+
+static int
+compare_names (const void *a, const void *b)
+{
+  const confrev_section_t *const *left = a;
+  const confrev_section_t *const *right = b;
+  return strcmp ((*left)->name, (*right)->name);
+}
+
+GPtrArray *
+confrev_sections (const confrev_t *confrev)
+{
+  GPtrArray *list = g_ptr_array_new ();
+  GHashTableIter iter;
+  void *section;
+  g_hash_table_iter_init (&iter, confrev->sections);
+  while (g_hash_table_iter_next (&iter, NULL, &section))
+    g_ptr_array_add (list, section);
+  g_ptr_array_sort (list, compare_names);
+  return list;
+}
+
+void
+confrev_store_seen (confrev_t *confrev, int64_t revision)
+{
+  if (revision < confrev->revision)
+    return;
+  confrev->store_seen_ms = clk_now_ms (confrev->clock);
+  if (revision == confrev->revision && confrev->doc != NULL)
+    confrev->source = CONFREV_STORE;
+}
+
+/* Parses the joined texts in the order of their names, so that all entries
+   show the same document.  */
+static doc_t *
+parse_sections (const confrev_section_t *sections, size_t count,
+                GPtrArray *errors)
+{
+  GPtrArray *order = g_ptr_array_new ();
+  for (size_t i = 0; i < count; i++)
+    g_ptr_array_add (order, (void *)&sections[i]);
+  g_ptr_array_sort (order, compare_names);
+  GString *text = g_string_new (NULL);
+  for (unsigned i = 0; i < order->len; i++)
+    {
+      const confrev_section_t *section = g_ptr_array_index (order, i);
+      if (section->text[0] != '\0')
+        g_string_append_printf (text, "%s\n", section->text);
+    }
+  GPtrArray *unknown = doc_errors_new ();
+  doc_t *doc = doc_parse_stored (text->str, text->len, errors, unknown);
+  g_ptr_array_free (unknown, TRUE);
+  g_string_free (text, TRUE);
+  g_ptr_array_free (order, TRUE);
+  return doc;
+}
+
+err_kind_t
+confrev_apply (confrev_t *confrev, int64_t revision,
+               const confrev_section_t *sections, size_t count,
+               confrev_source_t source, GPtrArray *errors)
+{
+  bool first_empty = revision == 0 && confrev->doc == NULL;
+  if (revision <= confrev->revision && !first_empty)
+    return ERR_CONFLICT;
+  doc_t *doc = parse_sections (sections, count, errors);
+  if (doc == NULL)
+    return ERR_BAD_REQUEST;
+  doc_unref (confrev->doc);
+  confrev->doc = doc;
+  g_hash_table_destroy (confrev->sections);
+  confrev->sections = sections_new ();
+  for (size_t i = 0; i < count; i++)
+    {
+      confrev_section_t *copy = g_new0 (confrev_section_t, 1);
+      copy->name = g_strdup (sections[i].name);
+      copy->version = sections[i].version;
+      copy->text = g_strdup (sections[i].text);
+      g_hash_table_insert (confrev->sections, copy->name, copy);
+    }
+  confrev->revision = revision;
+  if (confrev->source != CONFREV_STORE)
+    confrev->source = source;
+  return ERR_OK;
+}
+
+err_kind_t
+confrev_judge (const confrev_t *confrev, confrev_question_t question)
+{
+  static const confrev_source_t needed[CONFREV_QUESTION_COUNT] = {
+    [CONFREV_ROUTE] = CONFREV_PEERS,      [CONFREV_RENEW_LEASE] = CONFREV_NONE,
+    [CONFREV_STATUS] = CONFREV_NONE,      [CONFREV_AUTHORISE] = CONFREV_PEERS,
+    [CONFREV_SUBMIT_JOB] = CONFREV_PEERS, [CONFREV_EDIT] = CONFREV_STORE,
+  };
+  return confrev->source >= needed[question] ? ERR_OK : ERR_NO_CONFIG;
+}
+
+void
+confrev_peer (confrev_t *confrev, const char *entry, const char *zone,
+              int64_t revision)
+{
+  peer_t *peer = g_hash_table_lookup (confrev->peers, entry);
+  if (peer == NULL)
+    {
+      peer = g_new0 (peer_t, 1);
+      g_hash_table_insert (confrev->peers, g_strdup (entry), peer);
+    }
+  if (g_strcmp0 (peer->zone, zone) != 0)
+    {
+      g_free (peer->zone);
+      peer->zone = g_strdup (zone);
+    }
+  /* A replaced entry starts again below; what counts is what is in force
+     there now.  */
+  peer->revision = revision;
+  peer->seen_ms = clk_now_ms (confrev->clock);
+}
+
+void
+confrev_peer_gone (confrev_t *confrev, const char *entry)
+{
+  g_hash_table_remove (confrev->peers, entry);
+}
+
+int64_t
+confrev_peers_highest (const confrev_t *confrev, const char **entry)
+{
+  int64_t highest = 0;
+  GHashTableIter iter;
+  void *name, *value;
+  g_hash_table_iter_init (&iter, confrev->peers);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      const peer_t *peer = value;
+      if (peer->revision <= highest)
+        continue;
+      highest = peer->revision;
+      if (entry != NULL)
+        *entry = name;
+    }
+  return highest;
+}
+
+static int
+compare_strings (const void *a, const void *b)
+{
+  return strcmp (*(const char *const *)a, *(const char *const *)b);
+}
+
+void
+confrev_each_peer (const confrev_t *confrev,
+                   void (*each) (void *context, const confrev_peer_t *peer),
+                   void *context)
+{
+  GPtrArray *names = g_ptr_array_new ();
+  GHashTableIter iter;
+  void *name;
+  g_hash_table_iter_init (&iter, confrev->peers);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    g_ptr_array_add (names, name);
+  g_ptr_array_sort (names, compare_strings);
+  for (unsigned i = 0; i < names->len; i++)
+    {
+      const char *entry = g_ptr_array_index (names, i);
+      const peer_t *peer = g_hash_table_lookup (confrev->peers, entry);
+      confrev_peer_t row = {
+        .entry = entry,
+        .zone = peer->zone,
+        .revision = peer->revision,
+        .age_ms = clk_now_ms (confrev->clock) - peer->seen_ms,
+      };
+      each (context, &row);
+    }
+  g_ptr_array_free (names, TRUE);
+}
--- /dev/null
+++ b/src/confrev.h
@@ -0,0 +1,106 @@
+#ifndef MAGNOLIADOCK_CONFREV_H
+#define MAGNOLIADOCK_CONFREV_H
+
+#include "clk.h"
+#include "doc.h"
+#include "error.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* NAME
+     confrev - which revision of the configuration is in force, and where
+
+   Holds the sections of the revision in force with the parsed document, and
+   the revisions that the other entries report.  A lower revision is never
+   applied.  */
+
+typedef struct confrev confrev_t;
+
+/* One section at one version.  TEXT "" stands for a removed section.  */
+typedef struct
+{
+  char *name;
+  int64_t version;
+  char *text;
+} confrev_section_t;
+
+typedef enum
+{
+  CONFREV_NONE,  /* neither the store nor a peer has answered yet */
+  CONFREV_PEERS, /* the highest revision that peers have */
+  CONFREV_STORE  /* the store has answered since this process started */
+} confrev_source_t;
+
+/* What an entry can be asked to judge.  */
+typedef enum
+{
+  CONFREV_ROUTE,       /* send a request to a backend server */
+  CONFREV_RENEW_LEASE, /* harmless without a configuration */
+  CONFREV_STATUS,      /* states its own ignorance */
+  CONFREV_AUTHORISE,   /* check a token */
+  CONFREV_SUBMIT_JOB,
+  CONFREV_EDIT, /* needs the store anyway */
+  CONFREV_QUESTION_COUNT
+} confrev_question_t;
+
+confrev_t *confrev_new (const clk_t *clock);
+void confrev_free (confrev_t *confrev);
+
+/* Revision in force; 0 with an empty document before the first one.  */
+int64_t confrev_revision (const confrev_t *confrev);
+confrev_source_t confrev_source (const confrev_t *confrev);
+/* Document in force, borrowed; NULL while the source is CONFREV_NONE.  */
+doc_t *confrev_document (const confrev_t *confrev);
+/* Milliseconds since the store last confirmed the revision, -1: never.  */
+int64_t confrev_store_age_ms (const confrev_t *confrev);
+
+/* Version of section NAME in force, 0 if it never existed.  */
+int64_t confrev_version (const confrev_t *confrev, const char *name);
+/* Section NAME in force (also a removed one), NULL if it never existed.  */
+const confrev_section_t *confrev_section (const confrev_t *confrev,
+                                          const char *name);
+/* All sections, borrowed, in the order of their names; free the array with
+   g_ptr_array_free (result, TRUE).  */
+GPtrArray *confrev_sections (const confrev_t *confrev);
+
+/* Notes that the store's head is at REVISION, learned now.  */
+void confrev_store_seen (confrev_t *confrev, int64_t revision);
+
+/* Puts REVISION in force, which consists of exactly the COUNT SECTIONS
+   (copied).  Returns ERR_OK, ERR_CONFLICT if REVISION is not above the one in
+   force (nothing changes), or ERR_BAD_REQUEST with ERRORS if the text is not
+   a right document (nothing changes).  Revision 0 with no sections from the
+   store means that the store holds no document yet.  */
+err_kind_t confrev_apply (confrev_t *confrev, int64_t revision,
+                          const confrev_section_t *sections, size_t count,
+                          confrev_source_t source, GPtrArray *errors);
+
+/* Returns ERR_OK if QUESTION can be judged now, else ERR_NO_CONFIG.  */
+err_kind_t confrev_judge (const confrev_t *confrev,
+                          confrev_question_t question);
+
+/* ENTRY of ZONE reports that REVISION is in force there.  */
+void confrev_peer (confrev_t *confrev, const char *entry, const char *zone,
+                   int64_t revision);
+void confrev_peer_gone (confrev_t *confrev, const char *entry);
+/* Highest revision that a peer reported, 0 without peers; *ENTRY (may be
+   NULL) is set to that peer.  */
+int64_t confrev_peers_highest (const confrev_t *confrev, const char **entry);
+
+typedef struct
+{
+  const char *entry;
+  const char *zone;
+  int64_t revision;
+  int64_t age_ms; /* since the last report */
+} confrev_peer_t;
+
+/* Calls EACH for every known entry, in the order of their names.  */
+void confrev_each_peer (const confrev_t *confrev,
+                        void (*each) (void *context,
+                                      const confrev_peer_t *peer),
+                        void *context);
+
+#endif
--- /dev/null
+++ b/src/doc.c
@@ -0,0 +1,521 @@
+#include "doc.h"
+#include "doc_keys.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct
+{
+  char *text;
+  int line, column; /* of the key */
+} value_t;
+
+struct doc_section
+{
+  doc_type_t type;
+  char *full_name;
+  const char *name; /* points into full_name */
+  char *text;
+  int line;
+  GHashTable *values; /* key -> value_t */
+};
+
+struct doc
+{
+  int references;
+  GPtrArray *sections;
+  GHashTable *by_name;
+};
+
+typedef struct
+{
+  doc_t *doc;
+  doc_section_t *section; /* the one being filled, NULL before the first */
+  bool skipping;          /* inside a group that was refused */
+  const char *start;      /* of the text of the current section */
+  const char *comment;    /* first line of the comment block right above */
+  int line;
+  GPtrArray *errors;
+  GPtrArray *unknown; /* errors about unknown names; may equal errors */
+} parser_t;
+
+static void
+value_free (void *data)
+{
+  value_t *value = data;
+  g_free (value->text);
+  g_free (value);
+}
+
+static void
+section_free (void *data)
+{
+  doc_section_t *section = data;
+  g_free (section->full_name);
+  g_free (section->text);
+  g_hash_table_destroy (section->values);
+  g_free (section);
+}
+
+static void
+error_free (void *data)
+{
+  doc_error_t *error = data;
+  g_free (error->section);
+  g_free (error->key);
+  g_free (error->message);
+  g_free (error);
+}
+
+GPtrArray *
+doc_errors_new (void)
+{
+  return g_ptr_array_new_with_free_func (error_free);
+}
+
+__attribute__ ((format (printf, 6, 7))) static void
+add_error (GPtrArray *errors, int line, int column, const char *section,
+           const char *key, const char *format, ...)
+{
+  if (errors->len >= DOC_MAX_ERRORS)
+    return;
+  doc_error_t *error = g_new0 (doc_error_t, 1);
+  error->line = line;
+  error->column = column;
+  error->section = g_strdup (section);
+  error->key = g_strdup (key);
+  va_list args;
+  va_start (args, format);
+  error->message = g_strdup_vprintf (format, args);
+  va_end (args);
+  g_ptr_array_add (errors, error);
+}
+
+void
+doc_error_print (const doc_error_t *error, GString *out)
+{
+  if (error->line > 0)
+    g_string_append_printf (out, "line %d, column %d: ", error->line,
+                            error->column);
+  if (error->section != NULL)
+    g_string_append_printf (out, "[%s] ", error->section);
+  if (error->key != NULL)
+    g_string_append_printf (out, "%s: ", error->key);
+  g_string_append (out, error->message);
+}
+
+char *
+doc_errors_text (const GPtrArray *errors)
+{
+  GString *out = g_string_new (NULL);
+  for (unsigned i = 0; i < errors->len; i++)
+    {
+      if (i > 0)
+        g_string_append_c (out, '\n');
+      doc_error_print (g_ptr_array_index (errors, i), out);
+    }
+  return g_string_free (out, FALSE);
+}
+
+/* Ends the text of the current section at END, without its last blank
+   lines.  */
+static void
+close_section (parser_t *parser, const char *end)
+{
+  if (parser->section == NULL || parser->section->text != NULL)
+    return;
+  while (end > parser->start && g_ascii_isspace (end[-1]))
+    end--;
+  parser->section->text
+      = g_strdup_printf ("%.*s\n", (int)(end - parser->start), parser->start);
+}
+
+static void
+parse_group (parser_t *parser, const char *line, const char *text, int column)
+{
+  size_t length = strlen (text);
+  const char *start = parser->comment != NULL ? parser->comment : line;
+  close_section (parser, start);
+  parser->skipping = true;
+  if (text[length - 1] != ']')
+    {
+      add_error (parser->errors, parser->line, column + (int)length, NULL,
+                 NULL, "section header without end, expected ']'");
+      return;
+    }
+  char *group = g_strndup (text + 1, length - 2);
+  doc_type_t type;
+  const char *name;
+  char *expected;
+  if (!doc_group_check (group, &type, &name, &expected))
+    add_error (parser->unknown, parser->line, column, group, NULL,
+               "unknown section, expected %s", expected);
+  else if (g_hash_table_contains (parser->doc->by_name, group))
+    add_error (parser->errors, parser->line, column, group, NULL,
+               "section stands twice, expected one");
+  else
+    {
+      doc_section_t *section = g_new0 (doc_section_t, 1);
+      section->type = type;
+      section->full_name = g_strdup (group);
+      section->name = section->full_name + (name - group);
+      section->line = parser->line;
+      section->values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                               value_free);
+      g_ptr_array_add (parser->doc->sections, section);
+      g_hash_table_insert (parser->doc->by_name, section->full_name, section);
+      parser->section = section;
+      parser->start = parser->doc->sections->len == 1 && parser->start != NULL
+                          ? parser->start
+                          : start;
+      parser->skipping = false;
+    }
+  g_free (expected);
+  g_free (group);
+}
+
+static void
+parse_pair (parser_t *parser, const char *text, int column)
+{
+  const char *section
+      = parser->section != NULL ? parser->section->full_name : NULL;
+  const char *equals = strchr (text, '=');
+  if (equals == NULL || equals == text)
+    {
+      add_error (parser->errors, parser->line, column, section, NULL,
+                 "\"%.40s\" is no setting, expected KEY = VALUE, a [section] "
+                 "or a comment after '#'",
+                 text);
+      return;
+    }
+  char *key = g_strchomp (g_strndup (text, (gsize)(equals - text)));
+  char *value = g_strstrip (g_strdup (equals + 1));
+  char *expected = NULL;
+  const doc_key_t *row = NULL;
+  if (section == NULL)
+    add_error (parser->errors, parser->line, column, NULL, key,
+               "key outside of a section, expected a [section] above it");
+  else if ((row = doc_key_find (parser->section->type, key)) == NULL)
+    {
+      GString *known = g_string_new (NULL);
+      size_t count;
+      const doc_key_t *rows = doc_keys (&count);
+      for (size_t i = 0; i < count; i++)
+        if (rows[i].type == parser->section->type)
+          g_string_append_printf (known, " %s", rows[i].name);
+      add_error (parser->unknown, parser->line, column, section, key,
+                 "unknown key, expected one of:%s", known->str);
+      g_string_free (known, TRUE);
+    }
+  else if (g_hash_table_contains (parser->section->values, key))
+    add_error (parser->errors, parser->line, column, section, key,
+               "key stands twice, expected one");
+  else if (!doc_key_check (row, value, &expected))
+    {
+      const char *at = equals + 1;
+      at += strspn (at, " \t");
+      /* Hashes are not repeated in messages and logs.  */
+      bool secret = row->kind == DOC_HASHES;
+      add_error (parser->errors, parser->line, column + (int)(at - text),
+                 section, key, "%s%.40s%s, expected %s", secret ? "" : "\"",
+                 secret ? "not a hash" : value, secret ? "" : "\"", expected);
+    }
+  else
+    {
+      value_t *entry = g_new0 (value_t, 1);
+      entry->text = g_strdup (value);
+      entry->line = parser->line;
+      entry->column = column;
+      g_hash_table_insert (parser->section->values, g_strdup (key), entry);
+    }
+  g_free (expected);
+  g_free (key);
+  g_free (value);
+}
+
+static void
+parse_line (parser_t *parser, const char *line, size_t length)
+{
+  char *copy = g_strndup (line, length);
+  char *text = g_strchomp (copy);
+  int column = 1;
+  while (*text == ' ' || *text == '\t')
+    {
+      text++;
+      column++;
+    }
+  if (*text == '#')
+    {
+      if (parser->comment == NULL)
+        parser->comment = line;
+      g_free (copy);
+      return;
+    }
+  if (*text == '[')
+    parse_group (parser, line, text, column);
+  else if (*text != '\0' && !parser->skipping)
+    parse_pair (parser, text, column);
+  parser->comment = NULL;
+  g_free (copy);
+}
+
+static void
+check_reference (const doc_t *doc, const doc_section_t *section,
+                 const char *key, doc_type_t type, const char *name,
+                 GPtrArray *errors)
+{
+  char *wanted = g_strdup_printf ("%s %s", doc_type_name (type), name);
+  const value_t *value
+      = key != NULL ? g_hash_table_lookup (section->values, key) : NULL;
+  if (!g_hash_table_contains (doc->by_name, wanted))
+    add_error (errors, value != NULL ? value->line : section->line,
+               value != NULL ? value->column : 1, section->full_name, key,
+               "there is no section [%s], expected one", wanted);
+  g_free (wanted);
+}
+
+static void
+check_section (const doc_t *doc, const doc_section_t *section,
+               GPtrArray *errors)
+{
+  const char *owner = doc_section_owner (section);
+  if (*owner != '\0')
+    check_reference (doc, section, "owner", DOC_TEAM, owner, errors);
+  if (section->type == DOC_OBJECTIVE)
+    check_reference (doc, section, NULL, DOC_SERVICE, section->name, errors);
+  if (section->type == DOC_ACCESS)
+    {
+      GHashTableIter iter;
+      void *key;
+      g_hash_table_iter_init (&iter, section->values);
+      while (g_hash_table_iter_next (&iter, &key, NULL))
+        if (g_str_has_prefix (key, "team-"))
+          check_reference (doc, section, key, DOC_TEAM,
+                           (char *)key + strlen ("team-"), errors);
+    }
+  if (section->type == DOC_SERVICE)
+    {
+      doc_service_t service;
+      doc_service (doc, section->name, &service);
+      if (service.connection_limit < service.request_limit)
+        add_error (errors, section->line, 1, section->full_name,
+                   "connection-limit",
+                   "%u is below request-limit %u, expected at least as many "
+                   "connections as requests",
+                   service.connection_limit, service.request_limit);
+    }
+}
+
+static doc_t *
+doc_new (void)
+{
+  doc_t *doc = g_new0 (doc_t, 1);
+  doc->references = 1;
+  doc->sections = g_ptr_array_new_with_free_func (section_free);
+  doc->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  return doc;
+}
+
+/* Parses without the checks that need the other sections.  */
+static doc_t *
+parse_text (const char *text, size_t length, GPtrArray *errors,
+            GPtrArray *unknown)
+{
+  unsigned before = errors->len;
+  const char *bad;
+  if (length > DOC_MAX_BYTES)
+    {
+      add_error (errors, 0, 0, NULL, NULL,
+                 "document of %zu bytes, expected at most %d", length,
+                 DOC_MAX_BYTES);
+      return NULL;
+    }
+  if (!g_utf8_validate_len (text, length, &bad))
+    {
+      int line = 1, column = 1;
+      for (const char *c = text; c < bad; c++)
+        {
+          column = *c == '\n' ? 1 : column + 1;
+          line += *c == '\n';
+        }
+      add_error (errors, line, column, NULL, NULL,
+                 "byte 0x%02x, expected UTF-8 text without NUL",
+                 (unsigned char)*bad);
+      return NULL;
+    }
+  parser_t parser = {
+    .doc = doc_new (), .start = text, .errors = errors, .unknown = unknown
+  };
+  const char *end = text + length;
+  for (const char *line = text; line < end;)
+    {
+      const char *stop = memchr (line, '\n', (size_t)(end - line));
+      if (stop == NULL)
+        stop = end;
+      parser.line++;
+      parse_line (&parser, line, (size_t)(stop - line));
+      line = stop + 1;
+    }
+  close_section (&parser, end);
+  if (errors->len == before)
+    return parser.doc;
+  doc_unref (parser.doc);
+  return NULL;
+}
+
+doc_t *
+doc_parse_stored (const char *text, size_t length, GPtrArray *errors,
+                  GPtrArray *unknown)
+{
+  unsigned before = errors->len;
+  doc_t *doc = parse_text (text, length, errors, unknown);
+  if (doc == NULL)
+    return NULL;
+  for (unsigned i = 0; i < doc->sections->len; i++)
+    check_section (doc, g_ptr_array_index (doc->sections, i), errors);
+  if (errors->len == before)
+    return doc;
+  doc_unref (doc);
+  return NULL;
+}
+
+doc_t *
+doc_parse (const char *text, size_t length, GPtrArray *errors)
+{
+  return doc_parse_stored (text, length, errors, errors);
+}
+
+doc_t *
+doc_ref (doc_t *doc)
+{
+  doc->references++;
+  return doc;
+}
+
+void
+doc_unref (doc_t *doc)
+{
+  if (doc == NULL || --doc->references > 0)
+    return;
+  g_hash_table_destroy (doc->by_name);
+  g_ptr_array_free (doc->sections, TRUE);
+  g_free (doc);
+}
+
+/* Checks that TEXT holds section NAME and nothing else.  */
+static bool
+single_section (const char *name, const char *text, GPtrArray *errors)
+{
+  doc_t *alone = parse_text (text, strlen (text), errors, errors);
+  if (alone == NULL)
+    return false;
+  bool right = alone->sections->len == 1 && doc_section (alone, name) != NULL;
+  if (!right)
+    add_error (errors, 1, 1, name, NULL,
+               "the text holds %u sections, expected only [%s]",
+               alone->sections->len, name);
+  doc_unref (alone);
+  return right;
+}
+
+doc_t *
+doc_with (const doc_t *doc, const char *name, const char *text,
+          GPtrArray *errors)
+{
+  bool remove = text[strspn (text, " \t\r\n")] == '\0';
+  if (!remove && !single_section (name, text, errors))
+    return NULL;
+  GString *whole = g_string_new (NULL);
+  bool placed = remove;
+  for (unsigned i = 0; doc != NULL && i < doc->sections->len; i++)
+    {
+      const doc_section_t *section = g_ptr_array_index (doc->sections, i);
+      if (strcmp (section->full_name, name) != 0)
+        g_string_append_printf (whole, "%s\n", section->text);
+      else if (!placed)
+        {
+          g_string_append_printf (whole, "%s\n", text);
+          placed = true;
+        }
+    }
+  if (!placed)
+    g_string_append_printf (whole, "%s\n", text);
+  unsigned before = errors->len;
+  GPtrArray *unknown = doc_errors_new ();
+  doc_t *result = doc_parse_stored (whole->str, whole->len, errors, unknown);
+  g_ptr_array_free (unknown, TRUE);
+  /* The lines of the joined text mean nothing to the author.  */
+  for (unsigned i = before; i < errors->len; i++)
+    ((doc_error_t *)g_ptr_array_index (errors, i))->line = 0;
+  g_string_free (whole, TRUE);
+  return result;
+}
+
+void
+doc_print (const doc_t *doc, GString *out)
+{
+  for (unsigned i = 0; i < doc->sections->len; i++)
+    {
+      const doc_section_t *section = g_ptr_array_index (doc->sections, i);
+      g_string_append_printf (out, "%s%s", i > 0 ? "\n" : "", section->text);
+    }
+}
+
+size_t
+doc_section_count (const doc_t *doc)
+{
+  return doc->sections->len;
+}
+
+const doc_section_t *
+doc_section_at (const doc_t *doc, size_t index)
+{
+  return g_ptr_array_index (doc->sections, index);
+}
+
+const doc_section_t *
+doc_section (const doc_t *doc, const char *name)
+{
+  return doc != NULL ? g_hash_table_lookup (doc->by_name, name) : NULL;
+}
+
+const char *
+doc_section_full_name (const doc_section_t *section)
+{
+  return section->full_name;
+}
+
+const char *
+doc_section_name (const doc_section_t *section)
+{
+  return section->name;
+}
+
+doc_type_t
+doc_section_type (const doc_section_t *section)
+{
+  return section->type;
+}
+
+const char *
+doc_section_text (const doc_section_t *section)
+{
+  return section->text;
+}
+
+const char *
+doc_section_owner (const doc_section_t *section)
+{
+  const char *owner = doc_section_value (section, "owner");
+  return owner != NULL ? owner : "";
+}
+
+const char *
+doc_section_value (const doc_section_t *section, const char *key)
+{
+  const value_t *value = g_hash_table_lookup (section->values, key);
+  if (value != NULL)
+    return value->text;
+  const doc_key_t *row = doc_key_find (section->type, key);
+  return row != NULL ? row->fallback : NULL;
+}
--- a/tests/test.h
+++ b/tests/test.h
@@ -11,6 +11,9 @@
    CU_SUITE_INFO_NULL and is listed in test_main.c.  */
 
 extern CU_SuiteInfo test_base_suites[];
+extern CU_SuiteInfo test_doc_suites[];
+extern CU_SuiteInfo test_auth_suites[];
+extern CU_SuiteInfo test_burn_suites[];
 
 /* Seed of the random cases, from --seed; printed at the start.  */
 uint32_t test_seed (void);
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -9,6 +9,9 @@
 
 static CU_SuiteInfo *const suites[] = {
   test_base_suites,
+  test_doc_suites,
+  test_auth_suites,
+  test_burn_suites,
 };
 
 static uint32_t seed = DEFAULT_SEED;
