--- a/tests/standin.c
+++ b/tests/standin.c
@@ -61,6 +61,19 @@
     standin_platform (request, path, NULL);
 }
 
+static int
+list_entries (void)
+{
+  for (unsigned i = 0; i < standin_instances->len; i++)
+    {
+      const standin_instance_t *one = g_ptr_array_index (standin_instances, i);
+      if (strcmp (one->kind, "entry") == 0)
+        printf ("%s %s %s %s\n", one->id, one->zone,
+                one->url + strlen ("http://"), one->peer);
+    }
+  return 0;
+}
+
 static int
 serve (void)
 {
@@ -99,7 +112,7 @@
 main (int argc, char **argv)
 {
   g_autofree char *deployment = NULL;
-  gboolean print = FALSE;
+  gboolean print = FALSE, print_entries = FALSE;
   int entries = 8, workers = -1, backends = -1;
   standin_options_t *o = &standin_options;
   const GOptionEntry options[] = {
@@ -127,6 +140,8 @@
       "MS" },
     { "list-lag-ms", 0, 0, G_OPTION_ARG_INT, &o->list_lag_ms,
       "lag of the instance list", "MS" },
+    { "print-entries", 0, 0, G_OPTION_ARG_NONE, &print_entries,
+      "print ID ZONE HTTP PEER of each entry and exit", NULL },
     { "print-deployment", 0, 0, G_OPTION_ARG_NONE, &print,
       "print the deployment as JSON and exit", NULL },
     { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
@@ -152,6 +167,8 @@
     }
   if (print)
     return json_dumpf (standin_deployment (), stdout, JSON_INDENT (1)) != 0;
+  if (print_entries)
+    return list_entries ();
   if (pipe (quit_pipe) != 0)
     return 1;
   signal (SIGTERM, on_signal);
