dispatch: test the modules of the request side

Cause: admission, shares, outcomes, retries and ejection had no tests. Change: fault tables with a fake clock for each module, and the random zone as a unit test, which must also notice a ledger that deducts after sending and one that retires without closing statements.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -40,7 +40,8 @@
   dispatch->numbered = g_ptr_array_new ();
   dispatch->removed = g_ptr_array_new_with_free_func (dispatch_process_free);
   dispatch->peers = g_ptr_array_new ();
-  dispatch->team_numbers = g_hash_table_new (g_str_hash, g_str_equal);
+  dispatch->team_numbers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   dispatch->teams = g_array_new (FALSE, TRUE, sizeof (team_t));
   dispatch_team (dispatch, "", true);
   dispatch->share = share_new (self);
--- a/src/dispatch_status.c
+++ b/src/dispatch_status.c
@@ -10,17 +10,17 @@
 uint32_t
 dispatch_team (dispatch_t *dispatch, const char *name, bool add)
 {
-  gpointer number = NULL;
-  if (g_hash_table_lookup_extended (dispatch->team_numbers, name, NULL,
-                                    &number))
-    return GPOINTER_TO_UINT (number);
+  const uint32_t *known = g_hash_table_lookup (dispatch->team_numbers, name);
+  if (known != NULL)
+    return *known;
   if (!add && dispatch->teams->len >= CALLER_TEAMS)
     return 0;
   team_t team = { .name = g_strdup (name), .weight = 1 };
   g_array_append_val (dispatch->teams, team);
+  uint32_t number = dispatch->teams->len - 1;
   g_hash_table_insert (dispatch->team_numbers, team.name,
-                       GUINT_TO_POINTER (dispatch->teams->len - 1));
-  return dispatch->teams->len - 1;
+                       g_memdup2 (&number, sizeof number));
+  return number;
 }
 
 void
--- a/src/share.c
+++ b/src/share.c
@@ -21,11 +21,13 @@
   share->rules = (share_rules_t){ true, true };
   share->processes = g_array_new (FALSE, TRUE, sizeof (share_process_t));
   share->free = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-  share->process_numbers = g_hash_table_new (g_str_hash, g_str_equal);
+  share->process_numbers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   share->row_numbers
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   share->members = g_ptr_array_new_with_free_func (member_free);
-  share->member_numbers = g_hash_table_new (g_str_hash, g_str_equal);
+  share->member_numbers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   share->message = g_array_new (FALSE, FALSE, sizeof (dispatch_given_t));
   return share;
 }
@@ -66,11 +68,10 @@
 uint32_t
 share_process (share_t *share, const char *key)
 {
-  gpointer number = NULL;
-  if (g_hash_table_lookup_extended (share->process_numbers, key, NULL,
-                                    &number))
-    return GPOINTER_TO_UINT (number);
-  uint32_t process = share->processes->len;
+  uint32_t process = share_lookup_number (share->process_numbers, key);
+  if (process != SHARE_NONE)
+    return process;
+  process = share->processes->len;
   if (share->free->len > 0)
     {
       process = g_array_index (share->free, uint32_t, share->free->len - 1);
@@ -80,17 +81,16 @@
     g_array_set_size (share->processes, process + 1);
   share_process_t *added = share_process_at (share, process);
   *added = (share_process_t){ .key = g_strdup (key) };
-  g_hash_table_insert (share->process_numbers, added->key,
-                       GUINT_TO_POINTER (process));
+  share_insert_number (share->process_numbers, added->key, process);
   return process;
 }
 
 uint32_t
 share_resolve (share_t *share, const char *id, int64_t incarnation)
 {
-  gpointer number = NULL;
-  if (g_hash_table_lookup_extended (share->row_numbers, id, NULL, &number))
-    return GPOINTER_TO_UINT (number);
+  uint32_t in_row = share_lookup_number (share->row_numbers, id);
+  if (in_row != SHARE_NONE)
+    return in_row;
   char *key = g_strdup_printf ("%s@%" G_GINT64_FORMAT, id, incarnation);
   uint32_t process = share_process (share, key);
   g_free (key);
@@ -212,10 +212,9 @@
 uint32_t
 share_member (share_t *share, const char *name)
 {
-  gpointer number = NULL;
-  if (g_hash_table_lookup_extended (share->member_numbers, name, NULL,
-                                    &number))
-    return GPOINTER_TO_UINT (number);
+  uint32_t number = share_lookup_number (share->member_numbers, name);
+  if (number != SHARE_NONE)
+    return number;
   share_member_t *member = g_new0 (share_member_t, 1);
   member->name = g_strdup (name);
   member->pairs = g_array_new (FALSE, TRUE, sizeof (share_pair_t));
@@ -223,9 +222,9 @@
   member->statements = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                               (GDestroyNotify)g_array_unref);
   g_ptr_array_add (share->members, member);
-  g_hash_table_insert (share->member_numbers, member->name,
-                       GUINT_TO_POINTER (share->members->len - 1));
-  return share->members->len - 1;
+  number = share->members->len - 1;
+  share_insert_number (share->member_numbers, member->name, number);
+  return number;
 }
 
 bool
--- a/src/share_internal.h
+++ b/src/share_internal.h
@@ -62,11 +62,11 @@
   json_t *row;
   GArray *processes;           /* share_process_t */
   GArray *free;                /* uint32_t, numbers to use again */
-  GHashTable *process_numbers; /* key -> number */
-  GHashTable *row_numbers;     /* backend id -> number of its key in the row */
-  GPtrArray *members;          /* share_member_t */
-  GHashTable *member_numbers;
-  GArray *message; /* dispatch_given_t */
+  GHashTable *process_numbers; /* key -> uint32_t */
+  GHashTable *row_numbers; /* backend id -> uint32_t of its key in the row */
+  GPtrArray *members;      /* share_member_t */
+  GHashTable *member_numbers; /* name -> uint32_t */
+  GArray *message;            /* dispatch_given_t */
 };
 
 static inline share_process_t *
@@ -81,6 +81,21 @@
   return g_ptr_array_index (share->members, member);
 }
 
+/* Inserts KEY, which the table keeps, with a copy of NUMBER.  */
+static inline void
+share_insert_number (GHashTable *table, char *key, uint32_t number)
+{
+  g_hash_table_insert (table, key, g_memdup2 (&number, sizeof number));
+}
+
+/* Returns the number of KEY, or SHARE_NONE.  */
+static inline uint32_t
+share_lookup_number (GHashTable *table, const char *key)
+{
+  const uint32_t *number = g_hash_table_lookup (table, key);
+  return number != NULL ? *number : SHARE_NONE;
+}
+
 /* Returns the totals of MEMBER and PROCESS, making them.  */
 share_pair_t *share_pair (share_member_t *member, uint32_t process);
 
--- a/src/share_row.c
+++ b/src/share_row.c
@@ -123,8 +123,7 @@
   {
     uint32_t number = share_process (share, key);
     share_process_t *process = share_process_at (share, number);
-    g_hash_table_insert (share->row_numbers, id_of_key (key),
-                         GUINT_TO_POINTER (number));
+    share_insert_number (share->row_numbers, id_of_key (key), number);
     process->in_row = true;
     process->limit = (uint32_t)json_integer_value (value);
   }
--- a/tests/test.h
+++ b/tests/test.h
@@ -15,6 +15,12 @@
 extern CU_SuiteInfo test_doc_suites[];
 extern CU_SuiteInfo test_auth_suites[];
 extern CU_SuiteInfo test_burn_suites[];
+extern CU_SuiteInfo test_share_suites[];
+extern CU_SuiteInfo test_admit_suites[];
+extern CU_SuiteInfo test_outlier_suites[];
+extern CU_SuiteInfo test_retry_suites[];
+extern CU_SuiteInfo test_outcome_suites[];
+extern CU_SuiteInfo test_dispatch_suites[];
 
 /* Seed of the random cases, from --seed; printed at the start.  */
 uint32_t test_seed (void);
--- /dev/null
+++ b/tests/test_dispatch.c
@@ -0,0 +1,575 @@
+#include "test.h"
+
+#include "dispatch.h"
+#include "fake_zone.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define ZONE_RUNS 6
+
+/* One dispatch with a recorder of its last actions.  */
+typedef struct
+{
+  clk_fake_t clock;
+  counter_registry_t *registry;
+  dispatch_t *dispatch;
+  unsigned sends, refusals, hand_overs, probes, wants, ledgers;
+  uint64_t sent_id, refused_id;
+  uint32_t attempt;
+  char backend[16];
+  char peer[16];
+  bool fresh;
+  err_kind_t kind;
+  outcome_t outcome;
+  int64_t retry_after_ms;
+} rig_t;
+
+static void
+on_send (void *context, uint64_t id, uint32_t attempt, const char *backend,
+         const char *url, bool fresh)
+{
+  rig_t *rig = context;
+  rig->sends++;
+  rig->sent_id = id;
+  rig->attempt = attempt;
+  rig->fresh = fresh;
+  snprintf (rig->backend, sizeof rig->backend, "%s", backend);
+}
+
+static void
+on_hand_over (void *context, uint64_t id, uint32_t attempt, const char *entry)
+{
+  rig_t *rig = context;
+  rig->hand_overs++;
+  rig->attempt = attempt;
+  snprintf (rig->peer, sizeof rig->peer, "%s", entry);
+}
+
+static void
+on_refuse (void *context, uint64_t id, err_kind_t kind, outcome_t outcome,
+           int64_t retry_after_ms, const char *detail)
+{
+  rig_t *rig = context;
+  rig->refusals++;
+  rig->refused_id = id;
+  rig->kind = kind;
+  rig->outcome = outcome;
+  rig->retry_after_ms = retry_after_ms;
+  CU_ASSERT_PTR_NOT_NULL (detail);
+}
+
+static void
+on_probe (void *context, const char *backend, const char *url)
+{
+  ((rig_t *)context)->probes++;
+}
+
+static void
+on_ledger (void *context, const char *entry, const dispatch_given_t *given,
+           uint32_t count)
+{
+  ((rig_t *)context)->ledgers++;
+}
+
+static void
+on_want (void *context, const char *entry, const char *service, uint32_t count)
+{
+  ((rig_t *)context)->wants++;
+}
+
+static const dispatch_actions_t actions = { .send = on_send,
+                                            .hand_over = on_hand_over,
+                                            .refuse = on_refuse,
+                                            .probe = on_probe,
+                                            .send_ledger = on_ledger,
+                                            .want_slots = on_want };
+
+static void
+set_backend (rig_t *rig, unsigned number, uint32_t limit, bool leaving)
+{
+  char id[16];
+  snprintf (id, sizeof id, "b%u", number);
+  dispatch_backend_t backend
+      = { id, "svc", "z", "http://b", leaving, limit, 64, 1 };
+  dispatch_backend_set (rig->dispatch, &backend);
+}
+
+/* The rig must not move, as dispatch keeps its address.  */
+static void
+rig_init (rig_t *rig, unsigned backends, uint32_t limit)
+{
+  *rig = (rig_t){ 0 };
+  clk_fake_init (&rig->clock, 1000000);
+  rig->registry = counter_registry_new ();
+  rig->dispatch = dispatch_new ("e@1", "z", &actions, rig, &rig->clock.base,
+                                rig->registry, test_seed ());
+  for (unsigned i = 0; i < backends; i++)
+    set_backend (rig, i, limit, false);
+}
+
+static void
+rig_clear (rig_t *rig)
+{
+  dispatch_free (rig->dispatch);
+  counter_registry_free (rig->registry);
+}
+
+static void
+run_for (rig_t *rig, int64_t ms)
+{
+  for (int64_t passed = 0; passed < ms; passed += 10)
+    {
+      clk_fake_advance_ms (&rig->clock, 10);
+      dispatch_tick (rig->dispatch);
+    }
+}
+
+static dispatch_request_t
+request_of (const rig_t *rig, uint64_t id)
+{
+  dispatch_request_t request
+      = { .id = id,
+          .service = "svc",
+          .team = "t",
+          .class = CLASS_STANDARD,
+          .idempotent = true,
+          .replayable = true,
+          .deadline_ms = clk_now_ms (&rig->clock.base) + 10000 };
+  return request;
+}
+
+static void
+submit (rig_t *rig, uint64_t id)
+{
+  dispatch_request_t request = request_of (rig, id);
+  dispatch_submit (rig->dispatch, &request);
+}
+
+/* Guards against a wrong retry or a false outcome for each kind of failure.
+   Every attempt after the first fails with the second failure.  */
+static void
+test_failures (void)
+{
+  static const struct
+  {
+    bool idempotent, replayable, started;
+    err_kind_t first, second;
+    outcome_t first_outcome, second_outcome;
+    unsigned sends;
+    unsigned refusals;
+    outcome_t told;
+  } rows[] = {
+    { true, true, false, ERR_CONNECT_FAILED, ERR_OK, OUTCOME_NOT_RUN,
+      OUTCOME_RAN, 2, 0, OUTCOME_RAN },
+    { true, true, false, ERR_CONNECTION_LOST, ERR_OK, OUTCOME_UNKNOWN,
+      OUTCOME_RAN, 2, 0, OUTCOME_RAN },
+    { true, true, false, ERR_CONNECTION_LOST, ERR_CONNECT_FAILED,
+      OUTCOME_UNKNOWN, OUTCOME_NOT_RUN, 4, 1, OUTCOME_UNKNOWN },
+    { true, true, false, ERR_CONNECT_FAILED, ERR_CONNECT_FAILED,
+      OUTCOME_NOT_RUN, OUTCOME_NOT_RUN, 4, 1, OUTCOME_NOT_RUN },
+    { true, false, false, ERR_TIMEOUT, ERR_OK, OUTCOME_UNKNOWN, OUTCOME_RAN, 1,
+      1, OUTCOME_UNKNOWN },
+    { true, true, true, ERR_ANSWER_CUT, ERR_OK, OUTCOME_RAN, OUTCOME_RAN, 1, 0,
+      OUTCOME_RAN },
+    { false, true, false, ERR_CONNECTION_LOST, ERR_OK, OUTCOME_UNKNOWN,
+      OUTCOME_RAN, 1, 1, OUTCOME_UNKNOWN },
+    { false, true, false, ERR_CONNECT_FAILED, ERR_OK, OUTCOME_NOT_RUN,
+      OUTCOME_RAN, 2, 0, OUTCOME_RAN },
+    { false, true, false, ERR_CONNECT_FAILED, ERR_CONNECTION_LOST,
+      OUTCOME_NOT_RUN, OUTCOME_UNKNOWN, 2, 1, OUTCOME_UNKNOWN },
+    { false, true, false, ERR_ANSWER_CUT, ERR_OK, OUTCOME_RAN, OUTCOME_RAN, 1,
+      1, OUTCOME_RAN },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      rig_t rig;
+      rig_init (&rig, 3, 8);
+      dispatch_request_t request = request_of (&rig, 1);
+      request.idempotent = rows[i].idempotent;
+      request.replayable = rows[i].replayable;
+      dispatch_submit (rig.dispatch, &request);
+      CU_ASSERT_EQUAL (rig.fresh, !rows[i].idempotent);
+      if (rows[i].started)
+        dispatch_attempt_started (rig.dispatch, 1, 1);
+      dispatch_attempt_ended (rig.dispatch, 1, 1, rows[i].first, 0,
+                              rows[i].first_outcome);
+      for (uint32_t attempt = 2; attempt < 8; attempt++)
+        {
+          run_for (&rig, 600);
+          if (rig.attempt == attempt && rig.refusals == 0)
+            dispatch_attempt_ended (rig.dispatch, 1, attempt, rows[i].second,
+                                    0, rows[i].second_outcome);
+        }
+      CU_ASSERT_EQUAL (rig.sends, rows[i].sends);
+      CU_ASSERT_EQUAL (rig.refusals, rows[i].refusals);
+      if (rig.refusals > 0)
+        CU_ASSERT_EQUAL (rig.outcome, rows[i].told);
+      rig_clear (&rig);
+    }
+}
+
+/* Guards against running a repeated id again, or refusing it for good.  The
+   request with the id ends as given and is then repeated.  */
+static void
+test_repeated_ids (void)
+{
+  static const struct
+  {
+    bool idempotent;
+    bool handed_over;
+    err_kind_t ends; /* ERR_KIND_COUNT: still in flight */
+    outcome_t outcome;
+    err_kind_t kind; /* ERR_OK: runs again */
+    outcome_t told;
+  } rows[] = {
+    { false, false, ERR_KIND_COUNT, OUTCOME_RAN, ERR_IN_FLIGHT,
+      OUTCOME_UNKNOWN },
+    { true, false, ERR_KIND_COUNT, OUTCOME_RAN, ERR_IN_FLIGHT,
+      OUTCOME_UNKNOWN },
+    { false, false, ERR_OK, OUTCOME_RAN, ERR_CONFLICT, OUTCOME_RAN },
+    { false, false, ERR_CONNECTION_LOST, OUTCOME_UNKNOWN, ERR_CONFLICT,
+      OUTCOME_UNKNOWN },
+    { false, false, ERR_INTERNAL, OUTCOME_NOT_RUN, ERR_OK, OUTCOME_RAN },
+    { true, false, ERR_OK, OUTCOME_RAN, ERR_OK, OUTCOME_RAN },
+    { true, true, ERR_OK, OUTCOME_RAN, ERR_CONFLICT, OUTCOME_RAN },
+    { false, true, ERR_INTERNAL, OUTCOME_NOT_RUN, ERR_CONFLICT,
+      OUTCOME_NOT_RUN },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      rig_t rig;
+      rig_init (&rig, 1, 8);
+      dispatch_request_t request = request_of (&rig, 1);
+      request.idempotent = rows[i].idempotent;
+      request.handed_over = rows[i].handed_over;
+      request.origin_incarnation = 77;
+      request.origin_id = 5;
+      request.request_id = "order-1";
+      dispatch_submit (rig.dispatch, &request);
+      if (rows[i].ends != ERR_KIND_COUNT)
+        dispatch_attempt_ended (rig.dispatch, 1, 1, rows[i].ends, 0,
+                                rows[i].outcome);
+      unsigned refusals = rig.refusals;
+      request.id = 2;
+      dispatch_submit (rig.dispatch, &request);
+      CU_ASSERT_EQUAL (rig.refusals - refusals, rows[i].kind != ERR_OK);
+      CU_ASSERT_EQUAL (rig.sent_id, rows[i].kind == ERR_OK ? 2 : 1);
+      if (rows[i].kind != ERR_OK)
+        {
+          CU_ASSERT_EQUAL (rig.kind, rows[i].kind);
+          CU_ASSERT_EQUAL (rig.outcome, rows[i].told);
+        }
+      rig_clear (&rig);
+    }
+}
+
+/* Guards against a hand-over that runs after its sender was told "never seen".
+ */
+static void
+test_barred (void)
+{
+  rig_t rig;
+  rig_init (&rig, 1, 8);
+  outcome_t outcome;
+  err_kind_t kind;
+  uint16_t status;
+  CU_ASSERT_EQUAL (
+      dispatch_outcome_query (rig.dispatch, 77, 5, &outcome, &kind, &status),
+      DISPATCH_NEVER_SEEN);
+  dispatch_request_t request = request_of (&rig, 1);
+  request.handed_over = true;
+  request.origin_incarnation = 77;
+  request.origin_id = 5;
+  dispatch_submit (rig.dispatch, &request);
+  CU_ASSERT_EQUAL (rig.sends, 0);
+  CU_ASSERT_EQUAL (rig.outcome, OUTCOME_NOT_RUN);
+  request.origin_id = 6;
+  dispatch_submit (rig.dispatch, &request);
+  CU_ASSERT_EQUAL (
+      dispatch_outcome_query (rig.dispatch, 77, 6, &outcome, &kind, &status),
+      DISPATCH_IN_FLIGHT);
+  dispatch_attempt_ended (rig.dispatch, 1, 1, ERR_OK, 204, OUTCOME_RAN);
+  CU_ASSERT_EQUAL (
+      dispatch_outcome_query (rig.dispatch, 77, 6, &outcome, &kind, &status),
+      DISPATCH_ENDED);
+  CU_ASSERT_EQUAL (outcome, OUTCOME_RAN);
+  CU_ASSERT_EQUAL (status, 204);
+  rig_clear (&rig);
+}
+
+/* Guards against refusals that come too late, without Retry-After or with a
+   false outcome.  */
+static void
+test_refusals (void)
+{
+  rig_t rig;
+  rig_init (&rig, 1, 1);
+  dispatch_request_t request = request_of (&rig, 1);
+  request.service = "other";
+  dispatch_submit (rig.dispatch, &request);
+  CU_ASSERT_EQUAL (rig.kind, ERR_UNKNOWN_SERVICE);
+  dispatch_policy_t policy = { .queue_limit = 20 };
+  CU_ASSERT_EQUAL (dispatch_service_set (rig.dispatch, "svc", &policy),
+                   ERR_OK);
+  /* One slot that is held for 1 s: ten more fit into the deadline of 10 s.  */
+  submit (&rig, 2);
+  clk_fake_advance_ms (&rig.clock, 1000);
+  dispatch_attempt_ended (rig.dispatch, 2, 1, ERR_OK, 200, OUTCOME_RAN);
+  unsigned refusals = rig.refusals;
+  for (uint64_t id = 3; id < 3 + 12; id++)
+    submit (&rig, id);
+  CU_ASSERT_EQUAL (rig.refusals, refusals + 1);
+  CU_ASSERT_EQUAL (rig.kind, ERR_DEADLINE);
+  CU_ASSERT_EQUAL (rig.outcome, OUTCOME_NOT_RUN);
+  CU_ASSERT (rig.retry_after_ms >= 5000 && rig.retry_after_ms <= 20000);
+  request = request_of (&rig, 20);
+  request.deadline_ms += 50000;
+  for (; request.id < 40; request.id++)
+    dispatch_submit (rig.dispatch, &request);
+  CU_ASSERT_EQUAL (rig.kind, ERR_QUEUE_FULL);
+  CU_ASSERT (rig.retry_after_ms > 0);
+  /* What waits is refused at its deadline and not before.  */
+  unsigned before = rig.refusals;
+  run_for (&rig, 9980);
+  CU_ASSERT_EQUAL (rig.refusals, before);
+  run_for (&rig, 30);
+  CU_ASSERT (rig.refusals > before);
+  CU_ASSERT_EQUAL (rig.kind, ERR_DEADLINE);
+  dispatch_drain (rig.dispatch);
+  submit (&rig, 99);
+  CU_ASSERT_EQUAL (rig.kind, ERR_DRAINING);
+  CU_ASSERT_FALSE (dispatch_drained (rig.dispatch));
+  rig_clear (&rig);
+}
+
+/* Guards against new work for a leaving, removed or ejected process, and
+   against a cancelled request that still runs.  */
+static void
+test_unfit_processes (void)
+{
+  rig_t rig;
+  rig_init (&rig, 3, 2);
+  set_backend (&rig, 0, 2, true);
+  dispatch_backend_remove (rig.dispatch, "b1");
+  for (uint64_t id = 1; id <= 3; id++)
+    {
+      submit (&rig, id);
+      CU_ASSERT_STRING_EQUAL (rig.backend, "b2");
+    }
+  CU_ASSERT_EQUAL (rig.sends, 2);
+  dispatch_cancel (rig.dispatch, 3);
+  dispatch_attempt_ended (rig.dispatch, 1, 1, ERR_OK, 200, OUTCOME_RAN);
+  CU_ASSERT_EQUAL (rig.sends, 2);
+  dispatch_attempt_ended (rig.dispatch, 1, 1, ERR_OK, 200, OUTCOME_RAN);
+  dispatch_attempt_ended (rig.dispatch, 2, 9, ERR_OK, 200, OUTCOME_RAN);
+  uint32_t idle = 0, queued = 0;
+  dispatch_load (rig.dispatch, "svc", &idle, &queued);
+  CU_ASSERT_EQUAL (idle, 1);
+  rig_clear (&rig);
+
+  rig_init (&rig, 3, 2);
+  uint64_t id = 1;
+  for (unsigned i = 0; i < 60; i++, id++)
+    {
+      submit (&rig, id);
+      bool bad = strcmp (rig.backend, "b0") == 0;
+      dispatch_attempt_ended (rig.dispatch, id, 1,
+                              bad ? ERR_CONNECT_FAILED : ERR_OK, bad ? 0 : 200,
+                              bad ? OUTCOME_NOT_RUN : OUTCOME_RAN);
+    }
+  unsigned to_bad = 0;
+  for (unsigned i = 0; i < 60; i++, id++)
+    {
+      submit (&rig, id);
+      to_bad += strcmp (rig.backend, "b0") == 0;
+      dispatch_attempt_ended (rig.dispatch, id, 1, ERR_OK, 200, OUTCOME_RAN);
+    }
+  CU_ASSERT_EQUAL (to_bad, 0);
+  run_for (&rig, 1500);
+  CU_ASSERT_EQUAL (rig.probes, 1);
+  dispatch_probe_ended (rig.dispatch, "b0", ERR_OK);
+  for (unsigned i = 0; i < 60; i++, id++)
+    {
+      submit (&rig, id);
+      to_bad += strcmp (rig.backend, "b0") == 0;
+      dispatch_attempt_ended (rig.dispatch, id, 1, ERR_OK, 200, OUTCOME_RAN);
+    }
+  CU_ASSERT (to_bad > 0);
+  rig_clear (&rig);
+}
+
+/* Guards against hand-over loops, hand-overs beyond the advertised slots, and
+   a request that is lost when the other zone refuses it.  */
+static void
+test_spill (void)
+{
+  rig_t rig;
+  rig_init (&rig, 1, 1);
+  dispatch_peer_up (rig.dispatch, "f@1", "y");
+  dispatch_peer_up (rig.dispatch, "g@1", "x");
+  dispatch_peer_load (rig.dispatch, "f@1", "svc", 1, 0);
+  dispatch_peer_load (rig.dispatch, "g@1", "svc", 2, 0);
+  for (uint64_t id = 1; id <= 6; id++)
+    {
+      dispatch_request_t request = request_of (&rig, id);
+      request.handed_over = id == 6;
+      request.origin_id = id;
+      request.replayable = id != 3;
+      dispatch_submit (rig.dispatch, &request);
+    }
+  CU_ASSERT_EQUAL (rig.hand_overs, 0);
+  run_for (&rig, 100);
+  CU_ASSERT_EQUAL (rig.hand_overs, 3);
+  /* Refused there: request 2 waits here again and goes to no other zone.  */
+  dispatch_attempt_ended (rig.dispatch, 2, 1, ERR_NO_CAPACITY, 0,
+                          OUTCOME_NOT_RUN);
+  CU_ASSERT_EQUAL (rig.refusals, 0);
+  dispatch_attempt_ended (rig.dispatch, 3, 1, ERR_NO_CAPACITY, 0,
+                          OUTCOME_NOT_RUN);
+  CU_ASSERT_EQUAL (rig.refusals, 1);
+  CU_ASSERT_EQUAL (rig.outcome, OUTCOME_NOT_RUN);
+  dispatch_peer_load (rig.dispatch, "g@1", "svc", 9, 0);
+  run_for (&rig, 100);
+  CU_ASSERT_EQUAL (rig.hand_overs, 3);
+  for (uint64_t id = 1; id <= 6; id++)
+    dispatch_attempt_ended (rig.dispatch, id, id == 2 ? 2 : 1, ERR_OK, 200,
+                            OUTCOME_RAN);
+  CU_ASSERT_EQUAL (rig.sends, 4);
+  rig_clear (&rig);
+}
+
+/* Guards against a team that marks everything as urgent.  */
+static void
+test_urgent_rate (void)
+{
+  rig_t rig;
+  rig_init (&rig, 1, 1);
+  dispatch_team_set (rig.dispatch, "t", 1.0, 3.0, 1);
+  submit (&rig, 1);
+  for (uint64_t id = 2; id <= 11; id++)
+    {
+      dispatch_request_t request = request_of (&rig, id);
+      request.class = CLASS_URGENT;
+      dispatch_submit (rig.dispatch, &request);
+    }
+  json_t *status = dispatch_status (rig.dispatch);
+  json_int_t urgent = -1, standard = -1;
+  CU_ASSERT_EQUAL (json_unpack (status, "{s:{s:{s:{s:{s:I},s:{s:I}}}}}",
+                                "services", "svc", "classes", "urgent",
+                                "queued", &urgent, "standard", "queued",
+                                &standard),
+                   0);
+  CU_ASSERT_EQUAL (urgent, 3);
+  CU_ASSERT_EQUAL (standard, 7);
+  json_decref (status);
+  rig_clear (&rig);
+}
+
+/* Guards against slots used before a row names the entry, and against a stop
+   that ends before the peers know the slots that they were given.  */
+static void
+test_shares_and_drain (void)
+{
+  rig_t rig;
+  rig_init (&rig, 0, 0);
+  dispatch_shares_expect (rig.dispatch);
+  set_backend (&rig, 0, 8, false);
+  submit (&rig, 1);
+  CU_ASSERT_EQUAL (rig.sends, 0);
+  json_t *row = json_pack ("{s:{s:{s:i},s:{}},s:{s:i}}", "members", "e@1",
+                           "b0@1", 8, "f@1", "limits", "b0@1", 8);
+  CU_ASSERT_EQUAL (dispatch_shares_load (rig.dispatch, 1, row), ERR_OK);
+  CU_ASSERT_EQUAL (rig.sends, 1);
+  dispatch_peer_up (rig.dispatch, "f@1", "z");
+  dispatch_peer_wants (rig.dispatch, "f@1", "svc", 100);
+  uint32_t idle = 0, queued = 0;
+  dispatch_load (rig.dispatch, "svc", &idle, &queued);
+  CU_ASSERT_EQUAL (idle, 3);
+  dispatch_drain (rig.dispatch);
+  dispatch_attempt_ended (rig.dispatch, 1, 1, ERR_OK, 200, OUTCOME_RAN);
+  run_for (&rig, 50);
+  CU_ASSERT_FALSE (dispatch_drained (rig.dispatch));
+  dispatch_given_t told = { "b0@1", 0, 7, false };
+  dispatch_peer_ledger (rig.dispatch, "f@1", &told, 1);
+  CU_ASSERT_FALSE (dispatch_drained (rig.dispatch));
+  told.learned = 8;
+  dispatch_peer_ledger (rig.dispatch, "f@1", &told, 1);
+  CU_ASSERT_TRUE (dispatch_drained (rig.dispatch));
+  json_decref (row);
+  rig_clear (&rig);
+}
+
+/* Guards, in random runs with all faults at once, against more requests at a
+   process than its limit, requests with no or two ends, false outcomes,
+   non-idempotent requests that run twice, and slots that are lost for good. */
+static void
+test_zone (void)
+{
+  for (uint32_t i = 0; i < ZONE_RUNS; i++)
+    {
+      zone_case_t run = { .seed = test_seed () + i,
+                          .entries = 3 + i % 3,
+                          .processes = 4,
+                          .limit = 4,
+                          .load = 1.5,
+                          .chaos_ms = 150000,
+                          .rules = { true, true } };
+      zone_report_t report = zone_run (&run);
+      CU_ASSERT_EQUAL (zone_faults (&report), 0);
+      if (zone_faults (&report) > 0)
+        printf ("\n  zone seed %u: over limit %u (first at %u ms), ends %u/%u,"
+                " false not-run %u, false ran %u, twice %u, ids %u, slots %u,"
+                " not served %u\n",
+                run.seed, report.over_limit, report.first_fault_ms,
+                report.double_ends, report.never_ended, report.false_not_run,
+                report.false_ran, report.delivered_twice,
+                report.repeated_ids_ran, report.slots_wrong,
+                report.not_served);
+      CU_ASSERT (report.answered > 1000);
+      CU_ASSERT (report.slots_moved > 0);
+    }
+}
+
+/* Guards against a random test that would not notice a broken ledger.  */
+static void
+test_zone_notices (void)
+{
+  static const share_rules_t broken[] = { { false, true }, { true, false } };
+  for (size_t b = 0; b < sizeof broken / sizeof broken[0]; b++)
+    {
+      uint32_t over = 0;
+      for (uint32_t i = 0; i < 2 * ZONE_RUNS && over == 0; i++)
+        {
+          zone_case_t run = { .seed = test_seed () + i,
+                              .entries = 3 + i % 3,
+                              .processes = 4,
+                              .limit = 4,
+                              .load = 1.5,
+                              .chaos_ms = 150000,
+                              .rules = broken[b] };
+          zone_report_t report = zone_run (&run);
+          over += report.over_limit;
+        }
+      CU_ASSERT (over > 0);
+    }
+}
+
+static CU_TestInfo dispatch_tests[] = {
+  { "failures", test_failures },
+  { "repeated ids", test_repeated_ids },
+  { "barred hand-overs", test_barred },
+  { "refusals", test_refusals },
+  { "unfit processes", test_unfit_processes },
+  { "spill", test_spill },
+  { "urgent rate", test_urgent_rate },
+  { "shares and drain", test_shares_and_drain },
+  { "random zones", test_zone },
+  { "random zones notice a broken ledger", test_zone_notices },
+  CU_TEST_INFO_NULL,
+};
+
+CU_SuiteInfo test_dispatch_suites[] = {
+  { "dispatch", NULL, NULL, NULL, NULL, dispatch_tests },
+  CU_SUITE_INFO_NULL,
+};
--- /dev/null
+++ b/tests/test_share.c
@@ -0,0 +1,321 @@
+#include "test.h"
+
+#include "share.h"
+
+#include <string.h>
+
+/* Two members A and B of one zone with process p of 8 slots, all of A's base.
+   Messages are made by hand, so that each fault is one step.  */
+typedef struct
+{
+  share_t *a, *b;
+  uint32_t a_of_b, b_of_a; /* B's number at A, A's number at B */
+  dispatch_given_t kept;   /* an older message from A to B */
+} pair_t;
+
+static json_t *
+row_of (const char *text)
+{
+  json_t *row = json_loads (text, 0, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (row);
+  return row;
+}
+
+static void
+load (share_t *share, int64_t version, const char *text)
+{
+  json_t *row = row_of (text);
+  CU_ASSERT_EQUAL (share_load (share, version, row, 0), ERR_OK);
+  json_decref (row);
+}
+
+#define ROW_AB                                                                \
+  "{\"members\":{\"a@1\":{\"p@1\":8},\"b@1\":{}},\"limits\":{\"p@1\":8}}"
+
+static pair_t
+new_pair (void)
+{
+  pair_t pair = { .a = share_new ("a@1"), .b = share_new ("b@1") };
+  share_expect (pair.a);
+  share_expect (pair.b);
+  load (pair.a, 1, ROW_AB);
+  load (pair.b, 1, ROW_AB);
+  pair.a_of_b = share_member (pair.a, "b@1");
+  pair.b_of_a = share_member (pair.b, "a@1");
+  return pair;
+}
+
+static void
+free_pair (pair_t *pair)
+{
+  share_free (pair->a);
+  share_free (pair->b);
+}
+
+static uint32_t
+process_p (share_t *share)
+{
+  return share_process (share, "p@1");
+}
+
+/* Steps: g give 2 from A, s send A's message, k keep it instead of sending, o
+   deliver the kept (old) one, l lose it, r resend, c confirm from B to A, x B
+   gives 1 back, y deliver it.  */
+static void
+run_step (pair_t *pair, char step)
+{
+  uint32_t count = 0;
+  const dispatch_given_t *items;
+  switch (step)
+    {
+    case 'g':
+      share_give (pair->a, pair->a_of_b, process_p (pair->a), 2);
+      return;
+    case 'x':
+      share_give (pair->b, pair->b_of_a, process_p (pair->b), 1);
+      return;
+    case 'o':
+      share_receive (pair->b, pair->b_of_a, &pair->kept);
+      return;
+    case 'c':
+    case 'y':
+      items = share_message (pair->b, pair->b_of_a, false, &count);
+      for (uint32_t i = 0; i < count; i++)
+        share_receive (pair->a, pair->a_of_b, &items[i]);
+      return;
+    default:
+      items = share_message (pair->a, pair->a_of_b, step == 'r', &count);
+      for (uint32_t i = 0; i < count && step != 'l'; i++)
+        if (step == 'k')
+          {
+            pair->kept = items[i];
+            pair->kept.backend = "p@1";
+          }
+        else
+          share_receive (pair->b, pair->b_of_a, &items[i]);
+    }
+}
+
+/* Guards against slots that exist twice or vanish when ledger messages are
+   lost, doubled or reordered.  */
+static void
+test_messages (void)
+{
+  static const struct
+  {
+    const char *steps;
+    int32_t a, b;
+    bool confirmed;
+  } rows[] = {
+    { "", 8, 0, true },         { "g", 6, 0, false },
+    { "gs", 6, 2, false },      { "gsc", 6, 2, true },
+    { "gl", 6, 0, false },      { "glrc", 6, 2, true },
+    { "gsrrrc", 6, 2, true },   { "gkgso", 4, 4, false },
+    { "gkgsooc", 4, 4, true },  { "gkgrco", 4, 4, true },
+    { "gsxy", 7, 1, true },     { "gscx", 6, 1, true },
+    { "gscxygsc", 5, 3, true }, { "gsgsgsgsc", 0, 8, true },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      pair_t pair = new_pair ();
+      for (const char *step = rows[i].steps; *step != '\0'; step++)
+        run_step (&pair, *step);
+      CU_ASSERT_EQUAL (share_slots (pair.a, process_p (pair.a)), rows[i].a);
+      CU_ASSERT_EQUAL (share_slots (pair.b, process_p (pair.b)), rows[i].b);
+      CU_ASSERT_EQUAL (share_confirmed (pair.a, pair.a_of_b),
+                       rows[i].confirmed);
+      free_pair (&pair);
+    }
+}
+
+/* Guards against rows that would divide more than the limit or be taken from
+   damaged values.  */
+static void
+test_rows (void)
+{
+  static const struct
+  {
+    const char *row; /* NULL: absent */
+    err_kind_t kind;
+    int32_t slots;
+  } rows[] = {
+    { NULL, ERR_OK, 0 },
+    { "{\"members\":{},\"limits\":{}}", ERR_OK, 0 },
+    { ROW_AB, ERR_OK, 8 },
+    { "{\"members\":{\"b@1\":{\"p@1\":8}},\"limits\":{\"p@1\":8}}", ERR_OK,
+      0 },
+    { "{\"members\":{\"a@2\":{\"p@1\":8}},\"limits\":{\"p@1\":8}}", ERR_OK,
+      0 },
+    { "{\"members\":{\"a@1\":{\"p@1\":\"8\"}},\"limits\":{\"p@1\":8}}",
+      ERR_BAD_REQUEST, 0 },
+    { "{\"members\":[],\"limits\":{}}", ERR_BAD_REQUEST, 0 },
+    { "{\"members\":{}}", ERR_BAD_REQUEST, 0 },
+    { "[]", ERR_BAD_REQUEST, 0 },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      share_t *share = share_new ("a@1");
+      share_expect (share);
+      json_t *row = rows[i].row != NULL ? row_of (rows[i].row) : NULL;
+      CU_ASSERT_EQUAL (share_load (share, 3, row, 0), rows[i].kind);
+      CU_ASSERT_EQUAL (share_slots (share, process_p (share)), rows[i].slots);
+      json_decref (row);
+      share_free (share);
+    }
+}
+
+/* Guards against a row that is older than the one in force, and against slots
+   of an entry that the row no longer names.  */
+static void
+test_row_order (void)
+{
+  pair_t pair = new_pair ();
+  load (pair.a, 0, "{\"members\":{\"b@1\":{}},\"limits\":{}}");
+  CU_ASSERT_EQUAL (share_slots (pair.a, process_p (pair.a)), 8);
+  load (pair.a, 2, "{\"members\":{\"b@1\":{}},\"limits\":{\"p@1\":8}}");
+  CU_ASSERT_EQUAL (share_slots (pair.a, process_p (pair.a)), 0);
+  int64_t version = 0;
+  CU_ASSERT_PTR_NULL (share_propose (pair.a, false, 1000000, &version));
+  free_pair (&pair);
+}
+
+/* Guards against a second entry that also takes the whole base, and against a
+   process that nobody or everybody adds.  */
+static void
+test_propose (void)
+{
+  share_t *a = share_new ("a@1"), *b = share_new ("b@1");
+  share_expect (a);
+  share_expect (b);
+  share_process_listed (a, process_p (a), 8, 0);
+  share_process_listed (b, process_p (b), 8, 0);
+  share_load (a, 0, NULL, 0);
+  share_load (b, 0, NULL, 0);
+  int64_t version = -1;
+  json_t *first = share_propose (a, false, 0, &version);
+  CU_ASSERT_EQUAL (version, 0);
+  CU_ASSERT_EQUAL (share_load (a, 1, first, 0), ERR_OK);
+  CU_ASSERT_EQUAL (share_load (b, 1, first, 0), ERR_OK);
+  CU_ASSERT_EQUAL (share_slots (a, process_p (a)), 8);
+  CU_ASSERT_EQUAL (share_slots (b, process_p (b)), 0);
+  json_t *second = share_propose (b, false, 0, &version);
+  CU_ASSERT_EQUAL (version, 1);
+  CU_ASSERT_EQUAL (share_load (a, 2, second, 0), ERR_OK);
+  CU_ASSERT_EQUAL (share_load (b, 2, second, 0), ERR_OK);
+  CU_ASSERT_EQUAL (share_slots (a, process_p (a)), 8);
+  CU_ASSERT_EQUAL (share_slots (b, process_p (b)), 0);
+  CU_ASSERT_PTR_NULL (share_propose (a, false, 1000, &version));
+  CU_ASSERT_PTR_NULL (share_propose (b, false, 1000, &version));
+  uint32_t qa = share_process (a, "q@1"), qb = share_process (b, "q@1");
+  share_process_listed (a, qa, 8, 1000);
+  share_process_listed (b, qb, 8, 1000);
+  json_t *added_a = share_propose (a, false, 1000, &version);
+  json_t *added_b = share_propose (b, false, 1000, &version);
+  CU_ASSERT ((added_a == NULL) != (added_b == NULL));
+  json_decref (added_a);
+  json_decref (added_b);
+  /* The one whose turn it is may be dead: the other steps in.  */
+  added_a = share_propose (a, false, 4000, &version);
+  added_b = share_propose (b, false, 4000, &version);
+  CU_ASSERT (added_a != NULL && added_b != NULL);
+  json_decref (added_a);
+  json_decref (added_b);
+  json_decref (first);
+  json_decref (second);
+  share_free (a);
+  share_free (b);
+}
+
+#define ROW_ABC                                                               \
+  "{\"members\":{\"a@1\":{\"p@1\":8},\"b@1\":{},\"c@1\":{}},"                 \
+  "\"limits\":{\"p@1\":8}}"
+
+/* Guards against retiring before the last request of the dead entry must have
+   ended, or without the statement of a living one, and against slots lost by
+   it: A (dead) gave 3 to B and 2 to C, of which C has heard nothing.  */
+static void
+test_retirement (void)
+{
+  static const struct
+  {
+    int64_t after_ms; /* since A is gone */
+    bool statement;
+    bool retired;
+  } rows[] = {
+    { 0, true, false },
+    { 61900, true, false },
+    { 70000, false, false },
+    { 70000, true, true },
+  };
+  const char *gone[] = { "a@1" };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      share_t *b = share_new ("b@1"), *c = share_new ("c@1");
+      load (b, 1, ROW_ABC);
+      load (c, 1, ROW_ABC);
+      dispatch_given_t item = { "p@1", 3, 0, true };
+      share_receive (b, share_member (b, "a@1"), &item);
+      CU_ASSERT_EQUAL (share_slots (b, process_p (b)), 3);
+      share_member_gone (c, share_member (c, "a@1"), 0);
+      if (rows[i].statement)
+        {
+          GArray *items = share_close (b, gone, 1);
+          share_statement (c, share_member (c, "b@1"), gone, 1,
+                           (dispatch_closing_t *)(void *)items->data,
+                           items->len);
+          g_array_unref (items);
+          /* A late message after the statement changes nothing.  */
+          item.given = 5;
+          share_receive (b, share_member (b, "a@1"), &item);
+        }
+      int64_t version = 0;
+      json_t *row = share_propose (c, false, rows[i].after_ms, &version);
+      CU_ASSERT_EQUAL (row != NULL, rows[i].retired);
+      if (row != NULL)
+        {
+          CU_ASSERT_EQUAL (share_load (b, 2, row, 0), ERR_OK);
+          CU_ASSERT_EQUAL (share_load (c, 2, row, 0), ERR_OK);
+          CU_ASSERT_EQUAL (share_slots (b, process_p (b)), 3);
+          CU_ASSERT_EQUAL (share_slots (c, process_p (c)), 5);
+        }
+      json_decref (row);
+      share_free (b);
+      share_free (c);
+    }
+}
+
+/* Guards against dividing a restarted process's slots anew while an entry with
+   an older list still sends to it.  */
+static void
+test_restarted_process (void)
+{
+  pair_t pair = new_pair ();
+  uint32_t process = share_resolve (pair.a, "p", 2);
+  CU_ASSERT_EQUAL (process, process_p (pair.a));
+  share_process_listed (pair.a, process, 8, 0);
+  int64_t version = 0;
+  CU_ASSERT_PTR_NULL (share_propose (pair.a, false, 10000, &version));
+  share_process_gone (pair.a, process, 10000);
+  CU_ASSERT_PTR_NULL (share_propose (pair.a, false, 60000, &version));
+  json_t *row = share_propose (pair.a, false, 80000, &version);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (row);
+  CU_ASSERT_EQUAL (share_load (pair.a, 2, row, 80000), ERR_OK);
+  json_decref (row);
+  CU_ASSERT_EQUAL (share_slots (pair.a, share_resolve (pair.a, "p", 3)), 0);
+  free_pair (&pair);
+}
+
+static CU_TestInfo share_tests[] = {
+  { "messages", test_messages },
+  { "rows", test_rows },
+  { "order of rows", test_row_order },
+  { "proposals", test_propose },
+  { "retirement", test_retirement },
+  { "restarted process", test_restarted_process },
+  CU_TEST_INFO_NULL,
+};
+
+CU_SuiteInfo test_share_suites[] = {
+  { "share", NULL, NULL, NULL, NULL, share_tests },
+  CU_SUITE_INFO_NULL,
+};
