--- /dev/null
+++ b/src/io/entry.h
@@ -0,0 +1,91 @@
+#ifndef MAGNOLIADOCK_ENTRY_H
+#define MAGNOLIADOCK_ENTRY_H
+
+#include "clk.h"
+#include "counter.h"
+#include "dispatch.h"
+#include "httpc.h"
+#include "httpd.h"
+#include "instances.h"
+#include "peer.h"
+#include "proxy.h"
+#include "table.h"
+
+#include <ev.h>
+#include <glib.h>
+#include <stdbool.h>
+
+/* NAME
+     entry - assembly of an entry process
+
+   The parts (operators' API, configuration, task side, slot shares) plug in
+   through a row of the table in entry_parts.c.  They are opened in the order
+   of the table, after everything named in entry_t, and closed in reverse.  */
+
+typedef struct
+{
+  char *instance_id;
+  char *zone;
+  char *http;
+  char *peer;
+  char *list_url;
+  char *table_url;
+  char *objects_url;
+  char *log_level;
+  int64_t drain_notice_ms;
+  int64_t remote_peers;
+  int64_t seed;
+  int64_t drain_limit_ms;
+} entry_settings_t;
+
+typedef struct entry entry_t;
+
+struct entry
+{
+  const entry_settings_t *settings;
+  int64_t incarnation; /* start time, ns since 1970 */
+  char *self;          /* INSTANCE_ID@INCARNATION */
+  struct ev_loop *loop;
+  const clk_t *clock;
+  counter_registry_t *registry;
+  httpd_t *httpd;
+  httpc_t *platform; /* list, table service, object store */
+  httpc_t *workers;
+  table_t *table; /* NULL without --table-url */
+  instances_t *instances;
+  dispatch_t *dispatch;
+  proxy_t *proxy;
+  peer_t *peer;
+
+  /* Set by the parts themselves on opening, for the parts after them.  */
+  void *conf;
+  void *tasks;
+};
+
+typedef struct
+{
+  const char *name;
+  /* Returns the part's state, or NULL with ERROR set.  ENTRY outlives it.  */
+  void *(*open) (entry_t *entry, GError **error);
+  void (*close) (void *part);
+  /* The functions below may be NULL.  */
+
+  /* An instance is new or changed (own zone; entries of all zones).  */
+  void (*instance_changed) (void *part, const instance_t *instance);
+  /* The planned stop has begun: give up duties.  */
+  void (*drain) (void *part);
+  /* Returns whether the process may end as far as this part is concerned.  */
+  bool (*drained) (void *part);
+} entry_part_t;
+
+/* The table in entry_parts.c; ends with a NULL row.  */
+extern const entry_part_t *const entry_parts[];
+
+/* Returns whether the entry takes new work; else *WHY (static) says why not.
+   This is what /readyz answers.  */
+bool entry_ready (const entry_t *entry, const char **why);
+
+/* The command "entry".  Returns the exit code.  */
+int entry_run (int argc, char **argv);
+
+#endif
