--- /dev/null
+++ b/src/frame.h
@@ -0,0 +1,49 @@
+#ifndef MAGNOLIADOCK_FRAME_H
+#define MAGNOLIADOCK_FRAME_H
+
+#include "peer.pb-c.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+/* NAME
+     frame - length-prefixed protobuf frames between entries
+
+   A frame is its length as 4 bytes in network order, then one Frame message.
+   Length 0 and lengths above FRAME_LIMIT are errors.  */
+
+#define FRAME_LIMIT (1024 * 1024)
+
+typedef Magnoliadock__Frame frame_t;
+
+typedef struct
+{
+  GByteArray *bytes;
+  size_t start; /* first byte that is not yet decoded */
+} frame_reader_t;
+
+typedef enum
+{
+  FRAME_NONE, /* more bytes are needed */
+  FRAME_READY,
+  FRAME_BAD /* the connection has to be closed */
+} frame_result_t;
+
+void frame_reader_init (frame_reader_t *reader);
+void frame_reader_clear (frame_reader_t *reader);
+
+/* Adds bytes that were received.  */
+void frame_reader_feed (frame_reader_t *reader, const void *data,
+                        size_t length);
+
+/* Decodes the next frame into *FRAME, owned by the caller (frame_free).  A
+   frame without a known body, from a newer version, is skipped.  */
+frame_result_t frame_reader_next (frame_reader_t *reader, frame_t **frame);
+void frame_free (frame_t *frame);
+
+/* Appends FRAME to OUT.  Returns false, and appends nothing, if it is larger
+   than FRAME_LIMIT.  */
+bool frame_append (GByteArray *out, const frame_t *frame);
+
+#endif
--- /dev/null
+++ b/src/io/peer.h
@@ -0,0 +1,98 @@
+#ifndef MAGNOLIADOCK_PEER_H
+#define MAGNOLIADOCK_PEER_H
+
+#include "clk.h"
+#include "counter.h"
+#include "dispatch.h"
+#include "instances.h"
+#include "member.h"
+
+#include <ev.h>
+#include <glib.h>
+
+/* NAME
+     peer - connections between entries
+
+   Listens on the peer port and keeps connections to the entries that member
+   chooses.  Entries are named "ID@INCARNATION".  A message to an entry that is
+   not connected is dropped; the functions say so.  */
+
+typedef struct peer peer_t;
+typedef struct proxy proxy_t;
+
+typedef struct
+{
+  const char *id;
+  const char *zone;
+  const char *listen; /* "IP:PORT" */
+  int64_t incarnation;
+  uint32_t remote_peers;
+  uint32_t seed;
+  struct ev_loop *loop;
+  const clk_t *clock;
+  counter_registry_t *registry;
+} peer_options_t;
+
+/* Messages of the configuration, for the part that keeps it.  */
+typedef struct
+{
+  /* ENTRY has REVISION; called for Hello, Heartbeat and ConfigAnnounce.  */
+  void (*announced) (void *context, const char *entry, const char *zone,
+                     uint64_t revision);
+  /* ENTRY asks for the document above HAVE_REVISION.  */
+  void (*fetch) (void *context, const char *entry, uint64_t have_revision);
+  /* ENTRY has sent the document of REVISION; DATA lives until this returns. */
+  void (*sections) (void *context, const char *entry, uint64_t revision,
+                    const void *data, size_t length);
+} peer_config_ops_t;
+
+/* Listens.  Returns NULL and sets ERROR if the address cannot be bound.  What
+   OPTIONS points to stays the caller's and outlives the result.  */
+peer_t *peer_new (const peer_options_t *options, GError **error);
+void peer_free (peer_t *peer);
+
+/* Both are set before the loop runs.  */
+void peer_set_proxy (peer_t *peer, proxy_t *proxy, dispatch_t *dispatch);
+void peer_set_config (peer_t *peer, const peer_config_ops_t *ops,
+                      void *context);
+
+/* An entry in the instance list has changed.  */
+void peer_instance_changed (peer_t *peer, const instance_t *instance);
+/* SERVICE has backend servers here, so heartbeats state its load.  */
+void peer_add_service (peer_t *peer, const char *service);
+
+/* Sets the revision stated in Hello and Heartbeat, and announces it to all
+   connected entries.  */
+void peer_announce_config (peer_t *peer, uint64_t revision);
+/* Asks ENTRY for the document above HAVE_REVISION.  Returns false if it is not
+   connected.  */
+bool peer_fetch_config (peer_t *peer, const char *entry,
+                        uint64_t have_revision);
+/* Sends the document (up to 8 MiB, copied) to ENTRY.  */
+bool peer_send_config (peer_t *peer, const char *entry, uint64_t revision,
+                       const void *data, size_t length);
+
+/* Live entries; see member.h.  For entry duty: compare peer_version, and read
+   the list again when it has changed.  */
+void peer_live_entries (const peer_t *peer, const char *zone, GPtrArray *out);
+uint64_t peer_version (const peer_t *peer);
+bool peer_is_gone (const peer_t *peer, const char *entry);
+
+/* Tells all connected entries of the planned stop.  */
+void peer_announce_leaving (peer_t *peer);
+
+/* Actions of dispatch_actions_t that concern other entries.  */
+void peer_hand_over (peer_t *peer, uint64_t id, uint32_t attempt,
+                     const char *entry);
+void peer_send_ledger (peer_t *peer, const char *entry,
+                       const dispatch_given_t *given, uint32_t count);
+void peer_want_slots (peer_t *peer, const char *entry, const char *service,
+                      uint32_t count);
+void peer_closing_request (peer_t *peer, const char *entry,
+                           const char *const *members, uint32_t count);
+void peer_closing_statement (peer_t *peer, const char *entry,
+                             const char *const *members, uint32_t count,
+                             const dispatch_closing_t *items,
+                             uint32_t item_count);
+
+#endif
--- /dev/null
+++ b/src/io/peer_slots.c
@@ -0,0 +1,155 @@
+#include "peer_private.h"
+
+/* Messages of the slot ledger between dispatch's structs and frames.  */
+
+static bool
+send_body (peer_t *peer, const char *entry, frame_t *frame,
+           Magnoliadock__Frame__BodyCase body_case)
+{
+  frame->body_case = body_case;
+  return peer_send (peer, entry, frame);
+}
+
+void
+peer_send_ledger (peer_t *peer, const char *entry,
+                  const dispatch_given_t *given, uint32_t count)
+{
+  Magnoliadock__SlotEntry *items = g_new (Magnoliadock__SlotEntry, count + 1);
+  Magnoliadock__SlotEntry **list
+      = g_new (Magnoliadock__SlotEntry *, count + 1);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      magnoliadock__slot_entry__init (&items[i]);
+      items[i].backend = (char *)given[i].backend;
+      items[i].given = given[i].given;
+      items[i].learned = given[i].learned;
+      items[i].confirm = given[i].confirm;
+      list[i] = &items[i];
+    }
+  Magnoliadock__SlotLedger ledger = MAGNOLIADOCK__SLOT_LEDGER__INIT;
+  ledger.n_entries = count;
+  ledger.entries = list;
+  frame_t frame = MAGNOLIADOCK__FRAME__INIT;
+  frame.slot_ledger = &ledger;
+  send_body (peer, entry, &frame, MAGNOLIADOCK__FRAME__BODY_SLOT_LEDGER);
+  g_free (items);
+  g_free (list);
+}
+
+void
+peer_want_slots (peer_t *peer, const char *entry, const char *service,
+                 uint32_t count)
+{
+  Magnoliadock__SlotWant want = MAGNOLIADOCK__SLOT_WANT__INIT;
+  want.service = (char *)service;
+  want.count = count;
+  frame_t frame = MAGNOLIADOCK__FRAME__INIT;
+  frame.slot_want = &want;
+  send_body (peer, entry, &frame, MAGNOLIADOCK__FRAME__BODY_SLOT_WANT);
+}
+
+void
+peer_closing_request (peer_t *peer, const char *entry,
+                      const char *const *members, uint32_t count)
+{
+  Magnoliadock__ClosingRequest request = MAGNOLIADOCK__CLOSING_REQUEST__INIT;
+  request.n_members = count;
+  request.members = (char **)members;
+  frame_t frame = MAGNOLIADOCK__FRAME__INIT;
+  frame.closing_request = &request;
+  send_body (peer, entry, &frame, MAGNOLIADOCK__FRAME__BODY_CLOSING_REQUEST);
+}
+
+void
+peer_closing_statement (peer_t *peer, const char *entry,
+                        const char *const *members, uint32_t count,
+                        const dispatch_closing_t *items, uint32_t item_count)
+{
+  Magnoliadock__ClosingItem *copies
+      = g_new (Magnoliadock__ClosingItem, item_count + 1);
+  Magnoliadock__ClosingItem **list
+      = g_new (Magnoliadock__ClosingItem *, item_count + 1);
+  for (uint32_t i = 0; i < item_count; i++)
+    {
+      magnoliadock__closing_item__init (&copies[i]);
+      copies[i].member = (char *)items[i].member;
+      copies[i].backend = (char *)items[i].backend;
+      copies[i].given = items[i].given;
+      copies[i].learned = items[i].learned;
+      list[i] = &copies[i];
+    }
+  Magnoliadock__ClosingStatement statement
+      = MAGNOLIADOCK__CLOSING_STATEMENT__INIT;
+  statement.n_members = count;
+  statement.members = (char **)members;
+  statement.n_items = item_count;
+  statement.items = list;
+  frame_t frame = MAGNOLIADOCK__FRAME__INIT;
+  frame.closing_statement = &statement;
+  send_body (peer, entry, &frame, MAGNOLIADOCK__FRAME__BODY_CLOSING_STATEMENT);
+  g_free (copies);
+  g_free (list);
+}
+
+static void
+take_ledger (peer_t *peer, const char *entry,
+             const Magnoliadock__SlotLedger *ledger)
+{
+  dispatch_given_t *given = g_new0 (dispatch_given_t, ledger->n_entries + 1);
+  for (size_t i = 0; i < ledger->n_entries; i++)
+    {
+      given[i].backend = ledger->entries[i]->backend;
+      given[i].given = ledger->entries[i]->given;
+      given[i].learned = ledger->entries[i]->learned;
+      given[i].confirm = ledger->entries[i]->confirm;
+    }
+  dispatch_peer_ledger (peer_dispatch (peer), entry, given,
+                        (uint32_t)ledger->n_entries);
+  g_free (given);
+}
+
+static void
+take_statement (peer_t *peer, const char *entry,
+                const Magnoliadock__ClosingStatement *statement)
+{
+  dispatch_closing_t *items
+      = g_new0 (dispatch_closing_t, statement->n_items + 1);
+  for (size_t i = 0; i < statement->n_items; i++)
+    {
+      items[i].member = statement->items[i]->member;
+      items[i].backend = statement->items[i]->backend;
+      items[i].given = statement->items[i]->given;
+      items[i].learned = statement->items[i]->learned;
+    }
+  dispatch_peer_closing_statement (
+      peer_dispatch (peer), entry, (const char *const *)statement->members,
+      (uint32_t)statement->n_members, items, (uint32_t)statement->n_items);
+  g_free (items);
+}
+
+bool
+peer_slots_frame (peer_t *peer, const char *entry, const frame_t *frame)
+{
+  dispatch_t *dispatch = peer_dispatch (peer);
+  switch (frame->body_case)
+    {
+    case MAGNOLIADOCK__FRAME__BODY_SLOT_LEDGER:
+      take_ledger (peer, entry, frame->slot_ledger);
+      return true;
+    case MAGNOLIADOCK__FRAME__BODY_SLOT_WANT:
+      dispatch_peer_wants (dispatch, entry, frame->slot_want->service,
+                           frame->slot_want->count);
+      return true;
+    case MAGNOLIADOCK__FRAME__BODY_CLOSING_REQUEST:
+      dispatch_peer_closing_request (
+          dispatch, entry,
+          (const char *const *)frame->closing_request->members,
+          (uint32_t)frame->closing_request->n_members);
+      return true;
+    case MAGNOLIADOCK__FRAME__BODY_CLOSING_STATEMENT:
+      take_statement (peer, entry, frame->closing_statement);
+      return true;
+    default:
+      return false;
+    }
+}
--- a/src/main.c
+++ b/src/main.c
@@ -1,3 +1,4 @@
+#include "entry.h"
 #include "error.h"
 
 #include <stdio.h>
@@ -13,6 +14,7 @@
 } command_t;
 
 static const command_t commands[] = {
+  { "entry", entry_run, "run an entry process" },
   { NULL, NULL, NULL },
 };
 
