--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -289,7 +289,7 @@
   entry->platform = httpc_new (entry->loop, &options);
   entry->workers = httpc_new (entry->loop, &worker_options);
   if (entry->settings->table_url != NULL)
-    entry->table = table_http_new (entry->platform, entry->clock,
+    entry->table = table_http_new (entry->platform, entry->loop, entry->clock,
                                    entry->settings->table_url);
   return true;
 }
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -241,6 +241,15 @@
     httpd_answer_error (exchange, ERR_NOT_FOUND, "there is nothing here");
 }
 
+static bool
+has_long_body (httpd_exchange_t *exchange)
+{
+  const char *length = httpd_header (exchange, "Content-Length");
+  return httpd_header (exchange, "Transfer-Encoding") != NULL
+         || (length != NULL
+             && g_ascii_strtoull (length, NULL, 10) > ANSWER_BLOCK);
+}
+
 /* Takes a piece of the body; returns false to close the connection.  */
 static bool
 take_body (httpd_exchange_t *exchange, const char *data, size_t *length)
@@ -305,7 +314,11 @@
       exchange->path = g_strdup (path);
       exchange->method = g_strdup (method);
       begin_exchange (exchange);
-      return exchange->response != NULL ? queue_answer (exchange) : MHD_YES;
+      /* An answer before the body costs the connection, so it is worth it
+         only if there is a body to be spared.  */
+      if (exchange->response != NULL && has_long_body (exchange))
+        return queue_answer (exchange);
+      return MHD_YES;
     }
   if (*length > 0)
     return take_body (exchange, data, length) ? MHD_YES : MHD_NO;
