--- a/tests/test.h
+++ b/tests/test.h
@@ -15,6 +15,8 @@
 extern CU_SuiteInfo test_doc_suites[];
 extern CU_SuiteInfo test_auth_suites[];
 extern CU_SuiteInfo test_burn_suites[];
+extern CU_SuiteInfo test_frame_suites[];
+extern CU_SuiteInfo test_member_suites[];
 
 /* Seed of the random cases, from --seed; printed at the start.  */
 uint32_t test_seed (void);
--- /dev/null
+++ b/tests/test_member.c
@@ -0,0 +1,346 @@
+#include "test.h"
+
+#include "member.h"
+
+#include <string.h>
+
+/* Records what member asks for.  */
+typedef struct
+{
+  GString *log;
+  clk_fake_t clock;
+  member_t *member;
+} world_t;
+
+static void
+on_connect (void *context, const char *id, const char *address)
+{
+  g_string_append_printf (((world_t *)context)->log, "connect %s;", id);
+}
+
+static void
+on_disconnect (void *context, const char *entry, const char *why)
+{
+  g_string_append_printf (((world_t *)context)->log, "drop %s %s;", entry,
+                          why);
+}
+
+static void
+on_up (void *context, const char *entry, const char *zone)
+{
+  g_string_append_printf (((world_t *)context)->log, "up %s;", entry);
+}
+
+static void
+on_down (void *context, const char *entry)
+{
+  g_string_append_printf (((world_t *)context)->log, "down %s;", entry);
+}
+
+static const member_actions_t actions
+    = { on_connect, on_disconnect, on_up, on_down };
+
+static void
+world_open (world_t *world, uint32_t remote_peers)
+{
+  world->log = g_string_new (NULL);
+  clk_fake_init (&world->clock, 1000);
+  world->member = member_new ("e2", 100, "home", remote_peers, &actions, world,
+                              &world->clock.base, test_seed ());
+}
+
+static void
+world_close (world_t *world)
+{
+  member_free (world->member);
+  g_string_free (world->log, TRUE);
+}
+
+static void
+pass_time (world_t *world, int64_t ms)
+{
+  for (; ms > 0; ms -= 100)
+    {
+      clk_fake_advance_ms (&world->clock, MIN (ms, 100));
+      member_tick (world->member);
+    }
+}
+
+/* Carries out one step of a fault table: "list ID [gone|leaving]", "hello
+   ID@INC in|out", "heard ENTRY", "closed ENTRY", "leaving ENTRY", "wait MS".
+ */
+static void
+step (world_t *world, const char *text)
+{
+  char **words = g_strsplit (text, " ", 3);
+  const char *what = words[0];
+  const char *name = words[1];
+  const char *more = words[2];
+  if (strcmp (what, "list") == 0)
+    member_listed (
+        world->member, name, "home", more == NULL ? "127.0.0.1:1" : NULL,
+        g_strcmp0 (more, "leaving") == 0, g_strcmp0 (more, "gone") == 0);
+  else if (strcmp (what, "hello") == 0)
+    {
+      static const char *const verdicts[]
+          = { "accept;", "replace;", "lower;", "self;", "second;" };
+      char *id;
+      int64_t incarnation;
+      CU_ASSERT_FATAL (member_parse (name, &id, &incarnation));
+      g_string_append (
+          world->log,
+          verdicts[member_hello (world->member, id, incarnation, "home",
+                                 strcmp (more, "out") == 0)]);
+      g_free (id);
+    }
+  else if (strcmp (what, "heard") == 0)
+    member_heard (world->member, name);
+  else if (strcmp (what, "closed") == 0)
+    member_closed (world->member, name);
+  else if (strcmp (what, "leaving") == 0)
+    member_leaving (world->member, name);
+  else if (strcmp (what, "wait") == 0)
+    pass_time (world, g_ascii_strtoll (name, NULL, 10));
+  else
+    CU_FAIL ("unknown step");
+  g_strfreev (words);
+}
+
+/* Guards against two processes of one id being believed at once, against a
+   living entry being taken for gone, and against a silent one being kept.  */
+static void
+test_member_faults (void)
+{
+  static const struct
+  {
+    const char *fault;
+    const char *steps[10];
+    const char *log;
+    const char *gone;     /* this process is gone at the end */
+    const char *alive;    /* this one is not */
+    member_state_t state; /* of e1 */
+  } rows[] = {
+    { "silence",
+      { "hello e1@5 in", "wait 2900", "wait 200" },
+      "up e1@5;accept;drop e1@5 silent;down e1@5;",
+      NULL,
+      "e1@5",
+      MEMBER_SUSPECT },
+    { "paused, wakes, comes back",
+      { "hello e1@5 in", "wait 20000", "hello e1@5 in" },
+      "up e1@5;accept;drop e1@5 silent;down e1@5;up e1@5;accept;",
+      NULL,
+      "e1@5",
+      MEMBER_LIVE },
+    { "restart",
+      { "hello e1@5 in", "hello e1@6 in" },
+      "up e1@5;accept;drop e1@5 newer_incarnation;down e1@5;up e1@6;accept;",
+      "e1@5",
+      "e1@6",
+      MEMBER_LIVE },
+    { "lower incarnation",
+      { "hello e1@6 in", "hello e1@5 in" },
+      "up e1@6;accept;lower;",
+      "e1@5",
+      "e1@6",
+      MEMBER_LIVE },
+    { "own id",
+      { "hello e2@900 in" },
+      "self;",
+      "e2@99",
+      "e2@100",
+      MEMBER_GONE },
+    { "connections made at once: the one of the lower id stays",
+      { "hello e1@5 out", "hello e1@5 in" },
+      "up e1@5;accept;drop e1@5 replaced;replace;",
+      NULL,
+      "e1@5",
+      MEMBER_LIVE },
+    { "the same, other order",
+      { "hello e1@5 in", "hello e1@5 out" },
+      "up e1@5;accept;second;",
+      NULL,
+      "e1@5",
+      MEMBER_LIVE },
+    { "listed as gone while it still talks",
+      { "hello e1@5 in", "list e1 gone" },
+      "up e1@5;accept;",
+      NULL,
+      "e1@5",
+      MEMBER_LIVE },
+    { "listed as gone and silent for the list's lag",
+      { "hello e1@5 in", "list e1 gone", "closed e1@5", "wait 10000" },
+      "up e1@5;accept;down e1@5;",
+      "e1@5",
+      "e1@x",
+      MEMBER_GONE },
+    { "list lags behind a replacement",
+      { "hello e1@5 in", "closed e1@5", "wait 500", "hello e1@9 in",
+        "list e1 gone", "wait 1000" },
+      "up e1@5;accept;down e1@5;up e1@9;accept;",
+      "e1@5",
+      "e1@9",
+      MEMBER_LIVE },
+    { "dead, but not listed as gone",
+      { "hello e1@5 in", "closed e1@5", "wait 60000" },
+      "up e1@5;accept;down e1@5;",
+      NULL,
+      "e1@5",
+      MEMBER_SUSPECT },
+    { "leaving",
+      { "hello e1@5 in", "leaving e1@5" },
+      "up e1@5;accept;",
+      NULL,
+      "e1@5",
+      MEMBER_LEAVING },
+    { "messages of an old process do not keep the new one alive",
+      { "hello e1@5 in", "hello e1@6 in", "wait 2900", "heard e1@5",
+        "wait 200" },
+      "up e1@5;accept;drop e1@5 newer_incarnation;down e1@5;up e1@6;accept;"
+      "drop e1@6 silent;down e1@6;",
+      "e1@5",
+      "e1@6",
+      MEMBER_SUSPECT },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      world_t world;
+      world_open (&world, 2);
+      for (size_t s = 0; rows[i].steps[s] != NULL; s++)
+        step (&world, rows[i].steps[s]);
+      if (strcmp (world.log->str, rows[i].log) != 0)
+        printf ("%s: %s\n", rows[i].fault, world.log->str);
+      CU_ASSERT_STRING_EQUAL (world.log->str, rows[i].log);
+      if (rows[i].gone != NULL)
+        CU_ASSERT (member_is_gone (world.member, rows[i].gone));
+      CU_ASSERT (!member_is_gone (world.member, rows[i].alive));
+      CU_ASSERT_EQUAL (member_state (world.member, "e1"), rows[i].state);
+      world_close (&world);
+    }
+}
+
+/* Guards against entries that are never connected to, or by both sides at
+   once, and against retries without a pause.  */
+static void
+test_member_connects (void)
+{
+  world_t world;
+  world_open (&world, 2);
+  step (&world, "list e3");
+  step (&world, "list e1");
+  step (&world, "wait 100");
+  CU_ASSERT_STRING_EQUAL (world.log->str, "connect e3;");
+  step (&world, "wait 2000");
+  CU_ASSERT_PTR_NOT_NULL (strstr (world.log->str, "connect e1;"));
+  g_string_truncate (world.log, 0);
+  for (unsigned i = 0; i < 600; i++)
+    {
+      member_connect_failed (world.member, "e3");
+      step (&world, "wait 100");
+    }
+  unsigned count = 0;
+  for (const char *at = world.log->str; (at = strstr (at, "connect e3;"));
+       at++)
+    count++;
+  /* 60 s with delays of 2.5 to 7.5 s after the first few.  */
+  CU_ASSERT (count >= 8 && count <= 30);
+  world_close (&world);
+}
+
+static unsigned
+connected_remote (const bool *connected, unsigned count)
+{
+  unsigned sum = 0;
+  for (unsigned i = 0; i < count; i++)
+    sum += connected[i];
+  return sum;
+}
+
+/* Lets every connection attempt succeed unless the entry is DEAD.  */
+static void
+answer_connects (world_t *world, bool *connected, const bool *dead,
+                 unsigned count)
+{
+  char *log = g_strdup (world->log->str);
+  g_string_truncate (world->log, 0);
+  for (unsigned i = 0; i < count; i++)
+    {
+      char *id = g_strdup_printf ("far%u", i);
+      char *connect = g_strdup_printf ("connect %s;", id);
+      char *drop = g_strdup_printf ("drop %s@1 ", id);
+      char *entry = g_strdup_printf ("%s@1", id);
+      if (strstr (log, drop) != NULL)
+        connected[i] = false;
+      if (strstr (log, connect) != NULL && dead[i])
+        member_connect_failed (world->member, id);
+      else if (strstr (log, connect) != NULL)
+        {
+          member_hello (world->member, id, 1, "far", true);
+          connected[i] = true;
+        }
+      if (connected[i] && !dead[i])
+        member_heard (world->member, entry);
+      g_free (id);
+      g_free (connect);
+      g_free (drop);
+      g_free (entry);
+    }
+  g_free (log);
+}
+
+/* Guards against more than K connections to a zone, and against a zone that
+   stays unreachable because the chosen entries are dead.  */
+static void
+test_member_remote_choice (void)
+{
+  enum
+  {
+    COUNT = 6
+  };
+  world_t world;
+  bool connected[COUNT] = { false }, dead[COUNT] = { false };
+  bool chosen[COUNT];
+  world_open (&world, 2);
+  for (unsigned i = 0; i < COUNT; i++)
+    {
+      char *id = g_strdup_printf ("far%u", i);
+      member_listed (world.member, id, "far", "127.0.0.1:1", false, false);
+      g_free (id);
+    }
+  for (unsigned n = 0; n < 50; n++)
+    {
+      step (&world, "wait 100");
+      answer_connects (&world, connected, dead, COUNT);
+    }
+  CU_ASSERT_EQUAL (connected_remote (connected, COUNT), 2);
+  memcpy (chosen, connected, sizeof chosen);
+  memcpy (dead, connected, sizeof dead);
+  for (unsigned n = 0; n < 200; n++)
+    {
+      step (&world, "wait 100");
+      answer_connects (&world, connected, dead, COUNT);
+    }
+  CU_ASSERT_EQUAL (connected_remote (connected, COUNT), 2);
+  for (unsigned i = 0; i < COUNT; i++)
+    CU_ASSERT (!(connected[i] && dead[i]));
+  memset (dead, 0, sizeof dead);
+  for (unsigned n = 0; n < 300; n++)
+    {
+      step (&world, "wait 100");
+      answer_connects (&world, connected, dead, COUNT);
+    }
+  CU_ASSERT (memcmp (chosen, connected, sizeof chosen) == 0);
+  world_close (&world);
+}
+
+static CU_TestInfo member_tests[] = {
+  { "faults", test_member_faults },
+  { "connects", test_member_connects },
+  { "choice in other zones", test_member_remote_choice },
+  CU_TEST_INFO_NULL,
+};
+
+CU_SuiteInfo test_member_suites[] = {
+  { "member", NULL, NULL, NULL, NULL, member_tests },
+  CU_SUITE_INFO_NULL,
+};
