bench: add the open-loop HTTP load tool

Latency counts from the intended send time; each answer is checked against its own request; part of the requests can go to backend servers directly, which gives the added latency of the same run.

--- /dev/null
+++ b/src/io/bench.h
@@ -0,0 +1,15 @@
+#ifndef MAGNOLIADOCK_BENCH_H
+#define MAGNOLIADOCK_BENCH_H
+
+/* NAME
+     bench - the load tool: magnoliadock bench SUBCOMMAND
+
+   Each subcommand has its own file bench_NAME.c and one row in bench.c.  All
+   take the arguments after "bench" and return the exit code.  */
+
+int bench_run (int argc, char **argv);
+
+/* Requests to entries, in open loop.  */
+int bench_http_run (int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/src/io/bench_http.c
@@ -0,0 +1,639 @@
+#include "bench.h"
+
+#include "bench_stats.h"
+#include "error.h"
+#include "httpc_easy.h"
+#include "loop.h"
+#include "options.h"
+
+#include <math.h>
+#include <stddef.h>
+#include <string.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#define MAX_MIX 16
+#define MAX_TARGETS 64
+#define NS_PER_S INT64_C (1000000000)
+/* Time for the last answers after the last request was sent.  */
+#define TAIL_S 65
+
+typedef struct
+{
+  char *targets;
+  char *direct;
+  char *service;
+  char *path;
+  char *classes;
+  char *teams;
+  char *bodies;
+  char *prefix;
+  double rate;
+  double direct_percent;
+  double duration_s;
+  double warmup_s;
+  int64_t count;
+  int64_t idempotent_percent;
+  int64_t service_ms;
+  int64_t deadline_ms;
+  int64_t in_flight;
+  int64_t seed;
+  bool plot;
+} settings_t;
+
+#define FIELD(name) offsetof (settings_t, name)
+
+static const option_t http_options[] = {
+  { "targets", OPTION_TEXT, FIELD (targets), NULL, true, 0, 0, NULL,
+    "Entries: URL[,URL...]" },
+  { "direct", OPTION_TEXT, FIELD (direct), NULL, false, 0, 0, NULL,
+    "Backend servers asked without an entry: URL[,URL...]" },
+  { "direct-percent", OPTION_REAL, FIELD (direct_percent), "50", false, 0, 100,
+    NULL, "Share of the requests that go to --direct" },
+  { "service", OPTION_TEXT, FIELD (service), "ordering", false, 0, 0, NULL,
+    "Service that is asked" },
+  { "path", OPTION_TEXT, FIELD (path), "/bench", false, 0, 0, NULL,
+    "Path after the service" },
+  { "rate", OPTION_REAL, FIELD (rate), "100", false, 0, 100000, NULL,
+    "Requests per second, Poisson arrivals" },
+  { "duration-s", OPTION_REAL, FIELD (duration_s), "5", false, 0, 600, NULL,
+    "Time during which requests are sent" },
+  { "warmup-s", OPTION_REAL, FIELD (warmup_s), "0", false, 0, 60, NULL,
+    "First part of the duration that is left out of the latencies" },
+  { "count", OPTION_INTEGER, FIELD (count), "2000000", false, 1, 2000000, NULL,
+    "Most requests sent" },
+  { "classes", OPTION_TEXT, FIELD (classes), "standard=1", false, 0, 0, NULL,
+    "Mix of classes: NAME=WEIGHT[,...]" },
+  { "teams", OPTION_TEXT, FIELD (teams), "bench=1", false, 0, 0, NULL,
+    "Mix of teams: NAME=WEIGHT[,...]" },
+  { "bodies", OPTION_TEXT, FIELD (bodies), "1024=1", false, 0, 0, NULL,
+    "Mix of body sizes: BYTES=WEIGHT[,...]" },
+  { "idempotent-percent", OPTION_INTEGER, FIELD (idempotent_percent), "100",
+    false, 0, 100, NULL, "Share of idempotent requests" },
+  { "service-ms", OPTION_INTEGER, FIELD (service_ms), "-1", false, -1, 600000,
+    NULL, "Time asked of the stand-in (X-Service-Ms); -1: its own" },
+  { "deadline-ms", OPTION_INTEGER, FIELD (deadline_ms), "10000", false, 1,
+    60000, NULL, "Deadline of each request" },
+  { "in-flight", OPTION_INTEGER, FIELD (in_flight), "4096", false, 1, 16384,
+    NULL, "Most requests at once; those above are counted as not sent" },
+  { "prefix", OPTION_TEXT, FIELD (prefix), "bench", false, 0, 0, NULL,
+    "First part of the request ids" },
+  { "seed", OPTION_INTEGER, FIELD (seed), "1", false, 0, G_MAXUINT32, NULL,
+    "Seed of arrivals and mixes" },
+  { "plot", OPTION_FLAG, FIELD (plot), NULL, false, 0, 0, NULL,
+    "Draw the latencies on standard error" },
+  { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
+};
+
+typedef struct
+{
+  char *name;
+  double weight;
+  bench_histogram_t *latency;
+  uint64_t ran, refused;
+} choice_t;
+
+typedef struct
+{
+  choice_t items[MAX_MIX];
+  unsigned count;
+  double total;
+} mix_t;
+
+typedef struct bench bench_t;
+
+typedef struct
+{
+  bench_t *bench;
+  httpc_transfer_t *transfer;
+  struct curl_slist *headers;
+  char *id;
+  char *body;
+  size_t body_length;
+  GString *answer;
+  choice_t *class;
+  int64_t due_ns; /* intended send time */
+  bool direct;
+  bool idempotent;
+  bool counted; /* after the warm-up */
+  bool id_seen;
+  char outcome[16];
+} request_t;
+
+struct bench
+{
+  settings_t settings;
+  struct ev_loop *loop;
+  httpc_t *client;
+  GRand *random;
+  ev_io arrivals;
+  int timer_fd;
+  ev_timer end;
+  char **targets, **directs;
+  mix_t classes, teams, bodies;
+  int64_t begun_ns, next_ns, last_ns, ended_ns;
+  uint64_t sent, not_sent, done, in_flight;
+  uint64_t ran, not_run, unknown, no_answer, wrong, direct_done, direct_failed;
+  GHashTable *statuses; /* GINT status -> GINT count */
+  bench_histogram_t entry_latency, direct_latency;
+  bool sending;
+};
+
+static int64_t
+now_ns (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return now.tv_sec * NS_PER_S + now.tv_nsec;
+}
+
+static bool
+parse_mix (mix_t *mix, const char *flag, const char *text)
+{
+  char **parts = g_strsplit (text, ",", MAX_MIX + 1);
+  bool valid = parts[0] != NULL;
+  for (unsigned i = 0; valid && parts[i] != NULL; i++)
+    {
+      char *equals = strchr (parts[i], '=');
+      char *end;
+      valid = equals != NULL && equals != parts[i] && i < MAX_MIX;
+      if (!valid)
+        break;
+      choice_t *item = &mix->items[mix->count++];
+      item->name = g_strndup (parts[i], (gsize)(equals - parts[i]));
+      item->weight = g_ascii_strtod (equals + 1, &end);
+      item->latency = g_new0 (bench_histogram_t, 1);
+      valid = end != equals + 1 && *end == '\0' && item->weight >= 0;
+      mix->total += item->weight;
+    }
+  valid = valid && mix->total > 0;
+  if (!valid)
+    fprintf (stderr,
+             "magnoliadock bench http: --%s: invalid value \"%s\", expected "
+             "NAME=WEIGHT[,NAME=WEIGHT...]\n",
+             flag, text);
+  g_strfreev (parts);
+  return valid;
+}
+
+static void
+mix_clear (mix_t *mix)
+{
+  for (unsigned i = 0; i < mix->count; i++)
+    {
+      g_free (mix->items[i].name);
+      g_free (mix->items[i].latency);
+    }
+}
+
+static choice_t *
+choose (bench_t *bench, mix_t *mix)
+{
+  double at = g_rand_double (bench->random) * mix->total;
+  unsigned i = 0;
+  for (; i + 1 < mix->count && at >= mix->items[i].weight; i++)
+    at -= mix->items[i].weight;
+  return &mix->items[i];
+}
+
+static void
+request_free (request_t *request)
+{
+  httpc_transfer_free (request->transfer);
+  curl_slist_free_all (request->headers);
+  g_string_free (request->answer, TRUE);
+  g_free (request->id);
+  g_free (request->body);
+  g_free (request);
+}
+
+static size_t
+on_bytes (char *data, size_t size, size_t count, void *context)
+{
+  request_t *request = context;
+  g_string_append_len (request->answer, data, (gssize)(size * count));
+  return size * count;
+}
+
+/* Returns the value of header NAME in LINE, or NULL; owned by the caller.  */
+static char *
+header_value (const char *line, size_t length, const char *name)
+{
+  size_t name_length = strlen (name);
+  if (length <= name_length || line[name_length] != ':'
+      || g_ascii_strncasecmp (line, name, name_length) != 0)
+    return NULL;
+  return g_strstrip (
+      g_strndup (line + name_length + 1, length - name_length - 1));
+}
+
+static size_t
+on_header (char *data, size_t size, size_t count, void *context)
+{
+  request_t *request = context;
+  size_t length = size * count;
+  char *value = header_value (data, length, "X-Magnoliadock-Outcome");
+  if (value != NULL)
+    g_strlcpy (request->outcome, value, sizeof request->outcome);
+  g_free (value);
+  value = header_value (data, length, "X-Test-Id");
+  if (value != NULL)
+    request->id_seen = strcmp (value, request->id) == 0;
+  g_free (value);
+  return length;
+}
+
+/* Whether a whole answer is the one to this very request: the stand-in echoes
+   the id, and the body or, without one, a text that holds the id.  */
+static bool
+is_own_answer (const request_t *request, long status)
+{
+  if (status != 200)
+    return true;
+  if (!request->id_seen)
+    return false;
+  if (request->body_length > 0)
+    return request->answer->len == request->body_length
+           && memcmp (request->answer->str, request->body,
+                      request->body_length)
+                  == 0;
+  return strstr (request->answer->str, request->id) != NULL;
+}
+
+static void
+count_outcome (bench_t *bench, request_t *request, CURLcode code, long status)
+{
+  if (request->direct)
+    {
+      bench->direct_done++;
+      bench->direct_failed += code != CURLE_OK || status != 200;
+      return;
+    }
+  gpointer key = GINT_TO_POINTER (code == CURLE_OK ? (gint)status : 0);
+  gpointer known = g_hash_table_lookup (bench->statuses, key);
+  g_hash_table_insert (bench->statuses, key,
+                       GINT_TO_POINTER (GPOINTER_TO_INT (known) + 1));
+  if (code != CURLE_OK || request->outcome[0] == '\0')
+    bench->no_answer++;
+  else if (strcmp (request->outcome, "ran") == 0)
+    bench->ran++;
+  else if (strcmp (request->outcome, "not-run") == 0)
+    bench->not_run++;
+  else
+    bench->unknown++;
+  bool ran = code == CURLE_OK && strcmp (request->outcome, "ran") == 0;
+  if (ran)
+    request->class->ran++;
+  else
+    request->class->refused++;
+  if (ran && !is_own_answer (request, status))
+    {
+      bench->wrong++;
+      fprintf (stderr, "wrong answer to %s: status %ld, %zu bytes\n",
+               request->id, status, request->answer->len);
+    }
+}
+
+static void
+on_finished (void *context, CURLcode code)
+{
+  request_t *request = context;
+  bench_t *bench = request->bench;
+  long status = 0;
+  int64_t took_us = (now_ns () - request->due_ns) / 1000;
+  curl_easy_getinfo (request->transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+  count_outcome (bench, request, code, status);
+  if (code == CURLE_OK && status == 200 && request->counted)
+    {
+      bench_histogram_add (request->direct ? &bench->direct_latency
+                                           : &bench->entry_latency,
+                           (uint64_t)took_us);
+      if (!request->direct)
+        bench_histogram_add (request->class->latency, (uint64_t)took_us);
+    }
+  bench->done++;
+  bench->in_flight--;
+  request_free (request);
+  if (!bench->sending && bench->in_flight == 0)
+    ev_break (bench->loop, EVBREAK_ALL);
+}
+
+static void
+add_header (request_t *request, const char *name, const char *value)
+{
+  char *line = g_strconcat (name, ": ", value, NULL);
+  request->headers = curl_slist_append (request->headers, line);
+  g_free (line);
+}
+
+static void
+set_headers (request_t *request, const settings_t *settings, const char *team)
+{
+  char number[24];
+  add_header (request, "X-Test-Id", request->id);
+  if (!request->direct)
+    {
+      add_header (request, "X-Magnoliadock-Class", request->class->name);
+      add_header (request, "X-Magnoliadock-Team", team);
+      add_header (request, "X-Magnoliadock-Request-Id", request->id);
+      g_snprintf (number, sizeof number, "%" G_GINT64_FORMAT,
+                  settings->deadline_ms);
+      add_header (request, "X-Magnoliadock-Deadline-Ms", number);
+    }
+  if (settings->service_ms >= 0)
+    {
+      g_snprintf (number, sizeof number, "%" G_GINT64_FORMAT,
+                  settings->service_ms);
+      add_header (request, "X-Service-Ms", number);
+    }
+  request->headers = curl_slist_append (request->headers, "Expect:");
+  request->headers = curl_slist_append (request->headers, "Accept:");
+}
+
+/* Fills the body with text that differs between requests.  */
+static void
+make_body (bench_t *bench, request_t *request, size_t length)
+{
+  request->body = g_malloc (length + 1);
+  request->body_length = length;
+  size_t id_length = strlen (request->id);
+  guint32 shift = g_rand_int (bench->random);
+  for (size_t i = 0; i < length; i++)
+    request->body[i]
+        = i < id_length ? request->id[i] : (char)('a' + (i + shift) % 26);
+}
+
+static void
+send_request (bench_t *bench, int64_t due_ns)
+{
+  const settings_t *settings = &bench->settings;
+  request_t *request = g_new0 (request_t, 1);
+  request->bench = bench;
+  request->due_ns = due_ns;
+  request->answer = g_string_sized_new (1100);
+  request->id
+      = g_strdup_printf ("%s-%" G_GINT64_FORMAT "-%" G_GUINT64_FORMAT,
+                         settings->prefix, settings->seed, bench->sent);
+  request->class = choose (bench, &bench->classes);
+  const char *team = choose (bench, &bench->teams)->name;
+  size_t length = (size_t)g_ascii_strtoull (
+      choose (bench, &bench->bodies)->name, NULL, 10);
+  request->idempotent = g_rand_double (bench->random) * 100.0
+                        < (double)settings->idempotent_percent;
+  request->direct
+      = bench->directs != NULL
+        && g_rand_double (bench->random) * 100.0 < settings->direct_percent;
+  request->counted = (double)(due_ns - bench->begun_ns)
+                     >= settings->warmup_s * (double)NS_PER_S;
+  make_body (bench, request, length);
+  char **urls = request->direct ? bench->directs : bench->targets;
+  gint32 pick
+      = g_rand_int_range (bench->random, 0, (gint32)g_strv_length (urls));
+  char *url = request->direct
+                  ? g_strconcat (urls[pick], settings->path, NULL)
+                  : g_strconcat (urls[pick], "/s/", settings->service,
+                                 settings->path, NULL);
+  request->transfer = httpc_transfer_new (bench->client, on_finished, request);
+  CURL *easy = request->transfer->easy;
+  set_headers (request, settings, team);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, request->headers);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_bytes);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, request);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, request);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
+                    (long)settings->deadline_ms + 2000);
+  if (length > 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)length);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, request->body);
+    }
+  else if (!request->idempotent)
+    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, "");
+  if (request->idempotent)
+    curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, length > 0 ? "PUT" : "GET");
+  /* libcurl would repeat the request if the reused connection were dead.  */
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT,
+                    request->idempotent ? 0L : 1L);
+  g_free (url);
+  bench->sent++;
+  bench->in_flight++;
+  httpc_transfer_start (request->transfer);
+}
+
+static void
+plan_next (bench_t *bench)
+{
+  double u = 1.0 - g_rand_double (bench->random);
+  bench->next_ns
+      += (int64_t)(-log (u) / bench->settings.rate * (double)NS_PER_S);
+}
+
+static void
+stop_sending (bench_t *bench)
+{
+  bench->sending = false;
+  bench->ended_ns = now_ns ();
+  ev_io_stop (bench->loop, &bench->arrivals);
+  ev_timer_start (bench->loop, &bench->end);
+  if (bench->in_flight == 0)
+    ev_break (bench->loop, EVBREAK_ALL);
+}
+
+static void
+arm (bench_t *bench)
+{
+  struct itimerspec when = { .it_value = { bench->next_ns / NS_PER_S,
+                                           bench->next_ns % NS_PER_S } };
+  timerfd_settime (bench->timer_fd, TFD_TIMER_ABSTIME, &when, NULL);
+}
+
+static void
+on_arrivals (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  bench_t *bench = watcher->data;
+  uint64_t expirations;
+  ssize_t ignored = read (bench->timer_fd, &expirations, sizeof expirations);
+  (void)ignored;
+  int64_t now = now_ns ();
+  while (bench->next_ns <= now)
+    {
+      if (bench->next_ns >= bench->last_ns
+          || bench->sent + bench->not_sent >= (uint64_t)bench->settings.count)
+        {
+          stop_sending (bench);
+          return;
+        }
+      if (bench->in_flight < (uint64_t)bench->settings.in_flight)
+        send_request (bench, bench->next_ns);
+      else
+        bench->not_sent++;
+      plan_next (bench);
+    }
+  arm (bench);
+}
+
+static void
+on_end (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  ev_break (loop, EVBREAK_ALL);
+}
+
+static json_t *
+statuses_json (const bench_t *bench)
+{
+  json_t *json = json_object ();
+  GHashTableIter iterator;
+  gpointer key, value;
+  g_hash_table_iter_init (&iterator, bench->statuses);
+  while (g_hash_table_iter_next (&iterator, &key, &value))
+    {
+      char name[16];
+      g_snprintf (name, sizeof name, "%d", GPOINTER_TO_INT (key));
+      json_object_set_new (json, name, json_integer (GPOINTER_TO_INT (value)));
+    }
+  return json;
+}
+
+static void
+print_report (const bench_t *bench)
+{
+  double seconds
+      = (double)(bench->ended_ns - bench->begun_ns) / (double)NS_PER_S;
+  json_t *classes = json_object ();
+  for (unsigned i = 0; i < bench->classes.count; i++)
+    {
+      const choice_t *class = &bench->classes.items[i];
+      json_t *one = bench_histogram_json (class->latency);
+      json_object_set_new (one, "ran", json_integer ((json_int_t) class->ran));
+      json_object_set_new (one, "refused",
+                           json_integer ((json_int_t) class->refused));
+      json_object_set_new (classes, class->name, one);
+    }
+  json_t *report = json_pack (
+      "{s:I,s:f,s:f,s:I,s:I,s:I,s:{s:I,s:I,s:I,s:I},s:I,s:o,s:o,s:o}", "seed",
+      (json_int_t)bench->settings.seed, "rate", bench->settings.rate,
+      "seconds", seconds, "sent", (json_int_t)bench->sent, "not_sent",
+      (json_int_t)bench->not_sent, "unfinished", (json_int_t)bench->in_flight,
+      "outcomes", "ran", (json_int_t)bench->ran, "not_run",
+      (json_int_t)bench->not_run, "unknown", (json_int_t)bench->unknown,
+      "no_answer", (json_int_t)bench->no_answer, "wrong_answers",
+      (json_int_t)bench->wrong, "statuses", statuses_json (bench), "latency",
+      bench_histogram_json (&bench->entry_latency), "classes", classes);
+  if (bench->directs != NULL)
+    {
+      json_t *direct = bench_histogram_json (&bench->direct_latency);
+      json_object_set_new (direct, "failed",
+                           json_integer ((json_int_t)bench->direct_failed));
+      json_object_set_new (report, "direct", direct);
+      json_t *added = json_object ();
+      static const struct
+      {
+        const char *name;
+        double quantile;
+      } rows[] = { { "p50_us", 0.5 }, { "p90_us", 0.9 }, { "p99_us", 0.99 } };
+      for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+        json_object_set_new (
+            added, rows[i].name,
+            json_integer ((json_int_t)bench_histogram_quantile_us (
+                              &bench->entry_latency, rows[i].quantile)
+                          - (json_int_t)bench_histogram_quantile_us (
+                              &bench->direct_latency, rows[i].quantile)));
+      json_object_set_new (report, "added", added);
+    }
+  json_dumpf (report, stdout, JSON_INDENT (2));
+  putchar ('\n');
+  json_decref (report);
+  if (!bench->settings.plot)
+    return;
+  bench_histogram_plot (&bench->entry_latency, "through entries", stderr);
+  if (bench->directs != NULL)
+    bench_histogram_plot (&bench->direct_latency, "direct", stderr);
+}
+
+static int
+run_load (bench_t *bench)
+{
+  static const httpc_options_t options = { .max_connections_per_host = 0,
+                                           .idle_limit_s = 5,
+                                           .age_limit_s = 60,
+                                           .connect_limit_ms = 2000 };
+  bench->loop = ev_default_loop (EVFLAG_AUTO);
+  bench->client = httpc_new (bench->loop, &options);
+  bench->random = g_rand_new_with_seed ((guint32)bench->settings.seed);
+  bench->statuses = g_hash_table_new (NULL, NULL);
+  bench->timer_fd = timerfd_create (CLOCK_MONOTONIC, TFD_NONBLOCK);
+  ev_io_init (&bench->arrivals, on_arrivals, bench->timer_fd, EV_READ);
+  ev_timer_init (&bench->end, on_end, TAIL_S, 0.0);
+  bench->arrivals.data = bench;
+  bench->sending = true;
+  bench->begun_ns = bench->next_ns = now_ns ();
+  bench->last_ns = bench->begun_ns
+                   + (int64_t)(bench->settings.duration_s * (double)NS_PER_S);
+  plan_next (bench);
+  arm (bench);
+  ev_io_start (bench->loop, &bench->arrivals);
+  ev_run (bench->loop, 0);
+  print_report (bench);
+  bool clean = bench->wrong == 0 && bench->in_flight == 0 && bench->sent > 0;
+  close (bench->timer_fd);
+  httpc_free (bench->client);
+  g_hash_table_unref (bench->statuses);
+  g_rand_free (bench->random);
+  return clean ? 0 : 1;
+}
+
+/* Splits a list of URLs; NULL after a message if one is not valid.  */
+static char **
+split_urls (const char *flag, const char *text)
+{
+  char **urls = g_strsplit (text, ",", MAX_TARGETS);
+  for (unsigned i = 0; urls[i] != NULL; i++)
+    if (!g_str_has_prefix (urls[i], "http://"))
+      {
+        fprintf (stderr,
+                 "magnoliadock bench http: --%s: invalid value \"%s\", "
+                 "expected http://IP:PORT[,...]\n",
+                 flag, urls[i]);
+        g_strfreev (urls);
+        return NULL;
+      }
+  return urls;
+}
+
+int
+bench_http_run (int argc, char **argv)
+{
+  bench_t *bench = g_new0 (bench_t, 1);
+  settings_t *settings = &bench->settings;
+  int code = err_info (ERR_USAGE)->exit_code;
+  if (!options_parse (http_options, settings,
+                      "Sends requests to entries at a fixed rate, whatever "
+                      "the answers take; latency counts from the intended "
+                      "send time.",
+                      argc, argv, NULL)
+      || !parse_mix (&bench->classes, "classes", settings->classes)
+      || !parse_mix (&bench->teams, "teams", settings->teams)
+      || !parse_mix (&bench->bodies, "bodies", settings->bodies))
+    goto out;
+  bench->targets = split_urls ("targets", settings->targets);
+  if (settings->direct != NULL)
+    bench->directs = split_urls ("direct", settings->direct);
+  if (bench->targets == NULL
+      || (settings->direct != NULL && bench->directs == NULL))
+    goto out;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  code = run_load (bench);
+  curl_global_cleanup ();
+
+out:
+  mix_clear (&bench->classes);
+  mix_clear (&bench->teams);
+  mix_clear (&bench->bodies);
+  g_strfreev (bench->targets);
+  g_strfreev (bench->directs);
+  options_clear (http_options, settings);
+  g_free (bench);
+  return code;
+}
--- a/src/main.c
+++ b/src/main.c
@@ -1,3 +1,4 @@
+#include "bench.h"
 #include "entry.h"
 #include "error.h"
 
@@ -15,6 +16,7 @@
 
 static const command_t commands[] = {
   { "entry", entry_run, "run an entry process" },
+  { "bench", bench_run, "measure entries and the core" },
   { NULL, NULL, NULL },
 };
 
