--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -183,6 +183,13 @@
     *why = "leaving";
   else if (!process->settled)
     *why = "no instance list yet";
+  for (unsigned i = 0; *why == NULL && i < process->part_count; i++)
+    {
+      const char *reason;
+      if (entry_parts[i]->ready != NULL
+          && !entry_parts[i]->ready (process->parts[i], &reason))
+        *why = reason;
+    }
   return *why == NULL;
 }
 
--- a/src/io/entry.h
+++ b/src/io/entry.h
@@ -72,6 +72,9 @@
 
   /* An instance is new or changed (own zone; entries of all zones).  */
   void (*instance_changed) (void *part, const instance_t *instance);
+  /* Whether the entry may take work as far as this part is concerned; else
+   *WHY (static) says why not.  */
+  bool (*ready) (void *part, const char **why);
   /* The planned stop has begun: give up duties.  */
   void (*drain) (void *part);
   /* Returns whether the process may end as far as this part is concerned.  */
