--- /dev/null
+++ b/src/fleet.c
@@ -0,0 +1,189 @@
+#include "fleet.h"
+
+#include <string.h>
+
+static void
+rack_clear (gpointer data)
+{
+  fleet_rack_t *rack = data;
+  g_free (rack->name);
+}
+
+void
+fleet_init (fleet_t *fleet)
+{
+  memset (fleet, 0, sizeof *fleet);
+  fleet->slots = g_array_new (FALSE, TRUE, sizeof (fleet_slot_t));
+  fleet->racks = g_array_new (FALSE, TRUE, sizeof (fleet_rack_t));
+  g_array_set_clear_func (fleet->racks, rack_clear);
+  fleet->rack_index
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+void
+fleet_clear (fleet_t *fleet)
+{
+  g_array_unref (fleet->slots);
+  g_array_unref (fleet->racks);
+  g_hash_table_unref (fleet->rack_index);
+}
+
+static uint16_t
+rack_of (fleet_t *fleet, const char *name)
+{
+  gpointer index;
+  if (g_hash_table_lookup_extended (fleet->rack_index, name, NULL, &index))
+    return (uint16_t)GPOINTER_TO_UINT (index);
+  fleet_rack_t rack = { .name = g_strdup (name) };
+  g_array_append_val (fleet->racks, rack);
+  g_hash_table_insert (fleet->rack_index, g_strdup (name),
+                       GUINT_TO_POINTER (fleet->racks->len - 1));
+  return (uint16_t)(fleet->racks->len - 1);
+}
+
+uint32_t
+fleet_add (fleet_t *fleet)
+{
+  fleet_slot_t slot = { .rack = rack_of (fleet, "") };
+  g_array_append_val (fleet->slots, slot);
+  g_array_index (fleet->racks, fleet_rack_t, slot.rack).workers++;
+  return fleet->slots->len - 1;
+}
+
+static resource_t
+slot_capacity (const fleet_slot_t *slot)
+{
+  resource_t capacity
+      = { slot->cpu_millis, slot->memory_mib, slot->accelerators };
+  return capacity;
+}
+
+void
+fleet_set (fleet_t *fleet, uint32_t index, resource_t capacity,
+           const char *rack, bool usable)
+{
+  fleet_slot_t *slot = fleet_slot (fleet, index);
+  if (slot->usable)
+    fleet->total = resource_sub (fleet->total, slot_capacity (slot));
+  slot->free_cpu_millis += (int32_t)capacity.cpu_millis - slot->cpu_millis;
+  slot->free_memory_mib += (int32_t)capacity.memory_mib - slot->memory_mib;
+  slot->free_accelerators
+      += (int32_t)capacity.accelerators - slot->accelerators;
+  slot->cpu_millis = (int32_t)capacity.cpu_millis;
+  slot->memory_mib = (int32_t)capacity.memory_mib;
+  slot->accelerators = (int32_t)capacity.accelerators;
+  slot->usable = usable;
+  if (usable)
+    fleet->total = resource_add (fleet->total, capacity);
+
+  fleet_rack_t *old = &g_array_index (fleet->racks, fleet_rack_t, slot->rack);
+  old->workers--;
+  old->tasks -= slot->tasks;
+  slot->rack = rack_of (fleet, rack != NULL ? rack : "");
+  fleet_rack_t *new = &g_array_index (fleet->racks, fleet_rack_t, slot->rack);
+  new->workers++;
+  new->tasks += slot->tasks;
+}
+
+void
+fleet_take (fleet_t *fleet, uint32_t index, resource_t size)
+{
+  fleet_slot_t *slot = fleet_slot (fleet, index);
+  slot->free_cpu_millis -= (int32_t)size.cpu_millis;
+  slot->free_memory_mib -= (int32_t)size.memory_mib;
+  slot->free_accelerators -= (int32_t)size.accelerators;
+  slot->tasks++;
+  g_array_index (fleet->racks, fleet_rack_t, slot->rack).tasks++;
+  fleet->used = resource_add (fleet->used, size);
+}
+
+void
+fleet_give (fleet_t *fleet, uint32_t index, resource_t size)
+{
+  fleet_slot_t *slot = fleet_slot (fleet, index);
+  slot->free_cpu_millis += (int32_t)size.cpu_millis;
+  slot->free_memory_mib += (int32_t)size.memory_mib;
+  slot->free_accelerators += (int32_t)size.accelerators;
+  slot->tasks--;
+  g_array_index (fleet->racks, fleet_rack_t, slot->rack).tasks--;
+  fleet->used = resource_sub (fleet->used, size);
+}
+
+resource_t
+fleet_free (const fleet_t *fleet, uint32_t index)
+{
+  const fleet_slot_t *slot = fleet_slot (fleet, index);
+  resource_t free = { slot->free_cpu_millis, slot->free_memory_mib,
+                      slot->free_accelerators };
+  return free;
+}
+
+static uint64_t
+fit_in (resource_t size, resource_t room)
+{
+  if (!resource_fits (size, room))
+    return 0;
+  uint64_t fit = UINT64_MAX;
+  if (size.cpu_millis > 0)
+    fit = MIN (fit, (uint64_t)(room.cpu_millis / size.cpu_millis));
+  if (size.memory_mib > 0)
+    fit = MIN (fit, (uint64_t)(room.memory_mib / size.memory_mib));
+  if (size.accelerators > 0)
+    fit = MIN (fit, (uint64_t)(room.accelerators / size.accelerators));
+  return fit;
+}
+
+uint64_t
+fleet_fit_empty (const fleet_t *fleet, resource_t size, uint64_t limit,
+                 resource_t *largest)
+{
+  uint64_t fit = 0;
+  double best = -1.0;
+  for (uint32_t i = 0; i < fleet->slots->len; i++)
+    {
+      const fleet_slot_t *slot = fleet_slot (fleet, i);
+      resource_t capacity = slot_capacity (slot);
+      if (capacity.cpu_millis <= 0)
+        continue;
+      if (fit < limit)
+        fit += MIN (limit, fit_in (size, capacity));
+      /* The worker that comes closest to holding the task.  */
+      double close = 1.0 / resource_dominant_share (size, capacity);
+      if (size.accelerators > capacity.accelerators)
+        close
+            = (double)capacity.accelerators / (double)size.accelerators * 1e-3;
+      if (close > best)
+        {
+          best = close;
+          *largest = capacity;
+        }
+    }
+  return MIN (fit, limit);
+}
+
+fleet_why_t
+fleet_why (const fleet_t *fleet, resource_t size)
+{
+  fleet_why_t why = { 0 };
+  for (uint32_t i = 0; i < fleet->slots->len; i++)
+    {
+      const fleet_slot_t *slot = fleet_slot (fleet, i);
+      if (slot->cpu_millis <= 0)
+        continue;
+      why.workers++;
+      bool cpu = slot->free_cpu_millis < size.cpu_millis;
+      bool memory = slot->free_memory_mib < size.memory_mib;
+      bool accelerators = slot->free_accelerators < size.accelerators;
+      why.unusable += !slot->usable;
+      why.short_cpu += cpu;
+      why.short_memory += memory;
+      why.short_accelerators += accelerators;
+      if (cpu || memory || accelerators || !slot->usable)
+        continue;
+      if (slot->reserved)
+        why.reserved++;
+      else
+        why.fitting++;
+    }
+  return why;
+}
--- /dev/null
+++ b/src/sched_front.c
@@ -0,0 +1,548 @@
+#include "sched_int.h"
+
+#include <string.h>
+
+/* Submissions and cancels in one transaction.  */
+#define GROUP_ITEMS 16
+#define CHANGES_KEPT 200
+/* After this time a caller is refused, or told that the outcome is unknown if
+   a transaction with the change is still unsettled.  */
+#define SUBMIT_LIMIT_MS 8000
+/* A wave of cancels waits for rows that starts leave.  */
+#define CANCEL_LIMIT_MS 60000
+/* Rows that cancels leave to the starts of the same second.  */
+#define START_RESERVE 24.0
+#define MAX_WAITING 20000
+
+void
+front_item_free (gpointer data)
+{
+  front_item_t *item = data;
+  g_free (item->id);
+  job_row_free (item->row);
+  g_free (item);
+}
+
+static void
+answer (sched_t *s, front_item_t *item, err_kind_t kind, const char *message)
+{
+  s->actions->answer (s->context, item->token, kind, item->id, message);
+}
+
+static uint64_t
+shape_fit (const GArray *shapes, resource_t size, uint64_t limit,
+           resource_t *largest)
+{
+  uint64_t fit = 0;
+  for (guint i = 0; i < shapes->len; i++)
+    {
+      const zone_shape_t *shape = &g_array_index (shapes, zone_shape_t, i);
+      resource_t room = shape->capacity;
+      if (room.accelerators > largest->accelerators
+          || (room.accelerators == largest->accelerators
+              && room.cpu_millis > largest->cpu_millis))
+        *largest = room;
+      if (!resource_fits (size, room))
+        continue;
+      int64_t each = room.cpu_millis / MAX (size.cpu_millis, 1);
+      each = MIN (each, room.memory_mib / MAX (size.memory_mib, 1));
+      if (size.accelerators > 0)
+        each = MIN (each, room.accelerators / size.accelerators);
+      fit += (uint64_t)each * shape->count;
+    }
+  return MIN (fit, limit);
+}
+
+/* How many tasks of SPEC fit in the empty ZONE, -1 if nothing is known of
+   it.  */
+static int64_t
+zone_fit (const sched_t *s, const char *zone, const job_spec_t *spec,
+          resource_t *largest)
+{
+  if (strcmp (zone, s->zone) == 0)
+    return s->list_read ? (int64_t)fleet_fit_empty (&s->fleet, spec->size,
+                                                    spec->tasks, largest)
+                        : -1;
+  const sched_zone_t *row = g_hash_table_lookup (s->zones, zone);
+  if (row == NULL || row->shapes->len == 0)
+    return -1;
+  return (int64_t)shape_fit (row->shapes, spec->size, spec->tasks, largest);
+}
+
+static void
+add_zone_name (GPtrArray *names, const char *zone)
+{
+  for (guint i = 0; i < names->len; i++)
+    if (strcmp (names->pdata[i], zone) == 0)
+      return;
+  g_ptr_array_add (names, (gpointer)zone);
+}
+
+/* The zones that SPEC allows; names are borrowed.  */
+static GPtrArray *
+allowed_zones (const sched_t *s, const job_spec_t *spec)
+{
+  GPtrArray *names = g_ptr_array_new ();
+  if (spec->zones != NULL)
+    {
+      for (char **zone = spec->zones; *zone != NULL; zone++)
+        g_ptr_array_add (names, *zone);
+      return names;
+    }
+  add_zone_name (names, s->zone);
+  for (guint i = 0; i < s->entries->len; i++)
+    {
+      const sched_entry_t *entry = s->entries->pdata[i];
+      if (entry->live && entry->zone != NULL)
+        add_zone_name (names, entry->zone);
+    }
+  return names;
+}
+
+/* Room of ZONE that is neither used nor waited for, by the dimension that
+   SIZE needs most, in tasks.  */
+static double
+zone_room (const sched_t *s, const char *zone, resource_t size)
+{
+  resource_t room = { 0 };
+  const sched_zone_t *row = g_hash_table_lookup (s->zones, zone);
+  if (strcmp (zone, s->zone) == 0 && s->on_duty)
+    room = resource_sub (s->fleet.total, s->fleet.used);
+  else if (row != NULL)
+    room = resource_sub (row->free, row->waiting);
+  double tasks = (double)room.cpu_millis / (double)MAX (size.cpu_millis, 1);
+  tasks = MIN (tasks,
+               (double)room.memory_mib / (double)MAX (size.memory_mib, 1));
+  if (size.accelerators > 0)
+    tasks = MIN (tasks, (double)room.accelerators / (double)size.accelerators);
+  return tasks;
+}
+
+/* Sets the parts of ROW.  Returns NULL, or why the job can never run.  */
+static char *
+choose_parts (const sched_t *s, job_row_t *row)
+{
+  const job_spec_t *spec = row->spec;
+  uint32_t need = spec->kind == JOB_ALL_AT_ONCE ? spec->tasks : 1;
+  GPtrArray *zones = allowed_zones (s, spec);
+  resource_t largest = { 0 };
+  int64_t most = 0;
+  const char *best = NULL;
+  double best_room = 0.0;
+  for (guint i = zones->len; i-- > 0;)
+    {
+      resource_t here = { 0 };
+      int64_t fit = zone_fit (s, zones->pdata[i], spec, &here);
+      if (fit >= 0 && fit < need)
+        {
+          if (fit > most || largest.cpu_millis == 0)
+            largest = here;
+          most = MAX (most, fit);
+          g_ptr_array_remove_index (zones, i);
+          continue;
+        }
+      double room = zone_room (s, zones->pdata[i], spec->size);
+      bool own = strcmp (zones->pdata[i], s->zone) == 0;
+      if (own && room >= (double)spec->tasks)
+        room = G_MAXDOUBLE;
+      if (best == NULL || room > best_room)
+        {
+          best = zones->pdata[i];
+          best_room = room;
+        }
+    }
+  char *reason = NULL;
+  if (best == NULL)
+    {
+      char *size = resource_text (spec->size);
+      char *room = resource_text (largest);
+      reason = g_strdup_printf (
+          "needs %u tasks of %s at once in one zone; the largest worker has "
+          "%s and the largest zone takes %" G_GINT64_FORMAT " of them",
+          need, size, room, most);
+      g_free (size);
+      g_free (room);
+    }
+  else if (spec->kind == JOB_SERVICE)
+    {
+      uint32_t first = 0;
+      for (guint i = 0; i < zones->len; i++)
+        {
+          uint32_t tasks = (spec->tasks - first) / (zones->len - i);
+          if (tasks > 0)
+            job_row_add_part (row, zones->pdata[i], first, tasks);
+          first += tasks;
+        }
+    }
+  else
+    job_row_add_part (row, best, 0, spec->tasks);
+  g_ptr_array_unref (zones);
+  return reason;
+}
+
+void
+sched_submit (sched_t *s, const json_t *json, void *token)
+{
+  GError *error = NULL;
+  s->now_ms = clk_now_ms (s->clock);
+  job_spec_t *spec = job_spec_parse (json, &error);
+  if (spec == NULL)
+    {
+      s->actions->answer (s->context, token, (err_kind_t)error->code, NULL,
+                          error->message);
+      g_error_free (error);
+      return;
+    }
+  if (spec->id == NULL)
+    spec->id
+        = g_strdup_printf ("j%" G_GINT64_MODIFIER "x-%08x",
+                           clk_wall_ms (s->clock), g_rand_int (s->random));
+  char *submit_id
+      = g_strdup_printf ("%s:%" G_GUINT64_FORMAT, s->self, ++s->next_write);
+  front_item_t *item = g_new0 (front_item_t, 1);
+  item->token = token;
+  item->id = g_strdup (spec->id);
+  item->row = job_row_new (spec, submit_id, clk_wall_ms (s->clock));
+  item->deadline_ms = s->now_ms + SUBMIT_LIMIT_MS;
+  g_free (submit_id);
+  const sched_job_t *known = g_hash_table_lookup (s->jobs, item->id);
+  char *reason = choose_parts (s, item->row);
+  if (known != NULL && known->version > 0)
+    answer (s, item, ERR_CONFLICT, "a job with this id exists");
+  else if (reason != NULL)
+    {
+      explain_add (&s->explain, clk_wall_ms (s->clock), item->id, -1,
+                   "refused", "%s", reason);
+      answer (s, item, ERR_NEVER_FITS, reason);
+    }
+  else if (s->front_queue.length >= MAX_WAITING)
+    answer (s, item, ERR_QUEUE_FULL, "too many submissions are waiting");
+  else
+    {
+      g_queue_push_tail (&s->front_queue, item);
+      item = NULL;
+    }
+  g_free (reason);
+  if (item != NULL)
+    front_item_free (item);
+}
+
+void
+sched_cancel (sched_t *s, const char *id, void *token)
+{
+  s->now_ms = clk_now_ms (s->clock);
+  if (!job_id_valid (id) || s->front_queue.length >= MAX_WAITING)
+    {
+      bool valid = job_id_valid (id);
+      s->actions->answer (
+          s->context, token, valid ? ERR_QUEUE_FULL : ERR_BAD_REQUEST, id,
+          valid ? "too many cancels are waiting" : "not a job id");
+      return;
+    }
+  front_item_t *item = g_new0 (front_item_t, 1);
+  item->cancel = true;
+  item->token = token;
+  item->id = g_strdup (id);
+  item->deadline_ms = s->now_ms + CANCEL_LIMIT_MS;
+  g_queue_push_tail (&s->front_queue, item);
+  /* The job may be new to this entry.  */
+  const sched_job_t *job = g_hash_table_lookup (s->jobs, id);
+  if (job == NULL || job->row == NULL)
+    sched_want_key (s, job_key (id));
+}
+
+/* Adds ID to the changes row of ZONE.  Returns false if that row has not been
+   read yet or is part of a transaction.  */
+static bool
+note_change (sched_t *s, txn_t *txn, const char *zone, const char *id)
+{
+  sched_changes_t *changes = sched_changes_get (s, zone);
+  if (!changes->in_txn)
+    {
+      changes->in_txn = true;
+      changes->old_sequence = changes->sequence;
+      txn_add_row (txn, ROW_CHANGES, changes,
+                   g_strdup_printf ("changes/%s/%s", zone, s->entry),
+                   changes->version, NULL);
+    }
+  changes->sequence++;
+  g_queue_push_tail (&changes->ids, g_strdup (id));
+  while (changes->ids.length > CHANGES_KEPT)
+    g_free (g_queue_pop_head (&changes->ids));
+  return true;
+}
+
+/* Whether the changes rows of all zones of ROW are known; asks for those that
+   are not.  */
+static bool
+changes_known (sched_t *s, const job_row_t *row)
+{
+  bool known = true;
+  for (guint i = 0; i < row->parts->len; i++)
+    {
+      const job_part_t *part = row->parts->pdata[i];
+      if (sched_changes_get (s, part->zone)->version >= 0)
+        continue;
+      known = false;
+      sched_want_key (s,
+                      g_strdup_printf ("changes/%s/%s", part->zone, s->entry));
+    }
+  return known;
+}
+
+static void
+add_submission (sched_t *s, txn_t *txn, front_item_t *item)
+{
+  txn_add_row (txn, ROW_OTHER, NULL, job_key (item->id), 0,
+               job_row_to_json (item->row, ""));
+  for (guint i = 0; i < item->row->parts->len; i++)
+    {
+      const job_part_t *part = item->row->parts->pdata[i];
+      part_row_t *row = part_row_new (part->first, part->tasks);
+      txn_add_row (txn, ROW_OTHER, NULL, part_key (part->zone, item->id), 0,
+                   part_row_to_json (row, ""));
+      part_row_free (row);
+      note_change (s, txn, part->zone, item->id);
+    }
+}
+
+static void
+add_cancel (sched_t *s, txn_t *txn, front_item_t *item, sched_job_t *job)
+{
+  job_state_t before = job->row->state;
+  job->row->state = JOB_CANCELLING;
+  json_t *value = job_row_to_json (job->row, "");
+  job->row->state = before;
+  job->row_in_txn = true;
+  txn_add_row (txn, ROW_JOB, job, job_key (item->id), job->version, value);
+  for (guint i = 0; i < job->row->parts->len; i++)
+    note_change (s, txn, ((job_part_t *)job->row->parts->pdata[i])->zone,
+                 item->id);
+}
+
+typedef enum
+{
+  ADDED,
+  ANSWERED,
+  LATER
+} added_t;
+
+/* Answers a cancel whose job needs none, adds it, or leaves it for later.  */
+static added_t
+try_cancel (sched_t *s, txn_t *txn, front_item_t *item)
+{
+  sched_job_t *job = g_hash_table_lookup (s->jobs, item->id);
+  bool asked = g_hash_table_size (s->wanted) > 0 || s->reloads_open > 0;
+  if (job == NULL || job->row == NULL)
+    {
+      if (asked)
+        return LATER;
+      answer (s, item, ERR_NOT_FOUND, "no such job");
+      return ANSWERED;
+    }
+  if (job->row_in_txn)
+    return LATER;
+  if (job->row->state == JOB_CANCELLING || job->row->state == JOB_CANCELLED)
+    {
+      answer (s, item, ERR_OK, job_state_name (job->row->state));
+      return ANSWERED;
+    }
+  if (job->row->state != JOB_ACCEPTED)
+    {
+      answer (s, item, ERR_CONFLICT, "the job has already ended");
+      return ANSWERED;
+    }
+  if (!changes_known (s, job->row))
+    return LATER;
+  add_cancel (s, txn, item, job);
+  return ADDED;
+}
+
+/* What the row of a submission that met a conflict says; the caller has read
+   it again.  */
+static added_t
+settle_conflict (sched_t *s, front_item_t *item)
+{
+  const sched_job_t *job = g_hash_table_lookup (s->jobs, item->id);
+  if (item->cancel || job == NULL || job->row == NULL)
+    return LATER;
+  if (strcmp (job->row->submit_id, item->row->submit_id) == 0)
+    answer (s, item, ERR_OK, job_state_name (job->row->state));
+  else
+    answer (s, item, ERR_CONFLICT, "a job with this id exists");
+  return ANSWERED;
+}
+
+static added_t
+try_item (sched_t *s, txn_t *txn, front_item_t *item)
+{
+  if (item->alone)
+    {
+      if (g_hash_table_size (s->wanted) > 0 || s->reloads_open > 0)
+        return LATER;
+      if (settle_conflict (s, item) == ANSWERED)
+        return ANSWERED;
+    }
+  if (item->cancel)
+    return try_cancel (s, txn, item);
+  if (!changes_known (s, item->row))
+    return LATER;
+  add_submission (s, txn, item);
+  return ADDED;
+}
+
+/* Answers an item whose time is up.  One that is part of a transaction under
+   way, or was part of one whose outcome was unknown, may still take effect. */
+static void
+expire (sched_t *s, front_item_t *item, bool unknown)
+{
+  if (unknown || item->ambiguous)
+    answer (s, item, ERR_TIMEOUT, "it is unknown whether this took effect");
+  else if (item->cancel && s->ready)
+    answer (s, item, ERR_QUEUE_FULL, "too many cancels are waiting");
+  else
+    answer (s, item, ERR_STORE_UNAVAILABLE,
+            "the table service does not answer");
+  item->answered = true;
+}
+
+static void
+expire_all (sched_t *s)
+{
+  for (guint i = 0; i < s->front.items->len; i++)
+    {
+      front_item_t *item = s->front.items->pdata[i];
+      if (!item->answered && s->now_ms >= item->deadline_ms)
+        expire (s, item, true);
+    }
+  for (GList *link = s->front_queue.head; link != NULL;)
+    {
+      GList *next = link->next;
+      front_item_t *item = link->data;
+      if (s->now_ms >= item->deadline_ms)
+        {
+          expire (s, item, false);
+          front_item_free (item);
+          g_queue_delete_link (&s->front_queue, link);
+        }
+      link = next;
+    }
+}
+
+/* Rows that a submission or cancel is allowed to use now.  Submissions are
+   starts to be; cancels wait for what the starts leave.  */
+static bool
+may_add (const sched_t *s, const txn_t *txn, const front_item_t *item)
+{
+  double left = s->row_tokens - txn->rows->len;
+  return left >= (item->cancel ? START_RESERVE : 1.0);
+}
+
+void
+front_tick (sched_t *s)
+{
+  txn_t *txn = &s->front;
+  expire_all (s);
+  if (txn->state != TXN_IDLE)
+    return;
+  GQueue later = G_QUEUE_INIT;
+  front_item_t *item;
+  uint32_t tried = 0;
+  while (txn->items->len < GROUP_ITEMS && tried++ < 4 * GROUP_ITEMS
+         && (item = g_queue_peek_head (&s->front_queue)) != NULL)
+    {
+      if (item->alone && txn->items->len > 0)
+        break;
+      if (!may_add (s, txn, item))
+        break;
+      g_queue_pop_head (&s->front_queue);
+      added_t added = try_item (s, txn, item);
+      if (added == ADDED)
+        g_ptr_array_add (txn->items, item);
+      else if (added == ANSWERED)
+        front_item_free (item);
+      else
+        g_queue_push_tail (&later, item);
+      if (added == ADDED && item->alone)
+        break;
+    }
+  while ((item = g_queue_pop_tail (&later)) != NULL)
+    g_queue_push_head (&s->front_queue, item);
+  if (txn->items->len == 0)
+    return;
+  for (guint i = 0; i < txn->rows->len; i++)
+    {
+      txn_row_t *row = &g_array_index (txn->rows, txn_row_t, i);
+      if (row->kind == ROW_CHANGES)
+        row->value = sched_changes_json (row->object, "");
+    }
+  s->row_tokens -= txn->rows->len;
+  txn_send (s, txn);
+}
+
+/* Brings what was committed into memory at once.  */
+static void
+take_committed (sched_t *s, const txn_t *txn)
+{
+  for (guint i = 0; i < txn->rows->len; i++)
+    {
+      const txn_row_t *row = &g_array_index (txn->rows, txn_row_t, i);
+      if (row->kind == ROW_JOB)
+        {
+          sched_job_t *job = row->object;
+          job->row->state = JOB_CANCELLING;
+          job->stopping = true;
+        }
+      else if (row->kind == ROW_OTHER)
+        sched_want_key (s, g_strdup (row->key));
+    }
+}
+
+/* Undoes the changes rows; they are read again after a conflict.  */
+static void
+undo_changes (const txn_t *txn, bool unknown)
+{
+  for (guint i = 0; i < txn->rows->len; i++)
+    {
+      const txn_row_t *row = &g_array_index (txn->rows, txn_row_t, i);
+      if (row->kind != ROW_CHANGES)
+        continue;
+      sched_changes_t *changes = row->object;
+      while (changes->sequence > changes->old_sequence)
+        {
+          g_free (g_queue_pop_tail (&changes->ids));
+          changes->sequence--;
+        }
+      if (unknown)
+        changes->version = -1;
+    }
+}
+
+void
+front_finished (sched_t *s, txn_t *txn, err_kind_t kind, bool done)
+{
+  if (done)
+    take_committed (s, txn);
+  else
+    undo_changes (txn, kind == ERR_CONFLICT);
+  while (txn->items->len > 0)
+    {
+      front_item_t *item
+          = g_ptr_array_steal_index (txn->items, txn->items->len - 1);
+      item->ambiguous = item->ambiguous || txn->ambiguous;
+      if (item->answered)
+        ;
+      else if (done)
+        answer (s, item, ERR_OK, item->cancel ? "cancelling" : "accepted");
+      else if (kind == ERR_CONFLICT)
+        {
+          /* Tried again alone, after the rows have been read.  */
+          item->alone = true;
+          g_queue_push_head (&s->front_queue, item);
+          continue;
+        }
+      else
+        answer (s, item, kind, "the table service does not answer");
+      front_item_free (item);
+    }
+}
--- /dev/null
+++ b/src/sched_int.h
@@ -0,0 +1,431 @@
+#ifndef MAGNOLIADOCK_SCHED_INT_H
+#define MAGNOLIADOCK_SCHED_INT_H
+
+#include "estimate.h"
+#include "explain.h"
+#include "fleet.h"
+#include "gang.h"
+#include "job.h"
+#include "lease.h"
+#include "pack.h"
+#include "pressure.h"
+#include "quota.h"
+#include "sched.h"
+#include "suspect.h"
+
+/* NAME
+     sched_int - state shared by the files of sched
+
+   Only src/sched*.c include this.  In memory every row has one object; the
+   object holds the row's content as last read or committed, plus the changes
+   of the transaction that is under way, which can be undone.  */
+
+#define SCHED_TICK_MS 50
+
+/* What this entry knows of an assigned task beyond its row.  */
+typedef enum
+{
+  PHASE_NONE,
+  PHASE_PLANNED, /* its start is in the transaction under way */
+  PHASE_UNSURE,  /* learned from a row: the worker's next report decides */
+  PHASE_START,   /* committed, to be started */
+  PHASE_RUNNING,
+  PHASE_STALE, /* the worker refuses the start: the next report decides */
+  PHASE_STOP,  /* to be stopped */
+  /* Confirmed; the end is to be written.  */
+  PHASE_ENDED,
+  PHASE_FAILED,
+  PHASE_STOPPED,
+  PHASE_LOST
+} phase_t;
+
+typedef struct sched_worker sched_worker_t;
+typedef struct sched_job sched_job_t;
+
+typedef struct
+{
+  sched_worker_t *worker; /* NULL unless assigned */
+  int64_t since_ms; /* assigned: begin of the phase; waiting: not before */
+  uint32_t generation;
+  uint16_t failures;
+  char state;        /* task_state_t */
+  uint8_t phase;     /* phase_t */
+  uint8_t stop_mode; /* stop_mode_t, in PHASE_STOP */
+  bool call_open;    /* a start or stop is on its way to the worker */
+  bool end_hint;     /* a stop was answered with "ended" */
+  bool stop_due;     /* in PHASE_STOP: to be sent (again) */
+  bool counted;      /* its run counts as a success of its worker */
+  bool preempted;    /* stopped to make room */
+} sched_task_t;
+
+struct sched_job
+{
+  char *id;
+  /* Row job/ID.  */
+  job_row_t *row; /* NULL: not read */
+  int64_t version;
+  bool row_in_txn;
+  /* Row part/ZONE/ID.  */
+  int64_t part_version; /* 0: no part in this zone */
+  bool part_in_txn;
+  uint32_t first, count;
+  sched_task_t *tasks;
+  uint32_t waiting, assigned, done, failed;
+  uint32_t next_waiting; /* no waiting task has a lower index */
+  GPtrArray *failed_on;  /* char * */
+  uint64_t job_stamp, part_stamp;
+  /* Decisions, memory only.  */
+  resource_t size; /* what a new task reserves */
+  int64_t seen_ms; /* when its waiting tasks were first seen */
+  uint16_t team;   /* index in the quota table */
+  bool blocked;    /* found no room in this pass */
+  bool stopping;   /* cancelled or given up: no starts */
+  estimate_t estimate;
+};
+
+/* One line of a worker row.  */
+typedef struct
+{
+  sched_job_t *job;
+  uint32_t number;
+  uint32_t generation;
+  int32_t cpu_millis;
+  int32_t memory_mib;
+  int32_t accelerators;
+  bool freed;    /* its end is confirmed: counts as free for placement */
+  bool reported; /* in the report that is being read */
+} sched_assign_t;
+
+/* A reported task that no row explains yet.  */
+typedef struct
+{
+  char *task;
+  uint32_t generation;
+  uint64_t stamp; /* of the report */
+} sched_unproven_t;
+
+typedef struct
+{
+  char *task;
+  uint32_t generation;
+} sched_ack_t;
+
+struct sched_worker
+{
+  char *id, *rack, *url;
+  uint32_t index; /* in the fleet and in sched->workers */
+  bool listed;
+  sched_instance_state_t state;
+  int64_t incarnation; /* highest seen */
+  int64_t gone_ms;     /* when the list first showed it gone, -1: not */
+  resource_t capacity;
+  /* Row worker/ZONE/ID.  */
+  int64_t version;
+  int64_t row_incarnation;
+  bool in_txn;
+  GArray *assigned; /* sched_assign_t */
+  uint64_t stamp;
+  uint64_t read_stamp; /* when the latest finished read was sent */
+  /* Exchange.  */
+  bool lease_open;
+  int64_t lease_due_ms;
+  int64_t answered_ms; /* -1: never */
+  uint64_t answer_stamp;
+  bool calls_wanted; /* starts or stops are due */
+  GArray *acks;      /* sched_ack_t */
+  GArray *unproven;  /* sched_unproven_t */
+  uint32_t ends;     /* confirmed ends to be written */
+  int64_t end_since_ms;
+  int64_t avoid_until_ms;
+  suspect_t health;
+  uint32_t mark; /* scratch for writing part rows */
+};
+
+typedef enum
+{
+  ROW_JOB,
+  ROW_PART,
+  ROW_WORKER,
+  ROW_CHANGES,
+  ROW_ZONE,
+  ROW_OTHER
+} row_kind_t;
+
+typedef struct
+{
+  row_kind_t kind;
+  void *object; /* sched_job_t, sched_worker_t or sched_changes_t */
+  char *key;
+  int64_t version;
+  json_t *value; /* NULL: only checked, or deleted */
+  bool write;
+} txn_row_t;
+
+typedef enum
+{
+  OP_START,
+  OP_END,
+  OP_JOB_DONE,
+  OP_TASKS_CANCEL,
+  OP_HOLD,
+  OP_DROP /* removes the rows of an ended job or a gone worker */
+} op_kind_t;
+
+typedef struct
+{
+  op_kind_t kind;
+  sched_job_t *job;
+  sched_worker_t *worker;
+  uint32_t index;
+  sched_task_t task;     /* before */
+  sched_assign_t assign; /* before, of an end */
+  job_state_t job_state; /* before */
+  char *reason;          /* before, owned */
+  char *ack;             /* task name to acknowledge, owned, or NULL */
+} op_t;
+
+typedef enum
+{
+  TXN_IDLE,
+  TXN_SENT,
+  TXN_WAIT_READ, /* outcome unknown, read back at retry_ms */
+  TXN_READING,
+  TXN_WAIT_SEND /* sent again, unchanged, at retry_ms */
+} txn_state_t;
+
+/* One group commit.  There are two at a time: that of the duty and that of
+   submissions and cancels.  */
+typedef struct
+{
+  txn_state_t state;
+  uint64_t tag;
+  char *write_id;
+  GArray *rows;     /* txn_row_t */
+  GArray *ops;      /* op_t, duty only */
+  GPtrArray *items; /* front_item_t, front only */
+  bool ambiguous;
+  uint32_t attempts;
+  int64_t retry_ms;
+  bool front;
+} txn_t;
+
+/* Row changes/ZONE/ENTRY: the jobs that this entry made or cancelled last.  */
+typedef struct
+{
+  char *zone;
+  int64_t version; /* -1: not read yet */
+  int64_t sequence;
+  GQueue ids; /* char *, newest last */
+  bool in_txn;
+  int64_t old_sequence;
+} sched_changes_t;
+
+typedef struct
+{
+  bool cancel;
+  void *token;
+  char *id;
+  job_row_t *row; /* of a submission */
+  int64_t deadline_ms;
+  bool alone; /* retried without company after a conflict */
+  bool ambiguous;
+  bool answered; /* its time was up while its transaction is under way */
+} front_item_t;
+
+/* What another zone advertises in zone/ZONE.  */
+typedef struct
+{
+  char *zone;
+  int64_t version;
+  resource_t free, waiting;
+  GArray *shapes; /* zone_shape_t */
+} sched_zone_t;
+
+typedef struct
+{
+  resource_t capacity;
+  uint32_t count;
+} zone_shape_t;
+
+typedef struct
+{
+  char *id, *zone;
+  bool live;
+} sched_entry_t;
+
+typedef enum
+{
+  CALL_RELOAD,
+  CALL_SCAN,
+  CALL_READBACK,
+  CALL_TXN,
+  CALL_START,
+  CALL_LEASE,
+  CALL_STOP
+} call_kind_t;
+
+typedef struct
+{
+  call_kind_t kind;
+  uint64_t stamp;
+  int64_t sent_ms;
+  sched_worker_t *worker;
+  txn_t *txn;
+  GPtrArray *keys; /* char *, of a reload */
+  GArray *items;   /* sched_ack_t: tasks of a start, stop or acknowledgement */
+  uint32_t step;   /* of a scan */
+  int64_t incarnation;
+} call_t;
+
+struct sched
+{
+  char *entry, *zone, *self;
+  const sched_actions_t *actions;
+  void *context;
+  const clk_t *clock;
+  counter_registry_t *registry;
+  const pack_rule_t *rule;
+  GRand *random;
+  int64_t now_ms;
+  uint64_t next_tag, next_write, stamp;
+  GHashTable *calls; /* tag -> call_t */
+
+  GHashTable *jobs; /* id -> sched_job_t */
+  GHashTable *workers_by_id;
+  GPtrArray *workers; /* sched_worker_t, by fleet index */
+  fleet_t fleet;
+  GHashTable *zones;   /* name -> sched_zone_t */
+  GPtrArray *entries;  /* sched_entry_t */
+  GHashTable *changes; /* zone -> sched_changes_t, own */
+  GHashTable *seen;    /* key of a changes row -> int64_t * sequence */
+
+  bool on_duty;
+  bool ready; /* all rows have been read since this became true */
+  bool list_read;
+  bool scanning, scan_wanted;
+  uint64_t scan_stamp;
+  int64_t scan_retry_ms, scan_done_ms, poll_due_ms;
+  bool poll_open;
+  GHashTable *wanted; /* keys to be read */
+  uint32_t reloads_open;
+  int64_t reload_retry_ms;
+
+  txn_t duty, front;
+  GQueue front_queue; /* front_item_t */
+  int64_t plan_retry_ms;
+  uint32_t plan_backoff_ms;
+  double row_tokens;
+  uint32_t rows_per_s;
+  int64_t tokens_ms;
+  double stop_tokens; /* stops of cancelled jobs */
+  int64_t preempt_ms; /* no further preemption before */
+  int64_t zone_row_due_ms;
+  char *zone_text; /* what was advertised last */
+
+  quota_t quota;
+  gang_t gang;
+  explain_t explain;
+  suspect_peers_t peers;
+
+  counter_t *starts, *ends, *commits, *conflicts, *unknowns, *row_writes,
+      *preempted, *orphans;
+  histogram_t *plan_us;
+};
+
+/* sched_rows.c */
+sched_job_t *sched_job_get (sched_t *s, const char *id, bool create);
+void sched_job_free (gpointer data);
+sched_worker_t *sched_worker_get (sched_t *s, const char *id, bool create);
+void sched_worker_free (gpointer data);
+/* Takes a row that was asked for at STAMP into memory, unless what is there is
+   newer or part of a transaction under way.  */
+void sched_row_apply (sched_t *s, const sched_row_t *row, uint64_t stamp);
+void sched_want_key (sched_t *s, char *key);
+sched_changes_t *sched_changes_get (sched_t *s, const char *zone);
+json_t *sched_changes_json (const sched_changes_t *changes,
+                            const char *write_id);
+json_t *sched_part_json (sched_job_t *job, const char *write_id);
+json_t *sched_worker_json (sched_worker_t *worker, const char *write_id);
+/* Recomputes whether placement may use WORKER.  */
+void sched_worker_refresh (sched_t *s, sched_worker_t *worker);
+/* The line of WORKER's row for (JOB, NUMBER, GENERATION), or NULL.  */
+sched_assign_t *sched_assign_find (sched_worker_t *worker,
+                                   const sched_job_t *job, uint32_t number,
+                                   uint32_t generation);
+sched_task_t *sched_task_find (sched_job_t *job, uint32_t number);
+/* Sets a task's state and keeps the job's counts.  */
+void sched_task_state (sched_job_t *job, sched_task_t *task, char state);
+static inline resource_t
+sched_assign_size (const sched_assign_t *assign)
+{
+  resource_t size
+      = { assign->cpu_millis, assign->memory_mib, assign->accelerators };
+  return size;
+}
+char *sched_task_name (const sched_job_t *job, uint32_t index);
+
+/* sched_txn.c */
+void txn_init (txn_t *txn, bool front);
+void txn_clear (txn_t *txn);
+/* Adds a row to be written (or only checked).  */
+void txn_touch_job (txn_t *txn, sched_job_t *job);
+void txn_touch_part (txn_t *txn, sched_job_t *job);
+void txn_touch_worker (txn_t *txn, sched_worker_t *worker);
+txn_row_t *txn_add_row (txn_t *txn, row_kind_t kind, void *object, char *key,
+                        int64_t version, json_t *value);
+void txn_send (sched_t *s, txn_t *txn);
+void txn_tick (sched_t *s, txn_t *txn);
+void txn_ended (sched_t *s, txn_t *txn, err_kind_t kind,
+                const int64_t *versions, uint32_t count);
+void txn_read_back (sched_t *s, txn_t *txn, err_kind_t kind,
+                    const sched_row_t *rows, uint32_t count, uint64_t stamp);
+
+/* sched_ops.c */
+/* Plans the start of task INDEX of JOB on WORKER in the duty transaction.  */
+void op_start (sched_t *s, sched_job_t *job, uint32_t index,
+               sched_worker_t *worker);
+/* Plans the writing of a confirmed end.  Returns false, and asks for the rows
+   again, if the rows in memory do not belong together.  */
+bool op_end (sched_t *s, sched_job_t *job, uint32_t index);
+/* Plans the job row's change when all tasks of the part are over, or refuses
+   it with REASON.  */
+void op_job_done (sched_t *s, sched_job_t *job, job_state_t state,
+                  const char *reason);
+void op_tasks_cancel (sched_t *s, sched_job_t *job);
+void op_hold (sched_t *s, sched_worker_t *worker, bool held);
+void ops_commit (sched_t *s, txn_t *txn);
+void ops_undo (sched_t *s, txn_t *txn);
+void op_clear (gpointer data);
+
+/* sched_plan.c */
+/* Plans one group and sends it.  */
+void plan_tick (sched_t *s);
+/* Plans the start of up to LIMIT tasks on at most WORKER_ROWS workers, without
+   sending anything.  Returns how many were planned.  */
+uint32_t plan_starts (sched_t *s, uint32_t worker_rows, uint32_t limit);
+
+/* sched_zone.c */
+/* Plans the row that advertises this zone's room, if it has changed.  */
+void plan_zone_row (sched_t *s);
+/* Asks for the stop of batch work that the blocked among JOBS may displace. */
+void preempt_for (sched_t *s, const GPtrArray *jobs);
+
+/* sched_work.c */
+void work_tick (sched_t *s);
+void work_end (sched_t *s, sched_job_t *job, sched_task_t *task,
+               phase_t phase);
+/* Asks for the stop of an assigned task.  */
+void work_stop (sched_t *s, sched_job_t *job, sched_task_t *task,
+                stop_mode_t mode);
+
+/* sched_front.c */
+/* Sends the next group of submissions and cancels.  */
+void front_tick (sched_t *s);
+void front_finished (sched_t *s, txn_t *txn, err_kind_t kind, bool committed);
+void front_item_free (gpointer data);
+
+/* sched.c */
+call_t *sched_call_new (sched_t *s, call_kind_t kind, uint64_t *tag);
+void sched_call_free (gpointer data);
+
+#endif
--- /dev/null
+++ b/src/sched_ops.c
@@ -0,0 +1,264 @@
+#include "sched_int.h"
+
+#include <string.h>
+
+void
+op_clear (gpointer data)
+{
+  op_t *op = data;
+  g_free (op->reason);
+  g_free (op->ack);
+}
+
+static op_t *
+add_op (sched_t *s, op_kind_t kind)
+{
+  op_t op = { .kind = kind };
+  g_array_append_val (s->duty.ops, op);
+  return &g_array_index (s->duty.ops, op_t, s->duty.ops->len - 1);
+}
+
+void
+op_start (sched_t *s, sched_job_t *job, uint32_t index, sched_worker_t *worker)
+{
+  sched_task_t *task = &job->tasks[index];
+  op_t *op = add_op (s, OP_START);
+  op->job = job;
+  op->worker = worker;
+  op->index = index;
+  op->task = *task;
+  txn_touch_part (&s->duty, job);
+  txn_touch_worker (&s->duty, worker);
+  task->generation++;
+  task->worker = worker;
+  task->phase = PHASE_PLANNED;
+  task->since_ms = s->now_ms;
+  task->call_open = false;
+  task->end_hint = false;
+  sched_task_state (job, task, TASK_ASSIGNED);
+  sched_assign_t assign = { .job = job,
+                            .number = job->first + index,
+                            .generation = task->generation,
+                            .cpu_millis = (int32_t)job->size.cpu_millis,
+                            .memory_mib = (int32_t)job->size.memory_mib,
+                            .accelerators = (int32_t)job->size.accelerators };
+  g_array_append_val (worker->assigned, assign);
+  fleet_take (&s->fleet, worker->index, job->size);
+}
+
+static void
+remove_assign (sched_t *s, sched_worker_t *worker, sched_assign_t *assign)
+{
+  if (assign->freed)
+    worker->ends--;
+  else
+    fleet_give (&s->fleet, worker->index, sched_assign_size (assign));
+  g_array_remove_index_fast (
+      worker->assigned,
+      (guint)(assign - &g_array_index (worker->assigned, sched_assign_t, 0)));
+}
+
+/* What becomes of a task whose end is confirmed.  */
+static char
+state_after (const sched_job_t *job, const sched_task_t *task)
+{
+  const job_spec_t *spec = job->row->spec;
+  if (task->phase == PHASE_ENDED && spec->kind != JOB_SERVICE)
+    return TASK_ENDED;
+  if (job->stopping)
+    return TASK_CANCELLED;
+  if (task->phase == PHASE_FAILED && spec->max_failures >= 0
+      && task->failures > spec->max_failures)
+    return TASK_FAILED;
+  return TASK_WAITING;
+}
+
+bool
+op_end (sched_t *s, sched_job_t *job, uint32_t index)
+{
+  sched_task_t *task = &job->tasks[index];
+  sched_worker_t *worker = task->worker;
+  sched_assign_t *assign
+      = sched_assign_find (worker, job, job->first + index, task->generation);
+  if (assign == NULL || job->row == NULL)
+    {
+      sched_want_key (s, worker_key (s->zone, worker->id));
+      sched_want_key (s, part_key (s->zone, job->id));
+      sched_want_key (s, job_key (job->id));
+      return false;
+    }
+  op_t *op = add_op (s, OP_END);
+  op->job = job;
+  op->worker = worker;
+  op->index = index;
+  op->task = *task;
+  op->assign = *assign;
+  if (task->phase != PHASE_LOST)
+    op->ack = sched_task_name (job, index);
+  txn_touch_part (&s->duty, job);
+  txn_touch_worker (&s->duty, worker);
+  remove_assign (s, worker, assign);
+  char state = state_after (job, task);
+  bool restart
+      = state == TASK_WAITING
+        && (task->phase == PHASE_FAILED || task->phase == PHASE_ENDED);
+  uint32_t shift = MIN (task->failures, 8);
+  int64_t wait_ms = job->row->spec->backoff_ms << (shift > 0 ? shift - 1 : 0);
+  task->since_ms = restart ? s->now_ms + MIN (wait_ms, 300000) : s->now_ms;
+  task->phase = PHASE_NONE;
+  task->worker = NULL;
+  sched_task_state (job, task, state);
+  return true;
+}
+
+void
+op_tasks_cancel (sched_t *s, sched_job_t *job)
+{
+  for (uint32_t i = 0; i < job->count; i++)
+    {
+      if (job->tasks[i].state != TASK_WAITING)
+        continue;
+      op_t *op = add_op (s, OP_TASKS_CANCEL);
+      op->job = job;
+      op->index = i;
+      op->task = job->tasks[i];
+      txn_touch_part (&s->duty, job);
+      sched_task_state (job, &job->tasks[i], TASK_CANCELLED);
+    }
+}
+
+void
+op_job_done (sched_t *s, sched_job_t *job, job_state_t state,
+             const char *reason)
+{
+  job_part_t *part = job_row_part (job->row, s->zone);
+  op_t *op = add_op (s, OP_JOB_DONE);
+  op->job = job;
+  op->job_state = job->row->state;
+  op->reason = job->row->reason;
+  op->index = part->failed;
+  job->row->reason = g_strdup (reason != NULL ? reason : op->reason);
+  txn_touch_job (&s->duty, job);
+  part->done = true;
+  part->failed = job->failed > 0;
+  bool all = true;
+  for (guint i = 0; i < job->row->parts->len; i++)
+    all = all && ((job_part_t *)job->row->parts->pdata[i])->done;
+  if (!all)
+    return;
+  job->row->state = state;
+  job->row->ended_ms = clk_wall_ms (s->clock);
+}
+
+void
+op_hold (sched_t *s, sched_worker_t *worker, bool held)
+{
+  op_t *op = add_op (s, OP_HOLD);
+  op->worker = worker;
+  txn_touch_worker (&s->duty, worker);
+}
+
+static void
+commit_end (sched_t *s, op_t *op)
+{
+  counter_add (s->ends, 1);
+  if (op->ack == NULL)
+    return;
+  sched_ack_t ack = { .task = op->ack, .generation = op->assign.generation };
+  op->ack = NULL;
+  g_array_append_val (op->worker->acks, ack);
+}
+
+void
+ops_commit (sched_t *s, txn_t *txn)
+{
+  for (guint i = 0; i < txn->ops->len; i++)
+    {
+      op_t *op = &g_array_index (txn->ops, op_t, i);
+      switch (op->kind)
+        {
+        case OP_START:
+          counter_add (s->starts, 1);
+          op->job->tasks[op->index].phase = PHASE_START;
+          op->job->tasks[op->index].since_ms = s->now_ms;
+          op->worker->calls_wanted = true;
+          explain_add (&s->explain, clk_wall_ms (s->clock), op->job->id,
+                       op->job->first + op->index,
+                       op->task.generation > 0 ? "moved" : "placed",
+                       "on worker %s, generation %u, rule %s", op->worker->id,
+                       op->job->tasks[op->index].generation, s->rule->name);
+          break;
+        case OP_END:
+          commit_end (s, op);
+          break;
+        default:
+          break;
+        }
+    }
+}
+
+static void
+undo_start (sched_t *s, op_t *op)
+{
+  sched_task_t *task = &op->job->tasks[op->index];
+  sched_assign_t *assign = sched_assign_find (
+      op->worker, op->job, op->job->first + op->index, task->generation);
+  if (assign != NULL)
+    remove_assign (s, op->worker, assign);
+  sched_task_state (op->job, task, op->task.state);
+  *task = op->task;
+}
+
+static void
+undo_end (sched_t *s, op_t *op)
+{
+  sched_task_t *task = &op->job->tasks[op->index];
+  g_array_append_val (op->worker->assigned, op->assign);
+  if (op->assign.freed)
+    op->worker->ends++;
+  else
+    fleet_take (&s->fleet, op->worker->index, sched_assign_size (&op->assign));
+  sched_task_state (op->job, task, op->task.state);
+  *task = op->task;
+}
+
+static void
+undo_done (sched_t *s, op_t *op)
+{
+  job_part_t *part = job_row_part (op->job->row, s->zone);
+  part->done = false;
+  part->failed = op->index != 0;
+  op->job->row->state = op->job_state;
+  op->job->row->ended_ms = 0;
+  g_free (op->job->row->reason);
+  op->job->row->reason = op->reason;
+  op->reason = NULL;
+}
+
+void
+ops_undo (sched_t *s, txn_t *txn)
+{
+  for (guint i = txn->ops->len; i-- > 0;)
+    {
+      op_t *op = &g_array_index (txn->ops, op_t, i);
+      switch (op->kind)
+        {
+        case OP_START:
+          undo_start (s, op);
+          break;
+        case OP_END:
+          undo_end (s, op);
+          break;
+        case OP_TASKS_CANCEL:
+          sched_task_state (op->job, &op->job->tasks[op->index],
+                            op->task.state);
+          op->job->tasks[op->index] = op->task;
+          break;
+        case OP_JOB_DONE:
+          undo_done (s, op);
+          break;
+        default:
+          break;
+        }
+    }
+}
--- /dev/null
+++ b/src/sched_plan.c
@@ -0,0 +1,616 @@
+#include "sched_int.h"
+
+#include <string.h>
+
+/* A group commit of starts touches at most this many worker rows: 20 groups/s
+   then stay below the table service's several hundred row writes/s.  */
+#define GROUP_WORKERS 11
+/* Ends that no start carries along are written after this time.  */
+#define END_WAIT_MS 1000
+/* Jobs whose rows are closed in one group.  */
+#define GROUP_JOBS 16
+#define PREEMPT_EVERY_MS 250
+#define RESERVE_EVERY_MS 1000
+/* Sizes that found no room in a pass; a job that needs at least as much is not
+   tried.  */
+#define FAILED_SIZES 8
+
+/* The waiting jobs of one class and team, in the order in which they go.  */
+typedef struct
+{
+  class_t class;
+  uint16_t team;
+  guint next, end; /* in pass->jobs */
+} pass_queue_t;
+
+typedef struct
+{
+  sched_t *s;
+  GPtrArray *jobs;
+  GArray *queues; /* pass_queue_t */
+  resource_t failed[FAILED_SIZES];
+  uint32_t failed_count;
+  uint32_t worker_rows;  /* left */
+  bool full;             /* the group may touch no further worker */
+  sched_job_t *rack_job; /* whose tasks rack_tasks counts */
+  GArray *rack_tasks;    /* uint32_t for each rack */
+  /* Of the task that is being placed.  */
+  const sched_job_t *job;
+  int64_t end_ms;
+} pass_t;
+
+static int
+by_turn (gconstpointer a, gconstpointer b)
+{
+  const sched_job_t *first = *(sched_job_t *const *)a;
+  const sched_job_t *second = *(sched_job_t *const *)b;
+  const job_spec_t *one = first->row->spec;
+  const job_spec_t *two = second->row->spec;
+  if (one->class != two->class)
+    return one->class < two->class ? -1 : 1;
+  if (first->team != second->team)
+    return first->team < second->team ? -1 : 1;
+  if (one->priority != two->priority)
+    return one->priority > two->priority ? -1 : 1;
+  if (first->row->created_ms != second->row->created_ms)
+    return first->row->created_ms < second->row->created_ms ? -1 : 1;
+  return strcmp (first->id, second->id);
+}
+
+static bool
+part_open (const sched_t *s, const sched_job_t *job)
+{
+  if (job->row == NULL || job->part_version == 0)
+    return false;
+  const job_part_t *part = job_row_part (job->row, s->zone);
+  return part != NULL && !part->done;
+}
+
+/* Counts what every class and team uses and collects the jobs that wait.  */
+static void
+collect (pass_t *pass)
+{
+  sched_t *s = pass->s;
+  GHashTableIter iter;
+  gpointer value;
+  quota_reset (&s->quota);
+  g_hash_table_iter_init (&iter, s->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      sched_job_t *job = value;
+      if (job->row == NULL || job->count == 0)
+        continue;
+      if (job->assigned > 0)
+        quota_use (&s->quota, job->team, job->row->spec->class, job->size,
+                   job->assigned);
+      if (job->waiting > 0 && !job->stopping && part_open (s, job))
+        g_ptr_array_add (pass->jobs, job);
+    }
+  g_ptr_array_sort (pass->jobs, by_turn);
+  for (guint i = 0; i < pass->jobs->len; i++)
+    {
+      const sched_job_t *job = pass->jobs->pdata[i];
+      pass_queue_t *last = pass->queues->len > 0
+                               ? &g_array_index (pass->queues, pass_queue_t,
+                                                 pass->queues->len - 1)
+                               : NULL;
+      if (last == NULL
+          || last->class != job->row->spec->class || last->team != job->team)
+        {
+          pass_queue_t queue = { .class = job->row->spec->class,
+                                 .team = job->team,
+                                 .next = i,
+                                 .end = i };
+          g_array_append_val (pass->queues, queue);
+          last = &g_array_index (pass->queues, pass_queue_t,
+                                 pass->queues->len - 1);
+        }
+      last->end = i + 1;
+    }
+}
+
+/* The queue that goes next, NULL if none is left.  */
+static pass_queue_t *
+next_queue (pass_t *pass)
+{
+  sched_t *s = pass->s;
+  bool waiting[CLASS_COUNT] = { false };
+  for (guint i = 0; i < pass->queues->len; i++)
+    {
+      const pass_queue_t *queue
+          = &g_array_index (pass->queues, pass_queue_t, i);
+      if (queue->next < queue->end)
+        waiting[queue->class] = true;
+    }
+  class_t class = quota_next_class (&s->quota, waiting, s->fleet.total);
+  pass_queue_t *best = NULL;
+  double lowest = 0.0;
+  for (guint i = 0; class < CLASS_COUNT && i < pass->queues->len; i++)
+    {
+      pass_queue_t *queue = &g_array_index (pass->queues, pass_queue_t, i);
+      if (queue->class != class || queue->next >= queue->end)
+        continue;
+      double share = quota_team_share (&s->quota, queue->team, s->fleet.total);
+      if (best == NULL || share < lowest)
+        {
+          best = queue;
+          lowest = share;
+        }
+    }
+  return best;
+}
+
+static int64_t
+expected_end (const sched_t *s, const sched_job_t *job, int64_t started_ms)
+{
+  if (job->row == NULL || job->row->spec->kind == JOB_SERVICE)
+    return INT64_MAX;
+  return estimate_end_ms (&job->estimate, job->row->spec->run_ms,
+                          s->now_ms - started_ms, s->now_ms);
+}
+
+static bool
+may_use_reserved (void *context, uint32_t worker)
+{
+  const pass_t *pass = context;
+  const gang_t *gang = &pass->s->gang;
+  if (gang->job == NULL || strcmp (gang->job, pass->job->id) == 0)
+    return true;
+  const sched_job_t *owner = g_hash_table_lookup (pass->s->jobs, gang->job);
+  if (owner == NULL || owner->row == NULL
+      || pass->job->row->spec->class < owner->row->spec->class)
+    return true;
+  return gang_may_use (gang, worker, pass->job->size, pass->end_ms);
+}
+
+/* Counts the tasks of a service in each rack.  */
+static void
+count_racks (pass_t *pass, sched_job_t *job)
+{
+  sched_t *s = pass->s;
+  if (pass->rack_job == job)
+    return;
+  pass->rack_job = job;
+  g_array_set_size (pass->rack_tasks, 0);
+  g_array_set_size (pass->rack_tasks, s->fleet.racks->len);
+  for (uint32_t i = 0; i < job->count; i++)
+    if (job->tasks[i].worker != NULL)
+      g_array_index (
+          pass->rack_tasks, uint32_t,
+          fleet_slot (&s->fleet, job->tasks[i].worker->index)->rack)++;
+}
+
+static uint32_t
+rack_limit (const sched_t *s, const sched_job_t *job)
+{
+  uint32_t racks = 0;
+  for (guint i = 0; i < s->fleet.racks->len; i++)
+    racks += g_array_index (s->fleet.racks, fleet_rack_t, i).workers > 0;
+  racks = MAX (racks, 1);
+  return (job->count + racks - 1) / racks + 1;
+}
+
+static int64_t
+choose (pass_t *pass, sched_job_t *job)
+{
+  sched_t *s = pass->s;
+  pass->job = job;
+  pass->end_ms = expected_end (s, job, s->now_ms);
+  pack_limits_t limits
+      = { .may_use_reserved = may_use_reserved, .context = pass };
+  if (job->row->spec->kind == JOB_SERVICE)
+    {
+      count_racks (pass, job);
+      limits.rack_tasks = (const uint32_t *)pass->rack_tasks->data;
+      limits.rack_limit = rack_limit (s, job);
+    }
+  return pack_choose (s->rule, &s->fleet, job->size, &limits);
+}
+
+/* Index of the next task that may start now, job->count if there is none.  */
+static uint32_t
+next_task (const sched_t *s, sched_job_t *job)
+{
+  bool passed = false;
+  for (uint32_t i = job->next_waiting; i < job->count; i++)
+    {
+      if (job->tasks[i].state != TASK_WAITING)
+        continue;
+      if (!passed)
+        job->next_waiting = i;
+      passed = true;
+      if (job->tasks[i].since_ms <= s->now_ms)
+        return i;
+    }
+  return job->count;
+}
+
+/* Plans the writing of all confirmed ends on WORKER.  */
+static bool
+end_worker (sched_t *s, sched_worker_t *worker)
+{
+  for (guint i = worker->assigned->len; worker->ends > 0 && i-- > 0;)
+    {
+      if (i >= worker->assigned->len)
+        continue;
+      const sched_assign_t *assign
+          = &g_array_index (worker->assigned, sched_assign_t, i);
+      if (!assign->freed)
+        continue;
+      sched_job_t *job = assign->job;
+      const sched_task_t *task = sched_task_find (job, assign->number);
+      if (task == NULL || task->worker != worker
+          || task->generation != assign->generation
+          || !op_end (s, job, assign->number - job->first))
+        {
+          sched_want_key (s, worker_key (s->zone, worker->id));
+          sched_want_key (s, part_key (s->zone, job->id));
+          return false;
+        }
+    }
+  return true;
+}
+
+/* Plans one start on worker INDEX of the fleet.  Returns false if the group is
+   full or the worker's row does not fit its tasks.  */
+static bool
+start_on (pass_t *pass, sched_job_t *job, uint32_t task, uint32_t index)
+{
+  sched_t *s = pass->s;
+  sched_worker_t *worker = s->workers->pdata[index];
+  if (!worker->in_txn)
+    {
+      if (pass->worker_rows == 0)
+        {
+          pass->full = true;
+          return false;
+        }
+      pass->worker_rows--;
+    }
+  if (!end_worker (s, worker))
+    {
+      worker->avoid_until_ms = s->now_ms + 2 * SCHED_TICK_MS;
+      sched_worker_refresh (s, worker);
+      return false;
+    }
+  op_start (s, job, task, worker);
+  if (worker->health.held)
+    {
+      worker->health.probing = true;
+      sched_worker_refresh (s, worker);
+    }
+  quota_use (&s->quota, job->team, job->row->spec->class, job->size, 1);
+  gang_used (&s->gang, index, job->size, pass->end_ms);
+  if (pass->rack_job == job)
+    g_array_index (pass->rack_tasks, uint32_t,
+                   fleet_slot (&s->fleet, index)->rack)++;
+  return true;
+}
+
+/* Whether a size that needs no more found no room in this pass.  */
+static bool
+known_to_fail (const pass_t *pass, const sched_job_t *job)
+{
+  for (uint32_t i = 0; i < pass->failed_count; i++)
+    if (resource_fits (pass->failed[i], job->size))
+      return true;
+  return false;
+}
+
+/* Starts one task of JOB.  Returns whether it is to be tried again in this
+   pass.  */
+static bool
+start_one (pass_t *pass, sched_job_t *job)
+{
+  uint32_t task = next_task (pass->s, job);
+  if (task == job->count)
+    return false;
+  if (known_to_fail (pass, job))
+    {
+      job->blocked = true;
+      return false;
+    }
+  int64_t index = choose (pass, job);
+  if (index < 0)
+    {
+      job->blocked = true;
+      /* A service may have been ruled out by its racks, a short job by less
+         than a long one; neither tells about other jobs.  */
+      if (job->row->spec->kind != JOB_SERVICE && pass->s->gang.job == NULL
+          && pass->failed_count < FAILED_SIZES)
+        pass->failed[pass->failed_count++] = job->size;
+      return false;
+    }
+  return start_on (pass, job, task, (uint32_t)index) || !pass->full;
+}
+
+static uint64_t
+room_for (const sched_t *s, resource_t size, uint64_t limit)
+{
+  uint64_t room = 0;
+  for (guint i = 0; i < s->fleet.slots->len && room < limit; i++)
+    {
+      const fleet_slot_t *slot = fleet_slot (&s->fleet, i);
+      if (!slot->usable || !resource_fits (size, fleet_free (&s->fleet, i)))
+        continue;
+      int64_t fit = slot->free_cpu_millis / MAX (size.cpu_millis, 1);
+      fit = MIN (fit, slot->free_memory_mib / MAX (size.memory_mib, 1));
+      if (size.accelerators > 0)
+        fit = MIN (fit, slot->free_accelerators / size.accelerators);
+      room += (uint64_t)fit;
+    }
+  return room;
+}
+
+/* Finds a worker for every waiting task of JOB.  Returns the fleet indices, or
+   NULL if not all of them fit.  */
+static GArray *
+place_all (pass_t *pass, sched_job_t *job)
+{
+  sched_t *s = pass->s;
+  if (room_for (s, job->size, job->waiting) < job->waiting)
+    return NULL;
+  GArray *chosen = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  for (uint32_t i = 0; i < job->waiting; i++)
+    {
+      int64_t index = choose (pass, job);
+      if (index < 0)
+        break;
+      uint32_t worker = (uint32_t)index;
+      fleet_take (&s->fleet, worker, job->size);
+      g_array_append_val (chosen, worker);
+    }
+  for (guint i = 0; i < chosen->len; i++)
+    fleet_give (&s->fleet, g_array_index (chosen, uint32_t, i), job->size);
+  if (chosen->len == job->waiting)
+    return chosen;
+  g_array_unref (chosen);
+  return NULL;
+}
+
+/* Starts all tasks of an all-at-once job, or none.  */
+static bool
+start_all (pass_t *pass, sched_job_t *job)
+{
+  sched_t *s = pass->s;
+  for (uint32_t i = 0; i < job->count; i++)
+    if (job->tasks[i].state == TASK_WAITING
+        && job->tasks[i].since_ms > s->now_ms)
+      return false;
+  GArray *chosen = place_all (pass, job);
+  if (chosen == NULL)
+    {
+      job->blocked = true;
+      return false;
+    }
+  bool good = true;
+  for (guint i = 0; i < chosen->len && good; i++)
+    good = end_worker (s,
+                       s->workers->pdata[g_array_index (chosen, uint32_t, i)]);
+  /* A group that is already partly full must not end up with only some of the
+     tasks, so the row limit does not hold here.  */
+  uint32_t rows_left = pass->worker_rows;
+  for (guint i = 0; i < chosen->len && good; i++)
+    {
+      pass->worker_rows = 1;
+      start_on (pass, job, next_task (s, job),
+                g_array_index (chosen, uint32_t, i));
+    }
+  pass->worker_rows = rows_left > chosen->len ? rows_left - chosen->len : 0;
+  if (good && s->gang.job != NULL && strcmp (s->gang.job, job->id) == 0)
+    gang_drop (&s->gang, &s->fleet);
+  g_array_unref (chosen);
+  return false;
+}
+
+/* When every running task is expected to give back its room.  */
+static GArray *
+releases (sched_t *s)
+{
+  GArray *list = g_array_new (FALSE, FALSE, sizeof (gang_release_t));
+  for (guint i = 0; i < s->workers->len; i++)
+    {
+      const sched_worker_t *worker = s->workers->pdata[i];
+      for (guint j = 0; j < worker->assigned->len; j++)
+        {
+          const sched_assign_t *assign
+              = &g_array_index (worker->assigned, sched_assign_t, j);
+          if (assign->freed)
+            continue;
+          const sched_task_t *task
+              = sched_task_find (assign->job, assign->number);
+          gang_release_t release
+              = { .worker = worker->index,
+                  .size = sched_assign_size (assign),
+                  .end_ms
+                  = expected_end (s, assign->job,
+                                  task != NULL ? task->since_ms : s->now_ms) };
+          g_array_append_val (list, release);
+        }
+    }
+  return list;
+}
+
+/* Keeps the reservation with the all-at-once job that has waited longest
+   without fitting.  */
+static void
+reserve (pass_t *pass)
+{
+  sched_t *s = pass->s;
+  sched_job_t *oldest = NULL;
+  const sched_job_t *holder = s->gang.job != NULL
+                                  ? g_hash_table_lookup (s->jobs, s->gang.job)
+                                  : NULL;
+  bool expired = holder != NULL && s->now_ms >= s->gang.deadline_ms;
+  for (guint i = 0; i < pass->jobs->len; i++)
+    {
+      sched_job_t *job = pass->jobs->pdata[i];
+      if (job->row->spec->kind != JOB_ALL_AT_ONCE || !job->blocked
+          || job->waiting == 0 || (expired && job == holder))
+        continue;
+      if (oldest == NULL || job->row->created_ms < oldest->row->created_ms)
+        oldest = job;
+    }
+  if (oldest == NULL)
+    {
+      if (s->gang.job != NULL)
+        gang_drop (&s->gang, &s->fleet);
+      return;
+    }
+  if (oldest == holder && s->now_ms - s->gang.made_ms < RESERVE_EVERY_MS)
+    return;
+  GArray *list = releases (s);
+  if (gang_reserve (&s->gang, &s->fleet, oldest->id, oldest->size,
+                    oldest->waiting, list, s->now_ms)
+      && oldest != holder)
+    explain_add (&s->explain, clk_wall_ms (s->clock), oldest->id, -1, "waits",
+                 "%u tasks start together, reservation for %" G_GINT64_FORMAT
+                 " ms from now",
+                 oldest->waiting, s->gang.ready_ms - s->now_ms);
+  g_array_unref (list);
+}
+
+uint32_t
+plan_starts (sched_t *s, uint32_t worker_rows, uint32_t limit)
+{
+  pass_t pass = { .s = s,
+                  .jobs = g_ptr_array_new (),
+                  .queues = g_array_new (FALSE, FALSE, sizeof (pass_queue_t)),
+                  .rack_tasks = g_array_new (FALSE, TRUE, sizeof (uint32_t)),
+                  .worker_rows = worker_rows };
+  collect (&pass);
+  guint before = s->duty.ops->len;
+  pass_queue_t *queue;
+  while (!pass.full && s->duty.ops->len - before < limit
+         && (queue = next_queue (&pass)) != NULL)
+    {
+      sched_job_t *job = pass.jobs->pdata[queue->next];
+      job->blocked = false;
+      bool again = job->row->spec->kind == JOB_ALL_AT_ONCE
+                       ? start_all (&pass, job)
+                       : start_one (&pass, job);
+      if (!again && !pass.full)
+        queue->next++;
+    }
+  if (!pass.full)
+    {
+      reserve (&pass);
+      preempt_for (s, pass.jobs);
+    }
+  uint32_t planned = s->duty.ops->len - before;
+  g_ptr_array_unref (pass.jobs);
+  g_array_unref (pass.queues);
+  g_array_unref (pass.rack_tasks);
+  return planned;
+}
+
+static void
+plan_ends (sched_t *s)
+{
+  uint32_t rows = GROUP_WORKERS;
+  for (guint i = 0; i < s->workers->len && rows > 0; i++)
+    {
+      sched_worker_t *worker = s->workers->pdata[i];
+      if (worker->ends == 0 || worker->in_txn
+          || s->now_ms - worker->end_since_ms < END_WAIT_MS)
+        continue;
+      end_worker (s, worker);
+      rows--;
+    }
+}
+
+/* Closes JOB's part if nothing of it is left to do.  Returns whether it did.
+ */
+static bool
+close_job (sched_t *s, sched_job_t *job)
+{
+  if (job->row_in_txn || job->assigned > 0 || !part_open (s, job))
+    return false;
+  if (!job->stopping)
+    {
+      if (job->waiting > 0)
+        return false;
+      op_job_done (s, job, JOB_ENDED,
+                   job->failed > 0 ? "tasks failed too often" : NULL);
+      return true;
+    }
+  bool cancelled = job->row->state != JOB_ACCEPTED;
+  char *reason = NULL;
+  if (!cancelled)
+    reason = g_strdup_printf ("failed on %u healthy workers",
+                              SUSPECT_JOB_WORKERS);
+  op_tasks_cancel (s, job);
+  op_job_done (s, job, cancelled ? JOB_CANCELLED : JOB_ENDED, reason);
+  explain_add (&s->explain, clk_wall_ms (s->clock), job->id, -1, "stopped",
+               "%s", reason != NULL ? reason : "cancelled");
+  g_free (reason);
+  return true;
+}
+
+/* Parts whose last task ends in this group are closed in it.  */
+static void
+plan_touched (sched_t *s)
+{
+  guint rows = s->duty.rows->len;
+  for (guint i = 0; i < rows; i++)
+    {
+      const txn_row_t *row = &g_array_index (s->duty.rows, txn_row_t, i);
+      if (row->kind == ROW_PART)
+        close_job (s, row->object);
+    }
+}
+
+/* Closes jobs and stops what is to be stopped, within the limits that leave
+   room to the starts.  */
+static void
+plan_jobs (sched_t *s)
+{
+  uint32_t jobs = GROUP_JOBS;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, s->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      sched_job_t *job = value;
+      if (!part_open (s, job))
+        continue;
+      if (job->failed_on != NULL && job->failed_on->len >= SUSPECT_JOB_WORKERS)
+        job->stopping = true;
+      bool gang_broken = job->row->spec->kind == JOB_ALL_AT_ONCE
+                         && job->waiting > 0 && job->assigned > 0;
+      if (job->assigned > 0 && (job->stopping || gang_broken))
+        for (uint32_t i = 0; i < job->count && s->stop_tokens >= 1.0; i++)
+          if (job->tasks[i].state == TASK_ASSIGNED
+              && job->tasks[i].phase < PHASE_STOP
+              && job->tasks[i].phase != PHASE_PLANNED)
+            {
+              work_stop (s, job, &job->tasks[i], STOP_GRACEFUL);
+              s->stop_tokens -= 1.0;
+            }
+      if (jobs > 0 && s->row_tokens - s->duty.rows->len >= 2.0
+          && close_job (s, job))
+        jobs--;
+    }
+}
+
+void
+plan_tick (sched_t *s)
+{
+  if (!s->on_duty || !s->ready || s->duty.state != TXN_IDLE
+      || s->now_ms < s->plan_retry_ms || s->row_tokens < 1.0
+      || s->reloads_open > 0 || g_hash_table_size (s->wanted) > 0)
+    return;
+  int64_t begin_ns = clk_now_ns (s->clock);
+  uint32_t rows = (uint32_t)MIN (s->row_tokens, GROUP_WORKERS);
+  plan_starts (s, rows, UINT32_MAX);
+  plan_ends (s);
+  plan_touched (s);
+  plan_jobs (s);
+  plan_zone_row (s);
+  histogram_add (s->plan_us,
+                 (uint64_t)(clk_now_ns (s->clock) - begin_ns) / 1000);
+  if (s->duty.rows->len == 0)
+    return;
+  s->row_tokens -= s->duty.rows->len;
+  txn_send (s, &s->duty);
+}
--- /dev/null
+++ b/src/sched_rows.c
@@ -0,0 +1,556 @@
+#include "sched_int.h"
+
+#include <string.h>
+
+/* Ids kept in a changes row; a reader that fell further behind reads all rows
+   again.  */
+#define CHANGES_KEPT 200
+
+void
+sched_job_free (gpointer data)
+{
+  sched_job_t *job = data;
+  g_free (job->id);
+  job_row_free (job->row);
+  g_free (job->tasks);
+  if (job->failed_on != NULL)
+    g_ptr_array_unref (job->failed_on);
+  g_free (job);
+}
+
+sched_job_t *
+sched_job_get (sched_t *s, const char *id, bool create)
+{
+  sched_job_t *job = g_hash_table_lookup (s->jobs, id);
+  if (job != NULL || !create)
+    return job;
+  job = g_new0 (sched_job_t, 1);
+  job->id = g_strdup (id);
+  job->seen_ms = s->now_ms;
+  g_hash_table_insert (s->jobs, job->id, job);
+  return job;
+}
+
+static void
+ack_clear (gpointer data)
+{
+  sched_ack_t *ack = data;
+  g_free (ack->task);
+}
+
+static void
+unproven_clear (gpointer data)
+{
+  sched_unproven_t *unproven = data;
+  g_free (unproven->task);
+}
+
+void
+sched_worker_free (gpointer data)
+{
+  sched_worker_t *worker = data;
+  g_free (worker->id);
+  g_free (worker->rack);
+  g_free (worker->url);
+  g_array_unref (worker->assigned);
+  g_array_unref (worker->acks);
+  g_array_unref (worker->unproven);
+  g_free (worker);
+}
+
+sched_worker_t *
+sched_worker_get (sched_t *s, const char *id, bool create)
+{
+  sched_worker_t *worker = g_hash_table_lookup (s->workers_by_id, id);
+  if (worker != NULL || !create)
+    return worker;
+  worker = g_new0 (sched_worker_t, 1);
+  worker->id = g_strdup (id);
+  worker->index = fleet_add (&s->fleet);
+  worker->gone_ms = -1;
+  worker->answered_ms = -1;
+  worker->assigned = g_array_new (FALSE, TRUE, sizeof (sched_assign_t));
+  worker->acks = g_array_new (FALSE, TRUE, sizeof (sched_ack_t));
+  g_array_set_clear_func (worker->acks, ack_clear);
+  worker->unproven = g_array_new (FALSE, TRUE, sizeof (sched_unproven_t));
+  g_array_set_clear_func (worker->unproven, unproven_clear);
+  g_ptr_array_add (s->workers, worker);
+  g_hash_table_insert (s->workers_by_id, worker->id, worker);
+  return worker;
+}
+
+void
+sched_worker_refresh (sched_t *s, sched_worker_t *worker)
+{
+  if (!worker->in_txn && worker->assigned->len == 0
+      && worker->row_incarnation < worker->incarnation)
+    worker->row_incarnation = worker->incarnation;
+  bool usable = worker->listed && worker->state == SCHED_LIVE
+                && worker->row_incarnation == worker->incarnation
+                && s->now_ms >= worker->avoid_until_ms
+                && suspect_may_place (&worker->health, s->now_ms);
+  const fleet_slot_t *slot = fleet_slot (&s->fleet, worker->index);
+  if (slot->usable != usable || slot->cpu_millis != worker->capacity.cpu_millis
+      || slot->memory_mib != worker->capacity.memory_mib
+      || slot->accelerators != worker->capacity.accelerators)
+    fleet_set (&s->fleet, worker->index, worker->capacity, worker->rack,
+               usable);
+}
+
+char *
+sched_task_name (const sched_job_t *job, uint32_t index)
+{
+  return g_strdup_printf ("%s/%u", job->id, job->first + index);
+}
+
+sched_task_t *
+sched_task_find (sched_job_t *job, uint32_t number)
+{
+  if (job == NULL || number < job->first || number - job->first >= job->count)
+    return NULL;
+  return &job->tasks[number - job->first];
+}
+
+sched_assign_t *
+sched_assign_find (sched_worker_t *worker, const sched_job_t *job,
+                   uint32_t number, uint32_t generation)
+{
+  for (guint i = 0; i < worker->assigned->len; i++)
+    {
+      sched_assign_t *assign
+          = &g_array_index (worker->assigned, sched_assign_t, i);
+      if (assign->job == job && assign->number == number
+          && assign->generation == generation)
+        return assign;
+    }
+  return NULL;
+}
+
+static uint32_t *
+state_count (sched_job_t *job, char state)
+{
+  switch (state)
+    {
+    case TASK_WAITING:
+      return &job->waiting;
+    case TASK_ASSIGNED:
+      return &job->assigned;
+    case TASK_FAILED:
+      return &job->failed;
+    default:
+      return &job->done;
+    }
+}
+
+void
+sched_task_state (sched_job_t *job, sched_task_t *task, char state)
+{
+  --*state_count (job, task->state);
+  task->state = state;
+  ++*state_count (job, state);
+  uint32_t index = (uint32_t)(task - job->tasks);
+  if (state == TASK_WAITING && index < job->next_waiting)
+    job->next_waiting = index;
+}
+
+void
+sched_want_key (sched_t *s, char *key)
+{
+  g_hash_table_add (s->wanted, key);
+}
+
+/* Whether what is in memory was changed after the read was sent.  */
+static bool
+read_is_late (int64_t known, uint64_t known_stamp, int64_t version,
+              uint64_t stamp)
+{
+  if (version == known)
+    return true;
+  if (version > known)
+    return false;
+  return version > 0 || known_stamp >= stamp;
+}
+
+static void
+apply_job (sched_t *s, const sched_row_t *row, const char *id, uint64_t stamp)
+{
+  sched_job_t *job = sched_job_get (s, id, row->version > 0);
+  if (job == NULL || job->row_in_txn
+      || read_is_late (job->version, job->job_stamp, row->version, stamp))
+    return;
+  job_row_t *parsed = NULL;
+  if (row->version > 0)
+    {
+      parsed = job_row_parse (row->value, NULL);
+      if (parsed == NULL)
+        return;
+    }
+  job_row_free (job->row);
+  job->row = parsed;
+  job->version = row->version;
+  job->job_stamp = ++s->stamp;
+  if (parsed == NULL)
+    return;
+  job->team = quota_team (&s->quota, parsed->spec->team);
+  job->size = estimate_reserve (&job->estimate, parsed->spec->size,
+                                parsed->spec->throttle);
+  job->stopping = parsed->state != JOB_ACCEPTED;
+  /* The part is asked for, since the two rows may have been read apart.  */
+  if (job->part_version == 0 && job_row_part (parsed, s->zone) != NULL
+      && !job_row_part (parsed, s->zone)->done)
+    sched_want_key (s, part_key (s->zone, id));
+}
+
+/* Sets one task from its row; what is known of an unchanged assignment is
+   kept.  */
+static void
+apply_task (sched_t *s, sched_task_t *task, const part_task_t *read,
+            sched_worker_t *worker)
+{
+  bool same = task->state == read->state
+              && task->generation == read->generation
+              && task->worker == worker;
+  task->failures = read->failures;
+  if (same)
+    return;
+  task->state = read->state;
+  task->generation = read->generation;
+  task->worker = worker;
+  task->phase = worker != NULL ? PHASE_UNSURE : PHASE_NONE;
+  task->since_ms = worker != NULL ? s->now_ms : 0;
+  task->call_open = false;
+  task->end_hint = false;
+}
+
+static void
+apply_part_tasks (sched_t *s, sched_job_t *job, const part_row_t *part)
+{
+  if (job->count != part->tasks->len)
+    {
+      job->tasks = g_renew (sched_task_t, job->tasks, part->tasks->len);
+      for (uint32_t i = job->count; i < part->tasks->len; i++)
+        memset (&job->tasks[i], 0, sizeof job->tasks[i]);
+      job->count = part->tasks->len;
+    }
+  job->first = part->first;
+  job->waiting = job->assigned = job->done = job->failed = 0;
+  job->next_waiting = 0;
+  for (uint32_t i = 0; i < job->count; i++)
+    {
+      const part_task_t *read = &g_array_index (part->tasks, part_task_t, i);
+      sched_worker_t *worker = read->worker >= 0 ? sched_worker_get (
+                                   s, part->workers->pdata[read->worker], true)
+                                                 : NULL;
+      apply_task (s, &job->tasks[i], read, worker);
+      ++*state_count (job, job->tasks[i].state);
+    }
+  if (job->failed_on != NULL)
+    g_ptr_array_unref (job->failed_on);
+  job->failed_on
+      = part->failed_on->len > 0 ? g_ptr_array_ref (part->failed_on) : NULL;
+}
+
+static void
+apply_part (sched_t *s, const sched_row_t *row, const char *id, uint64_t stamp)
+{
+  sched_job_t *job = sched_job_get (s, id, row->version > 0);
+  if (job == NULL || job->part_in_txn
+      || read_is_late (job->part_version, job->part_stamp, row->version,
+                       stamp))
+    return;
+  if (row->version == 0)
+    {
+      job->part_version = 0;
+      job->waiting = job->assigned = job->done = job->failed = 0;
+      job->count = 0;
+      g_clear_pointer (&job->tasks, g_free);
+      job->part_stamp = ++s->stamp;
+      return;
+    }
+  part_row_t *part = part_row_parse (row->value, NULL);
+  if (part == NULL)
+    return;
+  apply_part_tasks (s, job, part);
+  part_row_free (part);
+  job->part_version = row->version;
+  job->part_stamp = ++s->stamp;
+  if (job->row == NULL)
+    sched_want_key (s, job_key (id));
+}
+
+static void
+drop_assignments (sched_t *s, sched_worker_t *worker)
+{
+  for (guint i = 0; i < worker->assigned->len; i++)
+    {
+      const sched_assign_t *assign
+          = &g_array_index (worker->assigned, sched_assign_t, i);
+      if (!assign->freed)
+        fleet_give (&s->fleet, worker->index, sched_assign_size (assign));
+    }
+  worker->ends = 0;
+}
+
+static void
+add_assignment (sched_t *s, sched_worker_t *worker,
+                const worker_assignment_t *read, const GArray *before)
+{
+  char id[JOB_ID_MAX + 1];
+  uint32_t number;
+  if (!task_name_split (read->task, id, &number))
+    return;
+  sched_assign_t assign = { .job = sched_job_get (s, id, true),
+                            .number = number,
+                            .generation = read->generation,
+                            .cpu_millis = (int32_t)read->size.cpu_millis,
+                            .memory_mib = (int32_t)read->size.memory_mib,
+                            .accelerators = (int32_t)read->size.accelerators };
+  for (guint i = 0; i < before->len; i++)
+    {
+      const sched_assign_t *old = &g_array_index (before, sched_assign_t, i);
+      if (old->job == assign.job && old->number == number
+          && old->generation == assign.generation)
+        assign.freed = old->freed;
+    }
+  if (assign.freed)
+    worker->ends++;
+  else
+    fleet_take (&s->fleet, worker->index, read->size);
+  g_array_append_val (worker->assigned, assign);
+}
+
+static void
+apply_worker (sched_t *s, const sched_row_t *row, const char *id,
+              uint64_t stamp)
+{
+  sched_worker_t *worker = sched_worker_get (s, id, row->version > 0);
+  if (worker == NULL || worker->in_txn)
+    return;
+  worker->read_stamp = MAX (worker->read_stamp, stamp);
+  if (read_is_late (worker->version, worker->stamp, row->version, stamp))
+    return;
+  worker_row_t *parsed = row->version > 0 ? worker_row_parse (row->value, NULL)
+                                          : worker_row_new (0);
+  if (parsed == NULL)
+    return;
+  GArray *before = worker->assigned;
+  drop_assignments (s, worker);
+  worker->assigned = g_array_sized_new (FALSE, TRUE, sizeof (sched_assign_t),
+                                        parsed->assignments->len);
+  for (guint i = 0; i < parsed->assignments->len; i++)
+    add_assignment (
+        s, worker,
+        &g_array_index (parsed->assignments, worker_assignment_t, i), before);
+  g_array_unref (before);
+  worker->version = row->version;
+  worker->row_incarnation = parsed->incarnation;
+  worker->incarnation = MAX (worker->incarnation, parsed->incarnation);
+  suspect_set_held (&worker->health, parsed->held, s->now_ms);
+  worker->stamp = ++s->stamp;
+  worker_row_free (parsed);
+  sched_worker_refresh (s, worker);
+}
+
+sched_changes_t *
+sched_changes_get (sched_t *s, const char *zone)
+{
+  sched_changes_t *changes = g_hash_table_lookup (s->changes, zone);
+  if (changes != NULL)
+    return changes;
+  changes = g_new0 (sched_changes_t, 1);
+  changes->zone = g_strdup (zone);
+  changes->version = -1;
+  g_queue_init (&changes->ids);
+  g_hash_table_insert (s->changes, changes->zone, changes);
+  return changes;
+}
+
+json_t *
+sched_changes_json (const sched_changes_t *changes, const char *write_id)
+{
+  json_t *ids = json_array ();
+  for (const GList *link = changes->ids.head; link != NULL; link = link->next)
+    json_array_append_new (ids, json_string (link->data));
+  return json_pack ("{s:I,s:o,s:s}", "sequence", (json_int_t)changes->sequence,
+                    "jobs", ids, "write_id", write_id);
+}
+
+/* Takes the row that this entry writes for ZONE.  */
+static void
+apply_own_changes (sched_t *s, const sched_row_t *row, const char *zone)
+{
+  sched_changes_t *changes = sched_changes_get (s, zone);
+  if (changes->in_txn || row->version <= changes->version)
+    return;
+  changes->version = row->version;
+  changes->sequence
+      = json_integer_value (json_object_get (row->value, "sequence"));
+  g_queue_clear_full (&changes->ids, g_free);
+  size_t i;
+  json_t *id;
+  json_array_foreach (json_object_get (row->value, "jobs"), i, id)
+      g_queue_push_tail (&changes->ids, g_strdup (json_string_value (id)));
+}
+
+/* Asks for the rows of the jobs that another entry made or cancelled.  */
+static void
+apply_changes (sched_t *s, const sched_row_t *row)
+{
+  const json_t *ids = json_object_get (row->value, "jobs");
+  int64_t sequence
+      = json_integer_value (json_object_get (row->value, "sequence"));
+  int64_t *seen = g_hash_table_lookup (s->seen, row->key);
+  if (seen == NULL)
+    {
+      seen = g_new0 (int64_t, 1);
+      g_hash_table_insert (s->seen, g_strdup (row->key), seen);
+    }
+  int64_t missed = sequence - *seen;
+  *seen = sequence;
+  if (s->scanning || missed <= 0)
+    return;
+  int64_t count = (int64_t)json_array_size (ids);
+  if (missed > count)
+    s->scan_wanted = true;
+  for (int64_t i = MAX (0, count - missed); i < count; i++)
+    {
+      const char *id = json_string_value (json_array_get (ids, (size_t)i));
+      if (id == NULL || !job_id_valid (id))
+        continue;
+      sched_want_key (s, job_key (id));
+      sched_want_key (s, part_key (s->zone, id));
+    }
+}
+
+static resource_t
+read_resource (const json_t *json)
+{
+  resource_t size
+      = { json_integer_value (json_object_get (json, "cpu_millis")),
+          json_integer_value (json_object_get (json, "memory_mib")),
+          json_integer_value (json_object_get (json, "accelerators")) };
+  return size;
+}
+
+static void
+apply_zone (sched_t *s, const sched_row_t *row, const char *name)
+{
+  sched_zone_t *zone = g_hash_table_lookup (s->zones, name);
+  if (zone == NULL)
+    {
+      zone = g_new0 (sched_zone_t, 1);
+      zone->zone = g_strdup (name);
+      zone->shapes = g_array_new (FALSE, TRUE, sizeof (zone_shape_t));
+      g_hash_table_insert (s->zones, zone->zone, zone);
+    }
+  if (row->version <= zone->version)
+    return;
+  zone->version = row->version;
+  zone->free = read_resource (json_object_get (row->value, "free"));
+  zone->waiting = read_resource (json_object_get (row->value, "waiting"));
+  g_array_set_size (zone->shapes, 0);
+  size_t i;
+  json_t *item;
+  json_array_foreach (json_object_get (row->value, "shapes"), i, item)
+  {
+    zone_shape_t shape = { .capacity = read_resource (item),
+                           .count = (uint32_t)json_integer_value (
+                               json_object_get (item, "count")) };
+    g_array_append_val (zone->shapes, shape);
+  }
+}
+
+/* Returns what follows PREFIX and, if ZONE is set, "ZONE/"; NULL if KEY is of
+   another kind.  */
+static const char *
+after (const char *key, const char *prefix, const char *zone)
+{
+  size_t length = strlen (prefix);
+  if (strncmp (key, prefix, length) != 0)
+    return NULL;
+  key += length;
+  if (zone == NULL)
+    return key;
+  length = strlen (zone);
+  if (strncmp (key, zone, length) != 0 || key[length] != '/')
+    return NULL;
+  return key + length + 1;
+}
+
+void
+sched_row_apply (sched_t *s, const sched_row_t *row, uint64_t stamp)
+{
+  const char *rest;
+  if ((rest = after (row->key, "job/", NULL)) != NULL)
+    apply_job (s, row, rest, stamp);
+  else if ((rest = after (row->key, "part/", s->zone)) != NULL)
+    apply_part (s, row, rest, stamp);
+  else if ((rest = after (row->key, "worker/", s->zone)) != NULL)
+    apply_worker (s, row, rest, stamp);
+  else if ((rest = after (row->key, "zone/", NULL)) != NULL)
+    {
+      if (row->version > 0)
+        apply_zone (s, row, rest);
+    }
+  else if ((rest = after (row->key, "changes/", NULL)) != NULL)
+    {
+      const char *entry = strchr (rest, '/');
+      if (entry == NULL)
+        return;
+      char *zone = g_strndup (rest, (gsize)(entry - rest));
+      if (strcmp (entry + 1, s->entry) == 0)
+        apply_own_changes (s, row, zone);
+      else if (strcmp (zone, s->zone) == 0 && row->version > 0)
+        apply_changes (s, row);
+      g_free (zone);
+    }
+}
+
+json_t *
+sched_part_json (sched_job_t *job, const char *write_id)
+{
+  part_row_t *part = part_row_new (job->first, job->count);
+  for (uint32_t i = 0; i < job->count; i++)
+    if (job->tasks[i].worker != NULL)
+      job->tasks[i].worker->mark = 0;
+  for (uint32_t i = 0; i < job->count; i++)
+    {
+      const sched_task_t *task = &job->tasks[i];
+      part_task_t *out = &g_array_index (part->tasks, part_task_t, i);
+      out->generation = task->generation;
+      out->failures = task->failures;
+      out->state = task->state;
+      if (task->worker == NULL)
+        continue;
+      if (task->worker->mark == 0)
+        {
+          g_ptr_array_add (part->workers, g_strdup (task->worker->id));
+          task->worker->mark = part->workers->len;
+        }
+      out->worker = (int32_t)task->worker->mark - 1;
+    }
+  for (guint i = 0; job->failed_on != NULL && i < job->failed_on->len; i++)
+    g_ptr_array_add (part->failed_on, g_strdup (job->failed_on->pdata[i]));
+  json_t *json = part_row_to_json (part, write_id);
+  part_row_free (part);
+  return json;
+}
+
+json_t *
+sched_worker_json (sched_worker_t *worker, const char *write_id)
+{
+  worker_row_t *row = worker_row_new (worker->row_incarnation);
+  row->held = worker->health.held;
+  for (guint i = 0; i < worker->assigned->len; i++)
+    {
+      const sched_assign_t *assign
+          = &g_array_index (worker->assigned, sched_assign_t, i);
+      char name[JOB_ID_MAX + 16];
+      g_snprintf (name, sizeof name, "%s/%u", assign->job->id, assign->number);
+      worker_row_assign (row, name, assign->generation,
+                         sched_assign_size (assign));
+    }
+  json_t *json = worker_row_to_json (row, write_id);
+  worker_row_free (row);
+  return json;
+}
--- /dev/null
+++ b/src/sched_txn.c
@@ -0,0 +1,384 @@
+#include "sched_int.h"
+
+#include <string.h>
+
+#define RETRY_FIRST_MS 100
+#define RETRY_MAX_MS 2000
+
+static void
+row_clear (gpointer data)
+{
+  txn_row_t *row = data;
+  g_free (row->key);
+  json_decref (row->value);
+}
+
+void
+txn_init (txn_t *txn, bool front)
+{
+  memset (txn, 0, sizeof *txn);
+  txn->front = front;
+  txn->rows = g_array_new (FALSE, TRUE, sizeof (txn_row_t));
+  g_array_set_clear_func (txn->rows, row_clear);
+  txn->ops = g_array_new (FALSE, TRUE, sizeof (op_t));
+  g_array_set_clear_func (txn->ops, op_clear);
+  txn->items = g_ptr_array_new_with_free_func (front_item_free);
+}
+
+void
+txn_clear (txn_t *txn)
+{
+  g_array_unref (txn->rows);
+  g_array_unref (txn->ops);
+  g_ptr_array_unref (txn->items);
+  g_free (txn->write_id);
+}
+
+txn_row_t *
+txn_add_row (txn_t *txn, row_kind_t kind, void *object, char *key,
+             int64_t version, json_t *value)
+{
+  txn_row_t row = { .kind = kind,
+                    .object = object,
+                    .key = key,
+                    .version = version,
+                    .value = value,
+                    .write = true };
+  g_array_append_val (txn->rows, row);
+  return &g_array_index (txn->rows, txn_row_t, txn->rows->len - 1);
+}
+
+void
+txn_touch_job (txn_t *txn, sched_job_t *job)
+{
+  if (job->row_in_txn)
+    return;
+  job->row_in_txn = true;
+  txn_add_row (txn, ROW_JOB, job, job_key (job->id), job->version, NULL);
+}
+
+/* The zone is filled in when the transaction is sent, since every part row of
+   a transaction is of the own zone.  */
+void
+txn_touch_part (txn_t *txn, sched_job_t *job)
+{
+  if (job->part_in_txn)
+    return;
+  job->part_in_txn = true;
+  txn_add_row (txn, ROW_PART, job, NULL, job->part_version, NULL);
+}
+
+void
+txn_touch_worker (txn_t *txn, sched_worker_t *worker)
+{
+  if (worker->in_txn)
+    return;
+  worker->in_txn = true;
+  txn_add_row (txn, ROW_WORKER, worker, NULL, worker->version, NULL);
+}
+
+/* Fills in keys and values of the rows that are written from memory.  */
+static void
+seal (sched_t *s, txn_t *txn)
+{
+  txn->write_id
+      = g_strdup_printf ("%s:%" G_GUINT64_FORMAT, s->self, ++s->next_write);
+  for (guint i = 0; i < txn->rows->len; i++)
+    {
+      txn_row_t *row = &g_array_index (txn->rows, txn_row_t, i);
+      sched_job_t *job = row->object;
+      sched_worker_t *worker = row->object;
+      switch (row->kind)
+        {
+        case ROW_JOB:
+          if (row->value == NULL && row->write)
+            row->value = job_row_to_json (job->row, txn->write_id);
+          break;
+        case ROW_PART:
+          if (row->key == NULL)
+            row->key = part_key (s->zone, job->id);
+          if (row->value == NULL && row->write)
+            row->value = sched_part_json (job, txn->write_id);
+          break;
+        case ROW_WORKER:
+          row->key = worker_key (s->zone, worker->id);
+          row->value = sched_worker_json (worker, txn->write_id);
+          break;
+        default:
+          break;
+        }
+      if (row->value != NULL)
+        json_object_set_new (row->value, "write_id",
+                             json_string (txn->write_id));
+    }
+}
+
+void
+txn_send (sched_t *s, txn_t *txn)
+{
+  if (txn->write_id == NULL)
+    {
+      seal (s, txn);
+      counter_add (s->row_writes, txn->rows->len);
+    }
+  sched_row_t *rows = g_new (sched_row_t, txn->rows->len);
+  sched_row_t *writes = g_new (sched_row_t, txn->rows->len);
+  uint32_t write_count = 0;
+  for (guint i = 0; i < txn->rows->len; i++)
+    {
+      const txn_row_t *row = &g_array_index (txn->rows, txn_row_t, i);
+      rows[i] = (sched_row_t){ row->key, row->version, row->value };
+      if (row->write)
+        writes[write_count++] = rows[i];
+    }
+  uint64_t tag;
+  call_t *call = sched_call_new (s, CALL_TXN, &tag);
+  call->txn = txn;
+  txn->tag = tag;
+  txn->state = TXN_SENT;
+  txn->attempts++;
+  s->actions->txn (s->context, tag, rows, txn->rows->len, writes, write_count);
+  g_free (rows);
+  g_free (writes);
+}
+
+static void
+back_off (sched_t *s, txn_t *txn, txn_state_t state)
+{
+  uint32_t shift = MIN (txn->attempts, 5);
+  int64_t wait_ms = MIN (RETRY_FIRST_MS << shift, RETRY_MAX_MS);
+  txn->retry_ms
+      = s->now_ms
+        + g_rand_int_range (s->random, (gint32)wait_ms / 2, (gint32)wait_ms);
+  txn->state = state;
+}
+
+/* Marks the rows' objects as free and sets their new versions; VERSIONS is
+   NULL when nothing was committed.  */
+static void
+release_rows (sched_t *s, txn_t *txn, const int64_t *versions)
+{
+  uint32_t next = 0;
+  for (guint i = 0; i < txn->rows->len; i++)
+    {
+      const txn_row_t *row = &g_array_index (txn->rows, txn_row_t, i);
+      int64_t version = 0;
+      if (versions != NULL && row->write)
+        version = versions[next++];
+      sched_job_t *job = row->object;
+      sched_worker_t *worker = row->object;
+      sched_changes_t *changes = row->object;
+      switch (row->kind)
+        {
+        case ROW_JOB:
+          job->row_in_txn = false;
+          job->version = version > 0 ? version : job->version;
+          job->job_stamp = ++s->stamp;
+          break;
+        case ROW_PART:
+          job->part_in_txn = false;
+          job->part_version = version > 0 ? version : job->part_version;
+          job->part_stamp = ++s->stamp;
+          break;
+        case ROW_WORKER:
+          worker->in_txn = false;
+          worker->version = version > 0 ? version : worker->version;
+          worker->stamp = ++s->stamp;
+          break;
+        case ROW_CHANGES:
+          changes->in_txn = false;
+          changes->version = version > 0 ? version : changes->version;
+          break;
+        default:
+          break;
+        }
+    }
+}
+
+static void
+finish (sched_t *s, txn_t *txn)
+{
+  g_array_set_size (txn->rows, 0);
+  g_array_set_size (txn->ops, 0);
+  g_ptr_array_set_size (txn->items, 0);
+  g_clear_pointer (&txn->write_id, g_free);
+  txn->state = TXN_IDLE;
+  txn->ambiguous = false;
+  txn->attempts = 0;
+}
+
+static void
+committed (sched_t *s, txn_t *txn, const int64_t *versions)
+{
+  counter_add (s->commits, 1);
+  release_rows (s, txn, versions);
+  if (txn->front)
+    front_finished (s, txn, ERR_OK, true);
+  else
+    {
+      s->plan_backoff_ms = 0;
+      ops_commit (s, txn);
+    }
+  finish (s, txn);
+}
+
+/* Nothing was committed, for KIND.  After a conflict all rows are read
+   again.  */
+static void
+failed (sched_t *s, txn_t *txn, err_kind_t kind)
+{
+  if (!txn->front)
+    ops_undo (s, txn);
+  release_rows (s, txn, NULL);
+  if (kind == ERR_CONFLICT)
+    {
+      counter_add (s->conflicts, 1);
+      for (guint i = 0; i < txn->rows->len; i++)
+        sched_want_key (
+            s, g_strdup (g_array_index (txn->rows, txn_row_t, i).key));
+    }
+  if (txn->front)
+    front_finished (s, txn, kind, false);
+  else
+    {
+      s->plan_backoff_ms
+          = kind == ERR_CONFLICT
+                ? (uint32_t)g_rand_int_range (s->random, 10, 100)
+                : MIN (MAX (s->plan_backoff_ms * 2, RETRY_FIRST_MS),
+                       RETRY_MAX_MS);
+      s->plan_retry_ms = s->now_ms + s->plan_backoff_ms;
+    }
+  finish (s, txn);
+}
+
+void
+txn_ended (sched_t *s, txn_t *txn, err_kind_t kind, const int64_t *versions,
+           uint32_t count)
+{
+  uint32_t writes = 0;
+  for (guint i = 0; i < txn->rows->len; i++)
+    writes += g_array_index (txn->rows, txn_row_t, i).write;
+  if (kind == ERR_OK && count == writes)
+    {
+      committed (s, txn, versions);
+      return;
+    }
+  if (kind == ERR_CONFLICT && !txn->ambiguous)
+    {
+      failed (s, txn, kind);
+      return;
+    }
+  if (kind == ERR_STORE_UNAVAILABLE && !txn->ambiguous)
+    {
+      failed (s, txn, kind);
+      return;
+    }
+  /* After an attempt with unknown outcome a conflict may be with our own
+     write, so only the rows can tell.  */
+  if (!txn->ambiguous)
+    counter_add (s->unknowns, 1);
+  txn->ambiguous = true;
+  if (kind == ERR_STORE_UNAVAILABLE)
+    back_off (s, txn, TXN_WAIT_SEND);
+  else
+    back_off (s, txn, TXN_WAIT_READ);
+}
+
+static void
+send_read (sched_t *s, txn_t *txn)
+{
+  uint64_t tag;
+  call_t *call = sched_call_new (s, CALL_READBACK, &tag);
+  call->txn = txn;
+  txn->state = TXN_READING;
+  const char **keys = g_new (const char *, txn->rows->len);
+  for (guint i = 0; i < txn->rows->len; i++)
+    keys[i] = g_array_index (txn->rows, txn_row_t, i).key;
+  s->actions->read (s->context, tag, keys, txn->rows->len);
+  g_free (keys);
+}
+
+void
+txn_tick (sched_t *s, txn_t *txn)
+{
+  if (s->now_ms < txn->retry_ms)
+    return;
+  if (txn->state == TXN_WAIT_READ)
+    send_read (s, txn);
+  else if (txn->state == TXN_WAIT_SEND)
+    txn_send (s, txn);
+}
+
+/* What the rows say about the transaction: committed, impossible from now on
+   (a checked version has changed), or still undecided.  */
+typedef enum
+{
+  VERDICT_COMMITTED,
+  VERDICT_IMPOSSIBLE,
+  VERDICT_OPEN
+} verdict_t;
+
+static verdict_t
+judge (const txn_t *txn, const sched_row_t *rows, uint32_t count)
+{
+  verdict_t verdict = VERDICT_OPEN;
+  bool drops_only = true;
+  uint32_t gone = 0;
+  for (guint i = 0; i < txn->rows->len && i < count; i++)
+    {
+      const txn_row_t *row = &g_array_index (txn->rows, txn_row_t, i);
+      const char *write_id
+          = json_string_value (json_object_get (rows[i].value, "write_id"));
+      if (write_id != NULL && strcmp (write_id, txn->write_id) == 0)
+        return VERDICT_COMMITTED;
+      if (rows[i].version != row->version)
+        verdict = VERDICT_IMPOSSIBLE;
+      if (row->write && row->value != NULL)
+        drops_only = false;
+      else if (row->write && rows[i].version == 0)
+        gone++;
+    }
+  return drops_only && gone == txn->rows->len ? VERDICT_COMMITTED : verdict;
+}
+
+void
+txn_read_back (sched_t *s, txn_t *txn, err_kind_t kind,
+               const sched_row_t *rows, uint32_t count, uint64_t stamp)
+{
+  if (kind != ERR_OK || count != txn->rows->len)
+    {
+      txn->attempts++;
+      back_off (s, txn, TXN_WAIT_READ);
+      return;
+    }
+  verdict_t verdict = judge (txn, rows, count);
+  if (verdict == VERDICT_OPEN)
+    {
+      /* The first attempt may still arrive.  Sending the same transaction
+         again is harmless: at most one of the two passes its checks.  */
+      back_off (s, txn, TXN_WAIT_SEND);
+      return;
+    }
+  if (verdict == VERDICT_IMPOSSIBLE)
+    {
+      failed (s, txn, ERR_CONFLICT);
+      return;
+    }
+  /* Rows that were overwritten since are read as they are now; until then
+     their old versions make every further transaction on them fail.  */
+  int64_t *versions = g_new0 (int64_t, count);
+  uint32_t next = 0;
+  for (guint i = 0; i < count; i++)
+    {
+      const txn_row_t *row = &g_array_index (txn->rows, txn_row_t, i);
+      const char *write_id
+          = json_string_value (json_object_get (rows[i].value, "write_id"));
+      bool ours = write_id != NULL && strcmp (write_id, txn->write_id) == 0;
+      if (row->write)
+        versions[next++] = ours ? rows[i].version : 0;
+      if (!ours)
+        sched_want_key (s, g_strdup (row->key));
+    }
+  committed (s, txn, versions);
+  g_free (versions);
+}
--- /dev/null
+++ b/src/sched_work.c
@@ -0,0 +1,674 @@
+#include "sched_int.h"
+
+#include <string.h>
+
+/* A worker with a start, a stop or an end that is due is asked sooner.  */
+#define LEASE_SOON_MS 250
+#define CALL_ITEMS_MAX 64
+/* A task that ran this long did not fail because of the worker's start.  */
+#define START_OK_MS 60000
+#define AVOID_MS 5000
+/* A graceful stop or checkpoint that takes longer is forced.  */
+#define STOP_PATIENCE_MS 30000
+
+static void
+item_clear (gpointer data)
+{
+  sched_ack_t *item = data;
+  g_free (item->task);
+}
+
+static call_t *
+worker_call (sched_t *s, call_kind_t kind, sched_worker_t *worker,
+             uint64_t *tag)
+{
+  call_t *call = sched_call_new (s, kind, tag);
+  call->worker = worker;
+  call->incarnation = worker->incarnation;
+  call->items = g_array_new (FALSE, TRUE, sizeof (sched_ack_t));
+  g_array_set_clear_func (call->items, item_clear);
+  return call;
+}
+
+static sched_worker_ref_t
+worker_ref (const sched_worker_t *worker, int64_t incarnation)
+{
+  sched_worker_ref_t ref
+      = { .id = worker->id, .url = worker->url, .incarnation = incarnation };
+  return ref;
+}
+
+static void
+add_item (call_t *call, const sched_job_t *job, uint32_t index,
+          uint32_t generation)
+{
+  sched_ack_t item
+      = { .task = sched_task_name (job, index), .generation = generation };
+  g_array_append_val (call->items, item);
+}
+
+static void
+send_starts (sched_t *s, sched_worker_t *worker)
+{
+  GArray *starts = g_array_new (FALSE, TRUE, sizeof (sched_start_t));
+  uint64_t tag;
+  call_t *call = worker_call (s, CALL_START, worker, &tag);
+  call->incarnation = worker->row_incarnation;
+  for (guint i = 0; i < worker->assigned->len; i++)
+    {
+      const sched_assign_t *assign
+          = &g_array_index (worker->assigned, sched_assign_t, i);
+      sched_job_t *job = assign->job;
+      sched_task_t *task = sched_task_find (job, assign->number);
+      if (task == NULL || task->phase != PHASE_START || task->call_open
+          || task->worker != worker || task->generation != assign->generation
+          || job->row == NULL || job->stopping
+          || starts->len >= CALL_ITEMS_MAX)
+        continue;
+      task->call_open = true;
+      add_item (call, job, assign->number - job->first, assign->generation);
+      sched_start_t start
+          = { .task
+              = g_array_index (call->items, sched_ack_t, starts->len).task,
+              .generation = assign->generation,
+              .job = job->id,
+              .kind = job->row->spec->kind,
+              .size = sched_assign_size (assign),
+              .command = job->row->spec->command,
+              .run_ms = job->row->spec->run_ms };
+      g_array_append_val (starts, start);
+    }
+  worker->calls_wanted |= starts->len >= CALL_ITEMS_MAX;
+  if (starts->len > 0)
+    {
+      sched_worker_ref_t ref = worker_ref (worker, call->incarnation);
+      s->actions->start (s->context, tag, &ref, LEASE_MS,
+                         (const sched_start_t *)starts->data, starts->len);
+    }
+  else
+    g_hash_table_remove (s->calls, &tag);
+  g_array_unref (starts);
+}
+
+static void
+send_stops (sched_t *s, sched_worker_t *worker)
+{
+  GArray *stops = g_array_new (FALSE, TRUE, sizeof (sched_stop_t));
+  uint64_t tag;
+  call_t *call = worker_call (s, CALL_STOP, worker, &tag);
+  call->incarnation = worker->row_incarnation;
+  for (guint i = 0; i < worker->assigned->len; i++)
+    {
+      const sched_assign_t *assign
+          = &g_array_index (worker->assigned, sched_assign_t, i);
+      sched_job_t *job = assign->job;
+      sched_task_t *task = sched_task_find (job, assign->number);
+      if (task == NULL || task->phase != PHASE_STOP || !task->stop_due
+          || task->worker != worker || task->generation != assign->generation
+          || stops->len >= CALL_ITEMS_MAX)
+        continue;
+      task->stop_due = false;
+      add_item (call, job, assign->number - job->first, assign->generation);
+      sched_stop_t stop
+          = { .task
+              = g_array_index (call->items, sched_ack_t, stops->len).task,
+              .generation = assign->generation,
+              .mode = (stop_mode_t)task->stop_mode };
+      g_array_append_val (stops, stop);
+    }
+  worker->calls_wanted |= stops->len >= CALL_ITEMS_MAX;
+  if (stops->len > 0)
+    {
+      sched_worker_ref_t ref = worker_ref (worker, call->incarnation);
+      s->actions->stop (s->context, tag, &ref,
+                        (const sched_stop_t *)stops->data, stops->len);
+    }
+  else
+    g_hash_table_remove (s->calls, &tag);
+  g_array_unref (stops);
+}
+
+static void
+send_lease (sched_t *s, sched_worker_t *worker)
+{
+  uint64_t tag;
+  call_t *call = worker_call (s, CALL_LEASE, worker, &tag);
+  GArray *acks = g_array_new (FALSE, TRUE, sizeof (sched_stop_t));
+  GArray *items = call->items;
+  call->items = worker->acks;
+  worker->acks = items;
+  for (guint i = 0; i < call->items->len; i++)
+    {
+      const sched_ack_t *item = &g_array_index (call->items, sched_ack_t, i);
+      sched_stop_t ack
+          = { .task = item->task, .generation = item->generation };
+      g_array_append_val (acks, ack);
+    }
+  worker->lease_open = true;
+  worker->lease_due_ms = s->now_ms + LEASE_RENEW_MS;
+  sched_worker_ref_t ref = worker_ref (worker, worker->incarnation);
+  s->actions->lease (s->context, tag, &ref, LEASE_MS,
+                     (const sched_stop_t *)acks->data, acks->len);
+  g_array_unref (acks);
+}
+
+static void
+lease_soon (sched_t *s, sched_worker_t *worker, int64_t in_ms)
+{
+  worker->lease_due_ms = MIN (worker->lease_due_ms, s->now_ms + in_ms);
+}
+
+static void
+count_health (sched_t *s, sched_worker_t *worker, bool fail)
+{
+  suspect_peers_t peers = { 0 };
+  if (fail)
+    for (guint i = 0; i < s->workers->len; i++)
+      {
+        const sched_worker_t *other = s->workers->pdata[i];
+        if (other != worker)
+          suspect_count (&other->health, &peers);
+      }
+  if (!suspect_record (&worker->health, fail, &peers, s->now_ms))
+    return;
+  sched_worker_refresh (s, worker);
+  worker->avoid_until_ms = MAX (worker->avoid_until_ms, s->now_ms);
+}
+
+/* Notes a failure of JOB on WORKER.  Only its first healthy worker counts a
+   job's failure, so that one bad job cannot get many workers held back.  */
+static void
+count_failure (sched_t *s, sched_job_t *job, sched_worker_t *worker,
+               int64_t ran_ms)
+{
+  if (ran_ms >= START_OK_MS)
+    return;
+  bool known = false;
+  guint others = 0;
+  if (job->failed_on == NULL)
+    job->failed_on = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < job->failed_on->len; i++)
+    if (strcmp (job->failed_on->pdata[i], worker->id) == 0)
+      known = true;
+    else
+      others++;
+  if (others == 0)
+    count_health (s, worker, true);
+  if (!known && !worker->health.held
+      && job->failed_on->len < SUSPECT_JOB_WORKERS)
+    g_ptr_array_add (job->failed_on, g_strdup (worker->id));
+}
+
+void
+work_end (sched_t *s, sched_job_t *job, sched_task_t *task, phase_t phase)
+{
+  if (task->phase >= PHASE_ENDED || task->phase == PHASE_PLANNED)
+    return;
+  sched_worker_t *worker = task->worker;
+  int64_t ran_ms = s->now_ms - task->since_ms;
+  if (phase == PHASE_FAILED)
+    {
+      task->failures = (uint16_t)MIN (task->failures + 1, UINT16_MAX);
+      count_failure (s, job, worker, ran_ms);
+    }
+  else if (phase == PHASE_ENDED)
+    {
+      if (task->phase == PHASE_RUNNING)
+        estimate_run (&job->estimate, ran_ms);
+      count_health (s, worker, false);
+      g_clear_pointer (&job->failed_on, g_ptr_array_unref);
+    }
+  task->phase = (uint8_t)phase;
+  sched_assign_t *assign = sched_assign_find (
+      worker, job, job->first + (uint32_t)(task - job->tasks),
+      task->generation);
+  if (assign == NULL || assign->freed)
+    return;
+  assign->freed = true;
+  fleet_give (&s->fleet, worker->index, sched_assign_size (assign));
+  if (worker->ends++ == 0)
+    worker->end_since_ms = s->now_ms;
+}
+
+void
+work_stop (sched_t *s, sched_job_t *job, sched_task_t *task, stop_mode_t mode)
+{
+  if (task->state != TASK_ASSIGNED || task->phase >= PHASE_ENDED
+      || task->phase == PHASE_PLANNED || task->phase == PHASE_STOP)
+    return;
+  task->phase = PHASE_STOP;
+  task->stop_mode = (uint8_t)mode;
+  task->call_open = false;
+  task->stop_due = true;
+  task->since_ms = s->now_ms;
+  task->worker->calls_wanted = true;
+}
+
+/* The assigned task called NAME of GENERATION on WORKER, NULL if memory holds
+   none.  */
+static sched_task_t *
+find_assigned (sched_t *s, const sched_worker_t *worker, const char *name,
+               uint32_t generation, sched_job_t **job)
+{
+  char id[JOB_ID_MAX + 1];
+  uint32_t number;
+  if (!task_name_split (name, id, &number))
+    return NULL;
+  *job = g_hash_table_lookup (s->jobs, id);
+  sched_task_t *task = sched_task_find (*job, number);
+  if (task == NULL || task->worker != worker || task->generation != generation
+      || task->phase == PHASE_PLANNED)
+    return NULL;
+  return task;
+}
+
+void
+sched_started (sched_t *s, uint64_t tag, err_kind_t kind,
+               const start_result_t *results, uint32_t count)
+{
+  call_t *call = g_hash_table_lookup (s->calls, &tag);
+  if (call == NULL || call->kind != CALL_START)
+    return;
+  s->now_ms = clk_now_ms (s->clock);
+  sched_worker_t *worker = call->worker;
+  for (guint i = 0; i < call->items->len; i++)
+    {
+      const sched_ack_t *item = &g_array_index (call->items, sched_ack_t, i);
+      sched_job_t *job = NULL;
+      sched_task_t *task
+          = find_assigned (s, worker, item->task, item->generation, &job);
+      if (task == NULL || task->phase != PHASE_START)
+        continue;
+      task->call_open = false;
+      /* Without an answer the next report tells whether it runs.  */
+      if (kind != ERR_OK || i >= count)
+        {
+          task->phase = PHASE_UNSURE;
+          task->since_ms = s->now_ms;
+          continue;
+        }
+      switch (results[i])
+        {
+        case START_RUNNING:
+          task->phase = PHASE_RUNNING;
+          task->since_ms = s->now_ms;
+          break;
+        case START_FAILED:
+          work_end (s, job, task, PHASE_FAILED);
+          break;
+        case START_NO_CAPACITY:
+          worker->avoid_until_ms = s->now_ms + AVOID_MS;
+          sched_want_key (s, worker_key (s->zone, worker->id));
+          work_stop (s, job, task, STOP_NOW);
+          break;
+        default:
+          task->phase = PHASE_STALE;
+          task->since_ms = s->now_ms;
+          break;
+        }
+    }
+  lease_soon (s, worker, kind == ERR_OK ? LEASE_SOON_MS : LEASE_SOON_MS * 4);
+  g_hash_table_remove (s->calls, &tag);
+}
+
+void
+sched_stopped (sched_t *s, uint64_t tag, err_kind_t kind,
+               const stop_result_t *results, uint32_t count)
+{
+  call_t *call = g_hash_table_lookup (s->calls, &tag);
+  if (call == NULL || call->kind != CALL_STOP)
+    return;
+  s->now_ms = clk_now_ms (s->clock);
+  sched_worker_t *worker = call->worker;
+  for (guint i = 0; i < call->items->len; i++)
+    {
+      const sched_ack_t *item = &g_array_index (call->items, sched_ack_t, i);
+      sched_job_t *job = NULL;
+      sched_task_t *task
+          = find_assigned (s, worker, item->task, item->generation, &job);
+      if (task == NULL || task->phase != PHASE_STOP)
+        continue;
+      if (kind != ERR_OK || i >= count)
+        {
+          /* Sent again after the next answer of the worker.  */
+          task->stop_due = true;
+          continue;
+        }
+      if (results[i] == STOP_STOPPED || results[i] == STOP_UNKNOWN)
+        work_end (s, job, task, PHASE_STOPPED);
+      else if (results[i] == STOP_ENDED)
+        /* The next report says how it ended.  */
+        task->end_hint = true;
+    }
+  lease_soon (s, worker, LEASE_SOON_MS);
+  g_hash_table_remove (s->calls, &tag);
+}
+
+/* Handles a reported task that memory does not know as assigned there.  It may
+   have been assigned or ended by another entry, so nothing is done before the
+   worker's row has been read after the report.  */
+static void
+judge_unknown (sched_t *s, sched_worker_t *worker,
+               const sched_report_t *report)
+{
+  sched_unproven_t *unproven = NULL;
+  for (guint i = 0; i < worker->unproven->len; i++)
+    {
+      sched_unproven_t *known
+          = &g_array_index (worker->unproven, sched_unproven_t, i);
+      if (known->generation == report->generation
+          && strcmp (known->task, report->task) == 0)
+        unproven = known;
+    }
+  if (unproven == NULL)
+    {
+      sched_unproven_t entry = { .task = g_strdup (report->task),
+                                 .generation = report->generation,
+                                 .stamp = ++s->stamp };
+      g_array_append_val (worker->unproven, entry);
+    }
+  if (unproven == NULL || worker->read_stamp <= unproven->stamp)
+    {
+      char id[JOB_ID_MAX + 1];
+      uint32_t number;
+      sched_want_key (s, worker_key (s->zone, worker->id));
+      if (task_name_split (report->task, id, &number) && job_id_valid (id))
+        {
+          sched_want_key (s, part_key (s->zone, id));
+          sched_want_key (s, job_key (id));
+        }
+      lease_soon (s, worker, LEASE_SOON_MS);
+      return;
+    }
+  sched_stop_t stop = { .task = report->task,
+                        .generation = report->generation,
+                        .mode = STOP_NOW };
+  if (report->state != REPORT_RUNNING)
+    {
+      sched_ack_t ack = { .task = g_strdup (report->task),
+                          .generation = report->generation };
+      g_array_append_val (worker->acks, ack);
+      return;
+    }
+  counter_add (s->orphans, 1);
+  uint64_t tag;
+  worker_call (s, CALL_STOP, worker, &tag);
+  sched_worker_ref_t ref = worker_ref (worker, worker->incarnation);
+  s->actions->stop (s->context, tag, &ref, &stop, 1);
+}
+
+/* The line of the worker's row that REPORT is about, or NULL.  */
+static sched_assign_t *
+reported_line (sched_t *s, sched_worker_t *worker,
+               const sched_report_t *report)
+{
+  char id[JOB_ID_MAX + 1];
+  uint32_t number;
+  if (!task_name_split (report->task, id, &number))
+    return NULL;
+  const sched_job_t *job = g_hash_table_lookup (s->jobs, id);
+  if (job == NULL)
+    return NULL;
+  return sched_assign_find (worker, job, number, report->generation);
+}
+
+static void
+take_report (sched_t *s, sched_worker_t *worker, const sched_report_t *report)
+{
+  sched_job_t *job = NULL;
+  sched_task_t *task
+      = find_assigned (s, worker, report->task, report->generation, &job);
+  sched_assign_t *line = reported_line (s, worker, report);
+  if (line != NULL)
+    line->reported = true;
+  if (task == NULL)
+    {
+      /* While a transaction on the row is under way memory is ahead.  A line
+         in the worker's row proves that the task belongs there.  */
+      if (worker->in_txn)
+        return;
+      if (line != NULL)
+        sched_want_key (s, part_key (s->zone, line->job->id));
+      else
+        judge_unknown (s, worker, report);
+      return;
+    }
+  switch (report->state)
+    {
+    case REPORT_RUNNING:
+      if (task->phase == PHASE_START || task->phase == PHASE_UNSURE
+          || task->phase == PHASE_STALE)
+        {
+          task->phase = PHASE_RUNNING;
+          task->since_ms = s->now_ms;
+        }
+      if (!task->counted && task->phase == PHASE_RUNNING
+          && s->now_ms - task->since_ms >= START_OK_MS)
+        {
+          task->counted = true;
+          count_health (s, worker, false);
+        }
+      estimate_usage (&job->estimate, report->memory_mib,
+                      report->usage_age_ms);
+      break;
+    case REPORT_ENDED:
+      work_end (s, job, task, PHASE_ENDED);
+      break;
+    case REPORT_FAILED:
+      work_end (s, job, task, PHASE_FAILED);
+      break;
+    case REPORT_STOPPED:
+      work_end (s, job, task, PHASE_STOPPED);
+      break;
+    }
+}
+
+/* Handles an assigned task that a report did not list.  */
+static void
+take_absence (sched_t *s, sched_worker_t *worker, sched_job_t *job,
+              sched_task_t *task)
+{
+  switch (task->phase)
+    {
+    case PHASE_UNSURE:
+    case PHASE_RUNNING:
+      task->phase = PHASE_START;
+      task->since_ms = s->now_ms;
+      worker->calls_wanted = true;
+      break;
+    case PHASE_STALE:
+      work_end (s, job, task, PHASE_LOST);
+      break;
+    case PHASE_STOP:
+      if (task->end_hint)
+        work_end (s, job, task, PHASE_ENDED);
+      else
+        task->stop_due = true;
+      break;
+    default:
+      break;
+    }
+}
+
+static bool
+report_lists (const sched_report_t *reports, uint32_t count, const char *name,
+              uint32_t generation)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (reports[i].generation == generation
+        && strcmp (reports[i].task, name) == 0)
+      return true;
+  return false;
+}
+
+static void
+take_absences (sched_t *s, sched_worker_t *worker, int64_t sent_ms)
+{
+  for (guint i = 0; i < worker->assigned->len; i++)
+    {
+      const sched_assign_t *assign
+          = &g_array_index (worker->assigned, sched_assign_t, i);
+      sched_task_t *task = sched_task_find (assign->job, assign->number);
+      if (task == NULL || task->worker != worker || task->call_open
+          || task->generation != assign->generation
+          || task->phase == PHASE_PLANNED || task->phase >= PHASE_ENDED
+          || task->phase == PHASE_START)
+        continue;
+      /* A message that left before the phase began says nothing about it.  */
+      if (task->since_ms >= sent_ms && task->phase != PHASE_STOP)
+        continue;
+      if (!assign->reported)
+        take_absence (s, worker, assign->job, task);
+    }
+}
+
+/* Sends again what is due after an answer of the worker, and asks early when
+   the next end is expected, so that its room is noticed.  */
+static void
+follow_up (sched_t *s, sched_worker_t *worker, const sched_job_t *job,
+           sched_task_t *task)
+{
+  switch (task->phase)
+    {
+    case PHASE_START:
+      if (!task->call_open)
+        worker->calls_wanted = true;
+      break;
+    case PHASE_STOP:
+      if (s->now_ms - task->since_ms > STOP_PATIENCE_MS
+          && task->stop_mode != STOP_NOW)
+        {
+          task->stop_mode = STOP_NOW;
+          task->stop_due = true;
+        }
+      if (task->stop_due)
+        worker->calls_wanted = true;
+      lease_soon (s, worker, LEASE_SOON_MS);
+      break;
+    case PHASE_STALE:
+    case PHASE_UNSURE:
+      lease_soon (s, worker, LEASE_SOON_MS);
+      break;
+    case PHASE_RUNNING:
+      if (job->row != NULL && job->row->spec->run_ms > 0)
+        lease_soon (s, worker,
+                    CLAMP (task->since_ms + job->row->spec->run_ms - s->now_ms,
+                           LEASE_SOON_MS, LEASE_RENEW_MS));
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+follow_up_all (sched_t *s, sched_worker_t *worker)
+{
+  for (guint i = 0; i < worker->assigned->len; i++)
+    {
+      const sched_assign_t *assign
+          = &g_array_index (worker->assigned, sched_assign_t, i);
+      sched_task_t *task = sched_task_find (assign->job, assign->number);
+      if (task != NULL && task->worker == worker && !assign->freed)
+        follow_up (s, worker, assign->job, task);
+    }
+}
+
+/* Keeps only what the last report still lists.  */
+static void
+prune_unproven (sched_worker_t *worker, const sched_report_t *reports,
+                uint32_t count)
+{
+  for (guint i = worker->unproven->len; i-- > 0;)
+    {
+      const sched_unproven_t *known
+          = &g_array_index (worker->unproven, sched_unproven_t, i);
+      if (!report_lists (reports, count, known->task, known->generation))
+        g_array_remove_index_fast (worker->unproven, i);
+    }
+}
+
+/* Nothing of an older incarnation runs any more.  */
+static void
+lose_all (sched_t *s, sched_worker_t *worker)
+{
+  for (guint i = 0; i < worker->assigned->len; i++)
+    {
+      const sched_assign_t *assign
+          = &g_array_index (worker->assigned, sched_assign_t, i);
+      sched_task_t *task = sched_task_find (assign->job, assign->number);
+      if (task != NULL && task->worker == worker
+          && task->generation == assign->generation)
+        work_end (s, assign->job, task, PHASE_LOST);
+    }
+}
+
+void
+sched_leased (sched_t *s, uint64_t tag, err_kind_t kind, int64_t incarnation,
+              const sched_report_t *reports, uint32_t count)
+{
+  call_t *call = g_hash_table_lookup (s->calls, &tag);
+  if (call == NULL || call->kind != CALL_LEASE)
+    return;
+  s->now_ms = clk_now_ms (s->clock);
+  sched_worker_t *worker = call->worker;
+  worker->lease_open = false;
+  int64_t sent_ms = call->sent_ms;
+  if (kind != ERR_OK)
+    {
+      /* The acknowledgements may not have arrived.  */
+      for (guint i = 0; i < call->items->len; i++)
+        {
+          sched_ack_t *item = &g_array_index (call->items, sched_ack_t, i);
+          sched_ack_t ack
+              = { .task = item->task, .generation = item->generation };
+          item->task = NULL;
+          g_array_append_val (worker->acks, ack);
+        }
+      lease_soon (s, worker, LEASE_SOON_MS * 4);
+    }
+  else
+    {
+      worker->answered_ms = s->now_ms;
+      worker->incarnation = MAX (worker->incarnation, incarnation);
+      if (s->ready && incarnation == worker->row_incarnation)
+        {
+          for (guint i = 0; i < worker->assigned->len; i++)
+            g_array_index (worker->assigned, sched_assign_t, i).reported
+                = false;
+          for (uint32_t i = 0; i < count; i++)
+            take_report (s, worker, &reports[i]);
+          take_absences (s, worker, sent_ms);
+          prune_unproven (worker, reports, count);
+          follow_up_all (s, worker);
+        }
+    }
+  g_hash_table_remove (s->calls, &tag);
+}
+
+void
+work_tick (sched_t *s)
+{
+  for (guint i = 0; i < s->workers->len; i++)
+    {
+      sched_worker_t *worker = s->workers->pdata[i];
+      sched_worker_refresh (s, worker);
+      if (s->ready && worker->assigned->len > 0)
+        {
+          lease_holder_t holder = { .held_in = worker->row_incarnation,
+                                    .incarnation = worker->incarnation,
+                                    .gone_since_ms = worker->gone_ms };
+          if (lease_may_move (&holder, s->now_ms))
+            lose_all (s, worker);
+        }
+      if (!worker->listed || worker->state == SCHED_GONE)
+        continue;
+      if (!worker->lease_open && s->now_ms >= worker->lease_due_ms)
+        send_lease (s, worker);
+      if (worker->calls_wanted && s->ready)
+        {
+          worker->calls_wanted = false;
+          send_starts (s, worker);
+          send_stops (s, worker);
+        }
+    }
+}
--- /dev/null
+++ b/src/sched_zone.c
@@ -0,0 +1,222 @@
+#include "sched_int.h"
+
+#include <string.h>
+
+#define ZONE_ROW_EVERY_MS 5000
+#define PREEMPT_EVERY_MS 250
+#define PREEMPT_MAX 32
+
+static void
+add_shape (GArray *shapes, resource_t capacity)
+{
+  for (guint i = 0; i < shapes->len; i++)
+    {
+      zone_shape_t *shape = &g_array_index (shapes, zone_shape_t, i);
+      if (memcmp (&shape->capacity, &capacity, sizeof capacity) == 0)
+        {
+          shape->count++;
+          return;
+        }
+    }
+  zone_shape_t shape = { .capacity = capacity, .count = 1 };
+  g_array_append_val (shapes, shape);
+}
+
+static json_t *
+zone_json (sched_t *s)
+{
+  GArray *shapes = g_array_new (FALSE, FALSE, sizeof (zone_shape_t));
+  resource_t free = { 0 };
+  for (guint i = 0; i < s->workers->len; i++)
+    {
+      const sched_worker_t *worker = s->workers->pdata[i];
+      if (!worker->listed || worker->state == SCHED_GONE)
+        continue;
+      add_shape (shapes, worker->capacity);
+      if (fleet_slot (&s->fleet, i)->usable)
+        free = resource_add (free, fleet_free (&s->fleet, i));
+    }
+  resource_t waiting = { 0 };
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, s->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const sched_job_t *job = value;
+      if (job->row == NULL || job->stopping)
+        continue;
+      waiting.cpu_millis += job->size.cpu_millis * job->waiting;
+      waiting.memory_mib += job->size.memory_mib * job->waiting;
+      waiting.accelerators += job->size.accelerators * job->waiting;
+    }
+  json_t *list = json_array ();
+  for (guint i = 0; i < shapes->len; i++)
+    {
+      const zone_shape_t *shape = &g_array_index (shapes, zone_shape_t, i);
+      json_t *item = resource_to_json (shape->capacity);
+      json_object_set_new (item, "count", json_integer (shape->count));
+      json_array_append_new (list, item);
+    }
+  g_array_unref (shapes);
+  return json_pack ("{s:o,s:o,s:o}", "free", resource_to_json (free),
+                    "waiting", resource_to_json (waiting), "shapes", list);
+}
+
+void
+plan_zone_row (sched_t *s)
+{
+  if (s->now_ms < s->zone_row_due_ms || !s->list_read)
+    return;
+  s->zone_row_due_ms = s->now_ms + ZONE_ROW_EVERY_MS;
+  json_t *json = zone_json (s);
+  char *text = json_dumps (json, JSON_SORT_KEYS | JSON_COMPACT);
+  if (s->zone_text != NULL && strcmp (text, s->zone_text) == 0)
+    {
+      free (text);
+      json_decref (json);
+      return;
+    }
+  g_free (s->zone_text);
+  s->zone_text = g_strdup (text);
+  free (text);
+  const sched_zone_t *zone = g_hash_table_lookup (s->zones, s->zone);
+  txn_add_row (&s->duty, ROW_ZONE, NULL, g_strconcat ("zone/", s->zone, NULL),
+               zone != NULL ? zone->version : 0, json);
+}
+
+/* Preemption.  */
+
+/* Whether TASK of JOB is running batch work that WANTS may take room from.  */
+static bool
+is_victim (const sched_t *s, const sched_job_t *wants, const sched_job_t *job,
+           const sched_task_t *task)
+{
+  return job->row != NULL && job->row->spec->kind == JOB_BATCH
+         && !job->stopping && task->phase == PHASE_RUNNING
+         && quota_may_preempt (&s->quota, wants->row->spec->class,
+                               job->row->spec->class, s->fleet.total);
+}
+
+/* Room on WORKER if all possible victims were stopped.  *VICTIMS receives
+   their number.  */
+static resource_t
+room_after (const sched_t *s, const sched_job_t *wants,
+            const sched_worker_t *worker, uint32_t *victims)
+{
+  resource_t room = fleet_free (&s->fleet, worker->index);
+  *victims = 0;
+  for (guint i = 0; i < worker->assigned->len; i++)
+    {
+      const sched_assign_t *assign
+          = &g_array_index (worker->assigned, sched_assign_t, i);
+      const sched_task_t *task = sched_task_find (assign->job, assign->number);
+      if (task == NULL || task->worker != worker || assign->freed
+          || !is_victim (s, wants, assign->job, task))
+        continue;
+      room = resource_add (room, sched_assign_size (assign));
+      ++*victims;
+    }
+  return room;
+}
+
+/* Checkpoints tasks on WORKER, least urgent first, until WANTS fits.  */
+static void
+preempt_on (sched_t *s, sched_job_t *wants, sched_worker_t *worker)
+{
+  resource_t room = fleet_free (&s->fleet, worker->index);
+  while (!resource_fits (wants->size, room))
+    {
+      sched_assign_t *next = NULL;
+      for (guint i = 0; i < worker->assigned->len; i++)
+        {
+          sched_assign_t *assign
+              = &g_array_index (worker->assigned, sched_assign_t, i);
+          const sched_task_t *task
+              = sched_task_find (assign->job, assign->number);
+          if (task == NULL || task->worker != worker || assign->freed
+              || !is_victim (s, wants, assign->job, task))
+            continue;
+          if (next == NULL
+              || assign->job->row->spec->class > next->job->row->spec->class)
+            next = assign;
+        }
+      if (next == NULL)
+        return;
+      sched_task_t *task = sched_task_find (next->job, next->number);
+      room = resource_add (room, sched_assign_size (next));
+      work_stop (s, next->job, task, STOP_CHECKPOINT);
+      task->preempted = true;
+      counter_add (s->preempted, 1);
+      explain_add (&s->explain, clk_wall_ms (s->clock), next->job->id,
+                   next->number, "preempted",
+                   "checkpointed on worker %s for %s job %s", worker->id,
+                   job_class_name (wants->row->spec->class), wants->id);
+    }
+}
+
+/* Preempted tasks whose stop is not confirmed yet.  */
+static uint32_t
+preempting (const sched_t *s)
+{
+  uint32_t count = 0;
+  for (guint i = 0; i < s->workers->len; i++)
+    {
+      const sched_worker_t *worker = s->workers->pdata[i];
+      for (guint j = 0; j < worker->assigned->len; j++)
+        {
+          const sched_assign_t *assign
+              = &g_array_index (worker->assigned, sched_assign_t, j);
+          const sched_task_t *task
+              = sched_task_find (assign->job, assign->number);
+          count
+              += task != NULL && task->phase == PHASE_STOP && task->preempted;
+        }
+    }
+  return count;
+}
+
+void
+preempt_for (sched_t *s, const GPtrArray *jobs)
+{
+  if (s->now_ms < s->preempt_ms)
+    return;
+  s->preempt_ms = s->now_ms + PREEMPT_EVERY_MS;
+  uint32_t open = UINT32_MAX;
+  for (guint i = 0; i < jobs->len; i++)
+    {
+      sched_job_t *wants = jobs->pdata[i];
+      if (!wants->blocked || wants->waiting == 0
+          || wants->row->spec->kind == JOB_ALL_AT_ONCE)
+        continue;
+      bool possible = false;
+      for (class_t class = 0; class < CLASS_COUNT; class ++)
+        possible = possible
+                   || quota_may_preempt (&s->quota, wants->row->spec->class,
+                                         class, s->fleet.total);
+      if (!possible)
+        continue;
+      if (open == UINT32_MAX)
+        open = preempting (s);
+      for (uint32_t n = 0; n < wants->waiting && open < PREEMPT_MAX; n++)
+        {
+          sched_worker_t *best = NULL;
+          uint32_t fewest = UINT32_MAX;
+          for (guint j = 0; j < s->workers->len; j++)
+            {
+              sched_worker_t *worker = s->workers->pdata[j];
+              uint32_t victims;
+              if (!fleet_slot (&s->fleet, j)->usable
+                  || !resource_fits (wants->size,
+                                     room_after (s, wants, worker, &victims))
+                  || victims == 0 || victims >= fewest)
+                continue;
+              best = worker;
+              fewest = victims;
+            }
+          if (best == NULL)
+            break;
+          preempt_on (s, wants, best);
+          open += MAX (fewest, 1);
+        }
+    }
+}
