--- /dev/null
+++ b/tests/fake_world.c
@@ -0,0 +1,826 @@
+#include "fake_world.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define TIMEOUT_MS 2000
+
+typedef enum
+{
+  MESSAGE_READ,
+  MESSAGE_SCAN,
+  MESSAGE_TXN,
+  MESSAGE_START,
+  MESSAGE_LEASE,
+  MESSAGE_STOP
+} message_kind_t;
+
+typedef struct
+{
+  message_kind_t kind;
+  uint32_t entry;
+  int64_t entry_incarnation;
+  uint64_t tag;
+  int64_t effect_ms; /* takes effect then, -1: has taken or never will */
+  int64_t reply_ms;  /* answered then, -1: has been */
+  int64_t again_ms;  /* takes effect a second time then, -1 */
+  bool timed_out;    /* the answer is that it timed out */
+  /* Request.  */
+  GPtrArray *keys;
+  GArray *checks, *writes; /* sched_row_t with own keys and values */
+  uint32_t worker;
+  int64_t incarnation, lease_ms;
+  GArray *items; /* fake_item_t */
+  /* Answer.  */
+  err_kind_t result;
+  GArray *rows; /* sched_row_t with own keys and values */
+  GArray *versions;
+  GArray *codes;   /* uint32_t */
+  GArray *reports; /* sched_report_t with own names */
+} fake_message_t;
+
+typedef struct
+{
+  char *task;
+  uint32_t generation;
+  stop_mode_t mode;
+  resource_t size;
+  job_kind_t kind;
+  int64_t run_ms;
+  bool fails;
+} fake_item_t;
+
+static int64_t
+now_of (const fake_world_t *world)
+{
+  return clk_to_ms (world->clock.now);
+}
+
+static bool
+chance (fake_world_t *world, uint32_t percent)
+{
+  return (uint32_t)g_rand_int_range (world->random, 0, 100) < percent;
+}
+
+static void
+violation (fake_world_t *world, const char *what, const char *task)
+{
+  if (world->violations++ == 0)
+    g_snprintf (world->first, sizeof world->first, "%s: %s at %ld ms", what,
+                task, (long)now_of (world));
+}
+
+static void
+row_clear (gpointer data)
+{
+  sched_row_t *row = data;
+  g_free ((char *)row->key);
+  json_decref (row->value);
+}
+
+static void
+item_clear (gpointer data)
+{
+  g_free (((fake_item_t *)data)->task);
+}
+
+static void
+report_clear (gpointer data)
+{
+  g_free ((char *)((sched_report_t *)data)->task);
+}
+
+static GArray *
+new_list (guint size, GDestroyNotify clear)
+{
+  GArray *list = g_array_new (FALSE, TRUE, size);
+  if (clear != NULL)
+    g_array_set_clear_func (list, clear);
+  return list;
+}
+
+static void
+message_free (gpointer data)
+{
+  fake_message_t *message = data;
+  if (message->keys != NULL)
+    g_ptr_array_unref (message->keys);
+  g_array_unref (message->checks);
+  g_array_unref (message->writes);
+  g_array_unref (message->items);
+  g_array_unref (message->rows);
+  g_array_unref (message->versions);
+  g_array_unref (message->codes);
+  g_array_unref (message->reports);
+  g_free (message);
+}
+
+static fake_message_t *
+send_message (fake_entry_t *entry, message_kind_t kind, uint64_t tag)
+{
+  fake_world_t *world = entry->world;
+  const fake_faults_t *faults = &world->faults;
+  fake_message_t *message = g_new0 (fake_message_t, 1);
+  int64_t now_ms = now_of (world);
+  message->kind = kind;
+  message->entry = entry->index;
+  message->entry_incarnation = entry->incarnation;
+  message->tag = tag;
+  message->checks = new_list (sizeof (sched_row_t), row_clear);
+  message->writes = new_list (sizeof (sched_row_t), row_clear);
+  message->items = new_list (sizeof (fake_item_t), item_clear);
+  message->rows = new_list (sizeof (sched_row_t), row_clear);
+  message->versions = new_list (sizeof (int64_t), NULL);
+  message->codes = new_list (sizeof (uint32_t), NULL);
+  message->reports = new_list (sizeof (sched_report_t), report_clear);
+  int64_t delay_ms
+      = g_rand_int_range (world->random, 1, (gint32)faults->delay_ms + 1);
+  message->effect_ms = now_ms + delay_ms;
+  message->reply_ms
+      = message->effect_ms
+        + g_rand_int_range (world->random, 1, (gint32)faults->delay_ms + 1);
+  message->again_ms = -1;
+  if (chance (world, faults->lost_percent))
+    {
+      message->effect_ms = -1;
+      message->timed_out = true;
+    }
+  else if (chance (world, faults->reply_lost_percent))
+    message->timed_out = true;
+  else if (chance (world, faults->late_percent))
+    {
+      message->timed_out = true;
+      message->effect_ms
+          = now_ms + TIMEOUT_MS + g_rand_int_range (world->random, 0, 20000);
+    }
+  if (kind >= MESSAGE_START && chance (world, faults->twice_percent))
+    message->again_ms = now_ms + g_rand_int_range (world->random, 0, 20000);
+  if (message->timed_out)
+    message->reply_ms = now_ms + TIMEOUT_MS;
+  g_queue_push_tail (&world->messages, message);
+  return message;
+}
+
+static void
+act_read (void *context, uint64_t tag, const char *const *keys, uint32_t count)
+{
+  fake_message_t *message = send_message (context, MESSAGE_READ, tag);
+  message->keys = g_ptr_array_new_with_free_func (g_free);
+  for (uint32_t i = 0; i < count; i++)
+    g_ptr_array_add (message->keys, g_strdup (keys[i]));
+}
+
+static void
+act_scan (void *context, uint64_t tag, const char *prefix)
+{
+  act_read (context, tag, &prefix, 1);
+  fake_entry_t *entry = context;
+  ((fake_message_t *)g_queue_peek_tail (&entry->world->messages))->kind
+      = MESSAGE_SCAN;
+}
+
+static void
+copy_rows (GArray *to, const sched_row_t *rows, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      sched_row_t row
+          = { .key = g_strdup (rows[i].key),
+              .version = rows[i].version,
+              .value = rows[i].value != NULL ? json_deep_copy (rows[i].value)
+                                             : NULL };
+      g_array_append_val (to, row);
+    }
+}
+
+static void
+act_txn (void *context, uint64_t tag, const sched_row_t *checks,
+         uint32_t check_count, const sched_row_t *writes, uint32_t write_count)
+{
+  fake_message_t *message = send_message (context, MESSAGE_TXN, tag);
+  copy_rows (message->checks, checks, check_count);
+  copy_rows (message->writes, writes, write_count);
+}
+
+static void
+set_worker (fake_message_t *message, const sched_worker_ref_t *worker)
+{
+  message->worker = (uint32_t)atoi (worker->id + 1);
+  message->incarnation = worker->incarnation;
+}
+
+static void
+act_start (void *context, uint64_t tag, const sched_worker_ref_t *worker,
+           int64_t lease_ms, const sched_start_t *starts, uint32_t count)
+{
+  fake_message_t *message = send_message (context, MESSAGE_START, tag);
+  set_worker (message, worker);
+  message->lease_ms = lease_ms;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      fake_item_t item = { .task = g_strdup (starts[i].task),
+                           .generation = starts[i].generation,
+                           .size = starts[i].size,
+                           .kind = starts[i].kind,
+                           .run_ms = starts[i].run_ms,
+                           .fails = strcmp (starts[i].command, "fail") == 0 };
+      g_array_append_val (message->items, item);
+    }
+}
+
+static void
+set_stops (fake_message_t *message, const sched_stop_t *stops, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      fake_item_t item = { .task = g_strdup (stops[i].task),
+                           .generation = stops[i].generation,
+                           .mode = stops[i].mode };
+      g_array_append_val (message->items, item);
+    }
+}
+
+static void
+act_lease (void *context, uint64_t tag, const sched_worker_ref_t *worker,
+           int64_t lease_ms, const sched_stop_t *acks, uint32_t count)
+{
+  fake_message_t *message = send_message (context, MESSAGE_LEASE, tag);
+  set_worker (message, worker);
+  message->lease_ms = lease_ms;
+  set_stops (message, acks, count);
+}
+
+static void
+act_stop (void *context, uint64_t tag, const sched_worker_ref_t *worker,
+          const sched_stop_t *stops, uint32_t count)
+{
+  fake_message_t *message = send_message (context, MESSAGE_STOP, tag);
+  set_worker (message, worker);
+  set_stops (message, stops, count);
+}
+
+static void
+act_throttle (void *context, const sched_worker_ref_t *worker,
+              const char *task, uint32_t generation, int64_t cpu_millis)
+{
+}
+
+static void
+act_answer (void *context, void *token, err_kind_t kind, const char *id,
+            const char *message)
+{
+  fake_entry_t *entry = context;
+  if (g_hash_table_contains (entry->world->answers, token))
+    violation (entry->world, "answered twice", id != NULL ? id : "-");
+  g_hash_table_insert (entry->world->answers, token,
+                       GINT_TO_POINTER ((int)kind + 1));
+  if (kind != ERR_OK && kind != ERR_TIMEOUT && id != NULL
+      && kind != ERR_CONFLICT && kind != ERR_NOT_FOUND)
+    g_hash_table_insert (entry->world->refused, g_strdup (id),
+                         g_strdup (message));
+}
+
+static const sched_actions_t actions
+    = { act_read,  act_scan, act_txn,      act_start,
+        act_lease, act_stop, act_throttle, act_answer };
+
+/* Workers.  */
+
+static fake_task_t *
+task_on (const fake_worker_t *worker, const char *name, uint32_t generation)
+{
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      fake_task_t *task = &g_array_index (worker->tasks, fake_task_t, i);
+      if (task->generation == generation && strcmp (task->name, name) == 0)
+        return task;
+    }
+  return NULL;
+}
+
+static void
+bar (fake_worker_t *worker, const char *name, uint32_t generation)
+{
+  uint32_t known
+      = GPOINTER_TO_UINT (g_hash_table_lookup (worker->barred, name));
+  if (generation > known)
+    g_hash_table_insert (worker->barred, g_strdup (name),
+                         GUINT_TO_POINTER (generation));
+}
+
+/* Checks the promises that concern the start of NAME on WORKER.  */
+static void
+check_start (fake_world_t *world, const fake_worker_t *worker,
+             const char *name)
+{
+  resource_t used = { 0 };
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const fake_task_t *task = &g_array_index (worker->tasks, fake_task_t, i);
+      if (task->state == REPORT_RUNNING)
+        used = resource_add (used, task->size);
+    }
+  if (!resource_fits (used, worker->capacity))
+    violation (world, "over capacity", worker->id);
+  uint32_t places = 0;
+  for (uint32_t w = 0; w < world->worker_count; w++)
+    for (guint i = 0; i < world->workers[w].tasks->len; i++)
+      {
+        const fake_task_t *task
+            = &g_array_index (world->workers[w].tasks, fake_task_t, i);
+        places
+            += task->state == REPORT_RUNNING && strcmp (task->name, name) == 0;
+      }
+  if (places > 1)
+    violation (world, "runs in two places", name);
+  if (g_hash_table_contains (world->ended, name))
+    violation (world, "started after it ended", name);
+  char job[JOB_ID_MAX + 1];
+  uint32_t number;
+  if (task_name_split (name, job, &number)
+      && strcmp (fake_world_job_state (world, job), "cancelled") == 0)
+    violation (world, "started after cancelled", name);
+  if (g_hash_table_contains (world->refused, job))
+    violation (world, "started although refused", name);
+}
+
+static start_result_t
+start_task (fake_world_t *world, fake_worker_t *worker,
+            const fake_message_t *message, const fake_item_t *item)
+{
+  if (task_on (worker, item->task, item->generation) != NULL)
+    {
+      const fake_task_t *known
+          = task_on (worker, item->task, item->generation);
+      return known->state == REPORT_RUNNING ? START_RUNNING : START_STALE;
+    }
+  if (GPOINTER_TO_UINT (g_hash_table_lookup (worker->barred, item->task))
+      >= item->generation)
+    return START_STALE;
+  resource_t free = worker->capacity;
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const fake_task_t *task = &g_array_index (worker->tasks, fake_task_t, i);
+      if (task->state == REPORT_RUNNING)
+        free = resource_sub (free, task->size);
+    }
+  if (!resource_fits (item->size, free))
+    return START_NO_CAPACITY;
+  int64_t now_ms = now_of (world);
+  fake_task_t task = { .name = g_strdup (item->task),
+                       .generation = item->generation,
+                       .state = REPORT_RUNNING,
+                       .size = item->size,
+                       .end_ms = item->run_ms > 0 && item->kind != JOB_SERVICE
+                                     ? now_ms + item->run_ms
+                                     : INT64_MAX,
+                       .lease_ms = now_ms + message->lease_ms,
+                       .stop_ms = INT64_MAX,
+                       .fails = item->fails || worker->fails };
+  if (task.fails)
+    task.end_ms = now_ms + 200;
+  g_array_append_val (worker->tasks, task);
+  world->worker_starts++;
+  check_start (world, worker, item->task);
+  return START_RUNNING;
+}
+
+static stop_result_t
+stop_task (fake_world_t *world, fake_worker_t *worker, const fake_item_t *item)
+{
+  fake_task_t *task = task_on (worker, item->task, item->generation);
+  if (task == NULL)
+    {
+      bar (worker, item->task, item->generation);
+      return STOP_UNKNOWN;
+    }
+  if (task->state == REPORT_RUNNING)
+    {
+      int64_t wait_ms = item->mode == STOP_NOW
+                            ? 0
+                            : g_rand_int_range (world->random, 0, 1000);
+      task->stop_ms = MIN (task->stop_ms, now_of (world) + wait_ms);
+      if (wait_ms > 0)
+        return STOP_STOPPING;
+      task->state = REPORT_STOPPED;
+    }
+  bar (worker, item->task, item->generation);
+  return task->state == REPORT_STOPPED ? STOP_STOPPED : STOP_ENDED;
+}
+
+static void
+renew (fake_world_t *world, fake_worker_t *worker, fake_message_t *message)
+{
+  for (guint i = 0; i < message->items->len; i++)
+    {
+      const fake_item_t *ack = &g_array_index (message->items, fake_item_t, i);
+      fake_task_t *task = task_on (worker, ack->task, ack->generation);
+      if (task == NULL || task->state == REPORT_RUNNING)
+        continue;
+      bar (worker, ack->task, ack->generation);
+      g_array_remove_index_fast (
+          worker->tasks,
+          (guint)(task - &g_array_index (worker->tasks, fake_task_t, 0)));
+    }
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      fake_task_t *task = &g_array_index (worker->tasks, fake_task_t, i);
+      task->lease_ms
+          = MAX (task->lease_ms, now_of (world) + message->lease_ms);
+      sched_report_t report = { .task = g_strdup (task->name),
+                                .generation = task->generation,
+                                .state = task->state,
+                                .cpu_millis = -1,
+                                .memory_mib = -1,
+                                .usage_age_ms = 0 };
+      g_array_append_val (message->reports, report);
+    }
+}
+
+static void
+take_effect_on_worker (fake_world_t *world, fake_message_t *message)
+{
+  fake_worker_t *worker = &world->workers[message->worker];
+  if (worker->cut)
+    {
+      message->result = ERR_CONNECT_FAILED;
+      return;
+    }
+  g_array_set_size (message->codes, 0);
+  g_array_set_size (message->reports, 0);
+  bool wrong = message->incarnation != worker->incarnation;
+  for (guint i = 0; message->kind != MESSAGE_LEASE && i < message->items->len;
+       i++)
+    {
+      const fake_item_t *item
+          = &g_array_index (message->items, fake_item_t, i);
+      uint32_t code;
+      if (message->kind == MESSAGE_START)
+        code = wrong ? START_WRONG_INCARNATION
+                     : start_task (world, worker, message, item);
+      else
+        code = wrong ? STOP_STOPPING : stop_task (world, worker, item);
+      g_array_append_val (message->codes, code);
+    }
+  if (message->kind == MESSAGE_LEASE && !wrong)
+    renew (world, worker, message);
+  message->incarnation = worker->incarnation;
+}
+
+static void
+take_effect (fake_world_t *world, fake_message_t *message)
+{
+  message->result = ERR_OK;
+  if (message->kind >= MESSAGE_START)
+    {
+      take_effect_on_worker (world, message);
+      return;
+    }
+  if (world->store_down)
+    {
+      message->result = ERR_STORE_UNAVAILABLE;
+      return;
+    }
+  if (message->kind == MESSAGE_TXN)
+    {
+      g_array_set_size (message->versions, message->writes->len);
+      bool good = fake_store_txn (
+          &world->store, (const sched_row_t *)message->checks->data,
+          message->checks->len, (const sched_row_t *)message->writes->data,
+          message->writes->len, (int64_t *)message->versions->data);
+      message->result = good ? ERR_OK : ERR_CONFLICT;
+      return;
+    }
+  g_array_set_size (message->rows, 0);
+  if (message->kind == MESSAGE_SCAN)
+    {
+      GArray *found = fake_store_scan (&world->store, message->keys->pdata[0]);
+      copy_rows (message->rows, (const sched_row_t *)found->data, found->len);
+      g_array_unref (found);
+      return;
+    }
+  for (guint i = 0; i < message->keys->len; i++)
+    {
+      sched_row_t row
+          = fake_store_get (&world->store, message->keys->pdata[i]);
+      copy_rows (message->rows, &row, 1);
+    }
+}
+
+static void
+reply (fake_world_t *world, fake_message_t *message)
+{
+  fake_entry_t *entry = &world->entries[message->entry];
+  if (!entry->up || entry->incarnation != message->entry_incarnation)
+    return;
+  err_kind_t kind = message->timed_out ? ERR_TIMEOUT : message->result;
+  sched_t *sched = entry->sched;
+  switch (message->kind)
+    {
+    case MESSAGE_READ:
+    case MESSAGE_SCAN:
+      if (kind == ERR_TIMEOUT)
+        kind = ERR_STORE_UNAVAILABLE;
+      sched_rows_read (sched, message->tag, kind,
+                       (const sched_row_t *)message->rows->data,
+                       message->rows->len);
+      break;
+    case MESSAGE_TXN:
+      sched_txn_ended (sched, message->tag, kind,
+                       (const int64_t *)message->versions->data,
+                       kind == ERR_OK ? message->versions->len : 0);
+      break;
+    case MESSAGE_START:
+      sched_started (sched, message->tag, kind,
+                     (const start_result_t *)message->codes->data,
+                     message->codes->len);
+      break;
+    case MESSAGE_STOP:
+      sched_stopped (sched, message->tag, kind,
+                     (const stop_result_t *)message->codes->data,
+                     message->codes->len);
+      break;
+    case MESSAGE_LEASE:
+      sched_leased (sched, message->tag, kind, message->incarnation,
+                    (const sched_report_t *)message->reports->data,
+                    message->reports->len);
+      break;
+    }
+}
+
+static void
+deliver (fake_world_t *world)
+{
+  int64_t now_ms = now_of (world);
+  for (GList *link = world->messages.head; link != NULL;)
+    {
+      fake_message_t *message = link->data;
+      GList *next = link->next;
+      if (message->effect_ms >= 0 && now_ms >= message->effect_ms)
+        {
+          message->effect_ms = -1;
+          take_effect (world, message);
+        }
+      if (message->again_ms >= 0 && now_ms >= message->again_ms)
+        {
+          err_kind_t result = message->result;
+          message->again_ms = -1;
+          if (message->reply_ms < 0)
+            take_effect (world, message);
+          message->result = result;
+        }
+      if (message->reply_ms >= 0 && now_ms >= message->reply_ms
+          && !world->entries[message->entry].paused)
+        {
+          message->reply_ms = -1;
+          reply (world, message);
+        }
+      next = link->next;
+      if (message->effect_ms < 0 && message->again_ms < 0
+          && message->reply_ms < 0)
+        {
+          message_free (message);
+          g_queue_delete_link (&world->messages, link);
+        }
+      link = next;
+    }
+}
+
+static void
+run_workers (fake_world_t *world)
+{
+  int64_t now_ms = now_of (world);
+  for (uint32_t w = 0; w < world->worker_count; w++)
+    {
+      fake_worker_t *worker = &world->workers[w];
+      for (guint i = 0; i < worker->tasks->len; i++)
+        {
+          fake_task_t *task = &g_array_index (worker->tasks, fake_task_t, i);
+          if (task->state != REPORT_RUNNING)
+            continue;
+          if (now_ms >= task->end_ms)
+            task->state = task->fails ? REPORT_FAILED : REPORT_ENDED;
+          else if (now_ms >= task->stop_ms || now_ms >= task->lease_ms)
+            task->state = REPORT_STOPPED;
+          else
+            continue;
+          bar (worker, task->name, task->generation);
+          /* What a cut-off worker finished is never reported.  */
+          if (task->state == REPORT_ENDED && !worker->cut)
+            g_hash_table_add (world->ended, g_strdup (task->name));
+        }
+    }
+}
+
+void
+fake_world_run (fake_world_t *world, int64_t ms)
+{
+  for (int64_t done_ms = 0; done_ms < ms; done_ms += 10)
+    {
+      clk_fake_advance_ms (&world->clock, 10);
+      run_workers (world);
+      deliver (world);
+      for (uint32_t i = 0; i < world->entry_count; i++)
+        {
+          fake_entry_t *entry = &world->entries[i];
+          if (entry->up && !entry->paused
+              && (now_of (world) / 10 + i) % 5 == 0)
+            sched_tick (entry->sched);
+        }
+    }
+}
+
+static void
+show_worker (fake_world_t *world, sched_t *sched, uint32_t index)
+{
+  const fake_worker_t *worker = &world->workers[index];
+  sched_instance_t instance = { .id = worker->id,
+                                .rack = worker->rack,
+                                .url = "http://127.0.0.1",
+                                .incarnation = worker->incarnation,
+                                .state = worker->listed,
+                                .capacity = worker->capacity };
+  sched_worker_set (sched, &instance);
+}
+
+void
+fake_world_entry_start (fake_world_t *world, uint32_t index)
+{
+  fake_entry_t *entry = &world->entries[index];
+  char id[16];
+  g_snprintf (id, sizeof id, "e%u", index);
+  sched_options_t options = { .entry = id,
+                              .incarnation = ++entry->incarnation,
+                              .zone = "z",
+                              .rows_per_s = 2000,
+                              .seed = g_rand_int (world->random) };
+  entry->world = world;
+  entry->index = index;
+  entry->up = true;
+  entry->paused = false;
+  entry->registry = counter_registry_new ();
+  entry->sched = sched_new (&options, &actions, entry, &world->clock.base,
+                            entry->registry);
+  for (uint32_t w = 0; w < world->worker_count; w++)
+    show_worker (world, entry->sched, w);
+  sched_list_read (entry->sched);
+  for (uint32_t i = 0; i < world->entry_count; i++)
+    {
+      char other[16];
+      g_snprintf (other, sizeof other, "e%u", i);
+      sched_entry_set (entry->sched, other, "z", world->entries[i].up);
+      if (world->entries[i].sched != NULL)
+        sched_entry_set (world->entries[i].sched, id, "z", true);
+    }
+}
+
+void
+fake_world_entry_crash (fake_world_t *world, uint32_t index)
+{
+  fake_entry_t *entry = &world->entries[index];
+  char id[16];
+  g_snprintf (id, sizeof id, "e%u", index);
+  entry->up = false;
+  g_clear_pointer (&entry->sched, sched_free);
+  g_clear_pointer (&entry->registry, counter_registry_free);
+  for (uint32_t i = 0; i < world->entry_count; i++)
+    if (world->entries[i].sched != NULL)
+      sched_entry_set (world->entries[i].sched, id, "z", false);
+}
+
+static void
+show_all (fake_world_t *world, uint32_t worker)
+{
+  for (uint32_t i = 0; i < world->entry_count; i++)
+    if (world->entries[i].sched != NULL)
+      show_worker (world, world->entries[i].sched, worker);
+}
+
+void
+fake_world_worker_gone (fake_world_t *world, uint32_t worker)
+{
+  world->workers[worker].cut = true;
+  world->workers[worker].listed = SCHED_GONE;
+  show_all (world, worker);
+}
+
+static void
+task_clear (gpointer data)
+{
+  g_free (((fake_task_t *)data)->name);
+}
+
+void
+fake_world_worker_restart (fake_world_t *world, uint32_t index)
+{
+  fake_worker_t *worker = &world->workers[index];
+  worker->incarnation++;
+  worker->cut = false;
+  worker->listed = SCHED_LIVE;
+  g_array_set_size (worker->tasks, 0);
+  g_hash_table_remove_all (worker->barred);
+  show_all (world, index);
+}
+
+fake_world_t *
+fake_world_new (uint32_t entries, uint32_t workers, resource_t capacity,
+                uint32_t seed)
+{
+  fake_world_t *world = g_new0 (fake_world_t, 1);
+  clk_fake_init (&world->clock, 1000000);
+  fake_store_init (&world->store);
+  g_queue_init (&world->messages);
+  world->random = g_rand_new_with_seed (seed);
+  world->faults.delay_ms = 5;
+  world->answers = g_hash_table_new (NULL, NULL);
+  world->refused
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  world->ended = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  world->worker_count = workers;
+  for (uint32_t w = 0; w < workers; w++)
+    {
+      fake_worker_t *worker = &world->workers[w];
+      g_snprintf (worker->id, sizeof worker->id, "w%u", w);
+      g_snprintf (worker->rack, sizeof worker->rack, "r%u", w % 4);
+      worker->capacity = capacity;
+      worker->incarnation = 1;
+      worker->tasks = new_list (sizeof (fake_task_t), task_clear);
+      worker->barred
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+    }
+  world->entry_count = entries;
+  for (uint32_t i = 0; i < entries; i++)
+    fake_world_entry_start (world, i);
+  return world;
+}
+
+void
+fake_world_free (fake_world_t *world)
+{
+  for (uint32_t i = 0; i < world->entry_count; i++)
+    if (world->entries[i].up)
+      fake_world_entry_crash (world, i);
+  for (uint32_t w = 0; w < world->worker_count; w++)
+    {
+      g_array_unref (world->workers[w].tasks);
+      g_hash_table_unref (world->workers[w].barred);
+    }
+  g_queue_clear_full (&world->messages, message_free);
+  fake_store_clear (&world->store);
+  g_hash_table_unref (world->answers);
+  g_hash_table_unref (world->refused);
+  g_hash_table_unref (world->ended);
+  g_rand_free (world->random);
+  g_free (world);
+}
+
+void
+fake_world_submit (fake_world_t *world, uint32_t entry, const char *text,
+                   void *token)
+{
+  json_t *json = json_loads (text, 0, NULL);
+  sched_submit (world->entries[entry].sched, json, token);
+  json_decref (json);
+}
+
+void
+fake_world_cancel (fake_world_t *world, uint32_t entry, const char *id,
+                   void *token)
+{
+  sched_cancel (world->entries[entry].sched, id, token);
+}
+
+int
+fake_world_answer (const fake_world_t *world, const void *token)
+{
+  return GPOINTER_TO_INT (g_hash_table_lookup (world->answers, token)) - 1;
+}
+
+const char *
+fake_world_job_state (const fake_world_t *world, const char *id)
+{
+  char *key = job_key (id);
+  sched_row_t row = fake_store_get (&world->store, key);
+  g_free (key);
+  const char *state = json_string_value (json_object_get (row.value, "state"));
+  return state != NULL ? state : "";
+}
+
+uint32_t
+fake_world_running (const fake_world_t *world, const char *id)
+{
+  uint32_t running = 0;
+  for (uint32_t w = 0; w < world->worker_count; w++)
+    for (guint i = 0; i < world->workers[w].tasks->len; i++)
+      {
+        const fake_task_t *task
+            = &g_array_index (world->workers[w].tasks, fake_task_t, i);
+        char job[JOB_ID_MAX + 1];
+        uint32_t number;
+        if (task->state == REPORT_RUNNING
+            && task_name_split (task->name, job, &number)
+            && strcmp (job, id) == 0)
+          running++;
+      }
+  return running;
+}
--- a/tests/test.h
+++ b/tests/test.h
@@ -11,6 +11,7 @@
    CU_SUITE_INFO_NULL and is listed in test_main.c.  */
 
 extern CU_SuiteInfo test_base_suites[];
+extern CU_SuiteInfo test_sched_suites[];
 
 /* Seed of the random cases, from --seed; printed at the start.  */
 uint32_t test_seed (void);
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -9,6 +9,7 @@
 
 static CU_SuiteInfo *const suites[] = {
   test_base_suites,
+  test_sched_suites,
 };
 
 static uint32_t seed = DEFAULT_SEED;
