--- a/src/confrev.c
+++ b/src/confrev.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* Entries with a connection report every second by heartbeat.  */
+#define DIRECT_MS 5000
+
 struct confrev
 {
   const clk_t *clock;
@@ -18,6 +21,7 @@
   char *zone;
   int64_t revision;
   int64_t seen_ms;
+  bool direct;
 } peer_t;
 
 static void
@@ -174,7 +178,8 @@
     return ERR_BAD_REQUEST;
   doc_unref (confrev->doc);
   confrev->doc = doc;
-  g_hash_table_destroy (confrev->sections);
+  /* SECTIONS may point into the old table.  */
+  GHashTable *old = confrev->sections;
   confrev->sections = sections_new ();
   for (size_t i = 0; i < count; i++)
     {
@@ -184,6 +189,7 @@
       copy->text = g_strdup (sections[i].text);
       g_hash_table_insert (confrev->sections, copy->name, copy);
     }
+  g_hash_table_destroy (old);
   confrev->revision = revision;
   if (confrev->source != CONFREV_STORE)
     confrev->source = source;
@@ -201,9 +207,10 @@
   return confrev->source >= needed[question] ? ERR_OK : ERR_NO_CONFIG;
 }
 
-void
-confrev_peer (confrev_t *confrev, const char *entry, const char *zone,
-              int64_t revision)
+/* Notes the report and returns its row.  */
+static peer_t *
+note_peer (confrev_t *confrev, const char *entry, const char *zone,
+           int64_t revision)
 {
   peer_t *peer = g_hash_table_lookup (confrev->peers, entry);
   if (peer == NULL)
@@ -220,6 +227,28 @@
      there now.  */
   peer->revision = revision;
   peer->seen_ms = clk_now_ms (confrev->clock);
+  return peer;
+}
+
+bool
+confrev_peer (confrev_t *confrev, const char *entry, const char *zone,
+              int64_t revision)
+{
+  const peer_t *known = g_hash_table_lookup (confrev->peers, entry);
+  bool news = known == NULL || known->revision != revision;
+  note_peer (confrev, entry, zone, revision)->direct = true;
+  return news;
+}
+
+void
+confrev_peer_relayed (confrev_t *confrev, const char *entry, const char *zone,
+                      int64_t revision)
+{
+  const peer_t *peer = g_hash_table_lookup (confrev->peers, entry);
+  if (peer != NULL && peer->direct
+      && clk_now_ms (confrev->clock) - peer->seen_ms < DIRECT_MS)
+    return;
+  note_peer (confrev, entry, zone, revision)->direct = false;
 }
 
 void
@@ -238,7 +267,7 @@
   while (g_hash_table_iter_next (&iter, &name, &value))
     {
       const peer_t *peer = value;
-      if (peer->revision <= highest)
+      if (!peer->direct || peer->revision <= highest)
         continue;
       highest = peer->revision;
       if (entry != NULL)
@@ -274,6 +303,7 @@
         .zone = peer->zone,
         .revision = peer->revision,
         .age_ms = clk_now_ms (confrev->clock) - peer->seen_ms,
+        .direct = peer->direct,
       };
       each (context, &row);
     }
--- a/src/confrev.h
+++ b/src/confrev.h
@@ -81,12 +81,16 @@
 err_kind_t confrev_judge (const confrev_t *confrev,
                           confrev_question_t question);
 
-/* ENTRY of ZONE reports that REVISION is in force there.  */
-void confrev_peer (confrev_t *confrev, const char *entry, const char *zone,
+/* ENTRY of ZONE reports that REVISION is in force there.  Returns whether that
+   is news.  */
+bool confrev_peer (confrev_t *confrev, const char *entry, const char *zone,
                    int64_t revision);
+/* Another entry reports it about ENTRY; ignored while ENTRY reports itself. */
+void confrev_peer_relayed (confrev_t *confrev, const char *entry,
+                           const char *zone, int64_t revision);
 void confrev_peer_gone (confrev_t *confrev, const char *entry);
-/* Highest revision that a peer reported, 0 without peers; *ENTRY (may be
-   NULL) is set to that peer.  */
+/* Highest revision that a peer reported itself, 0 without peers; *ENTRY (may
+   be NULL) is set to that peer.  */
 int64_t confrev_peers_highest (const confrev_t *confrev, const char **entry);
 
 typedef struct
@@ -95,6 +99,7 @@
   const char *zone;
   int64_t revision;
   int64_t age_ms; /* since the last report */
+  bool direct;    /* reported by the entry itself */
 } confrev_peer_t;
 
 /* Calls EACH for every known entry, in the order of their names.  */
--- a/src/doc.h
+++ b/src/doc.h
@@ -16,7 +16,8 @@
    because GKeyFile's errors carry neither line nor column.  A doc_t never
    changes once it was parsed; it is reference counted.  */
 
-#define DOC_MAX_BYTES (1024 * 1024)
+/* A whole document has to fit in one peer frame of 1 MiB, escaped as JSON.  */
+#define DOC_MAX_BYTES (256 * 1024)
 #define DOC_MAX_ERRORS 20
 
 typedef struct doc doc_t;
--- /dev/null
+++ b/src/io/conf.c
@@ -0,0 +1,559 @@
+#include "conf.h"
+#include "conf_private.h"
+#include "log.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define POLL_MS 1000
+/* A fetch from a peer that was not answered is repeated after this time.  */
+#define FETCH_MS 500
+/* A new process waits this long for the store and for word of several peers
+   before it takes a revision from one that may be behind.  */
+#define START_WAIT_MS 1000
+/* Announcements also tell other zones which revisions the entries of this one
+   have.  They are repeated at this interval, since one can get lost, and at
+   the shorter one while the entries catch up.  */
+#define ANNOUNCE_MS 10000
+#define ANNOUNCE_CHANGED_MS 250
+/* Above this many changed sections one scan replaces single reads.  */
+#define SCAN_ABOVE 8
+
+typedef struct
+{
+  conf_changed_t changed;
+  void *context;
+} listener_t;
+
+struct conf_load
+{
+  conf_t *conf;
+  int64_t revision;
+  GArray *sections; /* confrev_section_t; text is NULL while missing */
+  struct section_read *reads; /* one for each of SECTIONS */
+  unsigned pending;           /* reads that are open */
+  bool failed;
+};
+
+typedef struct section_read
+{
+  conf_load_t *load;
+  unsigned index;
+} section_read_t;
+
+bool
+conf_head_read (const table_row_t *row, conf_head_t *head)
+{
+  *head = (conf_head_t){ .row_version = row->version };
+  head->versions
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  if (row->version == 0 || row->value == NULL)
+    return true;
+  const json_t *revision = json_object_get (row->value, "revision");
+  json_t *sections = json_object_get (row->value, "sections");
+  bool right = json_is_integer (revision) && json_is_object (sections);
+  const char *name;
+  json_t *version;
+  json_object_foreach (sections, name, version)
+  {
+    right = right && json_is_integer (version);
+    int64_t *copy = g_new (int64_t, 1);
+    *copy = json_integer_value (version);
+    g_hash_table_insert (head->versions, g_strdup (name), copy);
+  }
+  head->revision = json_integer_value (revision);
+  if (!right)
+    conf_head_clear (head);
+  return right;
+}
+
+void
+conf_head_clear (conf_head_t *head)
+{
+  if (head->versions != NULL)
+    g_hash_table_destroy (head->versions);
+  *head = (conf_head_t){ 0 };
+}
+
+int64_t
+conf_head_version (const conf_head_t *head, const char *name)
+{
+  const int64_t *version = g_hash_table_lookup (head->versions, name);
+  return version != NULL ? *version : 0;
+}
+
+static void
+log_refused (conf_t *conf, int64_t revision, const char *message)
+{
+  char text[24];
+  g_snprintf (text, sizeof text, "%" PRId64, revision);
+  counter_add (conf->refused, 1);
+  log_event (LOG_ERROR, "config_refused", "revision", text, "error", message,
+             NULL);
+}
+
+typedef struct
+{
+  const char *zone;
+  json_t *entries;
+} own_zone_t;
+
+static void
+add_own_zone (void *context, const confrev_peer_t *peer)
+{
+  own_zone_t *own = context;
+  if (peer->direct && peer->age_ms < ANNOUNCE_MS
+      && g_strcmp0 (peer->zone, own->zone) == 0)
+    json_object_set_new (own->entries, peer->entry,
+                         json_integer (peer->revision));
+}
+
+static void
+announce (conf_t *conf)
+{
+  own_zone_t own = { .zone = conf->zone, .entries = json_object () };
+  confrev_each_peer (conf->state, add_own_zone, &own);
+  json_t *message = json_pack ("{s:I,s:o}", "revision",
+                               (json_int_t)confrev_revision (conf->state),
+                               "entries", own.entries);
+  char *bytes = json_dumps (message, JSON_COMPACT);
+  conf->announce_at_ms = clk_now_ms (conf->clock) + ANNOUNCE_MS;
+  conf->zone_changed = false;
+  conf->peers->send (conf->peer_context, NULL, CONF_ANNOUNCE, bytes,
+                     strlen (bytes));
+  free (bytes);
+  json_decref (message);
+}
+
+void
+conf_apply (conf_t *conf, int64_t revision, const confrev_section_t *sections,
+            size_t count, confrev_source_t source)
+{
+  GPtrArray *errors = doc_errors_new ();
+  err_kind_t kind
+      = confrev_apply (conf->state, revision, sections, count, source, errors);
+  if (kind == ERR_BAD_REQUEST)
+    {
+      char *text = doc_errors_text (errors);
+      log_refused (conf, revision, text);
+      g_free (text);
+    }
+  g_ptr_array_free (errors, TRUE);
+  if (kind != ERR_OK)
+    return;
+  counter_set (conf->revision_gauge, revision);
+  counter_add (conf->applied, 1);
+  char text[24];
+  g_snprintf (text, sizeof text, "%" PRId64, revision);
+  log_event (LOG_INFO, "config_applied", "revision", text, "source",
+             source == CONFREV_STORE ? "store" : "peers", NULL);
+  for (unsigned i = 0; i < conf->listeners->len; i++)
+    {
+      listener_t *row = &g_array_index (conf->listeners, listener_t, i);
+      row->changed (row->context, confrev_document (conf->state), revision);
+    }
+  if (revision > 0)
+    announce (conf);
+}
+
+static void
+load_free (conf_load_t *load)
+{
+  for (unsigned i = 0; i < load->sections->len; i++)
+    {
+      confrev_section_t *section
+          = &g_array_index (load->sections, confrev_section_t, i);
+      g_free (section->name);
+      g_free (section->text);
+    }
+  g_array_free (load->sections, TRUE);
+  g_free (load->reads);
+  g_free (load);
+}
+
+static void
+load_end (conf_load_t *load)
+{
+  conf_t *conf = load->conf;
+  conf->load = NULL;
+  if (!load->failed)
+    {
+      conf_apply (conf, load->revision, (void *)load->sections->data,
+                  load->sections->len, CONFREV_STORE);
+      confrev_store_seen (conf->state, load->revision);
+    }
+  load_free (load);
+}
+
+/* Takes VALUE for SECTION if it has the version that the head names.  */
+static void
+take_value (confrev_section_t *section, const json_t *value)
+{
+  const char *text = json_string_value (json_object_get (value, "text"));
+  json_int_t version = json_integer_value (json_object_get (value, "version"));
+  if (section->text == NULL && text != NULL && version == section->version)
+    section->text = g_strdup (text);
+}
+
+static void
+history_read (void *context, err_kind_t kind, const table_row_t *rows,
+              uint32_t count)
+{
+  section_read_t *read = context;
+  conf_load_t *load = read->load;
+  confrev_section_t *section
+      = &g_array_index (load->sections, confrev_section_t, read->index);
+  if (kind == ERR_OK && count == 1 && rows[0].value != NULL)
+    take_value (section, rows[0].value);
+  if (section->text == NULL)
+    load->failed = true;
+  if (--load->pending == 0)
+    load_end (load);
+}
+
+/* Reads the history rows of the sections that are still missing.  */
+static void
+load_missing (conf_load_t *load)
+{
+  conf_t *conf = load->conf;
+  load->pending++;
+  load->reads = g_new (section_read_t, load->sections->len);
+  for (unsigned i = 0; i < load->sections->len; i++)
+    {
+      const confrev_section_t *section
+          = &g_array_index (load->sections, confrev_section_t, i);
+      if (section->text != NULL)
+        continue;
+      section_read_t *read = &load->reads[i];
+      *read = (section_read_t){ .load = load, .index = i };
+      char *key = g_strdup_printf ("doc/history/%s/%" PRId64, section->name,
+                                   section->version);
+      load->pending++;
+      conf->table->ops->get (conf->table, key, history_read, read);
+      g_free (key);
+    }
+  if (--load->pending == 0)
+    load_end (load);
+}
+
+static void
+scan_done (void *context, err_kind_t kind, const table_row_t *rows,
+           uint32_t count)
+{
+  conf_load_t *load = context;
+  GHashTable *by_key = g_hash_table_new (g_str_hash, g_str_equal);
+  for (uint32_t i = 0; kind == ERR_OK && i < count; i++)
+    g_hash_table_insert (by_key, (char *)rows[i].key + strlen ("doc/section/"),
+                         rows[i].value);
+  for (unsigned i = 0; i < load->sections->len; i++)
+    {
+      confrev_section_t *section
+          = &g_array_index (load->sections, confrev_section_t, i);
+      take_value (section, g_hash_table_lookup (by_key, section->name));
+    }
+  g_hash_table_destroy (by_key);
+  load_missing (load);
+}
+
+void
+conf_load_start (conf_t *conf, const conf_head_t *head)
+{
+  if (conf->load != NULL)
+    return;
+  conf_load_t *load = g_new0 (conf_load_t, 1);
+  load->conf = conf;
+  load->revision = head->revision;
+  load->sections = g_array_new (FALSE, FALSE, sizeof (confrev_section_t));
+  conf->load = load;
+  unsigned missing = 0;
+  GHashTableIter iter;
+  void *name, *version;
+  g_hash_table_iter_init (&iter, head->versions);
+  while (g_hash_table_iter_next (&iter, &name, &version))
+    {
+      confrev_section_t section
+          = { .name = g_strdup (name), .version = *(int64_t *)version };
+      const confrev_section_t *own = confrev_section (conf->state, name);
+      if (own != NULL && own->version == section.version)
+        section.text = g_strdup (own->text);
+      else
+        missing++;
+      g_array_append_val (load->sections, section);
+    }
+  if (missing > SCAN_ABOVE)
+    conf->table->ops->scan (conf->table, "doc/section/", scan_done, load);
+  else
+    load_missing (load);
+}
+
+static void
+poll_done (void *context, err_kind_t kind, const table_row_t *rows,
+           uint32_t count)
+{
+  conf_t *conf = context;
+  conf->polling = false;
+  if (kind != ERR_OK || count != 1)
+    return;
+  conf_head_t head;
+  if (!conf_head_read (&rows[0], &head))
+    {
+      log_refused (conf, -1, "doc/head has another form");
+      return;
+    }
+  int64_t revision = confrev_revision (conf->state);
+  if (head.revision < revision)
+    {
+      /* A restored or lagging store must not undo an accepted revision.  */
+      char seen[24];
+      g_snprintf (seen, sizeof seen, "%" PRId64, head.revision);
+      log_event (LOG_WARN, "config_store_behind", "revision", seen, NULL);
+    }
+  else if (head.revision > revision)
+    conf_load_start (conf, &head);
+  else if (confrev_document (conf->state) == NULL)
+    conf_apply (conf, 0, NULL, 0, CONFREV_STORE);
+  confrev_store_seen (conf->state, head.revision);
+  conf_head_clear (&head);
+}
+
+/* Asks the peer with the highest revision for what this entry lacks.  */
+static void
+maybe_fetch (conf_t *conf)
+{
+  const char *entry = NULL;
+  int64_t highest = confrev_peers_highest (conf->state, &entry);
+  int64_t now_ms = clk_now_ms (conf->clock);
+  if (highest <= confrev_revision (conf->state) || now_ms < conf->fetch_at_ms)
+    return;
+  if (confrev_source (conf->state) == CONFREV_NONE
+      && now_ms < conf->started_ms + START_WAIT_MS)
+    return;
+  conf->fetch_at_ms = now_ms + FETCH_MS;
+  json_t *have = json_object ();
+  GPtrArray *sections = confrev_sections (conf->state);
+  for (unsigned i = 0; i < sections->len; i++)
+    {
+      const confrev_section_t *section = g_ptr_array_index (sections, i);
+      json_object_set_new (have, section->name,
+                           json_integer (section->version));
+    }
+  g_ptr_array_free (sections, TRUE);
+  json_t *message = json_pack ("{s:o}", "have", have);
+  char *bytes = json_dumps (message, JSON_COMPACT);
+  conf->peers->send (conf->peer_context, entry, CONF_FETCH, bytes,
+                     strlen (bytes));
+  free (bytes);
+  json_decref (message);
+}
+
+/* Answers a fetch with every section, leaving out texts that the asking entry
+   has.  */
+static void
+send_sections (conf_t *conf, const char *entry, const json_t *message)
+{
+  const json_t *have = json_object_get (message, "have");
+  json_t *list = json_object ();
+  GPtrArray *sections = confrev_sections (conf->state);
+  for (unsigned i = 0; i < sections->len; i++)
+    {
+      const confrev_section_t *section = g_ptr_array_index (sections, i);
+      json_t *row
+          = json_pack ("{s:I}", "version", (json_int_t)section->version);
+      json_int_t known
+          = json_integer_value (json_object_get (have, section->name));
+      if (known != section->version)
+        json_object_set_new (row, "text", json_string (section->text));
+      json_object_set_new (list, section->name, row);
+    }
+  g_ptr_array_free (sections, TRUE);
+  json_t *answer = json_pack ("{s:I,s:o}", "revision",
+                              (json_int_t)confrev_revision (conf->state),
+                              "sections", list);
+  char *bytes = json_dumps (answer, JSON_COMPACT);
+  conf->peers->send (conf->peer_context, entry, CONF_SECTIONS, bytes,
+                     strlen (bytes));
+  free (bytes);
+  json_decref (answer);
+}
+
+static void
+take_sections (conf_t *conf, const json_t *message)
+{
+  json_t *list = json_object_get (message, "sections");
+  int64_t revision
+      = json_integer_value (json_object_get (message, "revision"));
+  if (revision <= confrev_revision (conf->state) || !json_is_object (list))
+    return;
+  GArray *sections = g_array_new (FALSE, FALSE, sizeof (confrev_section_t));
+  bool whole = true;
+  const char *name;
+  json_t *row;
+  json_object_foreach (list, name, row)
+  {
+    confrev_section_t section = {
+      .name = (char *)name,
+      .version = json_integer_value (json_object_get (row, "version")),
+      .text = (char *)json_string_value (json_object_get (row, "text")),
+    };
+    const confrev_section_t *own = confrev_section (conf->state, name);
+    if (section.text == NULL && own != NULL && own->version == section.version)
+      section.text = own->text;
+    whole = whole && section.text != NULL && section.version > 0;
+    g_array_append_val (sections, section);
+  }
+  /* Sections this entry took over since its fetch may be missing; the next
+     fetch asks again.  */
+  if (whole)
+    conf_apply (conf, revision, (void *)sections->data, sections->len,
+                CONFREV_PEERS);
+  g_array_free (sections, TRUE);
+}
+
+static void
+take_announcement (conf_t *conf, const char *entry, const char *zone,
+                   const json_t *message)
+{
+  json_t *entries = json_object_get (message, "entries");
+  const char *name;
+  json_t *revision;
+  if (strcmp (zone, conf->zone) != 0)
+    json_object_foreach (entries, name, revision)
+    {
+      confrev_peer_relayed (conf->state, name, zone,
+                            json_integer_value (revision));
+    }
+  conf_peer_seen (conf, entry, zone,
+                  json_integer_value (json_object_get (message, "revision")));
+}
+
+void
+conf_receive (conf_t *conf, const char *entry, const char *zone,
+              conf_message_t message, const char *bytes, size_t length)
+{
+  json_t *body = json_loadb (bytes, length, 0, NULL);
+  if (body == NULL)
+    {
+      log_event (LOG_WARN, "config_message_refused", "entry", entry, NULL);
+      return;
+    }
+  switch (message)
+    {
+    case CONF_ANNOUNCE:
+      take_announcement (conf, entry, zone, body);
+      break;
+    case CONF_FETCH:
+      if (confrev_document (conf->state) != NULL)
+        send_sections (conf, entry, body);
+      break;
+    case CONF_SECTIONS:
+      take_sections (conf, body);
+      break;
+    }
+  json_decref (body);
+}
+
+void
+conf_peer_seen (conf_t *conf, const char *entry, const char *zone,
+                int64_t revision)
+{
+  if (confrev_peer (conf->state, entry, zone, revision)
+      && strcmp (zone, conf->zone) == 0)
+    conf->zone_changed = true;
+  maybe_fetch (conf);
+  conf_edits_confirm (conf);
+}
+
+void
+conf_peer_gone (conf_t *conf, const char *entry)
+{
+  confrev_peer_gone (conf->state, entry);
+}
+
+const confrev_t *
+conf_state (const conf_t *conf)
+{
+  return conf->state;
+}
+
+conf_t *
+conf_new (const clk_t *clock, table_t *table, counter_registry_t *registry,
+          const char *self, const char *zone, const conf_peers_t *peers,
+          void *peer_context)
+{
+  conf_t *conf = g_new0 (conf_t, 1);
+  conf->clock = clock;
+  conf->table = table;
+  conf->peers = peers;
+  conf->peer_context = peer_context;
+  conf->self = g_strdup (self);
+  conf->zone = g_strdup (zone);
+  conf->state = confrev_new (clock);
+  conf->listeners = g_array_new (FALSE, FALSE, sizeof (listener_t));
+  conf->edits = g_ptr_array_new ();
+  conf->started_ms = clk_now_ms (clock);
+  conf->revision_gauge
+      = counter_gauge (registry, "magnoliadock_config_revision", NULL);
+  conf->applied
+      = counter_get (registry, "magnoliadock_config_applied_total", NULL);
+  conf->refused
+      = counter_get (registry, "magnoliadock_config_refused_total", NULL);
+  conf->edits_done
+      = counter_get (registry, "magnoliadock_config_edits_total", NULL);
+  conf->edit_races
+      = counter_get (registry, "magnoliadock_config_edit_races_total", NULL);
+  conf->edit_readbacks = counter_get (
+      registry, "magnoliadock_config_edit_readbacks_total", NULL);
+  return conf;
+}
+
+void
+conf_free (conf_t *conf)
+{
+  if (conf == NULL)
+    return;
+  if (conf->load != NULL)
+    load_free (conf->load);
+  conf_edits_free (conf);
+  confrev_free (conf->state);
+  g_array_free (conf->listeners, TRUE);
+  g_free (conf->self);
+  g_free (conf->zone);
+  g_free (conf);
+}
+
+void
+conf_set_use (conf_t *conf, conf_use_t use, void *context)
+{
+  conf->use = use;
+  conf->use_context = context;
+}
+
+void
+conf_listen (conf_t *conf, conf_changed_t changed, void *context)
+{
+  listener_t row = { .changed = changed, .context = context };
+  g_array_append_val (conf->listeners, row);
+  if (confrev_document (conf->state) != NULL)
+    changed (context, confrev_document (conf->state),
+             confrev_revision (conf->state));
+}
+
+void
+conf_tick (conf_t *conf)
+{
+  int64_t now_ms = clk_now_ms (conf->clock);
+  if (!conf->polling && now_ms >= conf->poll_at_ms)
+    {
+      conf->polling = true;
+      conf->poll_at_ms = now_ms + POLL_MS;
+      conf->table->ops->get (conf->table, "doc/head", poll_done, conf);
+    }
+  if (confrev_document (conf->state) != NULL
+      && (now_ms >= conf->announce_at_ms
+          || (conf->zone_changed
+              && now_ms >= conf->announce_at_ms - ANNOUNCE_MS
+                               + ANNOUNCE_CHANGED_MS)))
+    announce (conf);
+  maybe_fetch (conf);
+  conf_edits_tick (conf);
+}
--- /dev/null
+++ b/src/io/conf_edit.c
@@ -0,0 +1,542 @@
+#include "conf_private.h"
+#include "log.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <time.h>
+
+/* An edit that cannot be settled by then is answered as unknown.  */
+#define EDIT_LIMIT_MS 10000
+#define RETRY_MS 200
+/* Longest wait for the confirmation of a committed edit, see conf.h.  */
+#define CONFIRM_MS 1500
+/* Entries silent for longer count as unreachable.  */
+#define REACHABLE_MS 3000
+
+/* Steps: read the head, wait until it is in force here, read the section row,
+   then commit, settle by the history row, or refuse.  */
+typedef struct
+{
+  conf_t *conf;
+  char *name, *text, *why, *write_id;
+  auth_who_t who;
+  bool checks_role, force;
+  int64_t version;
+  int64_t limit_ms;
+  int64_t retry_ms;         /* instant of the next step, -1: a call is open */
+  bool uncertain;           /* a transaction was sent whose end is unknown */
+  int64_t sent_row_version; /* of the head that it checks */
+  conf_head_t head;
+  doc_t *candidate;
+  int64_t revision;   /* that contains the committed edit, 0: none yet */
+  int64_t confirm_ms; /* latest instant of the answer */
+  uint32_t confirmed, reachable;
+  conf_done_t done;
+  void *context;
+} edit_t;
+
+static void read_head (edit_t *edit);
+
+static void
+edit_free (edit_t *edit)
+{
+  conf_head_clear (&edit->head);
+  doc_unref (edit->candidate);
+  g_free (edit->name);
+  g_free (edit->text);
+  g_free (edit->why);
+  g_free (edit->write_id);
+  g_free (edit);
+}
+
+static void
+edit_end (edit_t *edit, err_kind_t kind, const char *message, int64_t version,
+          int64_t revision)
+{
+  conf_result_t result = {
+    .kind = kind, .message = message, .version = version, .revision = revision
+  };
+  char text[24];
+  g_snprintf (text, sizeof text, "%" PRId64, version);
+  log_event (LOG_INFO, "config_edit", "section", edit->name, "who",
+             edit->who.name, "result", err_name (kind), "version", text,
+             "write_id", edit->write_id, NULL);
+  g_ptr_array_remove_fast (edit->conf->edits, edit);
+  edit->done (edit->context, &result);
+  edit_free (edit);
+}
+
+/* The store does not answer: waits if an earlier transaction has to be
+   settled, gives up otherwise.  */
+static void
+store_failed (edit_t *edit)
+{
+  if (!edit->uncertain)
+    edit_end (edit, ERR_STORE_UNAVAILABLE,
+              "the table service does not answer; nothing was changed", 0, 0);
+  else
+    edit->retry_ms = clk_now_ms (edit->conf->clock) + RETRY_MS;
+}
+
+static void
+count_peer (void *context, const confrev_peer_t *peer)
+{
+  edit_t *edit = context;
+  if (!peer->direct || peer->age_ms > REACHABLE_MS)
+    return;
+  edit->reachable++;
+  edit->confirmed += peer->revision >= edit->revision;
+}
+
+/* Answers a committed edit if it is in force in reach, or time is up.  */
+static void
+confirm (edit_t *edit)
+{
+  conf_t *conf = edit->conf;
+  edit->confirmed = edit->reachable = 0;
+  confrev_each_peer (conf->state, count_peer, edit);
+  bool everywhere = edit->confirmed == edit->reachable
+                    && confrev_revision (conf->state) >= edit->revision;
+  if (everywhere || clk_now_ms (conf->clock) >= edit->confirm_ms)
+    edit_end (edit, ERR_OK, NULL, edit->version + 1, edit->revision);
+}
+
+static void
+edit_committed (edit_t *edit, int64_t revision)
+{
+  counter_add (edit->conf->edits_done, 1);
+  edit->revision = revision;
+  edit->confirm_ms = clk_now_ms (edit->conf->clock) + CONFIRM_MS;
+  confirm (edit);
+}
+
+static err_kind_t
+check_text (conf_t *conf, const conf_edit_t *edit, doc_t **candidate,
+            char **message)
+{
+  *message = NULL;
+  *candidate = NULL;
+  if (confrev_judge (conf->state, CONFREV_EDIT) != ERR_OK)
+    {
+      *message = g_strdup ("no configuration was read from the table service "
+                           "since this entry started");
+      return ERR_NO_CONFIG;
+    }
+  doc_t *present = confrev_document (conf->state);
+  const doc_section_t *before = doc_section (present, edit->name);
+  GPtrArray *errors = doc_errors_new ();
+  err_kind_t kind = ERR_BAD_REQUEST;
+  doc_t *after = doc_with (present, edit->name, edit->text, errors);
+  if (after == NULL)
+    goto out;
+  const doc_section_t *section = doc_section (after, edit->name);
+  if (edit->who != NULL && !auth_may_edit (edit->who, before, section))
+    {
+      kind = ERR_FORBIDDEN;
+      *message = g_strdup_printf (
+          "team \"%s\" may edit only sections whose owner it is and stays",
+          edit->who->name);
+      goto out;
+    }
+  if (edit->force && edit->who != NULL && !auth_may_force (edit->who))
+    {
+      kind = ERR_FORBIDDEN;
+      *message = g_strdup ("only operators may force an edit");
+      goto out;
+    }
+  const doc_use_t *use = NULL;
+  size_t count = conf->use != NULL ? conf->use (conf->use_context, &use) : 0;
+  kind = edit->force
+                 || doc_check_use (edit->name, before, section, use, count,
+                                   errors)
+             ? ERR_OK
+             : ERR_CONFLICT;
+out:
+  if (kind != ERR_OK && *message == NULL)
+    *message = doc_errors_text (errors);
+  g_ptr_array_free (errors, TRUE);
+  if (kind == ERR_OK)
+    *candidate = after;
+  else
+    doc_unref (after);
+  return kind;
+}
+
+err_kind_t
+conf_check (conf_t *conf, const conf_edit_t *edit, char **message)
+{
+  doc_t *candidate;
+  err_kind_t kind = check_text (conf, edit, &candidate, message);
+  doc_unref (candidate);
+  return kind;
+}
+
+/* Puts the committed revision in force here without reading it again.  */
+static void
+apply_own (edit_t *edit)
+{
+  conf_t *conf = edit->conf;
+  GPtrArray *present = confrev_sections (conf->state);
+  GArray *sections = g_array_new (FALSE, FALSE, sizeof (confrev_section_t));
+  confrev_section_t own = { .name = edit->name,
+                            .version = edit->version + 1,
+                            .text = edit->text };
+  g_array_append_val (sections, own);
+  bool same = confrev_revision (conf->state) == edit->head.revision;
+  for (unsigned i = 0; i < present->len; i++)
+    {
+      confrev_section_t *section = g_ptr_array_index (present, i);
+      if (strcmp (section->name, edit->name) != 0)
+        g_array_append_val (sections, *section);
+    }
+  if (same)
+    {
+      conf_apply (conf, edit->head.revision + 1, (void *)sections->data,
+                  sections->len, CONFREV_STORE);
+      confrev_store_seen (conf->state, edit->head.revision + 1);
+    }
+  g_array_free (sections, TRUE);
+  g_ptr_array_free (present, TRUE);
+}
+
+static void
+txn_done (void *context, err_kind_t kind, const int64_t *versions,
+          uint32_t count)
+{
+  edit_t *edit = context;
+  switch (kind)
+    {
+    case ERR_OK:
+      apply_own (edit);
+      edit_committed (edit, edit->head.revision + 1);
+      return;
+    case ERR_CONFLICT:
+      counter_add (edit->conf->edit_races, 1);
+      read_head (edit);
+      return;
+    case ERR_STORE_UNAVAILABLE:
+      store_failed (edit);
+      return;
+    default:
+      edit->uncertain = true;
+      counter_add (edit->conf->edit_readbacks, 1);
+      read_head (edit);
+    }
+}
+
+static json_t *
+section_value (const edit_t *edit)
+{
+  const doc_section_t *section = doc_section (edit->candidate, edit->name);
+  time_t now_s = clk_wall_ms (edit->conf->clock) / 1000;
+  struct tm utc;
+  char when[32];
+  gmtime_r (&now_s, &utc);
+  strftime (when, sizeof when, "%Y-%m-%dT%H:%M:%SZ", &utc);
+  return json_pack ("{s:I,s:s,s:s,s:s,s:s,s:s,s:s}", "version",
+                    (json_int_t)edit->version + 1, "text", edit->text, "owner",
+                    section != NULL ? doc_section_owner (section) : "", "who",
+                    edit->who.name, "when", when, "why", edit->why, "write_id",
+                    edit->write_id);
+}
+
+static json_t *
+head_value (const edit_t *edit)
+{
+  json_t *sections = json_object ();
+  GHashTableIter iter;
+  void *name, *version;
+  g_hash_table_iter_init (&iter, edit->head.versions);
+  while (g_hash_table_iter_next (&iter, &name, &version))
+    json_object_set_new (sections, name, json_integer (*(int64_t *)version));
+  json_object_set_new (sections, edit->name, json_integer (edit->version + 1));
+  return json_pack ("{s:I,s:o}", "revision",
+                    (json_int_t)edit->head.revision + 1, "sections", sections);
+}
+
+static void
+commit (edit_t *edit, int64_t section_row_version)
+{
+  conf_t *conf = edit->conf;
+  char *section_key = g_strdup_printf ("doc/section/%s", edit->name);
+  char *history_key = g_strdup_printf ("doc/history/%s/%" PRId64, edit->name,
+                                       edit->version + 1);
+  json_t *value = section_value (edit), *head = head_value (edit);
+  const table_row_t checks[] = {
+    { .key = "doc/head", .version = edit->head.row_version },
+    { .key = section_key, .version = section_row_version },
+    { .key = history_key, .version = 0 },
+  };
+  const table_row_t writes[] = {
+    { .key = "doc/head", .value = head },
+    { .key = section_key, .value = value },
+    { .key = history_key, .value = value },
+  };
+  edit->sent_row_version = edit->head.row_version;
+  edit->retry_ms = -1;
+  conf->table->ops->txn (conf->table, checks, G_N_ELEMENTS (checks), writes,
+                         G_N_ELEMENTS (writes), txn_done, edit);
+  json_decref (value);
+  json_decref (head);
+  g_free (section_key);
+  g_free (history_key);
+}
+
+/* The section has moved past the version that the author saw: by this edit's
+   own write if the history says so, else by somebody else's.  In that case the
+   head has moved too, so that none of this edit's transactions can commit any
+   more.  */
+static void
+settle_read (void *context, err_kind_t kind, const table_row_t *rows,
+             uint32_t count)
+{
+  edit_t *edit = context;
+  if (kind != ERR_OK || count != 1)
+    {
+      store_failed (edit);
+      return;
+    }
+  const char *write_id
+      = json_string_value (json_object_get (rows[0].value, "write_id"));
+  if (g_strcmp0 (write_id, edit->write_id) == 0)
+    {
+      if (edit->head.revision > confrev_revision (edit->conf->state))
+        conf_load_start (edit->conf, &edit->head);
+      edit_committed (edit, edit->head.revision);
+      return;
+    }
+  int64_t version = conf_head_version (&edit->head, edit->name);
+  char *message
+      = g_strdup_printf ("[%s] is at version %" PRId64 ", expected %" PRId64
+                         "; get it and edit that",
+                         edit->name, version, edit->version);
+  edit_end (edit, ERR_CONFLICT, message, version, edit->head.revision);
+  g_free (message);
+}
+
+static void
+section_read (void *context, err_kind_t kind, const table_row_t *rows,
+              uint32_t count)
+{
+  edit_t *edit = context;
+  if (kind != ERR_OK || count != 1)
+    {
+      store_failed (edit);
+      return;
+    }
+  json_int_t version
+      = json_integer_value (json_object_get (rows[0].value, "version"));
+  if (version != edit->version)
+    {
+      /* Written between the two reads.  */
+      counter_add (edit->conf->edit_races, 1);
+      edit->retry_ms = clk_now_ms (edit->conf->clock);
+      return;
+    }
+  commit (edit, rows[0].version);
+}
+
+/* The head that was read is in force here, so the edit can be judged.  */
+static void
+judge (edit_t *edit)
+{
+  conf_edit_t asked = { .name = edit->name,
+                        .version = edit->version,
+                        .text = edit->text,
+                        .who = edit->checks_role ? &edit->who : NULL,
+                        .force = edit->force };
+  /* While the head stands still, a transaction sent earlier may yet commit:
+     refusing the edit now, for example since more is in use, would be wrong.
+   */
+  bool may_commit
+      = edit->uncertain && edit->sent_row_version == edit->head.row_version;
+  char *message;
+  err_kind_t kind = ERR_OK;
+  if (!may_commit)
+    {
+      doc_unref (edit->candidate);
+      kind = check_text (edit->conf, &asked, &edit->candidate, &message);
+    }
+  if (kind != ERR_OK)
+    {
+      edit_end (edit, kind, message, edit->version, edit->head.revision);
+      g_free (message);
+      return;
+    }
+  char *key = g_strdup_printf ("doc/section/%s", edit->name);
+  edit->conf->table->ops->get (edit->conf->table, key, section_read, edit);
+  g_free (key);
+}
+
+static void
+head_read (void *context, err_kind_t kind, const table_row_t *rows,
+           uint32_t count)
+{
+  edit_t *edit = context;
+  conf_t *conf = edit->conf;
+  conf_head_clear (&edit->head);
+  if (kind != ERR_OK || count != 1 || !conf_head_read (&rows[0], &edit->head))
+    {
+      store_failed (edit);
+      return;
+    }
+  int64_t version = conf_head_version (&edit->head, edit->name);
+  if (version > edit->version)
+    {
+      char *key = g_strdup_printf ("doc/history/%s/%" PRId64, edit->name,
+                                   edit->version + 1);
+      conf->table->ops->get (conf->table, key, settle_read, edit);
+      g_free (key);
+      return;
+    }
+  if (version < edit->version)
+    {
+      edit_end (edit, ERR_CONFLICT,
+                "the section's version is below the stated one", version,
+                edit->head.revision);
+      return;
+    }
+  if (edit->head.revision == confrev_revision (conf->state))
+    {
+      if (confrev_document (conf->state) == NULL)
+        conf_apply (conf, 0, NULL, 0, CONFREV_STORE);
+      confrev_store_seen (conf->state, edit->head.revision);
+      judge (edit);
+      return;
+    }
+  if (edit->head.revision < confrev_revision (conf->state))
+    {
+      edit->retry_ms = clk_now_ms (conf->clock) + RETRY_MS;
+      return;
+    }
+  /* Another revision has to come into force here first.  */
+  edit->retry_ms = clk_now_ms (conf->clock);
+  conf_load_start (conf, &edit->head);
+}
+
+static void
+read_head (edit_t *edit)
+{
+  conf_t *conf = edit->conf;
+  if (clk_now_ms (conf->clock) >= edit->limit_ms)
+    {
+      edit_end (
+          edit, edit->uncertain ? ERR_TIMEOUT : ERR_STORE_UNAVAILABLE,
+          edit->uncertain
+              ? "the store's reply was lost; read the section's history "
+                "before repeating the edit"
+              : "the edit could not be made in time; nothing was changed",
+          0, 0);
+      return;
+    }
+  edit->retry_ms = -1;
+  conf->table->ops->get (conf->table, "doc/head", head_read, edit);
+}
+
+void
+conf_edit (conf_t *conf, const conf_edit_t *edit, conf_done_t done,
+           void *context)
+{
+  edit_t *copy = g_new0 (edit_t, 1);
+  copy->conf = conf;
+  copy->name = g_strdup (edit->name);
+  bool remove = edit->text[strspn (edit->text, " \t\r\n")] == '\0';
+  copy->text = g_strdup (remove ? "" : edit->text);
+  copy->why = g_strdup (edit->why != NULL ? edit->why : "");
+  copy->write_id
+      = g_strdup_printf ("%s-%" PRIu64, conf->self, ++conf->edit_count);
+  copy->checks_role = edit->who != NULL;
+  if (edit->who != NULL)
+    copy->who = *edit->who;
+  copy->force = edit->force;
+  copy->version = edit->version;
+  copy->limit_ms = clk_now_ms (conf->clock) + EDIT_LIMIT_MS;
+  copy->done = done;
+  copy->context = context;
+  g_ptr_array_add (conf->edits, copy);
+  read_head (copy);
+}
+
+void
+conf_edits_tick (conf_t *conf)
+{
+  int64_t now_ms = clk_now_ms (conf->clock);
+  /* An edit that ends is replaced by the last one in the array.  */
+  for (unsigned i = conf->edits->len; i-- > 0;)
+    {
+      edit_t *edit = g_ptr_array_index (conf->edits, i);
+      if (edit->revision > 0)
+        confirm (edit);
+      else if (edit->retry_ms >= 0 && now_ms >= edit->retry_ms)
+        read_head (edit);
+    }
+}
+
+void
+conf_edits_confirm (conf_t *conf)
+{
+  for (unsigned i = conf->edits->len; i-- > 0;)
+    {
+      edit_t *edit = g_ptr_array_index (conf->edits, i);
+      if (edit->revision > 0)
+        confirm (edit);
+    }
+}
+
+void
+conf_edits_free (conf_t *conf)
+{
+  for (unsigned i = 0; i < conf->edits->len; i++)
+    edit_free (g_ptr_array_index (conf->edits, i));
+  g_ptr_array_free (conf->edits, TRUE);
+}
+
+typedef struct
+{
+  conf_history_done_t done;
+  void *context;
+} history_t;
+
+static int
+compare_versions (const void *a, const void *b)
+{
+  json_t *const *left = a;
+  json_t *const *right = b;
+  json_int_t l = json_integer_value (json_object_get (*left, "version"));
+  json_int_t r = json_integer_value (json_object_get (*right, "version"));
+  return l < r ? -1 : l > r;
+}
+
+static void
+history_scanned (void *context, err_kind_t kind, const table_row_t *rows,
+                 uint32_t count)
+{
+  history_t *history = context;
+  json_t *list = NULL;
+  if (kind == ERR_OK)
+    {
+      /* Keys are in the order of characters, 10 before 9.  */
+      GPtrArray *order = g_ptr_array_new ();
+      for (uint32_t i = 0; i < count; i++)
+        g_ptr_array_add (order, rows[i].value);
+      g_ptr_array_sort (order, compare_versions);
+      list = json_array ();
+      for (unsigned i = 0; i < order->len; i++)
+        json_array_append (list, g_ptr_array_index (order, i));
+      g_ptr_array_free (order, TRUE);
+    }
+  history->done (history->context, kind, list);
+  json_decref (list);
+  g_free (history);
+}
+
+void
+conf_history (conf_t *conf, const char *name, conf_history_done_t done,
+              void *context)
+{
+  history_t *history = g_new (history_t, 1);
+  *history = (history_t){ .done = done, .context = context };
+  char *prefix = g_strdup_printf ("doc/history/%s/", name);
+  conf->table->ops->scan (conf->table, prefix, history_scanned, history);
+  g_free (prefix);
+}
--- a/tests/test.h
+++ b/tests/test.h
@@ -14,6 +14,8 @@
 extern CU_SuiteInfo test_doc_suites[];
 extern CU_SuiteInfo test_auth_suites[];
 extern CU_SuiteInfo test_burn_suites[];
+extern CU_SuiteInfo test_confrev_suites[];
+extern CU_SuiteInfo test_conf_suites[];
 
 /* Seed of the random cases, from --seed; printed at the start.  */
 uint32_t test_seed (void);
