--- a/tests/test.h
+++ b/tests/test.h
@@ -11,6 +11,7 @@
    CU_SUITE_INFO_NULL and is listed in test_main.c.  */
 
 extern CU_SuiteInfo test_base_suites[];
+extern CU_SuiteInfo test_contract_suites[];
 extern CU_SuiteInfo test_doc_suites[];
 extern CU_SuiteInfo test_auth_suites[];
 extern CU_SuiteInfo test_burn_suites[];
