conf: fit the messages of the peer module

ConfigFetch carries only a revision, so a section's text is left out when the section has not changed here since that revision. Which revisions the entries of a zone have goes to other zones in ConfigSections.

--- a/src/confrev.c
+++ b/src/confrev.c
@@ -13,11 +13,12 @@
   int64_t store_seen_ms; /* -1: never */
   doc_t *doc;
   GHashTable *sections; /* name -> confrev_section_t */
-  GHashTable *peers;    /* entry -> peer_t */
+  GHashTable *peers;    /* id of an entry -> peer_t */
 };
 
 typedef struct
 {
+  char *entry; /* ID@INCARNATION */
   char *zone;
   int64_t revision;
   int64_t seen_ms;
@@ -37,6 +38,7 @@
 peer_free (void *data)
 {
   peer_t *peer = data;
+  g_free (peer->entry);
   g_free (peer->zone);
   g_free (peer);
 }
@@ -187,6 +189,9 @@
       copy->name = g_strdup (sections[i].name);
       copy->version = sections[i].version;
       copy->text = g_strdup (sections[i].text);
+      const confrev_section_t *was = g_hash_table_lookup (old, copy->name);
+      copy->since = was != NULL && was->version == copy->version ? was->since
+                                                                 : revision;
       g_hash_table_insert (confrev->sections, copy->name, copy);
     }
   g_hash_table_destroy (old);
@@ -207,22 +212,42 @@
   return confrev->source >= needed[question] ? ERR_OK : ERR_NO_CONFIG;
 }
 
-/* Notes the report and returns its row.  */
+static int64_t
+incarnation_of (const char *entry)
+{
+  const char *at = strchr (entry, '@');
+  return at != NULL ? g_ascii_strtoll (at + 1, NULL, 10) : 0;
+}
+
+/* Returns the row of ENTRY's id, NULL if there is none.  */
+static peer_t *
+find_peer (const confrev_t *confrev, const char *entry)
+{
+  char *id = g_strndup (entry, strcspn (entry, "@"));
+  peer_t *peer = g_hash_table_lookup (confrev->peers, id);
+  g_free (id);
+  return peer;
+}
+
+/* Notes the report; returns its row, NULL if it is from an old incarnation. */
 static peer_t *
 note_peer (confrev_t *confrev, const char *entry, const char *zone,
            int64_t revision)
 {
-  peer_t *peer = g_hash_table_lookup (confrev->peers, entry);
+  peer_t *peer = find_peer (confrev, entry);
   if (peer == NULL)
     {
       peer = g_new0 (peer_t, 1);
-      g_hash_table_insert (confrev->peers, g_strdup (entry), peer);
-    }
-  if (g_strcmp0 (peer->zone, zone) != 0)
-    {
-      g_free (peer->zone);
-      peer->zone = g_strdup (zone);
+      peer->entry = g_strdup (entry);
+      g_hash_table_insert (confrev->peers,
+                           g_strndup (entry, strcspn (entry, "@")), peer);
     }
+  if (incarnation_of (entry) < incarnation_of (peer->entry))
+    return NULL;
+  g_free (peer->entry);
+  peer->entry = g_strdup (entry);
+  g_free (peer->zone);
+  peer->zone = g_strdup (zone);
   /* A replaced entry starts again below; what counts is what is in force
      there now.  */
   peer->revision = revision;
@@ -234,9 +259,13 @@
 confrev_peer (confrev_t *confrev, const char *entry, const char *zone,
               int64_t revision)
 {
-  const peer_t *known = g_hash_table_lookup (confrev->peers, entry);
-  bool news = known == NULL || known->revision != revision;
-  note_peer (confrev, entry, zone, revision)->direct = true;
+  const peer_t *known = find_peer (confrev, entry);
+  bool news = known == NULL || known->revision != revision
+              || strcmp (known->entry, entry) != 0;
+  peer_t *peer = note_peer (confrev, entry, zone, revision);
+  if (peer == NULL)
+    return false;
+  peer->direct = true;
   return news;
 }
 
@@ -244,17 +273,24 @@
 confrev_peer_relayed (confrev_t *confrev, const char *entry, const char *zone,
                       int64_t revision)
 {
-  const peer_t *peer = g_hash_table_lookup (confrev->peers, entry);
+  peer_t *peer = find_peer (confrev, entry);
   if (peer != NULL && peer->direct
       && clk_now_ms (confrev->clock) - peer->seen_ms < DIRECT_MS)
     return;
-  note_peer (confrev, entry, zone, revision)->direct = false;
+  peer = note_peer (confrev, entry, zone, revision);
+  if (peer != NULL)
+    peer->direct = false;
 }
 
 void
 confrev_peer_gone (confrev_t *confrev, const char *entry)
 {
-  g_hash_table_remove (confrev->peers, entry);
+  const peer_t *peer = find_peer (confrev, entry);
+  if (peer == NULL || incarnation_of (peer->entry) > incarnation_of (entry))
+    return;
+  char *id = g_strndup (entry, strcspn (entry, "@"));
+  g_hash_table_remove (confrev->peers, id);
+  g_free (id);
 }
 
 int64_t
@@ -262,16 +298,16 @@
 {
   int64_t highest = 0;
   GHashTableIter iter;
-  void *name, *value;
+  void *value;
   g_hash_table_iter_init (&iter, confrev->peers);
-  while (g_hash_table_iter_next (&iter, &name, &value))
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const peer_t *peer = value;
       if (!peer->direct || peer->revision <= highest)
         continue;
       highest = peer->revision;
       if (entry != NULL)
-        *entry = name;
+        *entry = peer->entry;
     }
   return highest;
 }
@@ -296,10 +332,10 @@
   g_ptr_array_sort (names, compare_strings);
   for (unsigned i = 0; i < names->len; i++)
     {
-      const char *entry = g_ptr_array_index (names, i);
-      const peer_t *peer = g_hash_table_lookup (confrev->peers, entry);
+      const peer_t *peer
+          = g_hash_table_lookup (confrev->peers, g_ptr_array_index (names, i));
       confrev_peer_t row = {
-        .entry = entry,
+        .entry = peer->entry,
         .zone = peer->zone,
         .revision = peer->revision,
         .age_ms = clk_now_ms (confrev->clock) - peer->seen_ms,
--- a/src/confrev.h
+++ b/src/confrev.h
@@ -24,6 +24,7 @@
   char *name;
   int64_t version;
   char *text;
+  int64_t since; /* first revision seen here with this version */
 } confrev_section_t;
 
 typedef enum
@@ -81,8 +82,9 @@
 err_kind_t confrev_judge (const confrev_t *confrev,
                           confrev_question_t question);
 
-/* ENTRY of ZONE reports that REVISION is in force there.  Returns whether that
-   is news.  */
+/* ENTRY ("ID@INCARNATION") of ZONE reports that REVISION is in force there.
+   Returns whether that is news.  Of each id only the highest incarnation is
+   kept.  */
 bool confrev_peer (confrev_t *confrev, const char *entry, const char *zone,
                    int64_t revision);
 /* Another entry reports it about ENTRY; ignored while ENTRY reports itself. */
--- a/src/io/conf.c
+++ b/src/io/conf.c
@@ -11,11 +11,10 @@
 /* A new process waits this long for the store and for word of several peers
    before it takes a revision from one that may be behind.  */
 #define START_WAIT_MS 1000
-/* Announcements also tell other zones which revisions the entries of this one
-   have.  They are repeated at this interval, since one can get lost, and at
-   the shorter one while the entries catch up.  */
-#define ANNOUNCE_MS 10000
-#define ANNOUNCE_CHANGED_MS 250
+/* Entries of other zones are told which revisions the entries of this one
+   have: at this interval, and at the shorter one while they catch up.  */
+#define RELAY_MS 10000
+#define RELAY_CHANGED_MS 250
 /* Above this many changed sections one scan replaces single reads.  */
 #define SCAN_ABOVE 8
 
@@ -94,35 +93,41 @@
 
 typedef struct
 {
-  const char *zone;
-  json_t *entries;
-} own_zone_t;
+  const conf_t *conf;
+  json_t *entries; /* of the own zone */
+  GPtrArray *to;   /* connected entries of other zones */
+} relay_t;
 
 static void
-add_own_zone (void *context, const confrev_peer_t *peer)
+relay_peer (void *context, const confrev_peer_t *peer)
 {
-  own_zone_t *own = context;
-  if (peer->direct && peer->age_ms < ANNOUNCE_MS
-      && g_strcmp0 (peer->zone, own->zone) == 0)
-    json_object_set_new (own->entries, peer->entry,
+  relay_t *relay = context;
+  if (!peer->direct || peer->age_ms >= RELAY_MS)
+    return;
+  if (strcmp (peer->zone, relay->conf->zone) == 0)
+    json_object_set_new (relay->entries, peer->entry,
                          json_integer (peer->revision));
+  else
+    g_ptr_array_add (relay->to, (void *)peer->entry);
 }
 
 static void
-announce (conf_t *conf)
+relay_zone (conf_t *conf)
 {
-  own_zone_t own = { .zone = conf->zone, .entries = json_object () };
-  confrev_each_peer (conf->state, add_own_zone, &own);
-  json_t *message = json_pack ("{s:I,s:o}", "revision",
-                               (json_int_t)confrev_revision (conf->state),
-                               "entries", own.entries);
+  relay_t relay
+      = { .conf = conf, .entries = json_object (), .to = g_ptr_array_new () };
+  confrev_each_peer (conf->state, relay_peer, &relay);
+  json_t *message
+      = json_pack ("{s:s,s:o}", "zone", conf->zone, "entries", relay.entries);
   char *bytes = json_dumps (message, JSON_COMPACT);
-  conf->announce_at_ms = clk_now_ms (conf->clock) + ANNOUNCE_MS;
+  conf->relay_at_ms = clk_now_ms (conf->clock) + RELAY_MS;
   conf->zone_changed = false;
-  conf->peers->send (conf->peer_context, NULL, CONF_ANNOUNCE, bytes,
-                     strlen (bytes));
+  for (unsigned i = 0; i < relay.to->len; i++)
+    conf->peers->send (conf->peer_context, g_ptr_array_index (relay.to, i),
+                       confrev_revision (conf->state), bytes, strlen (bytes));
   free (bytes);
   json_decref (message);
+  g_ptr_array_free (relay.to, TRUE);
 }
 
 void
@@ -153,7 +158,7 @@
       row->changed (row->context, confrev_document (conf->state), revision);
     }
   if (revision > 0)
-    announce (conf);
+    conf->peers->announce (conf->peer_context, revision);
 }
 
 static void
@@ -329,29 +334,17 @@
       && now_ms < conf->started_ms + START_WAIT_MS)
     return;
   conf->fetch_at_ms = now_ms + FETCH_MS;
-  json_t *have = json_object ();
-  GPtrArray *sections = confrev_sections (conf->state);
-  for (unsigned i = 0; i < sections->len; i++)
-    {
-      const confrev_section_t *section = g_ptr_array_index (sections, i);
-      json_object_set_new (have, section->name,
-                           json_integer (section->version));
-    }
-  g_ptr_array_free (sections, TRUE);
-  json_t *message = json_pack ("{s:o}", "have", have);
-  char *bytes = json_dumps (message, JSON_COMPACT);
-  conf->peers->send (conf->peer_context, entry, CONF_FETCH, bytes,
-                     strlen (bytes));
-  free (bytes);
-  json_decref (message);
+  conf->peers->fetch (conf->peer_context, entry,
+                      confrev_revision (conf->state));
 }
 
-/* Answers a fetch with every section, leaving out texts that the asking entry
-   has.  */
-static void
-send_sections (conf_t *conf, const char *entry, const json_t *message)
+/* A section that has stood unchanged here since HAVE_REVISION or before is
+   known to the asking entry, so its text is left out.  */
+void
+conf_peer_fetch (conf_t *conf, const char *entry, int64_t have_revision)
 {
-  const json_t *have = json_object_get (message, "have");
+  if (confrev_document (conf->state) == NULL)
+    return;
   json_t *list = json_object ();
   GPtrArray *sections = confrev_sections (conf->state);
   for (unsigned i = 0; i < sections->len; i++)
@@ -359,18 +352,16 @@
       const confrev_section_t *section = g_ptr_array_index (sections, i);
       json_t *row
           = json_pack ("{s:I}", "version", (json_int_t)section->version);
-      json_int_t known
-          = json_integer_value (json_object_get (have, section->name));
-      if (known != section->version)
+      if (section->since > have_revision)
         json_object_set_new (row, "text", json_string (section->text));
       json_object_set_new (list, section->name, row);
     }
   g_ptr_array_free (sections, TRUE);
-  json_t *answer = json_pack ("{s:I,s:o}", "revision",
-                              (json_int_t)confrev_revision (conf->state),
+  int64_t revision = confrev_revision (conf->state);
+  json_t *answer = json_pack ("{s:I,s:o}", "revision", (json_int_t)revision,
                               "sections", list);
   char *bytes = json_dumps (answer, JSON_COMPACT);
-  conf->peers->send (conf->peer_context, entry, CONF_SECTIONS, bytes,
+  conf->peers->send (conf->peer_context, entry, revision, bytes,
                      strlen (bytes));
   free (bytes);
   json_decref (answer);
@@ -410,46 +401,31 @@
 }
 
 static void
-take_announcement (conf_t *conf, const char *entry, const char *zone,
-                   const json_t *message)
+take_relay (conf_t *conf, const char *zone, json_t *entries)
 {
-  json_t *entries = json_object_get (message, "entries");
-  const char *name;
+  const char *entry;
   json_t *revision;
-  if (strcmp (zone, conf->zone) != 0)
-    json_object_foreach (entries, name, revision)
-    {
-      confrev_peer_relayed (conf->state, name, zone,
-                            json_integer_value (revision));
-    }
-  conf_peer_seen (conf, entry, zone,
-                  json_integer_value (json_object_get (message, "revision")));
+  if (strcmp (zone, conf->zone) == 0)
+    return;
+  json_object_foreach (entries, entry, revision)
+  {
+    confrev_peer_relayed (conf->state, entry, zone,
+                          json_integer_value (revision));
+  }
 }
 
 void
-conf_receive (conf_t *conf, const char *entry, const char *zone,
-              conf_message_t message, const char *bytes, size_t length)
-{
-  json_t *body = json_loadb (bytes, length, 0, NULL);
-  if (body == NULL)
-    {
-      log_event (LOG_WARN, "config_message_refused", "entry", entry, NULL);
-      return;
-    }
-  switch (message)
-    {
-    case CONF_ANNOUNCE:
-      take_announcement (conf, entry, zone, body);
-      break;
-    case CONF_FETCH:
-      if (confrev_document (conf->state) != NULL)
-        send_sections (conf, entry, body);
-      break;
-    case CONF_SECTIONS:
-      take_sections (conf, body);
-      break;
-    }
-  json_decref (body);
+conf_peer_sections (conf_t *conf, const char *bytes, size_t length)
+{
+  json_t *message = json_loadb (bytes, length, 0, NULL);
+  const char *zone = json_string_value (json_object_get (message, "zone"));
+  if (message == NULL)
+    log_event (LOG_WARN, "config_message_refused", NULL);
+  else if (zone != NULL)
+    take_relay (conf, zone, json_object_get (message, "entries"));
+  else
+    take_sections (conf, message);
+  json_decref (message);
 }
 
 void
@@ -548,12 +524,10 @@
       conf->poll_at_ms = now_ms + POLL_MS;
       conf->table->ops->get (conf->table, "doc/head", poll_done, conf);
     }
-  if (confrev_document (conf->state) != NULL
-      && (now_ms >= conf->announce_at_ms
-          || (conf->zone_changed
-              && now_ms >= conf->announce_at_ms - ANNOUNCE_MS
-                               + ANNOUNCE_CHANGED_MS)))
-    announce (conf);
+  if (now_ms >= conf->relay_at_ms
+      || (conf->zone_changed
+          && now_ms >= conf->relay_at_ms - RELAY_MS + RELAY_CHANGED_MS))
+    relay_zone (conf);
   maybe_fetch (conf);
   conf_edits_tick (conf);
 }
--- a/src/io/conf.h
+++ b/src/io/conf.h
@@ -26,20 +26,17 @@
 
 typedef struct conf conf_t;
 
-/* Messages between entries; BYTES are JSON, opaque to the sender.
-   CONF_ANNOUNCE is the message ConfigAnnounce, and so on.  */
-typedef enum
-{
-  CONF_ANNOUNCE,
-  CONF_FETCH,
-  CONF_SECTIONS
-} conf_message_t;
-
+/* Messages to other entries, which may get lost.  Entries are named
+   "ID@INCARNATION".  */
 typedef struct
 {
-  /* Sends a message to ENTRY, or to all peers if ENTRY is NULL.  It may get
-     lost.  */
-  void (*send) (void *context, const char *entry, conf_message_t message,
+  /* Tells all connected entries that REVISION is in force here
+     (ConfigAnnounce), and states it in heartbeats from now on.  */
+  void (*announce) (void *context, int64_t revision);
+  /* Asks ENTRY for what came after HAVE_REVISION (ConfigFetch).  */
+  void (*fetch) (void *context, const char *entry, int64_t have_revision);
+  /* Sends the JSON text BYTES to ENTRY (ConfigSections).  */
+  void (*send) (void *context, const char *entry, int64_t revision,
                 const char *bytes, size_t length);
 } conf_peers_t;
 
@@ -91,12 +88,14 @@
 /* Polls and repeats; to be called every 100 ms.  */
 void conf_tick (conf_t *conf);
 
-/* MESSAGE came from ENTRY of ZONE.  */
-void conf_receive (conf_t *conf, const char *entry, const char *zone,
-                   conf_message_t message, const char *bytes, size_t length);
-/* Hello or Heartbeat of ENTRY states REVISION.  */
+/* Hello, Heartbeat or ConfigAnnounce of ENTRY states REVISION.  */
 void conf_peer_seen (conf_t *conf, const char *entry, const char *zone,
                      int64_t revision);
+/* ConfigFetch of ENTRY.  */
+void conf_peer_fetch (conf_t *conf, const char *entry, int64_t have_revision);
+/* ConfigSections.  */
+void conf_peer_sections (conf_t *conf, const char *bytes, size_t length);
+/* ENTRY was terminated.  */
 void conf_peer_gone (conf_t *conf, const char *entry);
 
 /* State for status, judging and accessors; borrowed.  */
--- a/src/io/conf_private.h
+++ b/src/io/conf_private.h
@@ -31,10 +31,10 @@
   bool polling;
   int64_t poll_at_ms;
   int64_t fetch_at_ms;
-  int64_t announce_at_ms; /* next repeat */
-  bool zone_changed;      /* an entry of the own zone reported a change */
-  conf_load_t *load;      /* the one in progress, NULL: none */
-  GPtrArray *edits;       /* open edits, see conf_edit.c */
+  int64_t relay_at_ms; /* next report to other zones */
+  bool zone_changed;   /* an entry of the own zone reported a change */
+  conf_load_t *load;   /* the one in progress, NULL: none */
+  GPtrArray *edits;    /* open edits, see conf_edit.c */
   uint64_t edit_count;
   counter_t *revision_gauge, *applied, *refused, *edits_done, *edit_races,
       *edit_readbacks;
--- a/tests/test_conf.c
+++ b/tests/test_conf.c
@@ -23,7 +23,7 @@
   sim_t *sim;
   unsigned index;
   unsigned life; /* grows when the entry is replaced */
-  char name[8], zone[8];
+  char name[32], zone[8];
   conf_t *conf;
   counter_registry_t *registry;
   int64_t started_ms;
@@ -41,7 +41,9 @@
   EVENT_GET,
   EVENT_SCAN,
   EVENT_TXN,
-  EVENT_MESSAGE,
+  EVENT_ANNOUNCE,
+  EVENT_FETCH,
+  EVENT_SECTIONS,
   EVENT_TIMEOUT /* tells the owner of a call that no reply came */
 } event_kind_t;
 
@@ -51,7 +53,7 @@
   event_kind_t kind;
   unsigned entry, life, from;
   char *text; /* key, prefix or message */
-  conf_message_t message;
+  int64_t have_revision;
   GArray *checks, *writes; /* table_row_t with owned keys and values */
   table_read_done_t read_done;
   table_txn_done_t txn_done;
@@ -273,19 +275,22 @@
     return;
   else if (event->kind == EVENT_TIMEOUT)
     event->txn_done (event->context, ERR_TIMEOUT, NULL, 0);
-  else if (event->kind == EVENT_MESSAGE)
-    conf_receive (entry->conf, sim->entries[event->from].name,
-                  sim->entries[event->from].zone, event->message, event->text,
-                  strlen (event->text));
+  else if (event->kind == EVENT_ANNOUNCE)
+    conf_peer_seen (entry->conf, event->text, sim->entries[event->from].zone,
+                    event->have_revision);
+  else if (event->kind == EVENT_FETCH)
+    conf_peer_fetch (entry->conf, event->text, event->have_revision);
+  else if (event->kind == EVENT_SECTIONS)
+    conf_peer_sections (entry->conf, event->text, strlen (event->text));
   else
     run_read (sim, event);
 }
 
+/* Sends to the entry called TO, or to all if it is NULL.  */
 static void
-fake_send (void *context, const char *to, conf_message_t message,
-           const char *bytes, size_t length)
+send_to (entry_t *from, const char *to, event_kind_t kind, int64_t revision,
+         const char *text, size_t length)
 {
-  entry_t *from = context;
   sim_t *sim = from->sim;
   for (unsigned i = 0; i < ENTRIES; i++)
     {
@@ -293,15 +298,39 @@
           || (to != NULL && strcmp (to, sim->entries[i].name) != 0)
           || g_rand_double (sim->random) < sim->lost_messages)
         continue;
-      event_t *event = event_add (sim, EVENT_MESSAGE, i,
-                                  g_rand_int_range (sim->random, 1, 20));
-      event->text = g_strndup (bytes, length);
+      event_t *event
+          = event_add (sim, kind, i, g_rand_int_range (sim->random, 1, 20));
+      event->text = g_strndup (text, length);
       event->from = from->index;
-      event->message = message;
+      event->have_revision = revision;
     }
 }
 
-static const conf_peers_t fake_peers = { fake_send };
+static void
+fake_announce (void *context, int64_t revision)
+{
+  entry_t *from = context;
+  send_to (from, NULL, EVENT_ANNOUNCE, revision, from->name,
+           strlen (from->name));
+}
+
+static void
+fake_fetch (void *context, const char *to, int64_t have_revision)
+{
+  entry_t *from = context;
+  send_to (from, to, EVENT_FETCH, have_revision, from->name,
+           strlen (from->name));
+}
+
+static void
+fake_send (void *context, const char *to, int64_t revision, const char *bytes,
+           size_t length)
+{
+  send_to (context, to, EVENT_SECTIONS, revision, bytes, length);
+}
+
+static const conf_peers_t fake_peers
+    = { fake_announce, fake_fetch, fake_send };
 
 static void
 changed (void *context, doc_t *doc, int64_t revision)
@@ -321,13 +350,11 @@
   entry->life++;
   entry->revision = 0;
   entry->started_ms = clk_now_ms (&sim->clock.base);
-  g_snprintf (entry->name, sizeof entry->name, "e%u", index);
+  g_snprintf (entry->name, sizeof entry->name, "e%u@%u", index, entry->life);
   g_snprintf (entry->zone, sizeof entry->zone, "z%u", index % 2);
-  char self[32];
-  g_snprintf (self, sizeof self, "%s@%u", entry->name, entry->life);
   entry->registry = counter_registry_new ();
   entry->conf = conf_new (&sim->clock.base, &entry->table, entry->registry,
-                          self, entry->zone, &fake_peers, entry);
+                          entry->name, entry->zone, &fake_peers, entry);
   conf_listen (entry->conf, changed, entry);
 }
 
--- a/tests/test_confrev.c
+++ b/tests/test_confrev.c
@@ -105,6 +105,12 @@
   CU_ASSERT_EQUAL (confrev_peers_highest (state, &entry), 0);
   confrev_peer_gone (state, "e1");
   CU_ASSERT (confrev_peer (state, "e1", "z", 5));
+  /* A late word of or about an old incarnation changes nothing.  */
+  CU_ASSERT (confrev_peer (state, "e3@20", "z", 5));
+  CU_ASSERT_FALSE (confrev_peer (state, "e3@10", "z", 7));
+  confrev_peer_gone (state, "e3@10");
+  CU_ASSERT_FALSE (confrev_peer (state, "e3@20", "z", 5));
+  CU_ASSERT (confrev_peer (state, "e3@30", "z", 5));
   confrev_free (state);
 }
 
