api, burnrow, cli: add the operators' endpoints, commands and documents

document get marks each section with its version and checksum, so that apply edits the version that the author saw and leaves other sections alone.

--- a/src/doc.h
+++ b/src/doc.h
@@ -143,6 +143,9 @@
   uint32_t request_limit;    /* requests at once for one process */
   uint32_t connection_limit; /* connections at once for one process */
   int64_t spill_after_ms;    /* wait after which another zone is tried */
+  uint32_t queue_limit;      /* waiting requests of one class and team */
+  uint32_t retry_percent;    /* retries for each 100 requests */
+  const char *admission;     /* "fair", "fifo" or "strict" */
   const char *owner;
 } doc_service_t;
 
@@ -152,12 +155,12 @@
   resource_t quota;
   double urgent_rate; /* urgent requests a second */
   double urgent_burst;
+  uint32_t request_weight; /* share of a class among teams */
 } doc_team_t;
 
 typedef struct
 {
-  uint32_t weight;      /* guaranteed share relative to the others */
-  uint32_t queue_limit; /* waiting requests of one team */
+  uint32_t weight; /* guaranteed share relative to the others */
 } doc_class_t;
 
 typedef struct
--- a/src/doc_use.c
+++ b/src/doc_use.c
@@ -150,6 +150,10 @@
       = (uint32_t)number (section, DOC_SERVICE, "connection-limit");
   out->spill_after_ms
       = (int64_t)number (section, DOC_SERVICE, "spill-after-ms");
+  out->queue_limit = (uint32_t)number (section, DOC_SERVICE, "queue-limit");
+  out->retry_percent
+      = (uint32_t)number (section, DOC_SERVICE, "retry-percent");
+  out->admission = word (section, DOC_SERVICE, "admission");
   out->owner = word (section, DOC_SERVICE, "owner");
   return section != NULL;
 }
@@ -166,6 +170,7 @@
   };
   out->urgent_rate = number (section, DOC_TEAM, "urgent-rate");
   out->urgent_burst = number (section, DOC_TEAM, "urgent-burst");
+  out->request_weight = (uint32_t)number (section, DOC_TEAM, "request-weight");
   return section != NULL;
 }
 
@@ -185,7 +190,6 @@
       = lookup (doc, DOC_CLASS, class_defaults[class].name);
   uint32_t weight = (uint32_t)number (section, DOC_CLASS, "weight");
   out->weight = weight > 0 ? weight : class_defaults[class].weight;
-  out->queue_limit = (uint32_t)number (section, DOC_CLASS, "queue-limit");
   return section != NULL;
 }
 
--- /dev/null
+++ b/src/io/api.h
@@ -0,0 +1,59 @@
+#ifndef MAGNOLIADOCK_API_H
+#define MAGNOLIADOCK_API_H
+
+#include "auth.h"
+#include "burnrow.h"
+#include "conf.h"
+#include "counter.h"
+#include "httpd.h"
+
+#include <jansson.h>
+
+/* NAME
+     api - the operators' HTTP endpoints
+
+   Document, status, burn report and metrics; the endpoints of jobs are in
+   api_jobs.h.  Errors are answered as {"error","message","outcome"}.  */
+
+typedef struct api api_t;
+
+typedef struct
+{
+  const clk_t *clock;
+  counter_registry_t *registry;
+  conf_t *conf;
+  auth_t *auth;
+  burnrow_t *burnrow;
+  const char *entry; /* ID@INCARNATION */
+  const char *zone;
+  /* Return a new reference to a part of the status, or NULL.  */
+  json_t *(*requests_status) (void *context);
+  json_t *(*tasks_status) (void *context);
+  json_t *(*entries_status) (void *context);
+  /* Milliseconds since the last whole instance list, -1: never.  */
+  int64_t (*list_age_ms) (void *context);
+  /* See entry_ready.  */
+  bool (*ready) (void *context, const char **why);
+  void *context;
+} api_options_t;
+
+/* OPTIONS is copied; what it points to stays the caller's and outlives the
+   result.  Free after the HTTP server.  */
+api_t *api_new (const api_options_t *options);
+void api_free (api_t *api);
+
+/* Routes for httpd_add_routes with the api_t as context; static.  */
+const httpd_route_t *api_routes (void);
+
+/* Finds out who sent EXCHANGE.  Answers it and returns false if nobody that
+   is known.  */
+bool api_authorise (api_t *api, httpd_exchange_t *exchange, auth_who_t *who);
+
+/* Answers with VALUE and drops the reference.  */
+void api_answer_json (httpd_exchange_t *exchange, uint16_t status,
+                      json_t *value);
+
+/* Status of this entry (new reference), see docs/manual.md.  */
+json_t *api_status (api_t *api);
+
+#endif
--- /dev/null
+++ b/src/io/cli_document.c
@@ -0,0 +1,477 @@
+#include "cli.h"
+#include "doc.h"
+
+#include <inttypes.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+/* "get" marks each section with its version and a checksum of its text, so
+   that "apply" edits the version that the author saw and leaves sections alone
+   that only others have changed since.  */
+#define MARK "#: version "
+
+static const option_t plain_options[] = {
+  CLI_SERVER_OPTIONS ("text|json"),
+  { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
+};
+
+static const option_t apply_options[] = {
+  CLI_SERVER_OPTIONS ("text|json"),
+  { "why", OPTION_TEXT, offsetof (cli_settings_t, why), NULL, false, 0, 0,
+    NULL, "Reason, kept in the history" },
+  { "prune", OPTION_FLAG, offsetof (cli_settings_t, prune), NULL, false, 0, 0,
+    NULL, "Also remove the sections that FILE does not have" },
+  { "force", OPTION_FLAG, offsetof (cli_settings_t, force), NULL, false, 0, 0,
+    NULL, "Apply even below what is in use (operators only)" },
+  { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
+};
+
+static const option_t check_options[] = {
+  { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
+};
+
+/* One section of a file beside the one in force.  */
+typedef struct
+{
+  char *name;
+  char *text;            /* without the mark; "" if the file has none */
+  int64_t version;       /* that the author saw, or the present one */
+  const json_t *present; /* borrowed; NULL: there is none */
+  bool changed;          /* by the author */
+  doc_type_t type;
+} change_t;
+
+static char *
+checksum (const char *text)
+{
+  char *sum = g_compute_checksum_for_string (G_CHECKSUM_SHA256, text, -1);
+  sum[12] = '\0';
+  return sum;
+}
+
+/* Takes the mark out of TEXT.  Returns whether there is one.  */
+static bool
+take_mark (char *text, int64_t *version, char sum[13])
+{
+  char *line = strstr (text, MARK);
+  if (line == NULL || (line != text && line[-1] != '\n'))
+    return false;
+  bool right
+      = sscanf (line + strlen (MARK), "%" SCNd64 " %12s", version, sum) == 2;
+  char *end = strchr (line, '\n');
+  if (end != NULL)
+    memmove (line, end + 1, strlen (end + 1) + 1);
+  return right;
+}
+
+static doc_t *
+parse_file (const cli_settings_t *settings, const char *file)
+{
+  char *text = cli_read_file (settings, file);
+  if (text == NULL)
+    return NULL;
+  GPtrArray *errors = doc_errors_new ();
+  doc_t *doc = doc_parse (text, strlen (text), errors);
+  for (unsigned i = 0; i < errors->len; i++)
+    {
+      GString *line = g_string_new (NULL);
+      doc_error_print (g_ptr_array_index (errors, i), line);
+      cli_fail (settings, "%s: %s", file, line->str);
+      g_string_free (line, TRUE);
+    }
+  g_ptr_array_free (errors, TRUE);
+  g_free (text);
+  return doc;
+}
+
+static int
+run_check (const cli_settings_t *settings, char **rest)
+{
+  doc_t *doc = parse_file (settings, rest[0]);
+  if (doc == NULL)
+    return 1;
+  printf ("%s: %zu sections, no errors\n", rest[0], doc_section_count (doc));
+  doc_unref (doc);
+  return 0;
+}
+
+static void
+print_marked (const json_t *section, bool first)
+{
+  const char *text = cli_text (section, "text");
+  if (*text == '\0')
+    return;
+  char *sum = checksum (text);
+  printf ("%s" MARK "%" PRId64 " %s\n%s", first ? "" : "\n",
+          cli_number (section, "version"), sum, text);
+  g_free (sum);
+}
+
+static int
+run_get (const cli_settings_t *settings, char **rest)
+{
+  json_t *answer;
+  char *escaped
+      = rest[0] != NULL ? g_uri_escape_string (rest[0], NULL, FALSE) : NULL;
+  char *path = escaped != NULL ? g_strconcat ("/v1/document/", escaped, NULL)
+                               : g_strdup ("/v1/document");
+  bool done = cli_call_json (settings, "GET", path, NULL, &answer);
+  g_free (path);
+  g_free (escaped);
+  if (!done)
+    return 1;
+  if (strcmp (settings->format, "json") == 0)
+    cli_print_json (answer);
+  else if (rest[0] != NULL)
+    print_marked (answer, true);
+  else
+    {
+      size_t index;
+      json_t *section;
+      json_array_foreach (json_object_get (answer, "sections"), index, section)
+          print_marked (section, index == 0);
+    }
+  json_decref (answer);
+  return 0;
+}
+
+static void
+change_free (void *data)
+{
+  change_t *change = data;
+  g_free (change->name);
+  g_free (change->text);
+  g_free (change);
+}
+
+static const json_t *
+find_present (const json_t *document, const char *name)
+{
+  size_t index;
+  json_t *section;
+  json_array_foreach (json_object_get (document, "sections"), index,
+                      section) if (strcmp (cli_text (section, "section"), name)
+                                   == 0) return section;
+  return NULL;
+}
+
+static change_t *
+change_new (const json_t *document, const char *name, const char *text,
+            doc_type_t type)
+{
+  change_t *change = g_new0 (change_t, 1);
+  change->name = g_strdup (name);
+  change->text = g_strdup (text);
+  change->type = type;
+  change->present = find_present (document, name);
+  change->version = cli_number (change->present, "version");
+  return change;
+}
+
+/* Sections come before those that refer to them, and are removed after.  */
+static int
+compare_changes (const void *a, const void *b)
+{
+  static const int order[DOC_TYPE_COUNT] = {
+    [DOC_FLEET] = 0,   [DOC_ZONE] = 1,      [DOC_CLASS] = 2,  [DOC_TEAM] = 3,
+    [DOC_SERVICE] = 4, [DOC_OBJECTIVE] = 5, [DOC_ACCESS] = 6,
+  };
+  const change_t *left = *(const change_t *const *)a;
+  const change_t *right = *(const change_t *const *)b;
+  bool left_removed = left->text[0] == '\0';
+  bool right_removed = right->text[0] == '\0';
+  if (left_removed != right_removed)
+    return left_removed - right_removed;
+  int difference = order[left->type] - order[right->type];
+  return left_removed ? -difference : difference;
+}
+
+/* Lists the sections that the author of the file has changed.  */
+static GPtrArray *
+list_changes (const cli_settings_t *settings, const doc_t *doc,
+              const json_t *document)
+{
+  GPtrArray *changes = g_ptr_array_new_with_free_func (change_free);
+  for (size_t i = 0; i < doc_section_count (doc); i++)
+    {
+      const doc_section_t *section = doc_section_at (doc, i);
+      change_t *change = change_new (document, doc_section_full_name (section),
+                                     doc_section_text (section),
+                                     doc_section_type (section));
+      int64_t seen;
+      char sum[13] = "";
+      bool marked = take_mark (change->text, &seen, sum);
+      char *own = checksum (change->text);
+      change->changed
+          = strcmp (change->text, cli_text (change->present, "text")) != 0
+            && !(marked && strcmp (own, sum) == 0);
+      if (marked && change->changed)
+        change->version = seen;
+      g_free (own);
+      g_ptr_array_add (changes, change);
+    }
+  size_t index;
+  json_t *present;
+  json_array_foreach (json_object_get (document, "sections"), index, present)
+  {
+    const char *name = cli_text (present, "section");
+    if (!settings->prune || doc_section (doc, name) != NULL
+        || cli_text (present, "text")[0] == '\0')
+      continue;
+    doc_type_t type = DOC_ACCESS;
+    for (unsigned i = 0; i < DOC_TYPE_COUNT; i++)
+      if (strncmp (doc_type_name ((doc_type_t)i), name, strcspn (name, " "))
+          == 0)
+        type = (doc_type_t)i;
+    change_t *change = change_new (document, name, "", type);
+    change->changed = true;
+    g_ptr_array_add (changes, change);
+  }
+  g_ptr_array_sort (changes, compare_changes);
+  return changes;
+}
+
+/* Parses the sections in force; NULL if there are none.  */
+static doc_t *
+parse_document (const json_t *document)
+{
+  GString *text = g_string_new (NULL);
+  size_t index;
+  json_t *section;
+  json_array_foreach (json_object_get (document, "sections"), index, section)
+      g_string_append_printf (text, "%s\n", cli_text (section, "text"));
+  GPtrArray *errors = doc_errors_new ();
+  doc_t *doc = doc_parse_stored (text->str, text->len, errors, errors);
+  g_ptr_array_free (errors, TRUE);
+  g_string_free (text, TRUE);
+  return doc;
+}
+
+static void
+print_diff (const change_t *change, const doc_t *before, const doc_t *after)
+{
+  const doc_section_t *was = doc_section (before, change->name);
+  const doc_section_t *is = doc_section (after, change->name);
+  GString *out = g_string_new (NULL);
+  bool differs = doc_diff (was, is, out);
+  printf ("[%s] version %" PRId64 "%s\n%s", change->name, change->version,
+          was == NULL  ? ", new"
+          : is == NULL ? ", removed"
+          : !differs   ? ", only comments or order"
+                       : "",
+          out->str);
+  g_string_free (out, TRUE);
+}
+
+static int
+apply_one (const cli_settings_t *settings, const change_t *change)
+{
+  char *name = g_uri_escape_string (change->name, NULL, FALSE);
+  char *why = g_uri_escape_string (settings->why != NULL ? settings->why : "",
+                                   NULL, FALSE);
+  char *path = g_strdup_printf ("/v1/document/%s?version=%" PRId64 "&why=%s%s",
+                                name, change->version, why,
+                                settings->force ? "&force=true" : "");
+  json_t *answer;
+  bool done = cli_call_json (settings, "PUT", path, change->text, &answer);
+  if (done)
+    printf ("[%s] version %" PRId64 ", revision %" PRId64
+            ", in force at %" PRId64 " of %" PRId64 " connected entries\n",
+            change->name, cli_number (answer, "version"),
+            cli_number (answer, "revision"),
+            cli_number (answer, "confirmed") + 1,
+            cli_number (answer, "reachable") + 1);
+  else
+    cli_fail (settings, "[%s] was not applied", change->name);
+  json_decref (answer);
+  g_free (path);
+  g_free (why);
+  g_free (name);
+  return done ? 0 : 1;
+}
+
+/* Prints, or applies, what differs between a file and the document.  */
+static int
+compare_file (const cli_settings_t *settings, const char *file, bool apply)
+{
+  doc_t *doc = parse_file (settings, file);
+  json_t *document = NULL;
+  int code = 1;
+  unsigned changed = 0;
+  if (doc == NULL
+      || !cli_call_json (settings, "GET", "/v1/document", NULL, &document))
+    goto out;
+  code = 0;
+  GPtrArray *changes = list_changes (settings, doc, document);
+  doc_t *present = parse_document (document);
+  for (unsigned i = 0; i < changes->len && code == 0; i++)
+    {
+      const change_t *change = g_ptr_array_index (changes, i);
+      if (!change->changed)
+        continue;
+      changed++;
+      if (apply)
+        code = apply_one (settings, change);
+      else
+        print_diff (change, present, doc);
+    }
+  doc_unref (present);
+  g_ptr_array_free (changes, TRUE);
+  if (changed == 0)
+    printf ("%s: nothing differs from revision %" PRId64 "\n", file,
+            cli_number (document, "revision"));
+out:
+  json_decref (document);
+  doc_unref (doc);
+  return code;
+}
+
+static int
+run_diff (const cli_settings_t *settings, char **rest)
+{
+  return compare_file (settings, rest[0], false);
+}
+
+static int
+run_apply (const cli_settings_t *settings, char **rest)
+{
+  return compare_file (settings, rest[0], true);
+}
+
+static int
+run_history (const cli_settings_t *settings, char **rest)
+{
+  char *escaped = g_uri_escape_string (rest[0], NULL, FALSE);
+  char *path = g_strconcat ("/v1/document/", escaped, "/history", NULL);
+  json_t *answer;
+  bool done = cli_call_json (settings, "GET", path, NULL, &answer);
+  g_free (path);
+  g_free (escaped);
+  if (!done)
+    return 1;
+  size_t index;
+  json_t *row;
+  if (strcmp (settings->format, "json") == 0)
+    cli_print_json (answer);
+  else
+    json_array_foreach (json_object_get (answer, "history"), index, row)
+    {
+      const char *who = cli_text (row, "who");
+      printf ("version %" PRId64 "  %s  %s  %s%s\n",
+              cli_number (row, "version"), cli_text (row, "when"),
+              *who != '\0' ? who : "(tokens off)", cli_text (row, "why"),
+              cli_text (row, "text")[0] == '\0' ? "  (removed)" : "");
+    }
+  json_decref (answer);
+  return 0;
+}
+
+static int
+run_status (const cli_settings_t *settings, char **rest)
+{
+  json_t *answer;
+  if (!cli_call_json (settings, "GET", "/v1/status", NULL, &answer))
+    return 1;
+  const json_t *config = json_object_get (answer, "config");
+  const json_t *behind = json_object_get (answer, "unconfirmed");
+  if (strcmp (settings->format, "json") == 0)
+    {
+      json_t *out = json_pack ("{s:O?,s:O?,s:O?}", "config", config, "zones",
+                               json_object_get (answer, "zones"),
+                               "unconfirmed", behind);
+      cli_print_json (out);
+      json_decref (out);
+    }
+  else
+    {
+      printf ("revision %" PRId64 " from %s\n",
+              cli_number (config, "revision"), cli_text (config, "source"));
+      size_t index;
+      json_t *zone, *entry;
+      json_array_foreach (json_object_get (answer, "zones"), index, zone)
+          printf ("zone %s: in force at %" PRId64 " of %" PRId64 " entries\n",
+                  cli_text (zone, "zone"), cli_number (zone, "confirmed"),
+                  cli_number (zone, "entries"));
+      json_array_foreach (behind, index, entry)
+          printf ("not confirmed: entry %s\n", json_string_value (entry));
+    }
+  json_decref (answer);
+  return 0;
+}
+
+static const struct
+{
+  const char *name;
+  const option_t *options;
+  unsigned min, max; /* arguments */
+  const char *arguments;
+  int (*run) (const cli_settings_t *settings, char **rest);
+  const char *summary;
+} actions[] = {
+  { "get", plain_options, 0, 1, "[SECTION]", run_get,
+    "prints the document in force, or one section, ready to edit and apply" },
+  { "check", check_options, 1, 1, "FILE", run_check,
+    "checks a file without a server" },
+  { "diff", apply_options, 1, 1, "FILE", run_diff,
+    "prints what apply would change" },
+  { "apply", apply_options, 1, 1, "FILE", run_apply,
+    "applies the changed sections of a file" },
+  { "history", plain_options, 1, 1, "SECTION", run_history,
+    "prints the versions of a section" },
+  { "status", plain_options, 0, 0, "", run_status,
+    "prints where the revision is in force" },
+};
+
+static void
+print_actions (FILE *out)
+{
+  fputs ("usage: magnoliadock document ACTION [OPTION...]\n\nactions:\n", out);
+  for (size_t i = 0; i < G_N_ELEMENTS (actions); i++)
+    fprintf (out, "  %-8s %-10s %s\n", actions[i].name, actions[i].arguments,
+             actions[i].summary);
+  fputs ("\nA SECTION is a name like \"service ordering\".  magnoliadock "
+         "document ACTION --help\nprints the options.\n",
+         out);
+}
+
+int
+cli_document (int argc, char **argv)
+{
+  cli_settings_t settings = { .command = "document" };
+  const char *name = argc > 1 ? argv[1] : "";
+  size_t i = 0;
+  if (strcmp (name, "--help") == 0 || strcmp (name, "help") == 0)
+    {
+      print_actions (stdout);
+      return 0;
+    }
+  while (i < G_N_ELEMENTS (actions) && strcmp (actions[i].name, name) != 0)
+    i++;
+  if (i == G_N_ELEMENTS (actions))
+    return cli_usage (&settings,
+                      "\"%s\": expected one of get, check, diff, apply, "
+                      "history, status",
+                      name);
+  char *command = g_strconcat ("document ", name, NULL);
+  char *summary = g_strconcat (command, " ", actions[i].arguments, ": ",
+                               actions[i].summary, ".", NULL);
+  settings.command = argv[1] = command;
+  char **rest = NULL;
+  int code = 2;
+  if (options_parse (actions[i].options, &settings, summary, argc - 1,
+                     argv + 1, &rest))
+    {
+      unsigned count = g_strv_length (rest);
+      if (count < actions[i].min || count > actions[i].max)
+        code = cli_usage (&settings, "%u arguments, expected %s", count,
+                          actions[i].max == 0 ? "none" : actions[i].arguments);
+      else
+        code = actions[i].run (&settings, rest);
+    }
+  g_strfreev (rest);
+  options_clear (actions[i].options, &settings);
+  g_free (summary);
+  g_free (command);
+  return code;
+}
--- /dev/null
+++ b/src/io/cli_jobs.c
@@ -0,0 +1,157 @@
+#include "cli.h"
+
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+static const option_t options[] = {
+  CLI_SERVER_OPTIONS ("text|json"),
+  { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
+};
+
+/* Sends one request for ARGUMENT and prints the answer.  */
+typedef int (*run_t) (const cli_settings_t *settings, const char *argument);
+
+static int
+run_each (int argc, char **argv, const char *summary, const char *expected,
+          run_t run)
+{
+  cli_settings_t settings = { .command = argv[0] };
+  char **rest = NULL;
+  int code = 2;
+  if (!options_parse (options, &settings, summary, argc, argv, &rest))
+    goto out;
+  if (rest[0] == NULL)
+    {
+      code = cli_usage (&settings, "expected %s", expected);
+      goto out;
+    }
+  code = 0;
+  for (char **argument = rest; *argument != NULL; argument++)
+    code = MAX (code, run (&settings, *argument));
+out:
+  g_strfreev (rest);
+  options_clear (options, &settings);
+  return code;
+}
+
+static int
+submit (const cli_settings_t *settings, const char *file)
+{
+  char *text = cli_read_file (settings, file);
+  if (text == NULL)
+    return 1;
+  json_error_t error;
+  json_t *spec = json_loads (text, 0, &error);
+  int code = 1;
+  json_t *answer = NULL;
+  if (!json_is_object (spec))
+    cli_fail (settings, "%s: line %d, column %d: %s, expected a JSON object",
+              file, error.line, error.column,
+              spec == NULL ? error.text : "another value");
+  else if (cli_call_json (settings, "POST", "/v1/jobs", text, &answer))
+    {
+      if (strcmp (settings->format, "json") == 0)
+        cli_print_json (answer);
+      else
+        printf ("%s\n", cli_text (answer, "id"));
+      code = 0;
+    }
+  json_decref (answer);
+  json_decref (spec);
+  g_free (text);
+  return code;
+}
+
+static int
+call_id (const cli_settings_t *settings, const char *method,
+         const char *prefix, const char *id, json_t **answer)
+{
+  char *escaped = g_uri_escape_string (id, NULL, FALSE);
+  char *path = g_strconcat (prefix, escaped, NULL);
+  bool done = cli_call_json (settings, method, path, NULL, answer);
+  g_free (path);
+  g_free (escaped);
+  return done ? 0 : 1;
+}
+
+static int
+cancel (const cli_settings_t *settings, const char *id)
+{
+  json_t *answer;
+  int code = call_id (settings, "DELETE", "/v1/jobs/", id, &answer);
+  if (code == 0 && strcmp (settings->format, "json") == 0)
+    cli_print_json (answer);
+  else if (code == 0)
+    printf ("%s: cancel accepted; tasks are being stopped\n", id);
+  json_decref (answer);
+  return code;
+}
+
+/* Prints the decisions as lines; other members as they are.  */
+static void
+print_explanation (const json_t *answer)
+{
+  const json_t *events = json_object_get (answer, "events");
+  size_t index;
+  json_t *event;
+  if (!json_is_array (events))
+    {
+      cli_print_json (answer);
+      return;
+    }
+  json_array_foreach (events, index, event)
+  {
+    const char *name;
+    json_t *value;
+    bool first = true;
+    json_object_foreach (event, name, value)
+    {
+      char *text = json_is_string (value)
+                       ? g_strdup (json_string_value (value))
+                       : json_dumps (value, JSON_ENCODE_ANY | JSON_COMPACT);
+      printf ("%s%s=%s", first ? "" : " ", name, text);
+      g_free (text);
+      first = false;
+    }
+    putchar ('\n');
+  }
+}
+
+static int
+explain (const cli_settings_t *settings, const char *id)
+{
+  json_t *answer;
+  int code = call_id (settings, "GET", "/v1/explain/", id, &answer);
+  if (code == 0 && strcmp (settings->format, "json") == 0)
+    cli_print_json (answer);
+  else if (code == 0)
+    print_explanation (answer);
+  json_decref (answer);
+  return code;
+}
+
+int
+cli_submit (int argc, char **argv)
+{
+  return run_each (argc, argv,
+                   "submit FILE...: submits the jobs described in JSON files "
+                   "(\"-\": standard input) and prints their ids.",
+                   "a file with a job", submit);
+}
+
+int
+cli_cancel (int argc, char **argv)
+{
+  return run_each (argc, argv, "cancel JOB...: cancels jobs.", "a job id",
+                   cancel);
+}
+
+int
+cli_explain (int argc, char **argv)
+{
+  return run_each (argc, argv,
+                   "explain JOB...: prints why the tasks of a job run where "
+                   "they do, wait, or were refused.",
+                   "a job id", explain);
+}
--- /dev/null
+++ b/src/io/cli_token.c
@@ -0,0 +1,64 @@
+#include "auth.h"
+#include "cli.h"
+#include "doc_keys.h"
+
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+static const option_t options[] = {
+  { "secret-file", OPTION_TEXT, offsetof (cli_settings_t, secret_file), NULL,
+    false, 0, 0, NULL, "File with a secret to hash (default: a random one)" },
+  { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
+};
+
+int
+cli_hash_token (int argc, char **argv)
+{
+  cli_settings_t settings = { .command = argv[0] };
+  char **rest = NULL;
+  char *secret = NULL, *hash = NULL;
+  int code = 2;
+  if (!options_parse (options, &settings,
+                      "Makes a token for NAME (operator-ANNA or team-BILLING) "
+                      "and prints it with the line for the document's "
+                      "[access] section, which holds only its hash.",
+                      argc, argv, &rest))
+    goto out;
+  if (g_strv_length (rest) != 1 || doc_key_find (DOC_ACCESS, rest[0]) == NULL)
+    {
+      code = cli_usage (&settings,
+                        "%s: expected one name operator-NAME or team-NAME",
+                        rest[0] != NULL ? rest[0] : "NAME");
+      goto out;
+    }
+  code = 1;
+  if (settings.secret_file != NULL)
+    secret = cli_read_file (&settings, settings.secret_file);
+  else
+    secret = auth_secret_new ();
+  if (secret == NULL)
+    goto out;
+  g_strstrip (secret);
+  if (*secret == '\0' || strpbrk (secret, " \r\n\t") != NULL)
+    {
+      cli_fail (&settings, "%s: expected one word", settings.secret_file);
+      goto out;
+    }
+  hash = auth_hash_new (secret);
+  if (hash == NULL)
+    {
+      cli_fail (&settings, "the system gives no random numbers");
+      goto out;
+    }
+  printf ("# token for --token-file; keep it secret\n%s:%s\n"
+          "# line for the section [access]\n%s = %s\n",
+          rest[0], secret, rest[0], hash);
+  code = 0;
+out:
+  g_free (hash);
+  g_free (secret);
+  g_strfreev (rest);
+  options_clear (options, &settings);
+  return code;
+}
--- a/src/main.c
+++ b/src/main.c
@@ -1,3 +1,4 @@
+#include "cli.h"
 #include "error.h"
 
 #include <stdio.h>
@@ -13,6 +14,13 @@
 } command_t;
 
 static const command_t commands[] = {
+  { "submit", cli_submit, "submit jobs" },
+  { "status", cli_status, "print the state of the system or of a job" },
+  { "cancel", cli_cancel, "cancel jobs" },
+  { "explain", cli_explain, "print the decisions about a job" },
+  { "document", cli_document, "get, check, diff and apply the configuration" },
+  { "report", cli_report, "print the error budgets" },
+  { "hash-token", cli_hash_token, "make a token and its hash" },
   { NULL, NULL, NULL },
 };
 
