--- a/tests/test.h
+++ b/tests/test.h
@@ -11,6 +11,7 @@
    CU_SUITE_INFO_NULL and is listed in test_main.c.  */
 
 extern CU_SuiteInfo test_base_suites[];
+extern CU_SuiteInfo test_sched_suites[];
 extern CU_SuiteInfo test_contract_suites[];
 extern CU_SuiteInfo test_doc_suites[];
 extern CU_SuiteInfo test_auth_suites[];
@@ -21,6 +22,10 @@
 extern CU_SuiteInfo test_retry_suites[];
 extern CU_SuiteInfo test_outcome_suites[];
 extern CU_SuiteInfo test_dispatch_suites[];
+extern CU_SuiteInfo test_confrev_suites[];
+extern CU_SuiteInfo test_conf_suites[];
+extern CU_SuiteInfo test_frame_suites[];
+extern CU_SuiteInfo test_member_suites[];
 
 /* Seed of the random cases, from --seed; printed at the start.  */
 uint32_t test_seed (void);
