--- a/src/io/bench.c
+++ b/src/io/bench.c
@@ -14,6 +14,7 @@
 
 static const subcommand_t subcommands[] = {
   { "http", bench_http_run, "requests to entries at a fixed rate" },
+  { "dispatch", bench_dispatch_run, "the request core without sockets" },
   { NULL, NULL, NULL },
 };
 
--- a/src/io/bench.h
+++ b/src/io/bench.h
@@ -12,4 +12,7 @@
 /* Requests to entries, in open loop.  */
 int bench_http_run (int argc, char **argv);
 
+/* Decision time, floods and slot sharing of the request core.  */
+int bench_dispatch_run (int argc, char **argv);
+
 #endif
