admit: keep slots free for classes within their share

Cause: in a flood every slot is taken when a request of another class arrives, so it waits for the next one to end; a flooding class also drew on its own share first. Change: a class above its share, or with more than 16 waiting, leaves as many slots free as the others need to find one with a chance of 99%, by their observed rates, at most one in 16.

--- a/src/admit.c
+++ b/src/admit.c
@@ -1,12 +1,17 @@
 #include "admit.h"
 
 #include <glib.h>
+#include <math.h>
 
 /* An idle class or team may be served this many requests ahead of its share
    when it comes back, so that ordinary bursts do not wait.  */
 #define BURST_ITEMS 16.0
 #define RATE_WINDOW_MS 250
 #define MS_PER_S 1000.0
+/* Part of the requests within a share that may still find no free slot.  */
+#define WAIT_CHANCE 0.01
+/* At most one slot in this many is kept free.  */
+#define SLOTS_PER_KEPT 16
 /* Weight of a new sample in the mean time that a slot is held.  */
 #define HELD_WEIGHT 0.02
 
@@ -60,6 +65,7 @@
   int64_t window_ms;
   uint32_t window_popped[CLASS_COUNT];
   double rate_per_s[CLASS_COUNT];
+  uint32_t keep[CLASS_COUNT]; /* slots a class above its share leaves free */
 };
 
 static const policy_t *
@@ -278,10 +284,12 @@
   return true;
 }
 
-/* Returns the class to serve, CLASS_COUNT if none waits.  ENTITLED says
-   whether it is served out of its own share.  */
+/* Returns the class to serve, CLASS_COUNT if none may be.  ENTITLED says
+   whether it is served out of its own share.  A class that floods gets no kept
+   slot, not even out of its share, which the other slots suffice for.  */
 static unsigned
-choose_lane (const admit_t *admit, bool *entitled)
+choose_lane (const admit_t *admit, uint32_t free_slots, uint32_t slots,
+             bool *entitled)
 {
   unsigned first = CLASS_COUNT, behind = CLASS_COUNT;
   for (unsigned i = 0; i < CLASS_COUNT; i++)
@@ -289,9 +297,13 @@
       const lane_t *lane = &admit->lanes[i];
       if (lane->count == 0)
         continue;
-      if (first == CLASS_COUNT)
+      bool kept
+          = admit->policy->shares
+            && free_slots <= MIN (admit->keep[i], slots / SLOTS_PER_KEPT);
+      if (first == CLASS_COUNT && !kept)
         first = i;
       if (lane->start <= admit->virtual_time
+          && (!kept || lane->count <= BURST_ITEMS)
           && (behind == CLASS_COUNT
               || lane->start < admit->lanes[behind].start))
         behind = i;
@@ -317,10 +329,29 @@
 admit_peek (admit_t *admit)
 {
   bool entitled = false;
-  unsigned lane = choose_lane (admit, &entitled);
+  unsigned lane = choose_lane (admit, ADMIT_ALL_FREE, 0, &entitled);
   return lane == CLASS_COUNT ? NULL : choose_row (&admit->lanes[lane])->head;
 }
 
+/* Requests of the other classes take kept slots at their rate, and each
+   request that ends gives one back, so that with the rates' quotient Q all K
+   kept slots are taken with a chance of about Q to the power K.  */
+static void
+size_kept_slots (admit_t *admit)
+{
+  double total = 0.0;
+  for (int i = 0; i < CLASS_COUNT; i++)
+    total += admit->rate_per_s[i];
+  for (int i = 0; i < CLASS_COUNT; i++)
+    {
+      double others = total - admit->rate_per_s[i];
+      admit->keep[i] = 0;
+      if (others >= 1.0)
+        admit->keep[i] = (uint32_t)ceil (log (WAIT_CHANCE)
+                                         / log (MIN (others / total, 0.99)));
+    }
+}
+
 static void
 note_popped (admit_t *admit, class_t class, int64_t now_ms)
 {
@@ -335,15 +366,16 @@
           admit->window_popped[i] = 0;
         }
       admit->window_ms = now_ms;
+      size_kept_slots (admit);
     }
   admit->window_popped[class]++;
 }
 
 admit_item_t *
-admit_pop (admit_t *admit, int64_t now_ms)
+admit_pop (admit_t *admit, int64_t now_ms, uint32_t free_slots, uint32_t slots)
 {
   bool entitled = false;
-  unsigned index = choose_lane (admit, &entitled);
+  unsigned index = choose_lane (admit, free_slots, slots, &entitled);
   if (index == CLASS_COUNT)
     return NULL;
   lane_t *lane = &admit->lanes[index];
--- a/src/admit.h
+++ b/src/admit.h
@@ -22,6 +22,8 @@
 
 typedef struct admit admit_t;
 
+#define ADMIT_ALL_FREE UINT32_MAX
+
 typedef struct admit_item admit_item_t;
 struct admit_item
 {
@@ -59,7 +61,12 @@
 void admit_push_front (admit_t *admit, admit_item_t *item);
 /* Returns the item to be served next without removing it, or NULL.  */
 admit_item_t *admit_peek (admit_t *admit);
-admit_item_t *admit_pop (admit_t *admit, int64_t now_ms);
+/* Removes and returns that item.  NULL also if only classes wait that flood or
+   are above their share, and the FREE_SLOTS (of SLOTS) are kept for the
+   others, so that those do not wait for a slot during a flood; ADMIT_ALL_FREE
+   as FREE_SLOTS keeps none.  */
+admit_item_t *admit_pop (admit_t *admit, int64_t now_ms, uint32_t free_slots,
+                         uint32_t slots);
 void admit_remove (admit_t *admit, admit_item_t *item);
 
 /* A request of CLASS held a slot for HELD_MS.  */
--- a/src/dispatch_internal.h
+++ b/src/dispatch_internal.h
@@ -193,7 +193,8 @@
 void dispatch_resolve (dispatch_t *dispatch, process_t *process);
 /* Sends waiting requests while there are free slots.  */
 void dispatch_pump (dispatch_t *dispatch, service_t *service);
-/* Hands waiting requests over to other zones if they have waited long.  */
+/* Hands waiting requests over to other zones if they have waited long.  To be
+   called after dispatch_pump, so that what still waits finds no slot.  */
 void dispatch_spill (dispatch_t *dispatch, service_t *service);
 void dispatch_note_result (dispatch_t *dispatch, process_t *process,
                            outlier_result_t result, double latency_ms);
@@ -204,7 +205,7 @@
 
 /* dispatch_lend.c */
 peer_load_t *dispatch_peer_load_of (service_t *service, uint32_t peer);
-/* Asks a peer for slots if requests of SERVICE wait.  */
+/* Asks a peer for slots if requests of SERVICE wait after dispatch_pump.  */
 void dispatch_want (dispatch_t *dispatch, service_t *service);
 /* Gives a slot that has become free at PROCESS to a peer it is owed to.  */
 void dispatch_pay_owed (dispatch_t *dispatch, process_t *process);
--- a/src/dispatch_lend.c
+++ b/src/dispatch_lend.c
@@ -131,9 +131,11 @@
                uint32_t *free_slots, uint32_t *queued)
 {
   const service_t *service = g_hash_table_lookup (dispatch->services, name);
-  *free_slots
-      = service != NULL && !dispatch->draining ? service->free_slots : 0;
   *queued = service != NULL ? admit_count (service->admit) : 0;
+  /* What is free while requests wait is kept for other classes.  */
+  *free_slots = service != NULL && !dispatch->draining && *queued == 0
+                    ? service->free_slots
+                    : 0;
 }
 
 /* Returns the own-zone peer with the most idle slots, else in turn one that
@@ -168,8 +170,7 @@
 dispatch_want (dispatch_t *dispatch, service_t *service)
 {
   uint32_t queued = admit_count (service->admit);
-  if (queued == 0 || service->free_count > 0
-      || dispatch->now_ms < service->want_again_ms)
+  if (queued == 0 || dispatch->now_ms < service->want_again_ms)
     return;
   uint32_t from = lender (dispatch, service);
   if (from == SHARE_NONE)
--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -301,7 +301,10 @@
 {
   while (service->free_count > 0)
     {
-      admit_item_t *item = admit_pop (service->admit, dispatch->now_ms);
+      /* Slots of leaving and ejected processes do not count.  */
+      uint32_t usable = service->free_slots + service->in_flight;
+      admit_item_t *item = admit_pop (service->admit, dispatch->now_ms,
+                                      service->free_slots, usable);
       if (item == NULL)
         return;
       request_t *request = (request_t *)(void *)item;
@@ -355,7 +358,7 @@
       /* Each hand-over uses up one of the advertised slots until the peer's
          next heartbeat.  */
       g_array_index (service->loads, peer_load_t, remote).free_slots--;
-      admit_pop (service->admit, dispatch->now_ms);
+      admit_pop (service->admit, dispatch->now_ms, ADMIT_ALL_FREE, 0);
       dispatch_clear_timer (request);
       request->phase = PHASE_HANDED_OVER;
       request->peer = remote;
