dispatch: ask for slots with the tick instead of each request

Cause: at 90% load every request that found no free slot sent a SlotWant, though most got a slot within a millisecond anyway. Change: an entry with slots of its own asks with the next tick (10 ms), one without any still asks at once.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -355,7 +355,10 @@
   if (request == NULL || !request->item.queued)
     return;
   dispatch_set_timer (dispatch, request, request->deadline_ms);
-  dispatch_want (dispatch, service);
+  /* With slots of its own, most requests get one before the next tick, which
+     asks for the rest in one message.  */
+  if (service->own_slots == 0)
+    dispatch_want (dispatch, service);
   if (service->processes->len == 0)
     dispatch_spill (dispatch, service);
 }
