--- a/src/io/bench_dispatch.c
+++ b/src/io/bench_dispatch.c
@@ -325,9 +325,9 @@
 
 static json_t *
 print_skew (const bench_sim_t *sim, const bench_report_t *report,
-            const char *shares, unsigned phase, double capacity)
+            const char *shares, unsigned phase, class_t class, double capacity)
 {
-  const bench_result_t *result = &report->classes[phase][CLASS_STANDARD];
+  const bench_result_t *result = &report->classes[phase][class];
   double seconds
       = (double)(sim->phases[phase].length_ms - sim->settle_ms) / 1000.0;
   double completed = (double)result->completed / seconds;
@@ -336,16 +336,19 @@
                         ? (double)report->messages[phase] * 1000.0
                               / (double)result->offered
                         : 0.0;
-  printf ("%-12s %-12s %9.0f %9.0f %8.3f %9.2f %9.2f %9.2f %9" G_GINT64_FORMAT
-          "\n",
-          shares, sim->phases[phase].name, (double)result->offered / seconds,
-          completed, used, bench_quantile (result->wait_us, 0.5) / 1000.0,
-          bench_quantile (result->wait_us, 0.99) / 1000.0, messages,
-          report->full_after_ms[phase]);
+  const char *callers = class == CLASS_URGENT ? "others" : "most";
+  printf (
+      "%-12s %-12s %-7s %9.0f %9.0f %8.3f %9.2f %9.2f %9.2f %9" G_GINT64_FORMAT
+      "\n",
+      shares, sim->phases[phase].name, callers,
+      (double)result->offered / seconds, completed, used,
+      bench_quantile (result->wait_us, 0.5) / 1000.0,
+      bench_quantile (result->wait_us, 0.99) / 1000.0, messages,
+      report->full_after_ms[phase]);
   return json_pack (
-      "{s:s, s:s, s:f, s:f, s:I, s:I, s:I, s:I, s:I}", "shares", shares,
-      "phase", sim->phases[phase].name, "completed_per_s", completed,
-      "of_capacity", used, "wait_p50_us",
+      "{s:s, s:s, s:s, s:f, s:f, s:I, s:I, s:I, s:I, s:I}", "shares", shares,
+      "phase", sim->phases[phase].name, "callers", callers, "completed_per_s",
+      completed, "of_capacity", used, "wait_p50_us",
       (json_int_t)bench_quantile (result->wait_us, 0.5), "wait_p99_us",
       (json_int_t)bench_quantile (result->wait_us, 0.99), "messages",
       (json_int_t)report->messages[phase], "refused",
@@ -363,15 +366,22 @@
     const char *name;
     double load; /* part of the capacity */
     bool skewed;
+    double others; /* part of the capacity, urgent, at each other entry */
   } phases[] = {
-    { "even-90%", 0.9, false },   { "skew-90%", 0.9, true },
-    { "even-again", 0.9, false }, { "skew-30%", 0.3, true },
-    { "even-120%", 1.2, false },  { "skew-120%", 1.2, true },
+    { "even-90%", 0.9, false, 0.0 },
+    { "skew-90%", 0.9, true, 0.0 },
+    { "even-again", 0.9, false, 0.0 },
+    { "skew-30%", 0.3, true, 0.0 },
+    { "even-120%", 1.2, false, 0.0 },
+    { "skew-120%", 1.2, true, 0.0 },
+    /* What a flood at one entry does to the few callers of the others.  */
+    { "neighbour", 1.2, true, 0.02 },
   };
   double capacity = capacity_per_s (settings);
   json_t *rows = json_array ();
   puts ("\nall callers on one entry (requests/s, ms; messages for 1000 "
-        "requests)\nshares       phase          offered completed  of-all"
+        "requests)\nshares       phase        callers   offered completed  "
+        "of-all"
         "  wait-p50  wait-p99  messages full-after");
   for (unsigned s = 0; s < BENCH_SHARES_COUNT; s++)
     {
@@ -392,14 +402,25 @@
           sim.phases[p].name = phases[p].name;
           sim.phases[p].length_ms = settings->phase_ms;
           for (uint32_t e = 0; e < sim.entries; e++)
-            sim.phases[p].rate[e][CLASS_STANDARD] = phases[p].skewed
-                                                        ? (e == 0 ? load : 0.0)
-                                                        : load / sim.entries;
+            {
+              double part = e == 0 ? load : 0.0;
+              if (!phases[p].skewed)
+                part = load / sim.entries;
+              sim.phases[p].rate[e][CLASS_STANDARD] = part;
+              if (e > 0)
+                sim.phases[p].rate[e][CLASS_URGENT]
+                    = phases[p].others * capacity;
+            }
         }
       bench_report_t *report = bench_sim_run (&sim);
       for (unsigned p = 0; p < sim.phase_count; p++)
-        json_array_append_new (
-            rows, print_skew (&sim, report, names[s], p, capacity));
+        {
+          json_array_append_new (rows, print_skew (&sim, report, names[s], p,
+                                                   CLASS_STANDARD, capacity));
+          if (phases[p].others > 0.0)
+            json_array_append_new (rows, print_skew (&sim, report, names[s], p,
+                                                     CLASS_URGENT, capacity));
+        }
       bench_report_free (report);
     }
   return rows;
