dispatch: lend without starving the callers of the lender

Cause: an idle entry gave its slots to a flooded one until it had none, so each of its own requests asked for one; an ask that went to a peer without any, chosen by a load up to 1 s old, cost a pause of 100 ms. Change: an entry keeps the slots that it used at once within the last 50 to 100 ms; an entry with less than half of its even part asks at once and for half as much again; a peer with nothing to give says so, and the next one is asked.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -6,6 +6,9 @@
 #define FIRST_ID_SIZE 4096
 #define REVIEW_PERIOD_MS 1000
 #define PROBE_PERIOD_MS 100
+/* An entry keeps the slots that it used at once within two such windows;
+   longer ones delay lending when callers move to another entry.  */
+#define DEMAND_PERIOD_MS 50
 /* Outcomes are promised for twice the longest deadline.  */
 #define OUTCOME_KEEP_MS 120000
 /* 40 bytes each: at most 16 MiB for each of the two tables.  */
@@ -355,9 +358,9 @@
   if (request == NULL || !request->item.queued)
     return;
   dispatch_set_timer (dispatch, request, request->deadline_ms);
-  /* With slots of its own, most requests get one before the next tick, which
-     asks for the rest in one message.  */
-  if (service->own_slots == 0)
+  /* With many slots of its own, most requests get one before the next tick,
+     which asks for the rest in one message.  */
+  if (dispatch_is_short (service))
     dispatch_want (dispatch, service);
   if (service->processes->len == 0)
     dispatch_spill (dispatch, service);
@@ -588,14 +591,22 @@
     dispatch->next_review_ms = dispatch->now_ms + REVIEW_PERIOD_MS;
   if (probe)
     dispatch->next_probe_ms = dispatch->now_ms + PROBE_PERIOD_MS;
+  bool demand = dispatch->now_ms >= dispatch->next_demand_ms;
+  if (demand)
+    dispatch->next_demand_ms = dispatch->now_ms + DEMAND_PERIOD_MS;
   run_timers (dispatch);
   for (guint i = 0; i < dispatch->service_list->len; i++)
     {
       service_t *service = g_ptr_array_index (dispatch->service_list, i);
       if (review)
-        dispatch_review (dispatch, service);
+        {
+          dispatch_review (dispatch, service);
+          dispatch_update_part (dispatch, service);
+        }
       if (probe && service->ejected > 0)
         dispatch_start_probes (dispatch, service);
+      if (demand)
+        dispatch_note_demand (service);
       dispatch_pump (dispatch, service);
       dispatch_spill (dispatch, service);
       dispatch_want (dispatch, service);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -112,7 +112,8 @@
                   const char *detail);
   /* Opens a new connection to BACKEND and answers dispatch_probe_ended.  */
   void (*probe) (void *context, const char *backend, const char *url);
-  /* Sends the sender's ledger (totals given to ENTRY) to ENTRY.  */
+  /* Sends the sender's ledger (totals given to ENTRY) to ENTRY.  COUNT may be
+     0, which answers a SlotWant that brings nothing.  */
   void (*send_ledger) (void *context, const char *entry,
                        const dispatch_given_t *given, uint32_t count);
   /* Asks ENTRY for up to COUNT slots of SERVICE.  */
--- a/src/dispatch_internal.h
+++ b/src/dispatch_internal.h
@@ -65,7 +65,13 @@
   GArray *loads; /* peer_load_t by peer */
   uint32_t owed;
   int64_t want_again_ms; /* no SlotWant before */
+  uint32_t asked_peer;   /* by the last SlotWant */
+  uint32_t asked_in_row; /* SlotWants without any slot */
   uint32_t next_busy_peer;
+  /* Most requests in flight in the last and the present demand window.  */
+  uint32_t last_peak;
+  uint32_t peak;
+  uint32_t even_part; /* of all slots, per live member; updated now and then */
 };
 
 typedef struct
@@ -168,6 +174,7 @@
   int64_t wheel_done; /* last slot run */
   int64_t next_review_ms;
   int64_t next_probe_ms;
+  int64_t next_demand_ms;
   int64_t next_resend_ms;
   int64_t next_closing_ms;
   int64_t next_read_ms;
@@ -209,6 +216,12 @@
 void dispatch_want (dispatch_t *dispatch, service_t *service);
 /* Gives a slot that has become free at PROCESS to a peer it is owed to.  */
 void dispatch_pay_owed (dispatch_t *dispatch, process_t *process);
+/* Begins a new demand window of SERVICE.  */
+void dispatch_note_demand (service_t *service);
+/* Returns whether SERVICE has far fewer slots here than an even division would
+   give: such an entry does not wait for the tick to ask.  */
+bool dispatch_is_short (const service_t *service);
+void dispatch_update_part (const dispatch_t *dispatch, service_t *service);
 void dispatch_lend_tick (dispatch_t *dispatch);
 
 /* dispatch_status.c */
--- a/src/dispatch_lend.c
+++ b/src/dispatch_lend.c
@@ -138,12 +138,14 @@
                     : 0;
 }
 
-/* Returns the own-zone peer with the most idle slots, else in turn one that
-   has none, as it may hold more than its part; SHARE_NONE if there is none. */
+/* Returns the own-zone peer to ask: the one with the most idle slots; if none
+   has any, first the one with the longest queue, as it may hold more than its
+   part, then each in turn.  SHARE_NONE if there is no peer.  */
 static uint32_t
 lender (const dispatch_t *dispatch, service_t *service)
 {
-  uint32_t best = SHARE_NONE, most = 0, busy = SHARE_NONE;
+  uint32_t idlest = SHARE_NONE, longest = SHARE_NONE, next = SHARE_NONE;
+  uint32_t most_idle = 0, most_queued = 0;
   guint count = dispatch->peers->len;
   for (guint k = 0; k < count; k++)
     {
@@ -151,19 +153,45 @@
       const peer_t *peer = peer_at (dispatch, i);
       if (!peer->up || !peer->own_zone)
         continue;
-      uint32_t idle = dispatch_peer_load_of (service, i)->free_slots;
-      if (idle > most)
+      const peer_load_t *load = dispatch_peer_load_of (service, i);
+      if (load->free_slots > most_idle)
         {
-          most = idle;
-          best = i;
+          most_idle = load->free_slots;
+          idlest = i;
         }
-      if (busy == SHARE_NONE)
-        busy = i;
+      if (load->queued > most_queued)
+        {
+          most_queued = load->queued;
+          longest = i;
+        }
+      if (next == SHARE_NONE)
+        next = i;
     }
-  if (best != SHARE_NONE || busy == SHARE_NONE)
-    return best;
-  service->next_busy_peer = busy + 1;
-  return busy;
+  if (idlest != SHARE_NONE)
+    return idlest;
+  if (longest != SHARE_NONE && service->asked_in_row == 0)
+    return longest;
+  if (next != SHARE_NONE)
+    service->next_busy_peer = next + 1;
+  return next;
+}
+
+void
+dispatch_update_part (const dispatch_t *dispatch, service_t *service)
+{
+  uint32_t total = 0;
+  for (guint i = 0; i < service->processes->len; i++)
+    total += share_limit (
+        dispatch->share,
+        ((const process_t *)service->processes->pdata[i])->number);
+  service->even_part = total / share_live_members (dispatch->share);
+}
+
+bool
+dispatch_is_short (const service_t *service)
+{
+  return service->own_slots == 0
+         || service->own_slots < service->even_part / 2;
 }
 
 void
@@ -176,12 +204,17 @@
   if (from == SHARE_NONE)
     return;
   service->want_again_ms = dispatch->now_ms + WANT_PAUSE_MS;
+  service->asked_peer = from;
+  service->asked_in_row++;
   /* Half of what was idle will be left; nothing if it does not answer.  */
   dispatch_peer_load_of (service, from)->free_slots /= 2;
   counter_add (dispatch->metrics.slot_wants, 1);
+  /* Growing by half spares a busy entry many small requests.  */
+  uint32_t wanted
+      = queued + (dispatch_is_short (service) ? service->own_slots / 2 : 0);
   dispatch->actions->want_slots (dispatch->context,
                                  peer_at (dispatch, from)->name, service->name,
-                                 MIN (queued, WANT_MAX));
+                                 MIN (wanted, WANT_MAX));
 }
 
 static uint32_t
@@ -225,16 +258,19 @@
   return given;
 }
 
-/* Slots of SERVICE that each live member may keep while others wait.  */
+void
+dispatch_note_demand (service_t *service)
+{
+  service->last_peak = service->peak;
+  service->peak = service->in_flight;
+}
+
+/* Idle slots beyond those that were in use a moment ago.  */
 static uint32_t
-even_part (const dispatch_t *dispatch, const service_t *service)
+spare_slots (const service_t *service)
 {
-  uint32_t total = 0;
-  for (guint i = 0; i < service->processes->len; i++)
-    total += share_limit (
-        dispatch->share,
-        ((const process_t *)service->processes->pdata[i])->number);
-  return total / share_live_members (dispatch->share);
+  uint32_t kept = MAX (service->peak, service->last_peak) - service->in_flight;
+  return service->free_slots > kept ? service->free_slots - kept : 0;
 }
 
 void
@@ -258,17 +294,22 @@
     }
   peer_load_t *load = dispatch_peer_load_of (service, number);
   uint32_t given = 0;
+  uint32_t spare = spare_slots (service);
   if (admit_count (service->admit) == 0)
     given = give_idle (dispatch, service, peer->member,
-                       MIN (count, (service->free_slots + 1) / 2));
+                       MIN (count, (spare + 1) / 2));
   send_ledger (dispatch, peer, false);
   service->owed -= load->owed;
   load->owed = 0;
-  uint32_t part = even_part (dispatch, service);
+  dispatch_update_part (dispatch, service);
+  uint32_t part = service->even_part;
   if (given == 0 && service->own_slots > part + service->owed)
     load->owed
         = MIN (count, (service->own_slots - part - service->owed + 1) / 2);
   service->owed += load->owed;
+  /* An empty ledger sends the asker on to the next peer.  */
+  if (given == 0 && load->owed == 0)
+    dispatch->actions->send_ledger (dispatch->context, peer->name, NULL, 0);
 }
 
 void
@@ -295,6 +336,24 @@
     }
 }
 
+/* Peer NUMBER had no slot to give; once all have been asked, the pause holds.
+ */
+static void
+ask_next_peer (dispatch_t *dispatch, uint32_t number)
+{
+  for (guint i = 0; i < dispatch->service_list->len; i++)
+    {
+      service_t *service = g_ptr_array_index (dispatch->service_list, i);
+      if (service->asked_peer != number)
+        continue;
+      dispatch_peer_load_of (service, number)->free_slots = 0;
+      if (service->asked_in_row < share_live_members (dispatch->share))
+        service->want_again_ms = dispatch->now_ms;
+      else
+        service->asked_in_row = 0;
+    }
+}
+
 void
 dispatch_peer_ledger (dispatch_t *dispatch, const char *entry,
                       const dispatch_given_t *given, uint32_t count)
@@ -304,6 +363,8 @@
   if (number == SHARE_NONE || !peer_at (dispatch, number)->own_zone)
     return;
   peer_t *peer = peer_at (dispatch, number);
+  if (count == 0)
+    ask_next_peer (dispatch, number);
   for (uint32_t i = 0; i < count; i++)
     {
       uint32_t changed
@@ -316,10 +377,16 @@
       dispatch_refresh (dispatch, process);
       counter_add (dispatch->metrics.slots_learned, process->slots - before);
       process->service->want_again_ms = dispatch->now_ms;
+      process->service->asked_in_row = 0;
     }
   send_ledger (dispatch, peer, false);
   for (guint i = 0; i < dispatch->service_list->len; i++)
-    dispatch_pump (dispatch, g_ptr_array_index (dispatch->service_list, i));
+    {
+      service_t *service = g_ptr_array_index (dispatch->service_list, i);
+      dispatch_pump (dispatch, service);
+      if (dispatch_is_short (service))
+        dispatch_want (dispatch, service);
+    }
 }
 
 static void
--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -290,7 +290,9 @@
   request->sent_us = dispatch->now_us;
   request->attempt++;
   process->in_flight++;
-  process->service->in_flight++;
+  service_t *service = process->service;
+  service->in_flight++;
+  service->peak = MAX (service->peak, service->in_flight);
   dispatch_refresh (dispatch, process);
   dispatch->actions->send (dispatch->context, request->id, request->attempt,
                            process->id, process->url, !request->idempotent);
