share: drop a gone process only when one entry holds all its slots

Cause: a process was dropped from the row 62 s after it had gone. Change: the slots of a gone process are given to one entry, which drops the process from the row once it holds all of them, and uses none of them from the proposal on until a newer row is loaded.

--- a/src/dispatch_lend.c
+++ b/src/dispatch_lend.c
@@ -1,5 +1,7 @@
 #include "dispatch_internal.h"
 
+#include <string.h>
+
 /* A SlotWant that brought nothing is repeated to another peer after this.  */
 #define WANT_PAUSE_MS 100
 /* Most slots asked for in one message.  */
@@ -525,6 +527,38 @@
     }
 }
 
+/* Returns whether requests sent to the removed backend server ID have not
+   ended yet.  */
+static bool
+is_in_flight (const dispatch_t *dispatch, const char *id)
+{
+  for (guint i = 0; i < dispatch->removed->len; i++)
+    if (strcmp (((const process_t *)dispatch->removed->pdata[i])->id, id) == 0)
+      return true;
+  return false;
+}
+
+/* Gives the slots of gone processes to the entries that collect them.  */
+static void
+give_ending (dispatch_t *dispatch)
+{
+  for (uint32_t number = 0; number < share_process_count (dispatch->share);
+       number++)
+    {
+      if (!share_process_ending (dispatch->share, number))
+        continue;
+      int32_t slots = share_slots (dispatch->share, number);
+      uint32_t collector = share_collector (dispatch->share, number);
+      if (slots <= 0 || collector == SHARE_NONE
+          || !share_may_give (dispatch->share, collector))
+        continue;
+      char *id = share_process_id (dispatch->share, number);
+      if (!is_in_flight (dispatch, id))
+        share_give (dispatch->share, collector, number, (uint32_t)slots);
+      g_free (id);
+    }
+}
+
 void
 dispatch_lend_tick (dispatch_t *dispatch)
 {
@@ -533,7 +567,10 @@
     give_all (dispatch);
   bool resend = dispatch->now_ms >= dispatch->next_resend_ms;
   if (resend)
-    dispatch->next_resend_ms = dispatch->now_ms + RESEND_PERIOD_MS;
+    {
+      dispatch->next_resend_ms = dispatch->now_ms + RESEND_PERIOD_MS;
+      give_ending (dispatch);
+    }
   for (guint i = 0; i < dispatch->peers->len; i++)
     {
       const peer_t *peer = peer_at (dispatch, i);
--- a/src/share.c
+++ b/src/share.c
@@ -191,7 +191,7 @@
       counted->slots = (int32_t)counted->limit;
       return;
     }
-  if (!share_is_member (share))
+  if (!share_is_member (share) || counted->dropping)
     {
       counted->slots = 0;
       return;
--- a/src/share.h
+++ b/src/share.h
@@ -51,6 +51,16 @@
 /* The process does not run any more, or goes on under another number.  PROCESS
    must be resolved again before it is used.  */
 void share_process_gone (share_t *share, uint32_t process, int64_t now_ms);
+/* Returns whether PROCESS is gone, but still divided by the row.  Its slots
+   are then given to its collector, which drops it from the row once it holds
+   all of them: no entry can be left that still uses it, however long it was
+   paused. */
+bool share_process_ending (const share_t *share, uint32_t process);
+/* Returns the member that collects the slots of PROCESS, SHARE_NONE if it is
+   this entry.  */
+uint32_t share_collector (const share_t *share, uint32_t process);
+/* Returns the id of the backend server that PROCESS stands for (new).  */
+char *share_process_id (const share_t *share, uint32_t process);
 /* Numbers are below this.  */
 uint32_t share_process_count (const share_t *share);
 /* Slots of this entry, in use or not; may be below what is in use.  */
--- a/src/share_internal.h
+++ b/src/share_internal.h
@@ -17,6 +17,7 @@
   bool listed;
   bool gone;
   bool dropped;       /* by a row, for good: its key never returns */
+  bool dropping;      /* proposed to be dropped: not used until a newer row */
   int64_t changed_ms; /* since when the row and the list differ */
 } share_process_t;
 
--- a/src/share_row.c
+++ b/src/share_row.c
@@ -28,6 +28,14 @@
   return share->was_member && !share->expelled;
 }
 
+/* Returns the backend server's id of KEY ("ID@INCARNATION"), owned.  */
+static char *
+id_of_key (const char *key)
+{
+  const char *at = strrchr (key, '@');
+  return at != NULL ? g_strndup (key, (gsize)(at - key)) : g_strdup (key);
+}
+
 static json_t *
 row_members (const json_t *row)
 {
@@ -97,14 +105,6 @@
   g_hash_table_remove_all (member->statements);
 }
 
-/* Returns the backend server's id of KEY ("ID@INCARNATION"), owned.  */
-static char *
-id_of_key (const char *key)
-{
-  const char *at = strrchr (key, '@');
-  return at != NULL ? g_strndup (key, (gsize)(at - key)) : g_strdup (key);
-}
-
 static void
 load_processes (share_t *share, const json_t *row, int64_t now_ms)
 {
@@ -117,6 +117,7 @@
       was_in_row[i] = share_process_at (share, i)->in_row;
       share_process_at (share, i)->in_row = false;
       share_process_at (share, i)->base = 0;
+      share_process_at (share, i)->dropping = false;
     }
   g_hash_table_remove_all (share->row_numbers);
   json_object_foreach (json_object_get (row, "limits"), key, value)
@@ -215,6 +216,40 @@
   return rank;
 }
 
+bool
+share_process_ending (const share_t *share, uint32_t process)
+{
+  const share_process_t *ending = share_process_at (share, process);
+  return ending->key != NULL && ending->gone && ending->in_row;
+}
+
+uint32_t
+share_collector (const share_t *share, uint32_t process)
+{
+  const char *key = share_process_at (share, process)->key;
+  XXH64_hash_t seed = XXH3_64bits (key, strlen (key));
+  XXH64_hash_t best
+      = XXH3_64bits_withSeed (share->self, strlen (share->self), seed);
+  uint32_t collector = SHARE_NONE;
+  for (guint i = 0; i < share->members->len; i++)
+    {
+      const share_member_t *member = share_member_at (share, i);
+      XXH64_hash_t hash
+          = XXH3_64bits_withSeed (member->name, strlen (member->name), seed);
+      if (!member->in_row || member->gone || hash <= best)
+        continue;
+      best = hash;
+      collector = i;
+    }
+  return collector;
+}
+
+char *
+share_process_id (const share_t *share, uint32_t process)
+{
+  return id_of_key (share_process_at (share, process)->key);
+}
+
 static bool
 is_due (const share_t *share, const char *key, int64_t since_ms,
         int64_t now_ms)
@@ -422,13 +457,17 @@
   json_t *own = json_object_get (row_members (row), share->self);
   for (guint i = 0; i < share->processes->len; i++)
     {
-      const share_process_t *process = share_process_at (share, i);
+      share_process_t *process = share_process_at (share, i);
       if (process->key == NULL)
         continue;
       bool add = process->listed && !process->in_row && !process->dropped;
-      /* Until then an entry with an older list may still send there.  */
-      bool drop = process->gone && process->in_row
-                  && process->changed_ms + RETIRE_AFTER_MS <= now_ms;
+      bool drop = share_process_ending (share, i)
+                  && share_collector (share, i) == SHARE_NONE
+                  && (process->dropping
+                      || process->slots == (int32_t)process->limit);
+      /* It has come back, and only a newer row shows that the proposal to drop
+         it can no longer be carried out.  */
+      changed |= process->dropping && !drop;
       if ((!add && !drop)
           || (!first
               && !is_due (share, process->key, process->changed_ms, now_ms)))
@@ -444,6 +483,8 @@
         }
       const char *name;
       json_t *bases;
+      process->dropping = true;
+      share_recount (share, i);
       json_object_del (limits, process->key);
       json_object_foreach (row_members (row), name, bases)
       {
--- a/tests/fake_zone.c
+++ b/tests/fake_zone.c
@@ -139,6 +139,9 @@
   else if (write)
     {
       count_retired (zone, event->row);
+      zone->report.processes_dropped
+          += json_object_size (json_object_get (zone->row, "limits"))
+             > json_object_size (json_object_get (event->row, "limits"));
       json_decref (zone->row);
       zone->row = json_deep_copy (event->row);
       zone->version++;
--- a/tests/fake_zone.h
+++ b/tests/fake_zone.h
@@ -40,7 +40,8 @@
   /* What happened, to see that the faults were exercised.  */
   uint32_t requests, answered, refused, lost_with_entry;
   uint32_t crashes, pauses, cuts, outages, lost_replies, process_deaths;
-  uint32_t messages, messages_lost, retirements, slots_moved, first_fault_ms;
+  uint32_t messages, messages_lost, retirements, processes_dropped,
+      slots_moved, first_fault_ms;
 } zone_report_t;
 
 zone_report_t zone_run (const zone_case_t *run);
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -284,24 +284,56 @@
     }
 }
 
-/* Guards against dividing a restarted process's slots anew while an entry with
-   an older list still sends to it.  */
+/* Guards against dividing the slots of a restarted or returning process anew
+   while an entry may still use its part of the old ones.  */
 static void
-test_restarted_process (void)
+test_ending_process (void)
 {
   pair_t pair = new_pair ();
-  uint32_t process = share_resolve (pair.a, "p", 2);
-  CU_ASSERT_EQUAL (process, process_p (pair.a));
-  share_process_listed (pair.a, process, 8, 0);
+  uint32_t a = share_resolve (pair.a, "p", 2);
+  uint32_t b = share_resolve (pair.b, "p", 2);
+  CU_ASSERT_EQUAL (a, process_p (pair.a));
+  CU_ASSERT_EQUAL (b, process_p (pair.b));
+  run_step (&pair, 'g');
+  run_step (&pair, 's');
+  share_process_listed (pair.a, a, 8, 0);
+  share_process_listed (pair.b, b, 8, 0);
+  share_process_gone (pair.a, a, 1000);
+  share_process_gone (pair.b, b, 1000);
   int64_t version = 0;
-  CU_ASSERT_PTR_NULL (share_propose (pair.a, false, 10000, &version));
-  share_process_gone (pair.a, process, 10000);
-  CU_ASSERT_PTR_NULL (share_propose (pair.a, false, 60000, &version));
-  json_t *row = share_propose (pair.a, false, 80000, &version);
+  CU_ASSERT_PTR_NULL (share_propose (pair.a, false, 100000, &version));
+  CU_ASSERT_PTR_NULL (share_propose (pair.b, false, 100000, &version));
+  bool a_collects = share_collector (pair.a, a) == SHARE_NONE;
+  CU_ASSERT_NOT_EQUAL (a_collects, share_collector (pair.b, b) == SHARE_NONE);
+  share_t *collector = a_collects ? pair.a : pair.b;
+  uint32_t process = a_collects ? a : b;
+  if (a_collects)
+    {
+      run_step (&pair, 'x');
+      run_step (&pair, 'x');
+      run_step (&pair, 'y');
+    }
+  else
+    for (const char *step = "gggs"; *step != '\0'; step++)
+      run_step (&pair, *step);
+  CU_ASSERT_EQUAL (share_slots (collector, process), 8);
+  json_t *row = share_propose (collector, false, 100000, &version);
   CU_ASSERT_PTR_NOT_NULL_FATAL (row);
-  CU_ASSERT_EQUAL (share_load (pair.a, 2, row, 80000), ERR_OK);
+  /* The proposal may still be carried out, so the slots are not used even if
+     the process returns; the next row decides.  */
+  share_process_listed (collector, process, 8, 101000);
+  CU_ASSERT_EQUAL (share_slots (collector, process), 0);
+  json_t *same = share_propose (collector, false, 102000, &version);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (same);
+  CU_ASSERT_PTR_NOT_NULL (
+      json_object_get (json_object_get (same, "limits"), "p@1"));
+  CU_ASSERT_EQUAL (share_load (collector, 2, same, 102000), ERR_OK);
+  CU_ASSERT_EQUAL (share_slots (collector, process), 8);
+  CU_ASSERT_EQUAL (share_load (collector, 3, row, 103000), ERR_OK);
+  CU_ASSERT_EQUAL (share_slots (collector, share_resolve (collector, "p", 3)),
+                   0);
   json_decref (row);
-  CU_ASSERT_EQUAL (share_slots (pair.a, share_resolve (pair.a, "p", 3)), 0);
+  json_decref (same);
   free_pair (&pair);
 }
 
@@ -311,7 +343,7 @@
   { "order of rows", test_row_order },
   { "proposals", test_propose },
   { "retirement", test_retirement },
-  { "restarted process", test_restarted_process },
+  { "ending process", test_ending_process },
   CU_TEST_INFO_NULL,
 };
 
