tests: stop entries as planned in the random zone

Cause: the random zone only killed entries, so that the hand-back of slots and the end of a drain were not exercised together with other faults. Change: planned stops are one of the faults; a request cut off by one is a fault.

--- a/tests/fake_zone.c
+++ b/tests/fake_zone.c
@@ -88,6 +88,12 @@
       if (!entry->store_busy && dispatch_shares_read_due (entry->dispatch))
         read_row (entry);
     }
+  if (entry->draining && dispatch_drained (entry->dispatch))
+    {
+      zone->report.stops++;
+      zone_stop_entry (zone, entry->index);
+      return;
+    }
   event_t tick
       = { .kind = EVENT_TICK, .entry = entry->index, .birth = entry->birth };
   zone_schedule (zone, tick, TICK_PERIOD_MS);
@@ -335,7 +341,7 @@
     }
   uint32_t i = zone_draw (zone, zone->run.entries);
   uint32_t k = zone_draw (zone, zone->run.entries);
-  switch (zone_draw (zone, 8))
+  switch (zone_draw (zone, 9))
     {
     case 0:
       if (zone->entries[i].birth != 0)
@@ -367,6 +373,11 @@
       zone->report.outages++;
       zone->store_down = true;
       break;
+    case 7:
+      if (zone->entries[i].birth != 0 && !zone->entries[i].draining
+          && zone->entries[i].paused_until_ms <= zone->now_ms)
+        zone_drain (&zone->entries[i]);
+      break;
     default:
       replace_process (zone, zone_draw (zone, zone->run.processes));
       break;
--- a/tests/fake_zone.h
+++ b/tests/fake_zone.h
@@ -36,10 +36,11 @@
   uint32_t repeated_ids_ran; /* non-idempotent, same caller's id ran twice */
   uint32_t slots_wrong; /* processes whose slots do not sum up after healing */
   uint32_t rows_refused; /* shares rows that could not be loaded */
+  uint32_t cut_by_stop;  /* requests that a planned stop has cut off */
   uint32_t not_served;   /* entries that serve nothing after healing */
   /* What happened, to see that the faults were exercised.  */
   uint32_t requests, answered, refused, lost_with_entry;
-  uint32_t crashes, pauses, cuts, outages, lost_replies, process_deaths;
+  uint32_t crashes, stops, pauses, cuts, outages, lost_replies, process_deaths;
   uint32_t messages, messages_lost, retirements, processes_dropped,
       slots_moved, first_fault_ms;
 } zone_report_t;
--- a/tests/fake_zone_entry.c
+++ b/tests/fake_zone_entry.c
@@ -302,6 +302,7 @@
         continue;
       record->ended = true;
       zone->report.lost_with_entry++;
+      zone->report.cut_by_stop += entry->draining && !entry->dying;
     }
   event_t gone = { .kind = EVENT_GONE };
   for (uint32_t i = 0; i < zone->run.entries; i++)
@@ -365,6 +366,9 @@
                             (dispatch_given_t *)(void *)message->given->data,
                             message->given->len);
       break;
+    case MESSAGE_LEAVING:
+      dispatch_peer_leaving (dispatch, message->from);
+      break;
     case MESSAGE_WANT:
       dispatch_peer_wants (dispatch, message->from, "svc", message->a);
       break;
@@ -403,3 +407,15 @@
       post (entry, zone->entries[i].name, message);
     }
 }
+
+void
+zone_drain (entry_t *entry)
+{
+  zone_t *zone = entry->zone;
+  entry->draining = true;
+  for (uint32_t i = 0; i < zone->run.entries; i++)
+    if (i != entry->index && zone->entries[i].birth != 0)
+      post (entry, zone->entries[i].name,
+            message_new (entry, MESSAGE_LEAVING));
+  dispatch_drain (entry->dispatch);
+}
--- a/tests/fake_zone_internal.h
+++ b/tests/fake_zone_internal.h
@@ -15,8 +15,10 @@
 #define LIST_LAG_MS 10000
 #define STORE_TIMEOUT_MS 2000
 #define LONGEST_DEADLINE_MS 60000
-/* Retirement after 62 s and list lag, its messages, and time to settle.  */
-#define HEAL_MS 110000
+/* A planned stop that begins last takes 60 s until its requests have ended,
+   then the list lags by 10 s and the retirement waits 62 s; the rest is for
+   its messages and to settle.  */
+#define HEAL_MS 180000
 #define MEAN_RUN_MS 40
 
 typedef enum
@@ -42,7 +44,8 @@
   MESSAGE_LEDGER,
   MESSAGE_WANT,
   MESSAGE_CLOSING_REQUEST,
-  MESSAGE_CLOSING_STATEMENT
+  MESSAGE_CLOSING_STATEMENT,
+  MESSAGE_LEAVING
 } message_kind_t;
 
 typedef struct
@@ -88,6 +91,7 @@
   bool store_busy;
   uint32_t actions_left; /* dies in the midst of an event; 0: does not */
   bool dying;
+  bool draining;
   int64_t heard_ms[ENTRIES_MAX];
   char *heard_name[ENTRIES_MAX]; /* NULL: peer is down */
   uint32_t answered_after_heal;
@@ -146,6 +150,8 @@
 void zone_tell_process (entry_t *entry, uint32_t p);
 void zone_deliver (entry_t *entry, const message_t *message);
 void zone_heartbeat (entry_t *entry);
+/* Begins a planned stop.  */
+void zone_drain (entry_t *entry);
 message_t *zone_message_copy (const message_t *from);
 void zone_message_free (message_t *message);
 
