--- a/src/io/bench_http.c
+++ b/src/io/bench_http.c
@@ -6,6 +6,7 @@
 #include "loop.h"
 #include "options.h"
 
+#include <errno.h>
 #include <math.h>
 #include <stddef.h>
 #include <string.h>
@@ -28,6 +29,7 @@
   char *teams;
   char *bodies;
   char *prefix;
+  char *not_run_file;
   double rate;
   double direct_percent;
   double duration_s;
@@ -78,6 +80,8 @@
     NULL, "Most requests at once; those above are counted as not sent" },
   { "prefix", OPTION_TEXT, FIELD (prefix), "bench", false, 0, 0, NULL,
     "First part of the request ids" },
+  { "not-run-file", OPTION_TEXT, FIELD (not_run_file), NULL, false, 0, 0, NULL,
+    "Write the ids of requests with the outcome not-run here" },
   { "seed", OPTION_INTEGER, FIELD (seed), "1", false, 0, G_MAXUINT32, NULL,
     "Seed of arrivals and mixes" },
   { "plot", OPTION_FLAG, FIELD (plot), NULL, false, 0, 0, NULL,
@@ -136,6 +140,7 @@
   uint64_t ran, not_run, unknown, no_answer, wrong, direct_done, direct_failed;
   GHashTable *statuses; /* GINT status -> GINT count */
   bench_histogram_t entry_latency, direct_latency;
+  FILE *not_run_ids;
   bool sending;
 };
 
@@ -278,7 +283,11 @@
   else if (strcmp (request->outcome, "ran") == 0)
     bench->ran++;
   else if (strcmp (request->outcome, "not-run") == 0)
-    bench->not_run++;
+    {
+      bench->not_run++;
+      if (bench->not_run_ids != NULL)
+        fprintf (bench->not_run_ids, "%s\n", request->id);
+    }
   else
     bench->unknown++;
   bool ran = code == CURLE_OK && strcmp (request->outcome, "ran") == 0;
@@ -542,7 +551,7 @@
                               &bench->direct_latency, rows[i].quantile)));
       json_object_set_new (report, "added", added);
     }
-  json_dumpf (report, stdout, JSON_INDENT (2));
+  json_dumpf (report, stdout, JSON_COMPACT);
   putchar ('\n');
   json_decref (report);
   if (!bench->settings.plot)
@@ -623,9 +632,21 @@
   if (bench->targets == NULL
       || (settings->direct != NULL && bench->directs == NULL))
     goto out;
+  if (settings->not_run_file != NULL)
+    {
+      bench->not_run_ids = fopen (settings->not_run_file, "w");
+      if (bench->not_run_ids == NULL)
+        {
+          fprintf (stderr, "magnoliadock bench http: --not-run-file: %s: %s\n",
+                   settings->not_run_file, g_strerror (errno));
+          goto out;
+        }
+    }
   curl_global_init (CURL_GLOBAL_DEFAULT);
   code = run_load (bench);
   curl_global_cleanup ();
+  if (bench->not_run_ids != NULL)
+    fclose (bench->not_run_ids);
 
 out:
   mix_clear (&bench->classes);
--- a/src/io/handover.c
+++ b/src/io/handover.c
@@ -56,6 +56,9 @@
   uint64_t received; /* bytes of the body */
   uint64_t granted;
   bool sent_all;
+  /* Taking bytes may bring in more of them at once; they must not be sent
+     before those just taken.  */
+  bool sending;
 } taken_t;
 
 static void
@@ -439,8 +442,9 @@
 on_taken_answer_ready (relay_t *relay)
 {
   taken_t *taken = relay->caller;
-  if (taken->sent_all)
+  if (taken->sent_all || taken->sending)
     return;
+  taken->sending = true;
   if (!relay->told)
     {
       relay->told = true;
@@ -448,6 +452,7 @@
     }
   if (!taken->sent_all)
     send_answer_body (taken);
+  taken->sending = false;
 }
 
 static void
@@ -603,8 +608,8 @@
   if (taken == NULL)
     return;
   taken->credit = MIN (taken->credit + bytes, FIRST_CREDIT);
-  if (taken->relay->told && !taken->sent_all)
-    send_answer_body (taken);
+  if (taken->relay->told)
+    on_taken_answer_ready (taken->relay);
 }
 
 bool
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -180,6 +180,10 @@
                            const standin_fault_t *fault);
 json_t *standin_backend_summary (void);
 
+/* standin_ran.c */
+void standin_ran_add (const char *id);
+void standin_ran_check (standin_request_t *request);
+
 /* standin_control.c */
 void standin_control (standin_request_t *request, const char *path);
 /* Counts a violation of KIND and keeps the first 100 with their details.  */
--- a/tests/standin_backend.c
+++ b/tests/standin_backend.c
@@ -254,6 +254,7 @@
       request->close = true;
       return;
     }
+  standin_ran_add (request_id (request));
   const standin_fault_t *fault = &instance->backend->fault;
   request->delay_ms = number_header (
       request, "X-Service-Ms", standin_options.service_ms, MAX_SERVICE_MS);
--- a/tests/standin_control.c
+++ b/tests/standin_control.c
@@ -187,6 +187,11 @@
     }
   if (strcmp (path, "quit") == 0)
     standin_quit ();
+  else if (strcmp (path, "not-run") == 0)
+    {
+      standin_ran_check (request);
+      return;
+    }
   else if (strcmp (path, "silence") == 0)
     {
       silence (request);
--- /dev/null
+++ b/tests/standin_ran.c
@@ -0,0 +1,46 @@
+#include "standin.h"
+
+#include <string.h>
+
+/* Ids of the requests that a backend server has begun to run, to check what
+   callers were told.  */
+
+static GHashTable *ran;
+
+void
+standin_ran_add (const char *id)
+{
+  if (ran == NULL)
+    ran = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  if (id != NULL)
+    g_hash_table_add (ran, g_strdup (id));
+}
+
+/* POST not-run: the body holds one id a line, of requests whose callers were
+   told that they did not run.  */
+void
+standin_ran_check (standin_request_t *request)
+{
+  unsigned checked = 0, false_claims = 0;
+  /* The data of an empty array is NULL.  */
+  char *text
+      = request->body->len > 0
+            ? g_strndup ((const char *)request->body->data, request->body->len)
+            : g_strdup ("");
+  char **ids = g_strsplit (text, "\n", 0);
+  for (unsigned i = 0; ids[i] != NULL; i++)
+    {
+      if (ids[i][0] == '\0')
+        continue;
+      checked++;
+      if (ran == NULL || !g_hash_table_contains (ran, ids[i]))
+        continue;
+      false_claims++;
+      standin_violation ("ran_but_said_not_run", "request %s", ids[i]);
+    }
+  g_strfreev (ids);
+  g_free (text);
+  standin_answer (request, 200,
+                  json_pack ("{s:i, s:i}", "checked", (int)checked, "false",
+                             (int)false_claims));
+}
