--- a/src/doc.h
+++ b/src/doc.h
@@ -16,7 +16,8 @@
    because GKeyFile's errors carry neither line nor column.  A doc_t never
    changes once it was parsed; it is reference counted.  */
 
-#define DOC_MAX_BYTES (1024 * 1024)
+/* A whole document has to fit in one peer frame of 1 MiB, escaped as JSON.  */
+#define DOC_MAX_BYTES (256 * 1024)
 #define DOC_MAX_ERRORS 20
 
 typedef struct doc doc_t;
@@ -142,6 +143,9 @@
   uint32_t request_limit;    /* requests at once for one process */
   uint32_t connection_limit; /* connections at once for one process */
   int64_t spill_after_ms;    /* wait after which another zone is tried */
+  uint32_t queue_limit;      /* waiting requests of one class and team */
+  uint32_t retry_percent;    /* retries for each 100 requests */
+  const char *admission;     /* "fair", "fifo" or "strict" */
   const char *owner;
 } doc_service_t;
 
@@ -151,12 +155,12 @@
   resource_t quota;
   double urgent_rate; /* urgent requests a second */
   double urgent_burst;
+  uint32_t request_weight; /* share of a class among teams */
 } doc_team_t;
 
 typedef struct
 {
-  uint32_t weight;      /* guaranteed share relative to the others */
-  uint32_t queue_limit; /* waiting requests of one team */
+  uint32_t weight; /* guaranteed share relative to the others */
 } doc_class_t;
 
 typedef struct
--- a/src/main.c
+++ b/src/main.c
@@ -1,5 +1,6 @@
 #include "bench.h"
 #include "entry.h"
+#include "cli.h"
 #include "error.h"
 
 #include <stdio.h>
@@ -17,6 +18,13 @@
 static const command_t commands[] = {
   { "entry", entry_run, "run an entry process" },
   { "bench", bench_run, "measure entries and the core" },
+  { "submit", cli_submit, "submit jobs" },
+  { "status", cli_status, "print the state of the system or of a job" },
+  { "cancel", cli_cancel, "cancel jobs" },
+  { "explain", cli_explain, "print the decisions about a job" },
+  { "document", cli_document, "get, check, diff and apply the configuration" },
+  { "report", cli_report, "print the error budgets" },
+  { "hash-token", cli_hash_token, "make a token and its hash" },
   { NULL, NULL, NULL },
 };
 
