inquiry: decide what became of handed-over requests in the core

A table of faults drives the decision without I/O. A planned stop takes the connections that callers have already made before the port is closed, ends connections with each answer and lingers 300 ms for late requests.

--- a/src/io/bench_http.c
+++ b/src/io/bench_http.c
@@ -137,7 +137,8 @@
   mix_t classes, teams, bodies;
   int64_t begun_ns, next_ns, last_ns, ended_ns;
   uint64_t sent, not_sent, done, in_flight;
-  uint64_t ran, not_run, unknown, no_answer, wrong, direct_done, direct_failed;
+  uint64_t ran, not_run, unknown, no_connection, cut, wrong, direct_done,
+      direct_failed;
   GHashTable *statuses; /* GINT status -> GINT count */
   bench_histogram_t entry_latency, direct_latency;
   FILE *not_run_ids;
@@ -278,8 +279,10 @@
   gpointer known = g_hash_table_lookup (bench->statuses, key);
   g_hash_table_insert (bench->statuses, key,
                        GINT_TO_POINTER (GPOINTER_TO_INT (known) + 1));
-  if (code != CURLE_OK || request->outcome[0] == '\0')
-    bench->no_answer++;
+  if (code == CURLE_COULDNT_CONNECT)
+    bench->no_connection++;
+  else if (code != CURLE_OK || request->outcome[0] == '\0')
+    bench->cut++;
   else if (strcmp (request->outcome, "ran") == 0)
     bench->ran++;
   else if (strcmp (request->outcome, "not-run") == 0)
@@ -521,14 +524,15 @@
       json_object_set_new (classes, class->name, one);
     }
   json_t *report = json_pack (
-      "{s:I,s:f,s:f,s:I,s:I,s:I,s:{s:I,s:I,s:I,s:I},s:I,s:o,s:o,s:o}", "seed",
-      (json_int_t)bench->settings.seed, "rate", bench->settings.rate,
+      "{s:I,s:f,s:f,s:I,s:I,s:I,s:{s:I,s:I,s:I,s:I,s:I},s:I,s:o,s:o,s:o}",
+      "seed", (json_int_t)bench->settings.seed, "rate", bench->settings.rate,
       "seconds", seconds, "sent", (json_int_t)bench->sent, "not_sent",
       (json_int_t)bench->not_sent, "unfinished", (json_int_t)bench->in_flight,
       "outcomes", "ran", (json_int_t)bench->ran, "not_run",
       (json_int_t)bench->not_run, "unknown", (json_int_t)bench->unknown,
-      "no_answer", (json_int_t)bench->no_answer, "wrong_answers",
-      (json_int_t)bench->wrong, "statuses", statuses_json (bench), "latency",
+      "no_connection", (json_int_t)bench->no_connection, "cut",
+      (json_int_t)bench->cut, "wrong_answers", (json_int_t)bench->wrong,
+      "statuses", statuses_json (bench), "latency",
       bench_histogram_json (&bench->entry_latency), "classes", classes);
   if (bench->directs != NULL)
     {
--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -21,6 +21,9 @@
 #define BODY_LIMIT ((size_t)1024 * 1024)
 #define MAX_PARTS 16
 #define DRAIN_CHECK_MS 20
+/* After the port is closed, connections that are already open may still bring
+   a request, which is refused with an answer.  */
+#define DRAIN_LINGER_MS 300
 
 #define FIELD(name) offsetof (entry_settings_t, name)
 
@@ -250,7 +253,8 @@
     }
   bool over_limit = waited_ms > entry->settings->drain_notice_ms
                                     + entry->settings->drain_limit_ms;
-  bool done = proxy_open_requests (entry->proxy) == 0
+  bool done = waited_ms >= entry->settings->drain_notice_ms + DRAIN_LINGER_MS
+              && proxy_open_requests (entry->proxy) == 0
               && httpd_open_exchanges (entry->httpd) == 0
               && dispatch_drained (entry->dispatch) && parts_drained (process);
   if (!done && !over_limit)
@@ -268,6 +272,7 @@
     return;
   process->drain_begun_ms = clk_now_ms (process->entry.clock);
   log_event (LOG_INFO, "drain_begun", NULL);
+  httpd_end_connections (process->entry.httpd);
   peer_announce_leaving (process->entry.peer);
   process->drain_timer
       = loop_timer_new (loop, DRAIN_CHECK_MS, on_drain_check, process);
--- a/src/io/handover.c
+++ b/src/io/handover.c
@@ -1,5 +1,6 @@
 #include "peer_private.h"
 
+#include "inquiry.h"
 #include "log.h"
 #include "loop.h"
 #include "relay.h"
@@ -12,11 +13,7 @@
 /* Consumed bytes are granted again in steps of this size.  */
 #define CREDIT_STEP ((size_t)16 * 1024)
 #define TICK_MS 100
-#define QUERY_PERIOD_MS 500
 #define MAX_DEADLINE_MS 60000
-/* After its deadline a handed-over request gets this long to report its
-   outcome, which is worth more than our own "unknown".  */
-#define DEADLINE_GRACE_MS 200
 
 struct handover
 {
@@ -40,8 +37,7 @@
   uint64_t received; /* bytes of the answer */
   uint64_t granted;
   bool body_sent;
-  bool lost; /* the connection broke: the outcome is being asked for */
-  int64_t queried_ms;
+  inquiry_t inquiry;
 } given_t;
 
 /* A request that we run for another entry.  */
@@ -116,16 +112,15 @@
 }
 
 static void
-send_query (given_t *given, int64_t now_ms)
+send_query (handover_t *handover, const char *entry, uint64_t id)
 {
   Magnoliadock__OutcomeQuery query = MAGNOLIADOCK__OUTCOME_QUERY__INIT;
   frame_t frame = MAGNOLIADOCK__FRAME__INIT;
-  query.incarnation = (uint64_t)given->handover->options.incarnation;
-  query.id = given->id;
+  query.incarnation = (uint64_t)handover->options.incarnation;
+  query.id = id;
   frame.body_case = MAGNOLIADOCK__FRAME__BODY_OUTCOME_QUERY;
   frame.outcome_query = &query;
-  given->queried_ms = now_ms;
-  peer_send (given->handover->peer, given->entry, &frame);
+  peer_send (handover->peer, entry, &frame);
 }
 
 /* Side of the entry that hands over.  */
@@ -146,12 +141,24 @@
   relay_attempt_ended (relay, kind, status, outcome);
 }
 
+/* Does what the inquiry into GIVEN asks for; may free GIVEN.  */
+static void
+carry_out (given_t *given, inquiry_result_t result, uint16_t status)
+{
+  if (result.step == INQUIRY_QUERY)
+    send_query (given->handover, given->entry, given->id);
+  if (result.step == INQUIRY_CANCEL)
+    send_cancel (given->handover, given->entry, given->id);
+  if (result.step == INQUIRY_CANCEL || result.step == INQUIRY_END)
+    end_given (given, result.kind, status, result.outcome);
+}
+
 static void
 send_body (given_t *given)
 {
   char buffer[CHUNK_BYTES];
   relay_t *relay = given->relay;
-  if (given->lost || given->body_sent)
+  if (given->inquiry.lost || given->body_sent)
     return;
   while (given->credit > 0 && bytepipe_unread (&relay->body) > 0)
     {
@@ -185,7 +192,7 @@
   given_t *given = relay->server;
   uint64_t allowed
       = given->received - bytepipe_unread (&relay->answer) + FIRST_CREDIT;
-  if (given->lost || allowed < given->granted + CREDIT_STEP)
+  if (given->inquiry.lost || allowed < given->granted + CREDIT_STEP)
     return;
   send_credit (given->handover, given->entry, given->id, true,
                allowed - given->granted);
@@ -265,6 +272,7 @@
   given->entry = g_strdup (entry);
   given->relay = relay;
   given->granted = FIRST_CREDIT;
+  inquiry_init (&given->inquiry, relay->deadline_ms);
   relay->server_ops = &given_ops;
   relay->server = given;
   g_hash_table_insert (handover->given, &given->id, given);
@@ -325,15 +333,11 @@
 static void
 take_outcome (given_t *given, const Magnoliadock__OutcomeReply *reply)
 {
-  outcome_t outcome = (outcome_t)MIN (reply->outcome, OUTCOME_UNKNOWN);
-  if (!given->lost || reply->seen == DISPATCH_IN_FLIGHT)
-    return;
-  if (reply->seen == DISPATCH_NEVER_SEEN)
-    end_given (given, ERR_ZONE_UNREACHABLE, 0, OUTCOME_NOT_RUN);
-  else if (outcome == OUTCOME_NOT_RUN)
-    end_given (given, err_from_name (reply->reason), 0, outcome);
-  else
-    end_given (given, ERR_CONNECTION_LOST, (uint16_t)reply->status, outcome);
+  carry_out (given,
+             inquiry_replied (
+                 &given->inquiry, reply->seen, err_from_name (reply->reason),
+                 (outcome_t)MIN (reply->outcome, OUTCOME_UNKNOWN)),
+             (uint16_t)reply->status);
 }
 
 /* Side of the entry that runs the request.  */
@@ -581,7 +585,7 @@
   if (chunk->to_origin)
     {
       given_t *given = find_given (handover, entry, chunk->id);
-      if (given != NULL && !given->lost)
+      if (given != NULL && !given->inquiry.lost)
         take_answer_chunk (given, chunk);
       return;
     }
@@ -598,7 +602,7 @@
   if (!credit->to_origin)
     {
       given_t *given = find_given (handover, entry, credit->id);
-      if (given == NULL || given->lost)
+      if (given == NULL || given->inquiry.lost)
         return;
       given->credit = MIN (given->credit + bytes, FIRST_CREDIT);
       send_body (given);
@@ -630,7 +634,7 @@
       return true;
     case MAGNOLIADOCK__FRAME__BODY_ANSWER:
       given = find_given (handover, entry, frame->answer->id);
-      if (given != NULL && !given->lost)
+      if (given != NULL && !given->inquiry.lost)
         take_answer (given, frame->answer);
       return true;
     case MAGNOLIADOCK__FRAME__BODY_ANSWER_ACK:
@@ -680,8 +684,8 @@
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
       given_t *given = value;
-      if (given->lost && strcmp (given->entry, entry) == 0)
-        send_query (given, now_ms);
+      if (strcmp (given->entry, entry) == 0)
+        carry_out (given, inquiry_reconnected (&given->inquiry, now_ms), 0);
     }
 }
 
@@ -700,13 +704,10 @@
   for (guint i = 0; i < all->len; i++)
     {
       given_t *given = g_ptr_array_index (all, i);
-      if (strcmp (given->entry, entry) != 0)
-        continue;
-      if (given->relay->streaming)
-        end_given (given, ERR_CONNECTION_LOST, given->relay->status,
-                   OUTCOME_UNKNOWN);
-      else
-        given->lost = true;
+      if (strcmp (given->entry, entry) == 0)
+        carry_out (given,
+                   inquiry_lost (&given->inquiry, given->relay->streaming),
+                   given->relay->status);
     }
   g_ptr_array_unref (all);
 }
@@ -722,15 +723,9 @@
   for (guint i = 0; i < all->len; i++)
     {
       given_t *given = g_ptr_array_index (all, i);
-      if (now_ms >= given->relay->deadline_ms + DEADLINE_GRACE_MS)
-        {
-          send_cancel (handover, given->entry, given->id);
-          end_given (given, ERR_TIMEOUT, 0, OUTCOME_UNKNOWN);
-        }
-      else if (given->lost && peer_is_gone (handover->peer, given->entry))
-        end_given (given, ERR_CONNECTION_LOST, 0, OUTCOME_UNKNOWN);
-      else if (given->lost && now_ms - given->queried_ms >= QUERY_PERIOD_MS)
-        send_query (given, now_ms);
+      bool gone
+          = given->inquiry.lost && peer_is_gone (handover->peer, given->entry);
+      carry_out (given, inquiry_tick (&given->inquiry, now_ms, gone), 0);
     }
   g_ptr_array_unref (all);
 }
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -40,7 +40,8 @@
   void *stream_context;
   httpd_exchange_t *waiting; /* list of suspended exchanges */
   uint32_t open;
-  bool closing;
+  bool ending; /* answers end their connection */
+  bool stopped;
   bool dirty; /* libmicrohttpd has work without a socket event */
   int listen_fd;
   uint16_t port;
@@ -149,7 +150,7 @@
        i += 2)
     MHD_add_response_header (response, exchange->headers->pdata[i],
                              exchange->headers->pdata[i + 1]);
-  if (exchange->server->closing)
+  if (exchange->server->ending)
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
   enum MHD_Result result
       = MHD_queue_response (exchange->connection, exchange->status, response);
@@ -656,14 +657,34 @@
   server->stream_context = context;
 }
 
+void
+httpd_end_connections (httpd_t *server)
+{
+  server->ending = true;
+}
+
 void
 httpd_stop_accepting (httpd_t *server)
 {
-  if (server->closing)
+  struct sockaddr_in from;
+  socklen_t length = sizeof from;
+  int fd;
+  if (server->stopped)
     return;
-  server->closing = true;
+  server->stopped = true;
+  server->ending = true;
   MHD_quiesce_daemon (server->daemon);
+  /* Connections that callers have already made would be reset by close.  */
+  while ((fd = accept4 (server->listen_fd, (struct sockaddr *)&from, &length,
+                        SOCK_NONBLOCK | SOCK_CLOEXEC))
+         >= 0)
+    {
+      MHD_add_connection (server->daemon, fd, (struct sockaddr *)&from,
+                          length);
+      length = sizeof from;
+    }
   close (server->listen_fd);
+  server->dirty = true;
 }
 
 uint32_t
--- a/tests/e2e_requests.sh
+++ b/tests/e2e_requests.sh
@@ -21,11 +21,11 @@
 check_load () { # NAME
   say "$1: sent $(field "$1" sent) ran $(field "$1" ran)" \
     "not-run $(field "$1" not_run) unknown $(field "$1" unknown)" \
-    "no answer $(field "$1" no_answer) wrong $(field "$1" wrong_answers)"
+    "no connection $(field "$1" no_connection) cut $(field "$1" cut) wrong $(field "$1" wrong_answers)"
   [ "$(field "$1" wrong_answers)" = 0 ] || fail "$1: wrong answers"
   [ "$(field "$1" unfinished)" = 0 ] || fail "$1: requests without an end"
   sum=$(($(field "$1" ran) + $(field "$1" not_run) + $(field "$1" unknown) \
-    + $(field "$1" no_answer)))
+    + $(field "$1" no_connection) + $(field "$1" cut)))
   [ "$sum" = "$(field "$1" sent)" ] || fail "$1: outcomes do not add up"
   curl -sf -m 10 --data-binary "@$WORK/$1.not-run" "$CONTROL/not-run" \
     >/dev/null || fail "$1: check of the requests that did not run"
@@ -64,19 +64,42 @@
 wait $LOAD || fail "load with failing backend servers"
 check_load backends
 
-say "== entries are paused, killed, replaced and stopped"
+say "== entries are paused, killed and replaced"
 inject "backend?kind=backend&mode=ok"
 # shellcheck disable=SC2086
-load entries 200 14 $MIX &
+load entries 200 11 $MIX &
 LOAD=$!
 sleep 1; signal_entry "$B1" STOP
 sleep 5; signal_entry "$B1" CONT
 sleep 1; kill_entry "$A1"; start_entry "$A1" --seed "$SEED"
-sleep 3; signal_entry "$B1" TERM
-wait "$(entry_pid "$B1")" || fail "planned stop of $B1 ended with $?"
-rm -f "$WORK/$B1.pid"; start_entry "$B1" --seed "$SEED"
 wait $LOAD || fail "load with failing entries"
 check_load entries
+
+say "== planned stop: no request in flight is cut"
+# shellcheck disable=SC2086
+load stop 150 4 $MIX --service-ms 150 &
+LOAD=$!
+sleep 1; signal_entry "$B1" TERM
+wait "$(entry_pid "$B1")" || fail "planned stop of $B1 ended with $?"
+rm -f "$WORK/$B1.pid"; start_entry "$B1" --seed "$SEED"
+wait $LOAD || fail "load with a planned stop"
+check_load stop
+[ "$(field stop cut)" = 0 ] || fail "a planned stop cut requests"
+[ "$(field stop unknown)" = 0 ] || fail "a planned stop left outcomes unknown"
+
+say "== own zone has no process: other zones run the requests, one is paused"
+inject "instance?zone=catania&kind=backend&state=leaving"
+sleep 3
+TARGETS=http://$(entry_http "$A1")
+# shellcheck disable=SC2086
+load handed 150 8 $MIX &
+LOAD=$!
+sleep 1; signal_entry "$B1" STOP
+sleep 4; signal_entry "$B1" CONT
+wait $LOAD || fail "load that is handed over"
+check_load handed
+[ "$(field handed ran)" -gt 600 ] || fail "hardly anything was handed over"
+inject "instance?zone=catania&kind=backend&state=live"
 wait_entry "$A1"; wait_entry "$B1"
 load after 200 2 || fail "load after the faults"
 check_load after
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -10,14 +10,15 @@
 static CU_SuiteInfo *const suites[] = {
   test_base_suites,     test_contract_suites, test_doc_suites,
   test_auth_suites,     test_burn_suites,     test_frame_suites,
-  test_member_suites,   test_base_suites,     test_sched_suites,
-  test_contract_suites, test_doc_suites,      test_auth_suites,
-  test_burn_suites,     test_base_suites,     test_doc_suites,
-  test_auth_suites,     test_burn_suites,     test_confrev_suites,
-  test_conf_suites,     test_base_suites,     test_contract_suites,
+  test_member_suites,   test_inquiry_suites,  test_base_suites,
+  test_sched_suites,    test_contract_suites, test_doc_suites,
+  test_auth_suites,     test_burn_suites,     test_base_suites,
   test_doc_suites,      test_auth_suites,     test_burn_suites,
-  test_base_suites, test_sched_suites, test_contract_suites,
-  test_doc_suites,  test_auth_suites,  test_burn_suites,
+  test_confrev_suites,  test_conf_suites,     test_base_suites,
+  test_contract_suites, test_doc_suites,      test_auth_suites,
+  test_burn_suites,     test_base_suites,     test_sched_suites,
+  test_contract_suites, test_doc_suites,      test_auth_suites,
+  test_burn_suites,
 };
 
 static uint32_t seed = DEFAULT_SEED;
