--- a/src/main.c
+++ b/src/main.c
@@ -1,6 +1,6 @@
 #include "bench.h"
-#include "entry.h"
 #include "cli.h"
+#include "entry.h"
 #include "error.h"
 
 #include <stdio.h>
@@ -17,7 +17,6 @@
 
 static const command_t commands[] = {
   { "entry", entry_run, "run an entry process" },
-  { "bench", bench_run, "measure entries and the core" },
   { "submit", cli_submit, "submit jobs" },
   { "status", cli_status, "print the state of the system or of a job" },
   { "cancel", cli_cancel, "cancel jobs" },
@@ -25,6 +24,7 @@
   { "document", cli_document, "get, check, diff and apply the configuration" },
   { "report", cli_report, "print the error budgets" },
   { "hash-token", cli_hash_token, "make a token and its hash" },
+  { "bench", bench_run, "measure entries and the core" },
   { NULL, NULL, NULL },
 };
 
