handover: state the load with each answer

The free slots of an entry in another zone were known from its heartbeat only, once a second, and used up in between, so requests waited up to their deadline although that zone was idle.

--- a/src/io/handover.c
+++ b/src/io/handover.c
@@ -284,6 +284,10 @@
 {
   relay_t *relay = given->relay;
   uint16_t status = (uint16_t)answer->status;
+  if (answer->load != NULL)
+    dispatch_peer_load (peer_dispatch (given->handover->peer), given->entry,
+                        answer->load->service, answer->load->free_slots,
+                        answer->load->queued);
   if (answer->refused)
     {
       send_ack (given->handover, given->entry, given->id);
@@ -379,6 +383,7 @@
 {
   relay_t *relay = taken->relay;
   Magnoliadock__Answer answer = MAGNOLIADOCK__ANSWER__INIT;
+  Magnoliadock__ServiceLoad load = MAGNOLIADOCK__SERVICE_LOAD__INIT;
   frame_t frame = MAGNOLIADOCK__FRAME__INIT;
   guint count = relay->answer_headers->len / 2;
   Magnoliadock__Header *headers = g_new (Magnoliadock__Header, count + 1);
@@ -400,6 +405,10 @@
   answer.length = relay->answer_length;
   answer.n_headers = count;
   answer.headers = list;
+  load.service = relay->service;
+  dispatch_load (peer_dispatch (taken->handover->peer), relay->service,
+                 &load.free_slots, &load.queued);
+  answer.load = &load;
   if (!relay->own_answer)
     {
       answer.body.len = relay_answer_take (relay, body, first);
--- a/src/io/peer_slots.c
+++ b/src/io/peer_slots.c
@@ -1,5 +1,7 @@
 #include "peer_private.h"
 
+#include "log.h"
+
 /* Messages of the slot ledger between dispatch's structs and frames.  */
 
 static bool
@@ -30,6 +32,7 @@
   ledger.n_entries = count;
   ledger.entries = list;
   frame_t frame = MAGNOLIADOCK__FRAME__INIT;
+  log_event (LOG_DEBUG, "ledger_sent", "to", entry, NULL);
   frame.slot_ledger = &ledger;
   send_body (peer, entry, &frame, MAGNOLIADOCK__FRAME__BODY_SLOT_LEDGER);
   g_free (items);
@@ -44,6 +47,7 @@
   want.service = (char *)service;
   want.count = count;
   frame_t frame = MAGNOLIADOCK__FRAME__INIT;
+  log_event (LOG_DEBUG, "slots_wanted", "of", entry, "service", service, NULL);
   frame.slot_want = &want;
   send_body (peer, entry, &frame, MAGNOLIADOCK__FRAME__BODY_SLOT_WANT);
 }
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -2315,7 +2315,7 @@
   (ProtobufCMessageInit) magnoliadock__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor magnoliadock__answer__field_descriptors[9] =
+static const ProtobufCFieldDescriptor magnoliadock__answer__field_descriptors[10] =
 {
   {
     "id",
@@ -2425,6 +2425,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Magnoliadock__Answer, load),
+    &magnoliadock__service_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned magnoliadock__answer__field_indices_by_name[] = {
   7,   /* field[7] = body */
@@ -2432,6 +2444,7 @@
   5,   /* field[5] = headers */
   0,   /* field[0] = id */
   6,   /* field[6] = length */
+  9,   /* field[9] = load */
   4,   /* field[4] = outcome */
   3,   /* field[3] = reason */
   2,   /* field[2] = refused */
@@ -2440,7 +2453,7 @@
 static const ProtobufCIntRange magnoliadock__answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor magnoliadock__answer__descriptor =
 {
@@ -2450,7 +2463,7 @@
   "Magnoliadock__Answer",
   "magnoliadock",
   sizeof(Magnoliadock__Answer),
-  9,
+  10,
   magnoliadock__answer__field_descriptors,
   magnoliadock__answer__field_indices_by_name,
   1,  magnoliadock__answer__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -354,10 +354,14 @@
    */
   ProtobufCBinaryData body;
   protobuf_c_boolean ended;
+  /*
+   * of the sender now, newer than its last Heartbeat
+   */
+  Magnoliadock__ServiceLoad *load;
 };
 #define MAGNOLIADOCK__ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&magnoliadock__answer__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, {0,NULL}, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, {0,NULL}, 0, NULL }
 
 
 /*
