httpd: use less connection memory; settle the linter's findings

perf showed 8% of an entry's time at 8,000 requests/s in clearing 48 KiB of connection memory for each request; 32 KiB holds the headers of both sides.

--- a/src/frame.c
+++ b/src/frame.c
@@ -17,7 +17,9 @@
 void
 frame_reader_clear (frame_reader_t *reader)
 {
-  g_clear_pointer (&reader->bytes, g_byte_array_unref);
+  if (reader->bytes != NULL)
+    g_byte_array_unref (reader->bytes);
+  reader->bytes = NULL;
   reader->start = 0;
 }
 
--- a/src/io/backend.c
+++ b/src/io/backend.c
@@ -22,7 +22,8 @@
 /* Share of the slowest recent answer that is kept with each newer one.  */
 #define SLOWEST_DECAY 0.98
 #define MAX_ANSWER_HEADERS 200
-#define MAX_HEADER_BYTES (32 * 1024)
+/* Has to fit into the HTTP server's memory beside the request's headers.  */
+#define MAX_HEADER_BYTES (12 * 1024)
 
 typedef struct attempt attempt_t;
 
--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -352,7 +352,7 @@
 static bool
 open_parts (process_t *process, GError **error)
 {
-  for (unsigned i = 0; entry_parts[i] != NULL && i < MAX_PARTS; i++)
+  for (unsigned i = 0; i < MAX_PARTS && entry_parts[i] != NULL; i++)
     {
       process->parts[i] = entry_parts[i]->open (&process->entry, error);
       if (process->parts[i] == NULL)
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -12,9 +12,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Above 32 KiB libmicrohttpd maps the buffer, so that an idle connection costs
-   only the pages it has touched.  */
-#define CONNECTION_MEMORY (48 * 1024)
+/* Holds the headers of a request and of its answer.  libmicrohttpd clears it
+   between requests; at 48 KiB that took 8% of an entry's time.  */
+#define CONNECTION_MEMORY (32 * 1024)
 #define IDLE_LIMIT_S 75
 #define LISTEN_BACKLOG 1024
 #define ANSWER_BLOCK (16 * 1024)
