--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -10,31 +10,23 @@
 /* One suite array a line: branches that add one then merge cleanly.  */
 /* clang-format off */
 static CU_SuiteInfo *const suites[] = {
-  test_base_suites,     test_contract_suites, test_doc_suites,
-  test_auth_suites,     test_burn_suites,     test_frame_suites,
-  test_member_suites,   test_inquiry_suites,  test_base_suites,
-  test_sched_suites,    test_contract_suites, test_doc_suites,
-  test_auth_suites,     test_burn_suites,     test_base_suites,
-  test_doc_suites,      test_auth_suites,     test_burn_suites,
-  test_confrev_suites,  test_conf_suites,     test_base_suites,
-  test_contract_suites, test_doc_suites,      test_auth_suites,
-  test_burn_suites,     test_base_suites,     test_sched_suites,
-  test_contract_suites, test_doc_suites,      test_auth_suites,
-  test_burn_suites,
-  test_base_suites,    test_contract_suites, test_doc_suites,
-  test_auth_suites,    test_burn_suites,     test_share_suites,
-  test_admit_suites,   test_outlier_suites,  test_retry_suites,
-  test_outcome_suites, test_dispatch_suites,
+  test_admit_suites,
   test_auth_suites,
   test_base_suites,
   test_burn_suites,
   test_conf_suites,
   test_confrev_suites,
   test_contract_suites,
+  test_dispatch_suites,
   test_doc_suites,
   test_frame_suites,
+  test_inquiry_suites,
   test_member_suites,
+  test_outcome_suites,
+  test_outlier_suites,
+  test_retry_suites,
   test_sched_suites,
+  test_share_suites,
 };
 /* clang-format on */
 
