ops: put the configuration, tokens and error budgets into an entry

Backend servers are set in dispatch only once a configuration is in force, because only it tells their limits; until then requests get no_config.

conf: fetch a newer revision at once although an older fetch is under way. Each edit that followed another waited for the repeat interval of 500 ms.

--- a/src/doc_use.c
+++ b/src/doc_use.c
@@ -85,6 +85,8 @@
       const doc_use_t *row = &use[i];
       if (strcmp (row->section, name) != 0 || row->amount <= 0)
         continue;
+      if (after == NULL && row->key != NULL)
+        continue;
       if (after == NULL)
         {
           add_use_error (errors, name, NULL,
--- a/src/io/conf.c
+++ b/src/io/conf.c
@@ -328,12 +328,14 @@
   const char *entry = NULL;
   int64_t highest = confrev_peers_highest (conf->state, &entry);
   int64_t now_ms = clk_now_ms (conf->clock);
-  if (highest <= confrev_revision (conf->state) || now_ms < conf->fetch_at_ms)
+  bool asked = highest <= conf->fetch_revision && now_ms < conf->fetch_at_ms;
+  if (highest <= confrev_revision (conf->state) || asked)
     return;
   if (confrev_source (conf->state) == CONFREV_NONE
       && now_ms < conf->started_ms + START_WAIT_MS)
     return;
   conf->fetch_at_ms = now_ms + FETCH_MS;
+  conf->fetch_revision = highest;
   conf->peers->fetch (conf->peer_context, entry,
                       confrev_revision (conf->state));
 }
--- a/src/io/conf_edit.c
+++ b/src/io/conf_edit.c
@@ -53,9 +53,12 @@
 edit_end (edit_t *edit, err_kind_t kind, const char *message, int64_t version,
           int64_t revision)
 {
-  conf_result_t result = {
-    .kind = kind, .message = message, .version = version, .revision = revision
-  };
+  conf_result_t result = { .kind = kind,
+                           .message = message,
+                           .version = version,
+                           .revision = revision,
+                           .confirmed = edit->confirmed,
+                           .reachable = edit->reachable };
   char text[24];
   g_snprintf (text, sizeof text, "%" PRId64, version);
   log_event (LOG_INFO, "config_edit", "section", edit->name, "who",
--- a/src/io/conf_private.h
+++ b/src/io/conf_private.h
@@ -30,11 +30,12 @@
   int64_t started_ms;
   bool polling;
   int64_t poll_at_ms;
-  int64_t fetch_at_ms;
-  int64_t relay_at_ms; /* next report to other zones */
-  bool zone_changed;   /* an entry of the own zone reported a change */
-  conf_load_t *load;   /* the one in progress, NULL: none */
-  GPtrArray *edits;    /* open edits, see conf_edit.c */
+  int64_t fetch_at_ms;    /* earliest repeat of the fetch for ... */
+  int64_t fetch_revision; /* ... this revision */
+  int64_t relay_at_ms;    /* next report to other zones */
+  bool zone_changed;      /* an entry of the own zone reported a change */
+  conf_load_t *load;      /* the one in progress, NULL: none */
+  GPtrArray *edits;       /* open edits, see conf_edit.c */
   uint64_t edit_count;
   counter_t *revision_gauge, *applied, *refused, *edits_done, *edit_races,
       *edit_readbacks;
--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -2,6 +2,7 @@
 
 #include "log.h"
 #include "loop.h"
+#include "ops.h"
 #include "options.h"
 #include "table_http.h"
 
@@ -12,8 +13,8 @@
 #include <string.h>
 #include <sys/resource.h>
 
-/* What every process of every service takes; the instance list does not say
-   it.  */
+/* What every process of every service takes without a table service, and so
+   without a configuration.  */
 #define REQUESTS_PER_PROCESS 8
 #define CONNECTIONS_PER_PROCESS 64
 #define HTTP_CONNECTIONS 4096
@@ -39,6 +40,10 @@
     "Table service; without it the entry counts as alone in its zone" },
   { "objects-url", OPTION_URL, FIELD (objects_url), NULL, false, 0, 0, NULL,
     "Object store" },
+  { "bootstrap-token-hash", OPTION_TEXT, FIELD (bootstrap_token_hash), NULL,
+    false, 0, 0, NULL,
+    "Hash (see hash-token) of operator-bootstrap's token, accepted while the "
+    "document has no operator token" },
   { "log-level", OPTION_CHOICE, FIELD (log_level), "info", false, 0, 0,
     "debug|info|warn|error", "Lowest level of log lines" },
   { "drain-notice-ms", OPTION_INTEGER, FIELD (drain_notice_ms), "3000", false,
@@ -83,6 +88,11 @@
 act_refuse (void *context, uint64_t id, err_kind_t kind, outcome_t outcome,
             int64_t retry_after_ms, const char *detail)
 {
+  if (kind == ERR_UNKNOWN_SERVICE && !ops_can_route (context))
+    {
+      kind = ERR_NO_CONFIG;
+      detail = "this entry has no configuration yet";
+    }
   proxy_refuse (((entry_t *)context)->proxy, id, kind, outcome, retry_after_ms,
                 detail);
 }
@@ -137,6 +147,9 @@
 static void
 set_backend (entry_t *entry, const instance_t *instance)
 {
+  /* With a configuration the part "ops" sets them, with its limits.  */
+  if (entry->conf != NULL)
+    return;
   if (instance->state == INSTANCE_GONE)
     {
       dispatch_backend_remove (entry->dispatch, instance->id);
--- a/src/io/entry.h
+++ b/src/io/entry.h
@@ -32,6 +32,7 @@
   char *table_url;
   char *objects_url;
   char *log_level;
+  char *bootstrap_token_hash;
   int64_t drain_notice_ms;
   int64_t remote_peers;
   int64_t seed;
--- a/src/io/entry_parts.c
+++ b/src/io/entry_parts.c
@@ -1,7 +1,9 @@
 #include "entry.h"
+#include "ops.h"
 #include "shares.h"
 
 const entry_part_t *const entry_parts[] = {
+  &ops_part,
   &shares_part,
   NULL,
 };
--- a/src/io/proxy.c
+++ b/src/io/proxy.c
@@ -18,6 +18,8 @@
 
 struct proxy
 {
+  proxy_observer_t observer; /* may be NULL */
+  void *observer_context;
   proxy_options_t options;
   dispatch_t *dispatch;
   backend_pool_t *backends;
@@ -132,6 +134,13 @@
   httpd_set_stream (server, &callers_stream_ops, proxy);
 }
 
+void
+proxy_set_observer (proxy_t *proxy, proxy_observer_t observer, void *context)
+{
+  proxy->observer = observer;
+  proxy->observer_context = context;
+}
+
 void
 proxy_add (proxy_t *proxy, relay_t *relay)
 {
@@ -158,6 +167,10 @@
   int64_t took_ms = clk_now_ms (proxy->options.clock) - relay->begun_ms;
   counter_add (proxy->outcomes[relay->outcome], 1);
   histogram_add (proxy->times[relay->class], (uint64_t)took_ms * 1000);
+  if (proxy->observer != NULL && !relay->handed_over)
+    proxy->observer (proxy->observer_context, relay, took_ms,
+                     relay->sent_ms > 0 ? relay->sent_ms - relay->begun_ms
+                                        : took_ms);
 }
 
 relay_t *
@@ -170,6 +183,8 @@
       return NULL;
     }
   relay->attempt = attempt;
+  if (relay->sent_ms == 0)
+    relay->sent_ms = clk_now_ms (proxy->options.clock);
   return relay;
 }
 
--- a/src/io/proxy.h
+++ b/src/io/proxy.h
@@ -29,6 +29,14 @@
 /* Serves the requests under /s/ of SERVER.  */
 void proxy_serve (proxy_t *proxy, httpd_t *server);
 
+/* Told once for each request of a caller of this entry, when its end is
+   decided: relay->reason, status and outcome are set.  WAIT_MS is the time
+   before the first attempt.  */
+typedef void (*proxy_observer_t) (void *context, const relay_t *relay,
+                                  int64_t latency_ms, int64_t wait_ms);
+void proxy_set_observer (proxy_t *proxy, proxy_observer_t observer,
+                         void *context);
+
 /* Actions of dispatch_actions_t that concern requests.  */
 void proxy_send (proxy_t *proxy, uint64_t id, uint32_t attempt,
                  const char *backend, const char *url, bool fresh);
--- a/src/io/relay.c
+++ b/src/io/relay.c
@@ -78,6 +78,7 @@
     .origin_id = origin_id,
   };
   relay->submitted = true;
+  relay->handed_over = origin_incarnation != 0;
   dispatch_submit (proxy_dispatch (relay->proxy), &request);
 }
 
--- a/src/io/relay.h
+++ b/src/io/relay.h
@@ -52,7 +52,9 @@
   bool idempotent;
   bool given_id; /* the caller chose request_id */
   int64_t begun_ms;
+  int64_t sent_ms; /* first attempt, 0: none yet */
   int64_t deadline_ms;
+  bool handed_over; /* came from another entry */
 
   bytepipe_t body;
   int64_t body_length; /* -1 if unknown */
--- a/tests/fake_world.c
+++ b/tests/fake_world.c
@@ -272,7 +272,9 @@
   fake_entry_t *entry = context;
   if (g_hash_table_contains (entry->world->answers, token))
     violation (entry->world, "answered twice", id != NULL ? id : "-");
-  if (g_getenv ("DBG")) printf ("%ld e%u answer %s %d %s\n", (long)now_of (entry->world), entry->index, id, kind, message);
+  if (g_getenv ("DBG"))
+    printf ("%ld e%u answer %s %d %s\n", (long)now_of (entry->world),
+            entry->index, id, kind, message);
   g_hash_table_insert (entry->world->answers, token,
                        GINT_TO_POINTER ((int)kind + 1));
   if (kind != ERR_OK && kind != ERR_TIMEOUT && id != NULL
@@ -513,7 +515,16 @@
           message->checks->len, (const sched_row_t *)message->writes->data,
           message->writes->len, (int64_t *)message->versions->data);
       message->result = good ? ERR_OK : ERR_CONFLICT;
-  if (g_getenv ("DBG")) { printf ("%ld e%u txn tag %lu %s:", (long)now_of (world), message->entry, message->tag, good?"ok":"conflict"); for (guint i=0;i<message->checks->len;i++) printf (" %s@%ld", g_array_index(message->checks,sched_row_t,i).key, (long)g_array_index(message->checks,sched_row_t,i).version); printf ("\n"); }
+      if (g_getenv ("DBG"))
+        {
+          printf ("%ld e%u txn tag %lu %s:", (long)now_of (world),
+                  message->entry, message->tag, good ? "ok" : "conflict");
+          for (guint i = 0; i < message->checks->len; i++)
+            printf (
+                " %s@%ld", g_array_index (message->checks, sched_row_t, i).key,
+                (long)g_array_index (message->checks, sched_row_t, i).version);
+          printf ("\n");
+        }
       return;
     }
   g_array_set_size (message->rows, 0);
--- a/tests/test_conf.c
+++ b/tests/test_conf.c
@@ -69,6 +69,7 @@
   bool done;
   err_kind_t kind;
   int64_t revision, done_ms;
+  uint32_t confirmed, reachable;
 } edit_t;
 
 struct sim
@@ -373,6 +374,8 @@
   edit->done = true;
   edit->kind = result->kind;
   edit->revision = result->revision;
+  edit->confirmed = result->confirmed;
+  edit->reachable = result->reachable;
   edit->done_ms = clk_now_ms (&edit->sim->clock.base);
   if (result->kind == ERR_OK)
     CU_ASSERT_EQUAL (result->version, edit->version + 1);
@@ -629,6 +632,11 @@
       run_ms (sim, 8000);
       CU_ASSERT (edit.done);
       CU_ASSERT_EQUAL (edit.kind, rows[i].kind);
+      if (rows[i].kind == ERR_OK)
+        {
+          CU_ASSERT_EQUAL (edit.reachable, ENTRIES - 1);
+          CU_ASSERT_EQUAL (edit.confirmed, ENTRIES - 1);
+        }
       if (edit.kind != rows[i].kind)
         printf ("%s: %s\n", rows[i].what, err_name (edit.kind));
       for (unsigned e = 0; e < ENTRIES; e++)
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -7,26 +7,21 @@
 
 #define DEFAULT_SEED 20261204
 
+/* One suite array a line: branches that add one then merge cleanly.  */
+/* clang-format off */
 static CU_SuiteInfo *const suites[] = {
-  test_base_suites,     test_contract_suites, test_doc_suites,
-  test_auth_suites,     test_burn_suites,     test_frame_suites,
-  test_member_suites,   test_base_suites,     test_sched_suites,
-  test_contract_suites, test_doc_suites,      test_auth_suites,
-  test_burn_suites,     test_base_suites,     test_doc_suites,
-  test_auth_suites,     test_burn_suites,     test_confrev_suites,
-  test_conf_suites,     test_base_suites,     test_contract_suites,
-  test_doc_suites,      test_auth_suites,     test_burn_suites,
-  test_base_suites, test_sched_suites, test_contract_suites,
-  test_doc_suites,  test_auth_suites,  test_burn_suites,
-  test_base_suites,     test_doc_suites,      test_auth_suites,
-  test_burn_suites,     test_confrev_suites,  test_conf_suites,
-  test_base_suites,     test_contract_suites, test_doc_suites,
-  test_auth_suites,     test_burn_suites,     test_base_suites,
-  test_contract_suites, test_doc_suites,      test_auth_suites,
-  test_burn_suites,     test_frame_suites,    test_member_suites,
-  test_base_suites,     test_sched_suites,    test_contract_suites,
-  test_doc_suites,      test_auth_suites,     test_burn_suites,
+  test_auth_suites,
+  test_base_suites,
+  test_burn_suites,
+  test_conf_suites,
+  test_confrev_suites,
+  test_contract_suites,
+  test_doc_suites,
+  test_frame_suites,
+  test_member_suites,
+  test_sched_suites,
 };
+/* clang-format on */
 
 static uint32_t seed = DEFAULT_SEED;
 
