--- a/src/doc.c
+++ b/src/doc.c
@@ -385,6 +385,12 @@
   return doc_parse_stored (text, length, errors, errors);
 }
 
+doc_t *
+doc_parse_part (const char *text, size_t length, GPtrArray *errors)
+{
+  return parse_text (text, length, errors, errors);
+}
+
 doc_t *
 doc_ref (doc_t *doc)
 {
--- a/src/doc.h
+++ b/src/doc.h
@@ -79,10 +79,13 @@
 /* Parses and checks a whole document.  Returns NULL and adds to ERRORS if
    anything is wrong.  The result is owned by the caller.  */
 doc_t *doc_parse (const char *text, size_t length, GPtrArray *errors);
-/* The same for sections that an entry has accepted before.  While versions of
-   magnoliadock are mixed, a newer entry may accept keys and sections that this
-   one does not know: they are skipped and reported in UNKNOWN, so that an
-   accepted configuration comes into force everywhere.  */
+/* The same for a part of a document: sections may refer to sections that are
+   not in TEXT.  */
+doc_t *doc_parse_part (const char *text, size_t length, GPtrArray *errors);
+/* The same as doc_parse for sections that an entry has accepted before.  While
+   versions of magnoliadock are mixed, a newer entry may accept keys and
+   sections that this one does not know: they are skipped and reported in
+   UNKNOWN, so that an accepted configuration comes into force everywhere.  */
 doc_t *doc_parse_stored (const char *text, size_t length, GPtrArray *errors,
                          GPtrArray *unknown);
 doc_t *doc_ref (doc_t *doc);
--- a/src/io/cli.c
+++ b/src/io/cli.c
@@ -12,6 +12,9 @@
 #define CONNECT_LIMIT_S 5L
 #define ANSWER_LIMIT ((size_t)16 * 1024 * 1024)
 
+static const char unknown_text[]
+    = "it is not known whether this was carried out";
+
 static void
 print_lines (const cli_settings_t *settings, char *message)
 {
@@ -97,7 +100,7 @@
       g_strfreev (lines);
     }
   if (strcmp (cli_text (error, "outcome"), "unknown") == 0)
-    cli_fail (settings, "it is not known whether this was carried out");
+    cli_fail (settings, "%s", unknown_text);
   json_decref (error);
 }
 
@@ -133,8 +136,13 @@
   long status = 0;
   curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
   if (code != CURLE_OK)
-    cli_fail (settings, "%s: %s, expected an entry to answer", settings->url,
-              curl_easy_strerror (code));
+    {
+      cli_fail (settings, "%s: %s, expected an entry to answer", settings->url,
+                curl_easy_strerror (code));
+      /* The entry may have died between carrying it out and answering.  */
+      if (code != CURLE_COULDNT_CONNECT && strcmp (method, "GET") != 0)
+        cli_fail (settings, "%s", unknown_text);
+    }
   else if (status < 200 || status > 299)
     print_refusal (settings, status, text->str);
   else
--- a/src/io/cli_document.c
+++ b/src/io/cli_document.c
@@ -65,14 +65,16 @@
   return right;
 }
 
+/* A part of a document is enough if no section of it may be missing.  */
 static doc_t *
-parse_file (const cli_settings_t *settings, const char *file)
+parse_file (const cli_settings_t *settings, const char *file, bool part)
 {
   char *text = cli_read_file (settings, file);
   if (text == NULL)
     return NULL;
   GPtrArray *errors = doc_errors_new ();
-  doc_t *doc = doc_parse (text, strlen (text), errors);
+  doc_t *doc = part ? doc_parse_part (text, strlen (text), errors)
+                    : doc_parse (text, strlen (text), errors);
   for (unsigned i = 0; i < errors->len; i++)
     {
       GString *line = g_string_new (NULL);
@@ -88,7 +90,7 @@
 static int
 run_check (const cli_settings_t *settings, char **rest)
 {
-  doc_t *doc = parse_file (settings, rest[0]);
+  doc_t *doc = parse_file (settings, rest[0], false);
   if (doc == NULL)
     return 1;
   printf ("%s: %zu sections, no errors\n", rest[0], doc_section_count (doc));
@@ -295,7 +297,7 @@
 static int
 compare_file (const cli_settings_t *settings, const char *file, bool apply)
 {
-  doc_t *doc = parse_file (settings, file);
+  doc_t *doc = parse_file (settings, file, !settings->prune);
   json_t *document = NULL;
   int code = 1;
   unsigned changed = 0;
@@ -414,9 +416,9 @@
   { "check", check_options, 1, 1, "FILE", run_check,
     "checks a file without a server" },
   { "diff", apply_options, 1, 1, "FILE", run_diff,
-    "prints what apply would change" },
+    "prints what apply would change; FILE may hold a part" },
   { "apply", apply_options, 1, 1, "FILE", run_apply,
-    "applies the changed sections of a file" },
+    "applies the changed sections of a file; FILE may hold a part" },
   { "history", plain_options, 1, 1, "SECTION", run_history,
     "prints the versions of a section" },
   { "status", plain_options, 0, 0, "", run_status,
