jobs: put tasks into an entry and answer /v1/jobs and /v1/explain

cli: submit and cancel ran twice for each argument, since MAX evaluates its argument twice; status prints tables instead of JSON.

sched: add sched_pack_rule_set, so that the document's packing rule comes into force without a restart.

--- a/src/doc.h
+++ b/src/doc.h
@@ -185,9 +185,6 @@
 typedef struct
 {
   const char *packing;
-  double cpu_overcommit;
-  double memory_factor;
-  int64_t reservation_s;
 } doc_fleet_t;
 
 bool doc_service (const doc_t *doc, const char *name, doc_service_t *out);
--- a/src/doc_use.c
+++ b/src/doc_use.c
@@ -224,8 +224,5 @@
 {
   const doc_section_t *section = lookup (doc, DOC_FLEET, "");
   out->packing = word (section, DOC_FLEET, "packing");
-  out->cpu_overcommit = number (section, DOC_FLEET, "cpu-overcommit");
-  out->memory_factor = number (section, DOC_FLEET, "memory-factor");
-  out->reservation_s = (int64_t)number (section, DOC_FLEET, "reservation-s");
   return section != NULL;
 }
--- a/src/io/cli.h
+++ b/src/io/cli.h
@@ -30,10 +30,9 @@
   char *token_file;
   char *format;
   char *why;
-  int64_t version;
   bool force;
   bool prune;
-  bool all;
+  bool jobs;
   char *secret_file;
   const char *command; /* for messages: "document apply" */
 } cli_settings_t;
--- a/src/io/cli_jobs.c
+++ b/src/io/cli_jobs.c
@@ -1,8 +1,11 @@
 #include "cli.h"
 
+#include <inttypes.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 static const option_t options[] = {
   CLI_SERVER_OPTIONS ("text|json"),
@@ -28,7 +31,8 @@
     }
   code = 0;
   for (char **argument = rest; *argument != NULL; argument++)
-    code = MAX (code, run (&settings, *argument));
+    if (run (&settings, *argument) != 0)
+      code = 1;
 out:
   g_strfreev (rest);
   options_clear (options, &settings);
@@ -88,32 +92,54 @@
   return code;
 }
 
-/* Prints the decisions as lines; other members as they are.  */
+/* Prints members of EVENT that the line does not show yet.  */
+static void
+print_rest (const json_t *event)
+{
+  static const char *const shown[]
+      = { "event", "first_ms", "last_ms", "count", "reason", NULL };
+  const char *name;
+  json_t *value;
+  json_object_foreach ((json_t *)event, name, value)
+  {
+    if (g_strv_contains (shown, name))
+      continue;
+    char *text = json_dumps (value, JSON_ENCODE_ANY | JSON_COMPACT);
+    printf (" %s=%s", name, text);
+    free (text);
+  }
+}
+
+/* One line for each decision, oldest first.  */
 static void
 print_explanation (const json_t *answer)
 {
-  const json_t *events = json_object_get (answer, "events");
-  size_t index;
-  json_t *event;
-  if (!json_is_array (events))
+  printf ("job %s: %s%s%s; zone %s, on duty %s\n", cli_text (answer, "id"),
+          cli_text (answer, "state"),
+          cli_text (answer, "reason")[0] != '\0' ? ", " : "",
+          cli_text (answer, "reason"), cli_text (answer, "zone"),
+          cli_text (answer, "duty"));
+  const json_t *waits = json_object_get (answer, "waits");
+  if (waits != NULL)
     {
-      cli_print_json (answer);
-      return;
+      char *text = json_dumps (waits, JSON_COMPACT);
+      printf ("waits: %s\n", text);
+      free (text);
     }
-  json_array_foreach (events, index, event)
+  size_t index;
+  json_t *event;
+  json_array_foreach (json_object_get (answer, "events"), index, event)
   {
-    const char *name;
-    json_t *value;
-    bool first = true;
-    json_object_foreach (event, name, value)
-    {
-      char *text = json_is_string (value)
-                       ? g_strdup (json_string_value (value))
-                       : json_dumps (value, JSON_ENCODE_ANY | JSON_COMPACT);
-      printf ("%s%s=%s", first ? "" : " ", name, text);
-      g_free (text);
-      first = false;
-    }
+    time_t at = cli_number (event, "last_ms") / 1000;
+    struct tm utc;
+    char when[32];
+    gmtime_r (&at, &utc);
+    strftime (when, sizeof when, "%Y-%m-%d %H:%M:%S", &utc);
+    printf ("%s  %s  %s", when, cli_text (event, "event"),
+            cli_text (event, "reason"));
+    if (cli_number (event, "count") > 1)
+      printf (" (%" PRId64 " times)", cli_number (event, "count"));
+    print_rest (event);
     putchar ('\n');
   }
 }
--- a/src/io/cli_status.c
+++ b/src/io/cli_status.c
@@ -7,6 +7,8 @@
 
 static const option_t options[] = {
   CLI_SERVER_OPTIONS ("text|json"),
+  { "jobs", OPTION_FLAG, offsetof (cli_settings_t, jobs), NULL, false, 0, 0,
+    NULL, "List the jobs" },
   { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
 };
 
@@ -86,13 +88,127 @@
 }
 
 static void
-print_part (const json_t *status, const char *name, const char *title)
+print_requests (const json_t *status)
 {
-  const json_t *part = json_object_get (status, name);
-  if (part == NULL || json_is_null (part))
+  static const char *const classes[] = { "urgent", "standard", "bulk" };
+  const json_t *services
+      = json_object_get (json_object_get (status, "requests"), "services");
+  const char *name;
+  json_t *service;
+  printf ("\n%-24s %9s %6s %6s %9s  %s\n", "service here", "processes",
+          "slots", "free", "in flight", "queued urgent/standard/bulk");
+  json_object_foreach ((json_t *)services, name, service)
+  {
+    printf ("%-24s %9" PRId64 " %6" PRId64 " %6" PRId64 " %9" PRId64 "  ",
+            name, cli_number (service, "processes"),
+            cli_number (service, "slots"), cli_number (service, "free"),
+            cli_number (service, "in_flight"));
+    const json_t *queues = json_object_get (service, "classes");
+    for (size_t i = 0; i < G_N_ELEMENTS (classes); i++)
+      printf ("%s%" PRId64, i > 0 ? "/" : "",
+              cli_number (json_object_get (queues, classes[i]), "queued"));
+    size_t index;
+    json_t *ejected;
+    json_array_foreach (json_object_get (service, "ejected"), index, ejected)
+        printf ("%s%s", index == 0 ? "  ejected: " : " ",
+                json_string_value (ejected));
+    putchar ('\n');
+  }
+}
+
+static void
+print_size (const char *title, const json_t *size)
+{
+  printf ("  %s %" PRId64 " cores, %" PRId64 " GiB, %" PRId64 " accelerators",
+          title, cli_number (size, "cpu_millis") / 1000,
+          cli_number (size, "memory_mib") / 1024,
+          cli_number (size, "accelerators"));
+}
+
+static void
+print_tasks (const json_t *status)
+{
+  const json_t *tasks = json_object_get (status, "tasks");
+  const json_t *workers = json_object_get (tasks, "workers");
+  if (!json_is_object (tasks))
     return;
-  printf ("\n%s\n", title);
-  cli_print_json (part);
+  char age[24];
+  format_age (tasks, "rows_age_ms", age, sizeof age);
+  printf ("\ntasks here     %" PRId64 " waiting, %" PRId64
+          " assigned; %zu workers; on duty: %s; rows %s old\n",
+          cli_number (tasks, "tasks_waiting"),
+          cli_number (tasks, "tasks_assigned"), json_array_size (workers),
+          cli_text (tasks, "duty"), age);
+  print_size ("used", json_object_get (tasks, "used"));
+  print_size ("of", json_object_get (tasks, "total"));
+  putchar ('\n');
+  size_t index;
+  json_t *worker;
+  json_array_foreach (
+      workers, index,
+      worker) if (json_is_true (json_object_get (worker, "held_back")))
+      printf ("  held back: worker %s, rack %s, %s\n", cli_text (worker, "id"),
+              cli_text (worker, "rack"), cli_text (worker, "state"));
+}
+
+static int
+print_jobs (const cli_settings_t *settings)
+{
+  json_t *answer;
+  if (!cli_call_json (settings, "GET", "/v1/jobs", NULL, &answer))
+    return 1;
+  size_t index;
+  json_t *job;
+  if (strcmp (settings->format, "json") == 0)
+    cli_print_json (answer);
+  else
+    {
+      printf ("%-24s %-12s %-9s %-16s %-11s %7s  %s\n", "job", "kind", "class",
+              "team", "state", "tasks", "reason");
+      json_array_foreach (json_object_get (answer, "jobs"), index, job)
+          printf ("%-24s %-12s %-9s %-16s %-11s %7" PRId64 "  %s\n",
+                  cli_text (job, "id"), cli_text (job, "kind"),
+                  cli_text (job, "class"), cli_text (job, "team"),
+                  cli_text (job, "state"), cli_number (job, "tasks"),
+                  cli_text (job, "reason"));
+    }
+  json_decref (answer);
+  return 0;
+}
+
+static int
+print_job (const cli_settings_t *settings, const char *job)
+{
+  char *id = g_uri_escape_string (job, NULL, FALSE);
+  char *path = g_strconcat ("/v1/jobs/", id, NULL);
+  json_t *answer;
+  bool done = cli_call_json (settings, "GET", path, NULL, &answer);
+  if (done)
+    cli_print_json (answer);
+  json_decref (answer);
+  g_free (path);
+  g_free (id);
+  return done ? 0 : 1;
+}
+
+static int
+print_status (const cli_settings_t *settings)
+{
+  json_t *answer;
+  if (!cli_call_json (settings, "GET", "/v1/status", NULL, &answer))
+    return 1;
+  if (strcmp (settings->format, "json") == 0)
+    cli_print_json (answer);
+  else
+    {
+      print_config (answer);
+      print_zones (answer);
+      print_entries (answer);
+      print_requests (answer);
+      print_tasks (answer);
+    }
+  json_decref (answer);
+  return 0;
 }
 
 int
@@ -100,42 +216,19 @@
 {
   cli_settings_t settings = { .command = argv[0] };
   char **rest = NULL;
-  json_t *answer = NULL;
   int code = 2;
   if (!options_parse (options, &settings,
                       "status [JOB]: prints the state of the system as one "
-                      "entry sees it, or of one job.",
+                      "entry sees it, of all jobs, or of one job.",
                       argc, argv, &rest))
     goto out;
-  code = 1;
-  if (rest[0] != NULL)
-    {
-      char *id = g_uri_escape_string (rest[0], NULL, FALSE);
-      char *path = g_strconcat ("/v1/jobs/", id, NULL);
-      if (cli_call_json (&settings, "GET", path, NULL, &answer))
-        {
-          cli_print_json (answer);
-          code = 0;
-        }
-      g_free (path);
-      g_free (id);
-      goto out;
-    }
-  if (!cli_call_json (&settings, "GET", "/v1/status", NULL, &answer))
-    goto out;
-  if (strcmp (settings.format, "json") == 0)
-    cli_print_json (answer);
+  if (g_strv_length (rest) > 1)
+    code = cli_usage (&settings, "%s: expected at most one job id", rest[1]);
+  else if (rest[0] != NULL)
+    code = print_job (&settings, rest[0]);
   else
-    {
-      print_config (answer);
-      print_zones (answer);
-      print_entries (answer);
-      print_part (answer, "requests", "requests");
-      print_part (answer, "tasks", "tasks");
-    }
-  code = 0;
+    code = settings.jobs ? print_jobs (&settings) : print_status (&settings);
 out:
-  json_decref (answer);
   g_strfreev (rest);
   options_clear (options, &settings);
   return code;
--- a/src/io/entry.h
+++ b/src/io/entry.h
@@ -60,6 +60,7 @@
 
   /* Set by the parts themselves on opening, for the parts after them.  */
   void *conf;
+  void *api;
   void *tasks;
 };
 
--- /dev/null
+++ b/src/io/jobs.c
@@ -0,0 +1,311 @@
+#include "jobs.h"
+
+#include "api.h"
+#include "conf.h"
+#include "loop.h"
+#include "ops.h"
+#include "workers.h"
+
+#include <string.h>
+
+#define TICK_MS 500
+/* A list read longer ago says nothing about workers that it does not name. */
+#define LIST_FRESH_MS 5000
+/* A job's description is a few hundred bytes.  */
+#define SPEC_LIMIT ((size_t)64 * 1024)
+
+typedef struct
+{
+  entry_t *entry;
+  workers_t *workers;
+  tasks_t *tasks; /* NULL without a table service */
+  loop_timer_t *timer;
+  GHashTable *live; /* id of an entry last told as live -> its zone */
+} jobs_t;
+
+/* An exchange that waits for the store.  */
+typedef struct
+{
+  httpd_exchange_t *exchange;
+  uint16_t status;
+  char *id; /* of a cancelled job, or NULL */
+} answer_t;
+
+static void
+answer_done (void *context, err_kind_t kind, const char *id,
+             const char *message)
+{
+  answer_t *answer = context;
+  if (id == NULL)
+    id = answer->id;
+  if (kind != ERR_OK)
+    httpd_answer_error (answer->exchange, kind,
+                        message != NULL ? message : err_name (kind));
+  else
+    api_answer_json (answer->exchange, answer->status,
+                     json_pack ("{s:s?}", "id", id));
+  g_free (answer->id);
+  g_free (answer);
+}
+
+static answer_t *
+answer_new (httpd_exchange_t *exchange, uint16_t status, const char *id)
+{
+  answer_t *answer = g_new0 (answer_t, 1);
+  answer->exchange = exchange;
+  answer->status = status;
+  answer->id = g_strdup (id);
+  return answer;
+}
+
+/* Finds out who asks; answers and returns false if this entry cannot judge. */
+static bool
+begin (jobs_t *jobs, httpd_exchange_t *exchange, auth_who_t *who)
+{
+  return api_authorise (ops_api (jobs->entry), exchange, who);
+}
+
+static void
+post_job (void *context, httpd_exchange_t *exchange,
+          const httpd_request_t *request)
+{
+  jobs_t *jobs = context;
+  auth_who_t who;
+  if (!begin (jobs, exchange, &who))
+    return;
+  if (confrev_judge (conf_state (jobs->entry->conf), CONFREV_SUBMIT_JOB)
+      != ERR_OK)
+    {
+      httpd_answer_error (exchange, ERR_NO_CONFIG,
+                          "this entry has no configuration yet");
+      return;
+    }
+  json_error_t error;
+  json_t *spec = request->length <= SPEC_LIMIT
+                     ? json_loadb (request->body, request->length, 0, &error)
+                     : NULL;
+  const char *team = json_string_value (json_object_get (spec, "team"));
+  if (!json_is_object (spec))
+    httpd_answer_error (exchange, ERR_BAD_REQUEST,
+                        "expected a job as a JSON object of at most 64 KiB");
+  else if (!auth_may_act_for (&who, team))
+    httpd_answer_error (exchange, ERR_FORBIDDEN,
+                        "a team submits only jobs with its own name as team");
+  else
+    tasks_submit (jobs->tasks, spec, answer_done,
+                  answer_new (exchange, 201, NULL));
+  json_decref (spec);
+}
+
+static void
+answer_or_not_found (httpd_exchange_t *exchange, json_t *value, const char *id)
+{
+  if (value != NULL)
+    {
+      api_answer_json (exchange, 200, value);
+      return;
+    }
+  char *message = g_strdup_printf ("job \"%.100s\" is not known here", id);
+  httpd_answer_error (exchange, ERR_NOT_FOUND, message);
+  g_free (message);
+}
+
+static void
+get_jobs (void *context, httpd_exchange_t *exchange,
+          const httpd_request_t *request)
+{
+  jobs_t *jobs = context;
+  auth_who_t who;
+  if (begin (jobs, exchange, &who))
+    api_answer_json (
+        exchange, 200,
+        json_pack ("{s:o}", "jobs", sched_jobs (tasks_sched (jobs->tasks))));
+}
+
+static void
+get_job (void *context, httpd_exchange_t *exchange,
+         const httpd_request_t *request)
+{
+  jobs_t *jobs = context;
+  auth_who_t who;
+  if (begin (jobs, exchange, &who))
+    answer_or_not_found (exchange,
+                         sched_job (tasks_sched (jobs->tasks), request->rest),
+                         request->rest);
+}
+
+static void
+get_explain (void *context, httpd_exchange_t *exchange,
+             const httpd_request_t *request)
+{
+  jobs_t *jobs = context;
+  auth_who_t who;
+  if (begin (jobs, exchange, &who))
+    answer_or_not_found (
+        exchange, sched_explain (tasks_sched (jobs->tasks), request->rest),
+        request->rest);
+}
+
+static void
+delete_job (void *context, httpd_exchange_t *exchange,
+            const httpd_request_t *request)
+{
+  jobs_t *jobs = context;
+  auth_who_t who;
+  if (!begin (jobs, exchange, &who))
+    return;
+  const char *team = sched_job_team (tasks_sched (jobs->tasks), request->rest);
+  /* The team of a job that is not known here cannot be judged.  */
+  if (!auth_may_act_for (&who, team))
+    httpd_answer_error (exchange, ERR_FORBIDDEN,
+                        "a team cancels only its own jobs");
+  else
+    tasks_cancel (jobs->tasks, request->rest, answer_done,
+                  answer_new (exchange, 202, request->rest));
+}
+
+static const httpd_route_t routes[] = {
+  { "POST", "/v1/jobs", post_job },
+  { "GET", "/v1/jobs", get_jobs },
+  { "GET", "/v1/jobs/", get_job },
+  { "DELETE", "/v1/jobs/", delete_job },
+  { "GET", "/v1/explain/", get_explain },
+  { NULL, NULL, NULL },
+};
+
+static void
+on_changed (void *context, doc_t *doc, int64_t revision)
+{
+  jobs_t *jobs = context;
+  sched_t *sched = tasks_sched (jobs->tasks);
+  doc_fleet_t fleet;
+  doc_fleet (doc, &fleet);
+  sched_pack_rule_set (sched, fleet.packing);
+  doc_class_t classes[CLASS_COUNT];
+  uint32_t sum = 0;
+  for (unsigned i = 0; i < CLASS_COUNT; i++)
+    {
+      doc_class (doc, (class_t)i, &classes[i]);
+      sum += classes[i].weight;
+    }
+  for (unsigned i = 0; i < CLASS_COUNT; i++)
+    sched_class_set (sched, (class_t)i, classes[i].weight * 100 / sum);
+  for (size_t i = 0; i < doc_section_count (doc); i++)
+    {
+      const doc_section_t *section = doc_section_at (doc, i);
+      doc_team_t team;
+      if (doc_section_type (section) != DOC_TEAM)
+        continue;
+      doc_team (doc, doc_section_name (section), &team);
+      sched_team_set (sched, doc_section_name (section), team.quota);
+    }
+}
+
+/* Tells which entries have come and gone since the last call.  */
+static void
+tell_live (jobs_t *jobs)
+{
+  const char *zone = jobs->entry->settings->zone;
+  GPtrArray *names = g_ptr_array_new_with_free_func (g_free);
+  GHashTable *now
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  peer_live_entries (jobs->entry->peer, zone, names);
+  for (unsigned i = 0; i < names->len; i++)
+    {
+      const char *name = g_ptr_array_index (names, i);
+      g_hash_table_add (now, g_strndup (name, strcspn (name, "@")));
+    }
+  g_ptr_array_free (names, TRUE);
+  GHashTableIter iter;
+  void *id;
+  g_hash_table_iter_init (&iter, now);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    if (!g_hash_table_contains (jobs->live, id))
+      tasks_entry_live (jobs->tasks, id, zone, true);
+  g_hash_table_iter_init (&iter, jobs->live);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    if (!g_hash_table_contains (now, id))
+      tasks_entry_live (jobs->tasks, id, zone, false);
+  g_hash_table_destroy (jobs->live);
+  jobs->live = now;
+}
+
+static void
+on_tick (void *context)
+{
+  jobs_t *jobs = context;
+  tell_live (jobs);
+  const instances_t *instances = jobs->entry->instances;
+  int64_t age_ms = instances != NULL ? instances_age_ms (instances) : -1;
+  if (age_ms >= 0 && age_ms <= LIST_FRESH_MS)
+    tasks_list_read (jobs->tasks);
+}
+
+static void *
+jobs_open (entry_t *entry, GError **error)
+{
+  jobs_t *jobs = g_new0 (jobs_t, 1);
+  jobs->entry = entry;
+  jobs->live = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  if (entry->table == NULL || entry->conf == NULL)
+    return jobs;
+  tasks_options_t options = { .entry = entry->settings->instance_id,
+                              .incarnation = entry->incarnation,
+                              .zone = entry->settings->zone,
+                              .seed = (uint32_t)entry->settings->seed };
+  jobs->workers = workers_http_new (entry->workers);
+  jobs->tasks = tasks_new (&options, entry->loop, entry->clock,
+                           entry->registry, entry->table, jobs->workers);
+  entry->tasks = jobs->tasks;
+  conf_listen (entry->conf, on_changed, jobs);
+  httpd_add_routes (entry->httpd, routes, jobs);
+  jobs->timer = loop_timer_new (entry->loop, TICK_MS, on_tick, jobs);
+  return jobs;
+}
+
+static void
+jobs_close (void *part)
+{
+  jobs_t *jobs = part;
+  loop_timer_free (jobs->timer);
+  if (jobs->tasks != NULL)
+    {
+      jobs->entry->tasks = NULL;
+      workers_http_free (jobs->workers);
+      tasks_free (jobs->tasks);
+    }
+  g_hash_table_destroy (jobs->live);
+  g_free (jobs);
+}
+
+static void
+jobs_instance_changed (void *part, const instance_t *instance)
+{
+  const jobs_t *jobs = part;
+  if (jobs->tasks != NULL)
+    tasks_instance_changed (jobs->tasks, instance);
+}
+
+static void
+jobs_drain (void *part)
+{
+  const jobs_t *jobs = part;
+  if (jobs->tasks != NULL)
+    tasks_drain (jobs->tasks);
+}
+
+static bool
+jobs_drained (void *part)
+{
+  const jobs_t *jobs = part;
+  return jobs->tasks == NULL || tasks_drained (jobs->tasks);
+}
+
+const entry_part_t jobs_part = {
+  .name = "jobs",
+  .open = jobs_open,
+  .close = jobs_close,
+  .instance_changed = jobs_instance_changed,
+  .drain = jobs_drain,
+  .drained = jobs_drained,
+};
--- a/src/io/ops.c
+++ b/src/io/ops.c
@@ -5,6 +5,7 @@
 #include "burnrow.h"
 #include "log.h"
 #include "loop.h"
+#include "tasks.h"
 
 #include <string.h>
 
@@ -59,6 +60,12 @@
   g_free (listed);
 }
 
+api_t *
+ops_api (const entry_t *entry)
+{
+  return entry->api;
+}
+
 bool
 ops_can_route (const entry_t *entry)
 {
@@ -281,7 +288,8 @@
 static json_t *
 tasks_status (void *context)
 {
-  return NULL;
+  tasks_t *tasks = ((ops_t *)context)->entry->tasks;
+  return tasks != NULL ? sched_status (tasks_sched (tasks)) : NULL;
 }
 
 static json_t *
@@ -358,6 +366,7 @@
                             .ready = is_ready,
                             .context = ops };
   ops->api = api_new (&options);
+  entry->api = ops->api;
   httpd_add_routes (entry->httpd, api_routes (), ops->api);
 }
 
--- a/src/io/ops.h
+++ b/src/io/ops.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIADOCK_OPS_H
 #define MAGNOLIADOCK_OPS_H
 
+#include "api.h"
 #include "conf.h"
 #include "entry.h"
 
@@ -14,6 +15,10 @@
 
 extern const entry_part_t ops_part;
 
+/* The operators' endpoints of ENTRY, for parts that add some; entry->conf is
+   not NULL.  */
+api_t *ops_api (const entry_t *entry);
+
 /* Returns whether requests can be judged: a configuration is in force, or
    there is no table service to have one.  */
 bool ops_can_route (const entry_t *entry);
--- a/src/sched.c
+++ b/src/sched.c
@@ -269,6 +269,15 @@
     s->quota.percent[class] = percent;
 }
 
+bool
+sched_pack_rule_set (sched_t *s, const char *name)
+{
+  const pack_rule_t *rule = pack_rule_find (name);
+  if (rule != NULL)
+    s->rule = rule;
+  return rule != NULL;
+}
+
 bool
 sched_idle (const sched_t *s)
 {
--- a/src/sched.h
+++ b/src/sched.h
@@ -179,6 +179,9 @@
 /* Quota of TEAM; used for the fair order.  A team without one is measured
    against a fiftieth of the zone.  */
 void sched_team_set (sched_t *sched, const char *team, resource_t quota);
+/* Changes the packing rule (see sched_options_t) for tasks placed from now on.
+   Returns false if there is no rule NAME.  */
+bool sched_pack_rule_set (sched_t *sched, const char *name);
 /* Guaranteed share of CLASS in percent (default 50, 35, 15).  */
 void sched_class_set (sched_t *sched, class_t class, uint32_t percent);
 
