--- a/src/auth.h
+++ b/src/auth.h
@@ -17,7 +17,7 @@
 /* Secrets are 32 random bytes, so the iterations only have to slow down
    guessing of secrets that people chose; one check takes a few milliseconds
    of the entry's only thread.  */
-#define AUTH_ITERATIONS 2000
+#define AUTH_ITERATIONS 2000U
 
 typedef enum
 {
--- a/src/io/api.c
+++ b/src/io/api.c
@@ -37,8 +37,8 @@
   if (kind == ERR_OK)
     return true;
   static const char *const messages[ERR_KIND_COUNT] = {
-    [ERR_UNAUTHENTICATED] = "no valid token; expected the header "
-                            "\"Authorization: Bearer NAME:SECRET\"",
+    [ERR_UNAUTHENTICATED]
+    = "expected a valid \"Authorization: Bearer NAME:SECRET\"",
     [ERR_NO_CONFIG] = "this entry has no configuration yet, so it cannot "
                       "check tokens",
     [ERR_QUOTA] = "too many wrong tokens; try again in a second",
--- a/src/io/bench.h
+++ b/src/io/bench.h
@@ -1,6 +1,8 @@
 #ifndef MAGNOLIADOCK_BENCH_H
 #define MAGNOLIADOCK_BENCH_H
 
+#include "options.h"
+
 /* NAME
      bench - the load tool: magnoliadock bench SUBCOMMAND
 
@@ -9,6 +11,9 @@
 
 int bench_run (int argc, char **argv);
 
+/* Flags of "bench http"; ends with a NULL name.  */
+extern const option_t bench_http_options[];
+
 /* Requests to entries, in open loop.  */
 int bench_http_run (int argc, char **argv);
 
--- a/src/io/cli.h
+++ b/src/io/cli.h
@@ -24,6 +24,17 @@
 int cli_report (int argc, char **argv);
 int cli_hash_token (int argc, char **argv);
 
+/* Prints docs/settings.md: every flag, environment variable and key.  */
+int cli_settings (int argc, char **argv);
+
+/* Flags of the commands; each table ends with a NULL name.  */
+extern const option_t cli_plain_options[]; /* document get, history, status */
+extern const option_t cli_apply_options[]; /* document diff, apply */
+extern const option_t cli_status_options[];
+extern const option_t cli_jobs_options[]; /* submit, cancel, explain */
+extern const option_t cli_report_options[];
+extern const option_t cli_token_options[];
+
 typedef struct
 {
   char *url;
--- a/src/io/cli_document.c
+++ b/src/io/cli_document.c
@@ -11,12 +11,12 @@
    that only others have changed since.  */
 #define MARK "#: version "
 
-static const option_t plain_options[] = {
+const option_t cli_plain_options[] = {
   CLI_SERVER_OPTIONS ("text|json"),
   { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
 };
 
-static const option_t apply_options[] = {
+const option_t cli_apply_options[] = {
   CLI_SERVER_OPTIONS ("text|json"),
   { "why", OPTION_TEXT, offsetof (cli_settings_t, why), NULL, false, 0, 0,
     NULL, "Reason, kept in the history" },
@@ -411,17 +411,17 @@
   int (*run) (const cli_settings_t *settings, char **rest);
   const char *summary;
 } actions[] = {
-  { "get", plain_options, 0, 1, "[SECTION]", run_get,
+  { "get", cli_plain_options, 0, 1, "[SECTION]", run_get,
     "prints the document in force, or one section, ready to edit and apply" },
   { "check", check_options, 1, 1, "FILE", run_check,
     "checks a file without a server" },
-  { "diff", apply_options, 1, 1, "FILE", run_diff,
+  { "diff", cli_apply_options, 1, 1, "FILE", run_diff,
     "prints what apply would change; FILE may hold a part" },
-  { "apply", apply_options, 1, 1, "FILE", run_apply,
+  { "apply", cli_apply_options, 1, 1, "FILE", run_apply,
     "applies the changed sections of a file; FILE may hold a part" },
-  { "history", plain_options, 1, 1, "SECTION", run_history,
+  { "history", cli_plain_options, 1, 1, "SECTION", run_history,
     "prints the versions of a section" },
-  { "status", plain_options, 0, 0, "", run_status,
+  { "status", cli_plain_options, 0, 0, "", run_status,
     "prints where the revision is in force" },
 };
 
--- a/src/io/cli_jobs.c
+++ b/src/io/cli_jobs.c
@@ -7,7 +7,7 @@
 #include <string.h>
 #include <time.h>
 
-static const option_t options[] = {
+const option_t cli_jobs_options[] = {
   CLI_SERVER_OPTIONS ("text|json"),
   { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
 };
@@ -22,7 +22,7 @@
   cli_settings_t settings = { .command = argv[0] };
   char **rest = NULL;
   int code = 2;
-  if (!options_parse (options, &settings, summary, argc, argv, &rest))
+  if (!options_parse (cli_jobs_options, &settings, summary, argc, argv, &rest))
     goto out;
   if (rest[0] == NULL)
     {
@@ -35,7 +35,7 @@
       code = 1;
 out:
   g_strfreev (rest);
-  options_clear (options, &settings);
+  options_clear (cli_jobs_options, &settings);
   return code;
 }
 
--- a/src/io/cli_report.c
+++ b/src/io/cli_report.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
-static const option_t options[] = {
+const option_t cli_report_options[] = {
   CLI_SERVER_OPTIONS ("text|json|html"),
   { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
 };
@@ -15,7 +15,7 @@
   cli_settings_t settings = { .command = argv[0] };
   char **rest = NULL;
   int code = 2;
-  if (!options_parse (options, &settings,
+  if (!options_parse (cli_report_options, &settings,
                       "report burn: prints the error budgets of all "
                       "objectives as a table with a plot, as JSON, or as an "
                       "HTML page.",
@@ -42,6 +42,6 @@
   g_free (path);
 out:
   g_strfreev (rest);
-  options_clear (options, &settings);
+  options_clear (cli_report_options, &settings);
   return code;
 }
--- a/src/io/cli_status.c
+++ b/src/io/cli_status.c
@@ -5,7 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
-static const option_t options[] = {
+const option_t cli_status_options[] = {
   CLI_SERVER_OPTIONS ("text|json"),
   { "jobs", OPTION_FLAG, offsetof (cli_settings_t, jobs), NULL, false, 0, 0,
     NULL, "List the jobs" },
@@ -217,7 +217,7 @@
   cli_settings_t settings = { .command = argv[0] };
   char **rest = NULL;
   int code = 2;
-  if (!options_parse (options, &settings,
+  if (!options_parse (cli_status_options, &settings,
                       "status [JOB]: prints the state of the system as one "
                       "entry sees it, of all jobs, or of one job.",
                       argc, argv, &rest))
@@ -230,6 +230,6 @@
     code = settings.jobs ? print_jobs (&settings) : print_status (&settings);
 out:
   g_strfreev (rest);
-  options_clear (options, &settings);
+  options_clear (cli_status_options, &settings);
   return code;
 }
--- a/src/io/cli_token.c
+++ b/src/io/cli_token.c
@@ -6,7 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 
-static const option_t options[] = {
+const option_t cli_token_options[] = {
   { "secret-file", OPTION_TEXT, offsetof (cli_settings_t, secret_file), NULL,
     false, 0, 0, NULL, "File with a secret to hash (default: a random one)" },
   { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
@@ -19,7 +19,7 @@
   char **rest = NULL;
   char *secret = NULL, *hash = NULL;
   int code = 2;
-  if (!options_parse (options, &settings,
+  if (!options_parse (cli_token_options, &settings,
                       "Makes a token for NAME (operator-ANNA or team-BILLING) "
                       "and prints it with the line for the document's "
                       "[access] section, which holds only its hash.",
@@ -59,6 +59,6 @@
   g_free (hash);
   g_free (secret);
   g_strfreev (rest);
-  options_clear (options, &settings);
+  options_clear (cli_token_options, &settings);
   return code;
 }
--- a/src/io/conf.c
+++ b/src/io/conf.c
@@ -268,7 +268,7 @@
   conf_load_t *load = g_new0 (conf_load_t, 1);
   load->conf = conf;
   load->revision = head->revision;
-  load->sections = g_array_new (FALSE, FALSE, sizeof (confrev_section_t));
+  load->sections = g_array_new (FALSE, TRUE, sizeof (confrev_section_t));
   conf->load = load;
   unsigned missing = 0;
   GHashTableIter iter;
@@ -276,14 +276,15 @@
   g_hash_table_iter_init (&iter, head->versions);
   while (g_hash_table_iter_next (&iter, &name, &version))
     {
-      confrev_section_t section
-          = { .name = g_strdup (name), .version = *(int64_t *)version };
       const confrev_section_t *own = confrev_section (conf->state, name);
-      if (own != NULL && own->version == section.version)
-        section.text = g_strdup (own->text);
-      else
-        missing++;
-      g_array_append_val (load->sections, section);
+      bool known = own != NULL && own->version == *(int64_t *)version;
+      g_array_set_size (load->sections, load->sections->len + 1);
+      confrev_section_t *section = &g_array_index (
+          load->sections, confrev_section_t, load->sections->len - 1);
+      section->name = g_strdup (name);
+      section->version = *(int64_t *)version;
+      section->text = known ? g_strdup (own->text) : NULL;
+      missing += !known;
     }
   if (missing > SCAN_ABOVE)
     conf->table->ops->scan (conf->table, "doc/section/", scan_done, load);
--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -25,7 +25,7 @@
 
 #define FIELD(name) offsetof (entry_settings_t, name)
 
-static const option_t entry_options[] = {
+const option_t entry_options[] = {
   { "instance-id", OPTION_TEXT, FIELD (instance_id), NULL, true, 0, 0, NULL,
     "Id of this instance in the instance list" },
   { "zone", OPTION_TEXT, FIELD (zone), NULL, true, 0, 0, NULL,
--- a/src/io/entry.h
+++ b/src/io/entry.h
@@ -7,6 +7,7 @@
 #include "httpc.h"
 #include "httpd.h"
 #include "instances.h"
+#include "options.h"
 #include "peer.h"
 #include "proxy.h"
 #include "table.h"
@@ -90,6 +91,9 @@
    This is what /readyz answers.  */
 bool entry_ready (const entry_t *entry, const char **why);
 
+/* Flags of the command "entry"; ends with a NULL name.  */
+extern const option_t entry_options[];
+
 /* The command "entry".  Returns the exit code.  */
 int entry_run (int argc, char **argv);
 
--- /dev/null
+++ b/src/io/settings.h
@@ -0,0 +1,12 @@
+#ifndef MAGNOLIADOCK_SETTINGS_H
+#define MAGNOLIADOCK_SETTINGS_H
+
+#include <glib.h>
+
+/* NAME
+     settings - the page docs/settings.md, made from the option tables  */
+
+/* Appends the page to OUT.  */
+void settings_print (GString *out);
+
+#endif
--- a/src/main.c
+++ b/src/main.c
@@ -23,6 +23,7 @@
   { "explain", cli_explain, "print the decisions about a job" },
   { "document", cli_document, "get, check, diff and apply the configuration" },
   { "report", cli_report, "print the error budgets" },
+  { "settings", cli_settings, "print every flag, variable and key" },
   { "hash-token", cli_hash_token, "make a token and its hash" },
   { "bench", bench_run, "measure entries and the core" },
   { NULL, NULL, NULL },
--- a/tests/test.h
+++ b/tests/test.h
@@ -18,6 +18,7 @@
 extern CU_SuiteInfo test_burn_suites[];
 extern CU_SuiteInfo test_confrev_suites[];
 extern CU_SuiteInfo test_conf_suites[];
+extern CU_SuiteInfo test_settings_suites[];
 extern CU_SuiteInfo test_burnrow_suites[];
 extern CU_SuiteInfo test_frame_suites[];
 extern CU_SuiteInfo test_member_suites[];
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -21,6 +21,7 @@
   test_frame_suites,
   test_member_suites,
   test_sched_suites,
+  test_settings_suites,
 };
 /* clang-format on */
 
