--- a/src/io/bench.h
+++ b/src/io/bench.h
@@ -17,4 +17,7 @@
 /* Requests to entries, in open loop.  */
 int bench_http_run (int argc, char **argv);
 
+/* Decision time, floods and slot sharing of the request core.  */
+int bench_dispatch_run (int argc, char **argv);
+
 #endif
