--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -14,6 +14,7 @@
   test_auth_suites,
   test_base_suites,
   test_burn_suites,
+  test_burnrow_suites,
   test_conf_suites,
   test_confrev_suites,
   test_contract_suites,
@@ -27,6 +28,7 @@
   test_retry_suites,
   test_sched_suites,
   test_share_suites,
+  test_settings_suites,
 };
 /* clang-format on */
 
