--- a/src/io/peer.c
+++ b/src/io/peer.c
@@ -30,6 +30,7 @@
   char *zone;
   int64_t opened_ms;
   GByteArray *sections; /* pieces of the document so far */
+  uint64_t bytes;       /* sent and received until the last heartbeat */
 } connection_t;
 
 struct peer
@@ -53,6 +54,8 @@
   counter_t *bad_frames;
   counter_t *connected;
   counter_t *lost;
+  counter_t *bytes;
+  counter_t *bytes_per_s; /* with the busiest entry */
 };
 
 static void
@@ -388,10 +391,29 @@
   member_tick (peer->member);
 }
 
+static void
+count_traffic (peer_t *peer)
+{
+  GHashTableIter iterator;
+  gpointer link, value;
+  uint64_t most = 0;
+  g_hash_table_iter_init (&iterator, peer->links);
+  while (g_hash_table_iter_next (&iterator, &link, &value))
+    {
+      connection_t *connection = value;
+      uint64_t since = link_bytes (link) - connection->bytes;
+      connection->bytes += since;
+      counter_add (peer->bytes, (int64_t)since);
+      most = MAX (most, since * 1000 / HEARTBEAT_MS);
+    }
+  counter_set (peer->bytes_per_s, (int64_t)most);
+}
+
 static void
 on_heartbeat (void *context)
 {
   peer_t *peer = context;
+  count_traffic (peer);
   guint count = g_hash_table_size (peer->services);
   Magnoliadock__ServiceLoad *loads
       = g_new (Magnoliadock__ServiceLoad, count + 1);
@@ -469,6 +491,10 @@
                                  "magnoliadock_peer_connected_total", NULL);
   peer->lost
       = counter_get (options->registry, "magnoliadock_peer_lost_total", NULL);
+  peer->bytes
+      = counter_get (options->registry, "magnoliadock_peer_bytes_total", NULL);
+  peer->bytes_per_s = counter_gauge (
+      options->registry, "magnoliadock_peer_bytes_per_second_max", NULL);
   ev_io_init (&peer->acceptor, on_acceptable, fd, EV_READ);
   peer->acceptor.data = peer;
   ev_io_start (options->loop, &peer->acceptor);
