--- /dev/null
+++ b/tests/e2e_http.sh
@@ -0,0 +1,83 @@
+#!/bin/sh
+# What an entry answers to malformed, oversized and unusual requests.  Guards
+# against input that ends the process, is passed on, or gets no clear answer.
+PORT=${PORT:-21950}
+. tests/lib.sh
+
+start_standin --deployment carta --entries 1 --workers 0 --service-ms 0
+ENTRY=$(entry_ids)
+start_entry "$ENTRY"
+wait_entry "$ENTRY"
+ADDRESS=$(entry_http "$ENTRY")
+PEER=$(entry_peer "$ENTRY")
+
+# expect STATUS KIND CURL-ARGUMENT...: KIND - for an answer of the backend.
+expect () {
+  status=$1 kind=$2
+  shift 2
+  got=$(curl -s -m 10 -o "$WORK/body" -w '%{http_code}' "$@")
+  [ "$got" = "$status" ] || fail "status $got instead of $status: $*"
+  [ "$kind" = - ] || grep -q "\"error\":\"$kind\"" "$WORK/body" \
+    || fail "no kind $kind in $(cat "$WORK/body"): $*"
+}
+
+long=$(head -c 13000 /dev/zero | tr '\0' a)
+head -c 2000000 /dev/zero >"$WORK/large"
+S=http://$ADDRESS/s/ordering
+expect 200 - "$S/x"
+expect 200 - "http://$ADDRESS/s/ordering"
+expect 200 - --path-as-is "$S/a/../b//c%2e?q=%00"
+expect 200 - -X OPTIONS "$S/x"
+expect 200 - -X PATCH -d x "$S/x"
+expect 200 - -X POST "$S/x"
+expect 200 - -T "$WORK/large" "$S/x"
+cmp -s "$WORK/body" "$WORK/large" || fail "2 MB body changed on the way"
+expect 404 unknown_service "http://$ADDRESS/s/none/x"
+expect 400 bad_request "http://$ADDRESS/s//x"
+expect 400 bad_request "http://$ADDRESS/s/a%20b/x"
+expect 400 bad_request -H 'X-Magnoliadock-Class: high' "$S/x"
+expect 400 bad_request -H 'X-Magnoliadock-Idempotent: 1' "$S/x"
+expect 400 bad_request -H 'X-Magnoliadock-Deadline-Ms: 60001' "$S/x"
+expect 400 bad_request -H 'X-Magnoliadock-Deadline-Ms: -5' "$S/x"
+expect 400 bad_request -H 'X-Magnoliadock-Team: a b' "$S/x"
+expect 400 bad_request -H 'X-Magnoliadock-Request-Id: a"b' "$S/x"
+expect 400 bad_request -X TRACE "$S/x"
+expect 404 not_found "http://$ADDRESS/nothing"
+expect 405 bad_request -d x "http://$ADDRESS/healthz"
+expect 413 too_large -T "$WORK/large" -X POST "http://$ADDRESS/v1/jobs"
+expect 200 - -H "X-Long: $long" "$S/x"
+expect 431 too_large -H "X-Long: $long" -H "X-Longer: $long" "$S/x"
+expect 504 timeout -H 'X-Magnoliadock-Deadline-Ms: 100' \
+  -H 'X-Service-Ms: 2000' "$S/x"
+grep -q '"outcome":"unknown"' "$WORK/body" || fail "timeout claims an outcome"
+
+# The same request id again: refused while in flight, not run twice after.
+curl -s -m 10 -o /dev/null -X POST -H 'X-Magnoliadock-Request-Id: twice' \
+  -H 'X-Service-Ms: 1000' "$S/x" &
+FIRST=$!
+sleep 0.3
+expect 409 in_flight -X POST -H 'X-Magnoliadock-Request-Id: twice' "$S/x"
+wait $FIRST
+curl -s -m 10 -D "$WORK/headers" -o /dev/null -X POST \
+  -H 'X-Magnoliadock-Request-Id: twice' "$S/x"
+grep -qi '^X-Magnoliadock-Outcome: ran' "$WORK/headers" \
+  || fail "the outcome of a repeated request is not remembered"
+
+# Bytes that are no protocol at all, on both ports.
+for address in "$ADDRESS" "$PEER"; do
+  for text in 'nonsense\r\n\r\n' 'GET\r\n\r\n' '\000\000\000\000' \
+    '\377\377\377\377\377' 'GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n' \
+    '\000\000\000\002\012\177'; do
+    # shellcheck disable=SC2059
+    printf "$text" | timeout 5 curl -s -m 1 "telnet://$address" >/dev/null
+  done
+done
+entry_is_ready "$ENTRY" || fail "the entry is gone after malformed input"
+expect 200 - "$S/x"
+
+"$BUILD/magnoliadock" entry --instance-id e --zone z --http nonsense \
+  --peer 127.0.0.1:1 --list-url http://127.0.0.1:1 2>"$WORK/usage"
+[ $? -eq 2 ] || fail "a bad flag does not end with 2"
+grep -q -- '--http: invalid value "nonsense", expected IP:PORT' \
+  "$WORK/usage" || fail "unclear message: $(cat "$WORK/usage")"
+finish
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -23,6 +23,7 @@
   test_frame_suites,
   test_inquiry_suites,
   test_member_suites,
+  test_option_suites,
   test_outcome_suites,
   test_outlier_suites,
   test_retry_suites,
