--- a/tests/standin.h
+++ b/tests/standin.h
@@ -34,7 +34,7 @@
   MODE_STALE,  /* instance list: shows no change */
   MODE_FAIL,   /* worker: tasks fail at once; backend server: status 500 */
   MODE_REFUSE, /* worker: starts get the result "failed" */
-  MODE_CUT,    /* backend server: half of the answer, then closed */
+  MODE_CUT,    /* backend server: half of the answer; zone: as hang */
   MODE_LOSE    /* backend server: runs the request, closes without answer */
 } standin_mode_t;
 
--- a/tests/standin_control.c
+++ b/tests/standin_control.c
@@ -103,11 +103,10 @@
   } modes[] = {
     { "ok", MODE_UP },         { "up", MODE_UP },
     { "down", MODE_DOWN },     { "dead", MODE_DOWN },
-    { "hang", MODE_HANG },     { "cut", MODE_HANG },
+    { "hang", MODE_HANG },     { "cut", MODE_CUT },
     { "frozen", MODE_HANG },   { "slow", MODE_SLOW },
     { "stale", MODE_STALE },   { "fail", MODE_FAIL },
-    { "refuse", MODE_REFUSE }, { "half", MODE_CUT },
-    { "lose", MODE_LOSE },
+    { "refuse", MODE_REFUSE }, { "lose", MODE_LOSE },
   };
   for (size_t i = 0; name != NULL && i < G_N_ELEMENTS (modes); i++)
     if (strcmp (name, modes[i].name) == 0)
--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -75,11 +75,12 @@
       request->retry_after_s = 1;
       return true;
     }
-  if (fault->mode == MODE_HANG)
+  bool silent = fault->mode == MODE_HANG || fault->mode == MODE_CUT;
+  if (silent)
     request->delay_ms = STANDIN_NEVER;
   else if (fault->mode == MODE_SLOW)
     request->delay_ms = fault->delay_ms;
-  return fault->mode == MODE_HANG;
+  return silent;
 }
 
 /* Takes COUNT from BUCKET.  One larger than the burst passes when the bucket
