--- a/tests/test.h
+++ b/tests/test.h
@@ -27,6 +27,8 @@
 extern CU_SuiteInfo test_dispatch_suites[];
 extern CU_SuiteInfo test_confrev_suites[];
 extern CU_SuiteInfo test_conf_suites[];
+extern CU_SuiteInfo test_settings_suites[];
+extern CU_SuiteInfo test_burnrow_suites[];
 extern CU_SuiteInfo test_frame_suites[];
 extern CU_SuiteInfo test_member_suites[];
 
