--- a/src/io/bench_http.c
+++ b/src/io/bench_http.c
@@ -6,6 +6,7 @@
 #include "loop.h"
 #include "options.h"
 
+#include <errno.h>
 #include <math.h>
 #include <stddef.h>
 #include <string.h>
@@ -14,6 +15,7 @@
 
 #define MAX_MIX 16
 #define MAX_TARGETS 64
+#define MAX_STATUS 599
 #define NS_PER_S INT64_C (1000000000)
 /* Time for the last answers after the last request was sent.  */
 #define TAIL_S 65
@@ -28,6 +30,7 @@
   char *teams;
   char *bodies;
   char *prefix;
+  char *not_run_file;
   double rate;
   double direct_percent;
   double duration_s;
@@ -43,7 +46,7 @@
 
 #define FIELD(name) offsetof (settings_t, name)
 
-static const option_t http_options[] = {
+const option_t bench_http_options[] = {
   { "targets", OPTION_TEXT, FIELD (targets), NULL, true, 0, 0, NULL,
     "Entries: URL[,URL...]" },
   { "direct", OPTION_TEXT, FIELD (direct), NULL, false, 0, 0, NULL,
@@ -78,6 +81,8 @@
     NULL, "Most requests at once; those above are counted as not sent" },
   { "prefix", OPTION_TEXT, FIELD (prefix), "bench", false, 0, 0, NULL,
     "First part of the request ids" },
+  { "not-run-file", OPTION_TEXT, FIELD (not_run_file), NULL, false, 0, 0, NULL,
+    "Write the ids of requests with the outcome not-run here" },
   { "seed", OPTION_INTEGER, FIELD (seed), "1", false, 0, G_MAXUINT32, NULL,
     "Seed of arrivals and mixes" },
   { "plot", OPTION_FLAG, FIELD (plot), NULL, false, 0, 0, NULL,
@@ -125,6 +130,7 @@
   settings_t settings;
   struct ev_loop *loop;
   httpc_t *client;
+  httpc_t *direct_client;
   GRand *random;
   ev_io arrivals;
   int timer_fd;
@@ -133,9 +139,11 @@
   mix_t classes, teams, bodies;
   int64_t begun_ns, next_ns, last_ns, ended_ns;
   uint64_t sent, not_sent, done, in_flight;
-  uint64_t ran, not_run, unknown, no_answer, wrong, direct_done, direct_failed;
-  GHashTable *statuses; /* GINT status -> GINT count */
+  uint64_t ran, not_run, unknown, no_connection, cut, wrong, direct_done,
+      direct_failed;
+  uint64_t statuses[MAX_STATUS + 1]; /* 0: no whole answer */
   bench_histogram_t entry_latency, direct_latency;
+  FILE *not_run_ids;
   bool sending;
 };
 
@@ -269,16 +277,19 @@
       bench->direct_failed += code != CURLE_OK || status != 200;
       return;
     }
-  gpointer key = GINT_TO_POINTER (code == CURLE_OK ? (gint)status : 0);
-  gpointer known = g_hash_table_lookup (bench->statuses, key);
-  g_hash_table_insert (bench->statuses, key,
-                       GINT_TO_POINTER (GPOINTER_TO_INT (known) + 1));
-  if (code != CURLE_OK || request->outcome[0] == '\0')
-    bench->no_answer++;
+  bench->statuses[code == CURLE_OK ? CLAMP (status, 0, MAX_STATUS) : 0]++;
+  if (code == CURLE_COULDNT_CONNECT)
+    bench->no_connection++;
+  else if (code != CURLE_OK || request->outcome[0] == '\0')
+    bench->cut++;
   else if (strcmp (request->outcome, "ran") == 0)
     bench->ran++;
   else if (strcmp (request->outcome, "not-run") == 0)
-    bench->not_run++;
+    {
+      bench->not_run++;
+      if (bench->not_run_ids != NULL)
+        fprintf (bench->not_run_ids, "%s\n", request->id);
+    }
   else
     bench->unknown++;
   bool ran = code == CURLE_OK && strcmp (request->outcome, "ran") == 0;
@@ -484,14 +495,14 @@
 statuses_json (const bench_t *bench)
 {
   json_t *json = json_object ();
-  GHashTableIter iterator;
-  gpointer key, value;
-  g_hash_table_iter_init (&iterator, bench->statuses);
-  while (g_hash_table_iter_next (&iterator, &key, &value))
+  for (unsigned status = 0; status <= MAX_STATUS; status++)
     {
       char name[16];
-      g_snprintf (name, sizeof name, "%d", GPOINTER_TO_INT (key));
-      json_object_set_new (json, name, json_integer (GPOINTER_TO_INT (value)));
+      if (bench->statuses[status] == 0)
+        continue;
+      g_snprintf (name, sizeof name, "%u", status);
+      json_object_set_new (json, name,
+                           json_integer ((json_int_t)bench->statuses[status]));
     }
   return json;
 }
@@ -512,14 +523,15 @@
       json_object_set_new (classes, class->name, one);
     }
   json_t *report = json_pack (
-      "{s:I,s:f,s:f,s:I,s:I,s:I,s:{s:I,s:I,s:I,s:I},s:I,s:o,s:o,s:o}", "seed",
-      (json_int_t)bench->settings.seed, "rate", bench->settings.rate,
+      "{s:I,s:f,s:f,s:I,s:I,s:I,s:{s:I,s:I,s:I,s:I,s:I},s:I,s:o,s:o,s:o}",
+      "seed", (json_int_t)bench->settings.seed, "rate", bench->settings.rate,
       "seconds", seconds, "sent", (json_int_t)bench->sent, "not_sent",
       (json_int_t)bench->not_sent, "unfinished", (json_int_t)bench->in_flight,
       "outcomes", "ran", (json_int_t)bench->ran, "not_run",
       (json_int_t)bench->not_run, "unknown", (json_int_t)bench->unknown,
-      "no_answer", (json_int_t)bench->no_answer, "wrong_answers",
-      (json_int_t)bench->wrong, "statuses", statuses_json (bench), "latency",
+      "no_connection", (json_int_t)bench->no_connection, "cut",
+      (json_int_t)bench->cut, "wrong_answers", (json_int_t)bench->wrong,
+      "statuses", statuses_json (bench), "latency",
       bench_histogram_json (&bench->entry_latency), "classes", classes);
   if (bench->directs != NULL)
     {
@@ -542,7 +554,7 @@
                               &bench->direct_latency, rows[i].quantile)));
       json_object_set_new (report, "added", added);
     }
-  json_dumpf (report, stdout, JSON_INDENT (2));
+  json_dumpf (report, stdout, JSON_COMPACT);
   putchar ('\n');
   json_decref (report);
   if (!bench->settings.plot)
@@ -561,8 +573,11 @@
                                            .connect_limit_ms = 2000 };
   bench->loop = ev_default_loop (EVFLAG_AUTO);
   bench->client = httpc_new (bench->loop, &options);
+  /* A backend server takes 64 connections.  */
+  httpc_options_t direct_options = options;
+  direct_options.max_connections_per_host = 60;
+  bench->direct_client = httpc_new (bench->loop, &direct_options);
   bench->random = g_rand_new_with_seed ((guint32)bench->settings.seed);
-  bench->statuses = g_hash_table_new (NULL, NULL);
   bench->timer_fd = timerfd_create (CLOCK_MONOTONIC, TFD_NONBLOCK);
   ev_io_init (&bench->arrivals, on_arrivals, bench->timer_fd, EV_READ);
   ev_timer_init (&bench->end, on_end, TAIL_S, 0.0);
@@ -579,7 +594,7 @@
   bool clean = bench->wrong == 0 && bench->in_flight == 0 && bench->sent > 0;
   close (bench->timer_fd);
   httpc_free (bench->client);
-  g_hash_table_unref (bench->statuses);
+  httpc_free (bench->direct_client);
   g_rand_free (bench->random);
   return clean ? 0 : 1;
 }
@@ -608,7 +623,7 @@
   bench_t *bench = g_new0 (bench_t, 1);
   settings_t *settings = &bench->settings;
   int code = err_info (ERR_USAGE)->exit_code;
-  if (!options_parse (http_options, settings,
+  if (!options_parse (bench_http_options, settings,
                       "Sends requests to entries at a fixed rate, whatever "
                       "the answers take; latency counts from the intended "
                       "send time.",
@@ -623,9 +638,21 @@
   if (bench->targets == NULL
       || (settings->direct != NULL && bench->directs == NULL))
     goto out;
+  if (settings->not_run_file != NULL)
+    {
+      bench->not_run_ids = fopen (settings->not_run_file, "w");
+      if (bench->not_run_ids == NULL)
+        {
+          fprintf (stderr, "magnoliadock bench http: --not-run-file: %s: %s\n",
+                   settings->not_run_file, g_strerror (errno));
+          goto out;
+        }
+    }
   curl_global_init (CURL_GLOBAL_DEFAULT);
   code = run_load (bench);
   curl_global_cleanup ();
+  if (bench->not_run_ids != NULL)
+    fclose (bench->not_run_ids);
 
 out:
   mix_clear (&bench->classes);
@@ -633,7 +660,7 @@
   mix_clear (&bench->bodies);
   g_strfreev (bench->targets);
   g_strfreev (bench->directs);
-  options_clear (http_options, settings);
+  options_clear (bench_http_options, settings);
   g_free (bench);
   return code;
 }
--- a/src/io/entry.h
+++ b/src/io/entry.h
@@ -7,6 +7,7 @@
 #include "httpc.h"
 #include "httpd.h"
 #include "instances.h"
+#include "options.h"
 #include "peer.h"
 #include "proxy.h"
 #include "table.h"
@@ -32,6 +33,7 @@
   char *table_url;
   char *objects_url;
   char *log_level;
+  char *bootstrap_token_hash;
   int64_t drain_notice_ms;
   int64_t remote_peers;
   int64_t seed;
@@ -59,6 +61,7 @@
 
   /* Set by the parts themselves on opening, for the parts after them.  */
   void *conf;
+  void *api;
   void *tasks;
 };
 
@@ -88,6 +91,9 @@
    This is what /readyz answers.  */
 bool entry_ready (const entry_t *entry, const char **why);
 
+/* Flags of the command "entry"; ends with a NULL name.  */
+extern const option_t entry_options[];
+
 /* The command "entry".  Returns the exit code.  */
 int entry_run (int argc, char **argv);
 
--- a/tests/test.h
+++ b/tests/test.h
@@ -16,6 +16,10 @@
 extern CU_SuiteInfo test_doc_suites[];
 extern CU_SuiteInfo test_auth_suites[];
 extern CU_SuiteInfo test_burn_suites[];
+extern CU_SuiteInfo test_frame_suites[];
+extern CU_SuiteInfo test_member_suites[];
+extern CU_SuiteInfo test_option_suites[];
+extern CU_SuiteInfo test_inquiry_suites[];
 extern CU_SuiteInfo test_share_suites[];
 extern CU_SuiteInfo test_admit_suites[];
 extern CU_SuiteInfo test_outlier_suites[];
@@ -24,8 +28,8 @@
 extern CU_SuiteInfo test_dispatch_suites[];
 extern CU_SuiteInfo test_confrev_suites[];
 extern CU_SuiteInfo test_conf_suites[];
-extern CU_SuiteInfo test_frame_suites[];
-extern CU_SuiteInfo test_member_suites[];
+extern CU_SuiteInfo test_settings_suites[];
+extern CU_SuiteInfo test_burnrow_suites[];
 
 /* Seed of the random cases, from --seed; printed at the start.  */
 uint32_t test_seed (void);
