share: follow changed limits of a process

Cause: the limit of a process is an operator's setting, but what the row had divided once did not change any more. Change: when the list (or document) allows less than the row has divided, each entry uses only its proportional part at once and cuts its idle slots from the row; when it allows more for 10 s, one entry adds the rest.

--- a/src/dispatch_lend.c
+++ b/src/dispatch_lend.c
@@ -448,7 +448,18 @@
   bool leave = dispatch->draining && dispatch->request_count == 0;
   if (dispatch->draining && !leave)
     return NULL;
-  return share_propose (dispatch->share, leave, dispatch->now_ms, version);
+  for (guint i = 0; i < dispatch->numbered->len; i++)
+    {
+      const process_t *process = dispatch->numbered->pdata[i];
+      if (process != NULL)
+        share_set_in_use (dispatch->share, i, process->in_flight);
+    }
+  json_t *row
+      = share_propose (dispatch->share, leave, dispatch->now_ms, version);
+  /* A proposal may withhold slots.  */
+  if (row != NULL)
+    refresh_all (dispatch);
+  return row;
 }
 
 void
--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -104,8 +104,12 @@
   service->own_slots
       += (uint32_t)MAX (slots, 0) - (uint32_t)MAX (process->slots, 0);
   process->slots = slots;
-  uint32_t usable = MIN ((uint32_t)MAX (slots, 0),
-                         process->connection_cap - process->outlier.probing);
+  uint32_t usable = (uint32_t)MAX (slots, 0);
+  /* A limit that was lowered holds at once, before the row is cut.  */
+  uint32_t limit = share_limit (dispatch->share, process->number);
+  if (process->request_limit < limit)
+    usable = (uint32_t)((uint64_t)usable * process->request_limit / limit);
+  usable = MIN (usable, process->connection_cap - process->outlier.probing);
   uint32_t free_slots = 0;
   if (!process->leaving && !process->removed && !process->outlier.ejected
       && usable > process->in_flight)
--- a/src/share.c
+++ b/src/share.c
@@ -108,7 +108,7 @@
     listed->changed_ms = now_ms;
   listed->listed = true;
   listed->gone = false;
-  /* What a row has once divided does not change with the list.  */
+  listed->listed_limit = limit;
   if (!listed->in_row)
     listed->limit = limit;
   share_recount (share, process);
@@ -168,6 +168,12 @@
   return share_process_at (share, process)->slots;
 }
 
+void
+share_set_in_use (share_t *share, uint32_t process, uint32_t in_use)
+{
+  share_process_at (share, process)->in_use = in_use;
+}
+
 uint32_t
 share_limit (const share_t *share, uint32_t process)
 {
@@ -196,7 +202,7 @@
       counted->slots = 0;
       return;
     }
-  int64_t slots = counted->base + counted->undeducted;
+  int64_t slots = counted->base + counted->undeducted - counted->withheld;
   for (guint i = 0; i < share->members->len; i++)
     {
       const share_member_t *member = share_member_at (share, i);
--- a/src/share.h
+++ b/src/share.h
@@ -45,7 +45,9 @@
    its id: entries that have not yet seen the restart still send to the same
    address, so its slots must not be divided anew.  */
 uint32_t share_resolve (share_t *share, const char *id, int64_t incarnation);
-/* The instance list shows the process; LIMIT is what it takes at once.  */
+/* The instance list shows the process; LIMIT is what it takes at once.  Where
+   the row has divided more, each entry cuts its part; where it has divided
+   less, one of them adds the rest.  */
 void share_process_listed (share_t *share, uint32_t process, uint32_t limit,
                            int64_t now_ms);
 /* The process does not run any more, or goes on under another number.  PROCESS
@@ -65,6 +67,8 @@
 uint32_t share_process_count (const share_t *share);
 /* Slots of this entry, in use or not; may be below what is in use.  */
 int32_t share_slots (const share_t *share, uint32_t process);
+/* Tells how many of the slots are in use, before share_propose.  */
+void share_set_in_use (share_t *share, uint32_t process, uint32_t in_use);
 /* Returns what the row (or the list, while alone) says of the limit.  */
 uint32_t share_limit (const share_t *share, uint32_t process);
 
--- a/src/share_internal.h
+++ b/src/share_internal.h
@@ -8,16 +8,20 @@
 
 typedef struct
 {
-  char *key; /* NULL: free number */
-  uint32_t limit;
+  char *key;      /* NULL: free number */
+  uint32_t limit; /* as divided by the row */
+  uint32_t listed_limit;
+  uint32_t in_use;
   int32_t base;
   int32_t slots;
   int32_t undeducted; /* only under broken rules */
+  int32_t withheld;   /* proposed to be cut: not used until a newer row */
   bool in_row;
   bool listed;
   bool gone;
   bool dropped;       /* by a row, for good: its key never returns */
   bool dropping;      /* proposed to be dropped: not used until a newer row */
+  int64_t raise_ms;   /* since when the list allows more than the row, or 0 */
   int64_t changed_ms; /* since when the row and the list differ */
 } share_process_t;
 
--- a/src/share_row.c
+++ b/src/share_row.c
@@ -9,6 +9,9 @@
 /* Pause between the entries that could make the same change, so that the next
    one steps in only if the first does not.  */
 #define RANK_PAUSE_MS 2000
+/* Longer than a configuration takes to be in force everywhere, so that a limit
+   that was just lowered is not raised again by an entry that is behind.  */
+#define RAISE_AFTER_MS 10000
 
 int64_t
 share_version (const share_t *share)
@@ -118,6 +121,7 @@
       share_process_at (share, i)->in_row = false;
       share_process_at (share, i)->base = 0;
       share_process_at (share, i)->dropping = false;
+      share_process_at (share, i)->withheld = 0;
     }
   g_hash_table_remove_all (share->row_numbers);
   json_object_foreach (json_object_get (row, "limits"), key, value)
@@ -270,7 +274,8 @@
       const share_process_t *process = share_process_at (share, i);
       if (process->key != NULL
           && ((process->listed && !process->in_row)
-              || (process->gone && process->in_row)))
+              || (process->gone && process->in_row)
+              || (process->listed && process->listed_limit != process->limit)))
         return true;
     }
   return false;
@@ -449,6 +454,43 @@
   return complete;
 }
 
+/* Brings the limit of a process in the row closer to the listed one.  Returns
+   whether ROW has changed.  */
+static bool
+fit_limit (share_t *share, json_t *row, uint32_t number, int64_t now_ms)
+{
+  share_process_t *process = share_process_at (share, number);
+  json_t *limits = json_object_get (row, "limits");
+  json_t *own = json_object_get (row_members (row), share->self);
+  int64_t limit = process->limit, listed = process->listed_limit;
+  int64_t change = 0;
+  if (listed <= limit)
+    process->raise_ms = 0;
+  else if (process->raise_ms == 0)
+    process->raise_ms = now_ms;
+  else if (is_due (share, process->key, process->raise_ms + RAISE_AFTER_MS,
+                   now_ms))
+    change = listed - limit;
+  if (listed < limit)
+    {
+      int64_t slots = process->slots;
+      int64_t kept = MAX ((slots + process->withheld) * listed / limit,
+                          (int64_t)process->in_use);
+      int64_t cut = MIN (limit - process->withheld - listed, slots - kept);
+      process->withheld += (int32_t)MAX (cut, 0);
+      share_recount (share, number);
+      change = -process->withheld;
+    }
+  if (change != 0)
+    {
+      json_object_set_new (limits, process->key,
+                           json_integer (limit + change));
+      add_base (own, process->key, change);
+    }
+  /* A cut that is no longer wanted is undone by a newer row alone.  */
+  return change != 0 || process->withheld > 0;
+}
+
 static bool
 update_processes (share_t *share, json_t *row, bool first, int64_t now_ms)
 {
@@ -468,6 +510,8 @@
       /* It has come back, and only a newer row shows that the proposal to drop
          it can no longer be carried out.  */
       changed |= process->dropping && !drop;
+      if (process->listed && process->in_row)
+        changed |= fit_limit (share, row, i, now_ms);
       if ((!add && !drop)
           || (!first
               && !is_due (share, process->key, process->changed_ms, now_ms)))
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -466,8 +466,9 @@
   rig_clear (&rig);
 }
 
-/* Guards against slots used before a row names the entry, and against a stop
-   that ends before the peers know the slots that they were given.  */
+/* Guards against slots used before a row names the entry or beyond a lowered
+   limit, and against a stop that ends before the peers know the slots that
+   they were given.  */
 static void
 test_shares_and_drain (void)
 {
@@ -486,6 +487,11 @@
   uint32_t idle = 0, queued = 0;
   dispatch_load (rig.dispatch, "svc", &idle, &queued);
   CU_ASSERT_EQUAL (idle, 3);
+  /* A lowered limit holds before the row is cut: 4 slots of 8, 2 for one.  */
+  set_backend (&rig, 0, 2, false);
+  dispatch_load (rig.dispatch, "svc", &idle, &queued);
+  CU_ASSERT_EQUAL (idle, 0);
+  set_backend (&rig, 0, 8, false);
   dispatch_drain (rig.dispatch);
   dispatch_attempt_ended (rig.dispatch, 1, 1, ERR_OK, 200, OUTCOME_RAN);
   run_for (&rig, 50);
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -337,6 +337,52 @@
   free_pair (&pair);
 }
 
+/* Guards against cutting slots that are in use, against a cut that is lost or
+   carried out twice, and against raising a limit that was just lowered.  A has
+   6 of 8 slots, B has 2.  */
+static void
+test_limit_changes (void)
+{
+  static const struct
+  {
+    uint32_t listed, in_use;
+    int64_t now_ms;
+    int64_t limit; /* proposed by A, 0: none */
+    int32_t slots; /* of A until a newer row */
+  } rows[] = {
+    { 8, 0, 20000, 0, 6 },   { 4, 0, 20000, 5, 3 }, { 4, 5, 20000, 7, 5 },
+    { 4, 6, 20000, 0, 6 },   { 1, 0, 20000, 2, 0 }, { 10, 0, 5000, 0, 6 },
+    { 10, 0, 20000, 10, 6 },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      pair_t pair = new_pair ();
+      run_step (&pair, 'g');
+      run_step (&pair, 's');
+      uint32_t p = process_p (pair.a);
+      int64_t version = 0;
+      share_process_listed (pair.a, p, rows[i].listed, 0);
+      share_set_in_use (pair.a, p, rows[i].in_use);
+      /* A proposal whose fate is unknown is made again in full.  */
+      json_decref (share_propose (pair.a, false, 1, &version));
+      json_t *row = share_propose (pair.a, false, rows[i].now_ms, &version);
+      json_int_t limit = json_integer_value (
+          json_object_get (json_object_get (row, "limits"), "p@1"));
+      CU_ASSERT_EQUAL (limit, rows[i].limit);
+      CU_ASSERT_EQUAL (share_slots (pair.a, p), rows[i].slots);
+      if (row != NULL)
+        {
+          share_load (pair.a, 2, row, rows[i].now_ms);
+          share_load (pair.b, 2, row, rows[i].now_ms);
+          CU_ASSERT_EQUAL (share_slots (pair.a, p)
+                               + share_slots (pair.b, process_p (pair.b)),
+                           limit);
+        }
+      json_decref (row);
+      free_pair (&pair);
+    }
+}
+
 static CU_TestInfo share_tests[] = {
   { "messages", test_messages },
   { "rows", test_rows },
@@ -344,6 +390,7 @@
   { "proposals", test_propose },
   { "retirement", test_retirement },
   { "ending process", test_ending_process },
+  { "limit changes", test_limit_changes },
   CU_TEST_INFO_NULL,
 };
 
