--- a/src/sched.c
+++ b/src/sched.c
@@ -10,6 +10,7 @@
 #define UNLISTED_MS 600000
 #define SCAN_RETRY_MS 500
 #define RELOAD_KEYS 200
+#define COMPARE_EVERY_MS 2000
 #define STOPS_PER_S 400.0
 #define DEFAULT_ROWS_PER_S 200
 /* What the table service may take at once above its steady rate.  */
@@ -481,6 +482,11 @@
     start_scan (s);
   send_reloads (s);
   poll_changes (s);
+  if (s->on_duty && s->ready && s->now_ms >= s->compare_due_ms)
+    {
+      s->compare_due_ms = s->now_ms + COMPARE_EVERY_MS;
+      sched_rows_compare (s);
+    }
   if (s->on_duty)
     work_tick (s);
   txn_tick (s, &s->duty);
--- a/src/sched_int.h
+++ b/src/sched_int.h
@@ -320,7 +320,7 @@
   int64_t tokens_ms;
   double stop_tokens; /* stops of cancelled jobs */
   int64_t preempt_ms; /* no further preemption before */
-  int64_t zone_row_due_ms;
+  int64_t zone_row_due_ms, compare_due_ms;
   char *zone_text; /* what was advertised last */
 
   quota_t quota;
@@ -342,6 +342,9 @@
    newer or part of a transaction under way.  */
 void sched_row_apply (sched_t *s, const sched_row_t *row, uint64_t stamp);
 void sched_want_key (sched_t *s, char *key);
+/* Asks again for rows that do not agree: they were read at different times,
+   with a transaction of another entry between them.  */
+void sched_rows_compare (sched_t *s);
 sched_changes_t *sched_changes_get (sched_t *s, const char *zone);
 json_t *sched_changes_json (const sched_changes_t *changes,
                             const char *write_id);
--- a/src/sched_rows.c
+++ b/src/sched_rows.c
@@ -389,7 +389,19 @@
   size_t i;
   json_t *id;
   json_array_foreach (json_object_get (row->value, "jobs"), i, id)
-      g_queue_push_tail (&changes->ids, g_strdup (json_string_value (id)));
+  {
+    const char *name = json_string_value (id);
+    if (name == NULL || !job_id_valid (name))
+      continue;
+    g_queue_push_tail (&changes->ids, g_strdup (name));
+    /* A transaction of this entry's former process, or one that was given up
+       as unknown, may have come through late.  */
+    if (!s->scanning && strcmp (zone, s->zone) == 0)
+      {
+        sched_want_key (s, job_key (name));
+        sched_want_key (s, part_key (s->zone, name));
+      }
+  }
 }
 
 /* Asks for the rows of the jobs that another entry made or cancelled.  */
@@ -506,6 +518,53 @@
     }
 }
 
+/* Whether the line and the task that it names agree.  */
+static bool
+line_agrees (const sched_worker_t *worker, const sched_assign_t *line)
+{
+  const sched_task_t *task = sched_task_find (line->job, line->number);
+  return task != NULL && task->worker == worker
+         && task->generation == line->generation;
+}
+
+void
+sched_rows_compare (sched_t *s)
+{
+  for (guint i = 0; i < s->workers->len; i++)
+    {
+      sched_worker_t *worker = s->workers->pdata[i];
+      for (guint j = 0; j < worker->assigned->len && !worker->in_txn; j++)
+        {
+          const sched_assign_t *line
+              = &g_array_index (worker->assigned, sched_assign_t, j);
+          if (line->job->part_in_txn || line_agrees (worker, line))
+            continue;
+          sched_want_key (s, worker_key (s->zone, worker->id));
+          sched_want_key (s, part_key (s->zone, line->job->id));
+        }
+    }
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, s->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      sched_job_t *job = value;
+      if (job->assigned == 0 || job->part_in_txn)
+        continue;
+      for (uint32_t i = 0; i < job->count; i++)
+        {
+          sched_worker_t *worker = job->tasks[i].worker;
+          if (worker == NULL || worker->in_txn
+              || sched_assign_find (worker, job, job->first + i,
+                                    job->tasks[i].generation)
+                     != NULL)
+            continue;
+          sched_want_key (s, worker_key (s->zone, worker->id));
+          sched_want_key (s, part_key (s->zone, job->id));
+        }
+    }
+}
+
 json_t *
 sched_part_json (sched_job_t *job, const char *write_id)
 {
--- a/tests/fake_world.c
+++ b/tests/fake_world.c
@@ -30,7 +30,8 @@
   GArray *checks, *writes; /* sched_row_t with own keys and values */
   uint32_t worker;
   int64_t incarnation, lease_ms;
-  GArray *items; /* fake_item_t */
+  int64_t answered; /* incarnation in the answer */
+  GArray *items;    /* fake_item_t */
   /* Answer.  */
   err_kind_t result;
   GArray *rows; /* sched_row_t with own keys and values */
@@ -272,7 +273,6 @@
   fake_entry_t *entry = context;
   if (g_hash_table_contains (entry->world->answers, token))
     violation (entry->world, "answered twice", id != NULL ? id : "-");
-  if (g_getenv ("DBG")) printf ("%ld e%u answer %s %d %s\n", (long)now_of (entry->world), entry->index, id, kind, message);
   g_hash_table_insert (entry->world->answers, token,
                        GINT_TO_POINTER ((int)kind + 1));
   if (kind != ERR_OK && kind != ERR_TIMEOUT && id != NULL
@@ -488,7 +488,7 @@
     }
   if (message->kind == MESSAGE_LEASE && !wrong)
     renew (world, worker, message);
-  message->incarnation = worker->incarnation;
+  message->answered = worker->incarnation;
 }
 
 static void
@@ -513,7 +513,6 @@
           message->checks->len, (const sched_row_t *)message->writes->data,
           message->writes->len, (int64_t *)message->versions->data);
       message->result = good ? ERR_OK : ERR_CONFLICT;
-  if (g_getenv ("DBG")) { printf ("%ld e%u txn tag %lu %s:", (long)now_of (world), message->entry, message->tag, good?"ok":"conflict"); for (guint i=0;i<message->checks->len;i++) printf (" %s@%ld", g_array_index(message->checks,sched_row_t,i).key, (long)g_array_index(message->checks,sched_row_t,i).version); printf ("\n"); }
       return;
     }
   g_array_set_size (message->rows, 0);
@@ -566,7 +565,7 @@
                      message->codes->len);
       break;
     case MESSAGE_LEASE:
-      sched_leased (sched, message->tag, kind, message->incarnation,
+      sched_leased (sched, message->tag, kind, message->answered,
                     (const sched_report_t *)message->reports->data,
                     message->reports->len);
       break;
--- a/tests/fake_world.h
+++ b/tests/fake_world.h
@@ -73,10 +73,10 @@
   GRand *random;
   fake_faults_t faults;
   bool store_down;
-  GHashTable *answers; /* token -> kind + 1 */
+  GHashTable *answers;     /* token -> kind + 1 */
   GHashTable *submissions; /* their tokens */
   GHashTable *refused;     /* job id -> why its submission was refused */
-  GHashTable *ended;   /* task name -> times it ended well */
+  GHashTable *ended;       /* task name -> times it ended well */
   bool fail_next_task;
   /* Violations found; the first is described.  */
   uint32_t violations;
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -220,7 +220,6 @@
         continue;
       json_t *why = sched_explain (sched, id);
       json_t *job = sched_job (sched, id);
-      if (g_getenv ("DBG2")) { json_t *st = sched_status (sched); puts (json_dumps (st, JSON_INDENT(1))); }
       char *why_text = json_dumps (why, 0);
       char *job_text = json_dumps (job, 0);
       printf ("  %s\n  %s\n", why_text, job_text);
