--- a/src/dispatch_internal.h
+++ b/src/dispatch_internal.h
@@ -31,6 +31,7 @@
   uint32_t index;  /* in service->processes */
   bool leaving;
   bool removed;
+  uint32_t request_limit;  /* as listed */
   uint32_t connection_cap; /* of this entry */
   int32_t slots;           /* copy of the ledger's */
   uint32_t in_flight;
@@ -64,7 +65,13 @@
   GArray *loads; /* peer_load_t by peer */
   uint32_t owed;
   int64_t want_again_ms; /* no SlotWant before */
+  uint32_t asked_peer;   /* by the last SlotWant */
+  uint32_t asked_in_row; /* SlotWants without any slot */
   uint32_t next_busy_peer;
+  /* Most requests in flight in the last and the present demand window.  */
+  uint32_t last_peak;
+  uint32_t peak;
+  uint32_t even_part; /* of all slots, per live member; updated now and then */
 };
 
 typedef struct
@@ -167,6 +174,7 @@
   int64_t wheel_done; /* last slot run */
   int64_t next_review_ms;
   int64_t next_probe_ms;
+  int64_t next_demand_ms;
   int64_t next_resend_ms;
   int64_t next_closing_ms;
   int64_t next_read_ms;
@@ -188,9 +196,12 @@
 void dispatch_process_free (gpointer process);
 /* Updates the copies of slots and the set of free processes.  */
 void dispatch_refresh (dispatch_t *dispatch, process_t *process);
+/* Finds the number of PROCESS in the ledger, which a new row may change.  */
+void dispatch_resolve (dispatch_t *dispatch, process_t *process);
 /* Sends waiting requests while there are free slots.  */
 void dispatch_pump (dispatch_t *dispatch, service_t *service);
-/* Hands waiting requests over to other zones if they have waited long.  */
+/* Hands waiting requests over to other zones if they have waited long.  To be
+   called after dispatch_pump, so that what still waits finds no slot.  */
 void dispatch_spill (dispatch_t *dispatch, service_t *service);
 void dispatch_note_result (dispatch_t *dispatch, process_t *process,
                            outlier_result_t result, double latency_ms);
@@ -201,10 +212,16 @@
 
 /* dispatch_lend.c */
 peer_load_t *dispatch_peer_load_of (service_t *service, uint32_t peer);
-/* Asks a peer for slots if requests of SERVICE wait.  */
+/* Asks a peer for slots if requests of SERVICE wait after dispatch_pump.  */
 void dispatch_want (dispatch_t *dispatch, service_t *service);
 /* Gives a slot that has become free at PROCESS to a peer it is owed to.  */
 void dispatch_pay_owed (dispatch_t *dispatch, process_t *process);
+/* Begins a new demand window of SERVICE.  */
+void dispatch_note_demand (service_t *service);
+/* Returns whether SERVICE has far fewer slots here than an even division would
+   give: such an entry does not wait for the tick to ask.  */
+bool dispatch_is_short (const service_t *service);
+void dispatch_update_part (const dispatch_t *dispatch, service_t *service);
 void dispatch_lend_tick (dispatch_t *dispatch);
 
 /* dispatch_status.c */
--- a/src/doc.h
+++ b/src/doc.h
@@ -16,7 +16,8 @@
    because GKeyFile's errors carry neither line nor column.  A doc_t never
    changes once it was parsed; it is reference counted.  */
 
-#define DOC_MAX_BYTES (1024 * 1024)
+/* A whole document has to fit in one peer frame of 1 MiB, escaped as JSON.  */
+#define DOC_MAX_BYTES (256 * 1024)
 #define DOC_MAX_ERRORS 20
 
 typedef struct doc doc_t;
@@ -78,10 +79,13 @@
 /* Parses and checks a whole document.  Returns NULL and adds to ERRORS if
    anything is wrong.  The result is owned by the caller.  */
 doc_t *doc_parse (const char *text, size_t length, GPtrArray *errors);
-/* The same for sections that an entry has accepted before.  While versions of
-   magnoliadock are mixed, a newer entry may accept keys and sections that this
-   one does not know: they are skipped and reported in UNKNOWN, so that an
-   accepted configuration comes into force everywhere.  */
+/* The same for a part of a document: sections may refer to sections that are
+   not in TEXT.  */
+doc_t *doc_parse_part (const char *text, size_t length, GPtrArray *errors);
+/* The same as doc_parse for sections that an entry has accepted before.  While
+   versions of magnoliadock are mixed, a newer entry may accept keys and
+   sections that this one does not know: they are skipped and reported in
+   UNKNOWN, so that an accepted configuration comes into force everywhere.  */
 doc_t *doc_parse_stored (const char *text, size_t length, GPtrArray *errors,
                          GPtrArray *unknown);
 doc_t *doc_ref (doc_t *doc);
@@ -142,6 +146,9 @@
   uint32_t request_limit;    /* requests at once for one process */
   uint32_t connection_limit; /* connections at once for one process */
   int64_t spill_after_ms;    /* wait after which another zone is tried */
+  uint32_t queue_limit;      /* waiting requests of one class and team */
+  uint32_t retry_percent;    /* retries for each 100 requests */
+  const char *admission;     /* "fair", "fifo" or "strict" */
   const char *owner;
 } doc_service_t;
 
@@ -151,12 +158,12 @@
   resource_t quota;
   double urgent_rate; /* urgent requests a second */
   double urgent_burst;
+  uint32_t request_weight; /* share of a class among teams */
 } doc_team_t;
 
 typedef struct
 {
-  uint32_t weight;      /* guaranteed share relative to the others */
-  uint32_t queue_limit; /* waiting requests of one team */
+  uint32_t weight; /* guaranteed share relative to the others */
 } doc_class_t;
 
 typedef struct
@@ -178,9 +185,6 @@
 typedef struct
 {
   const char *packing;
-  double cpu_overcommit;
-  double memory_factor;
-  int64_t reservation_s;
 } doc_fleet_t;
 
 bool doc_service (const doc_t *doc, const char *name, doc_service_t *out);
--- a/src/doc_use.c
+++ b/src/doc_use.c
@@ -85,6 +85,8 @@
       const doc_use_t *row = &use[i];
       if (strcmp (row->section, name) != 0 || row->amount <= 0)
         continue;
+      if (after == NULL && row->key != NULL)
+        continue;
       if (after == NULL)
         {
           add_use_error (errors, name, NULL,
@@ -150,6 +152,10 @@
       = (uint32_t)number (section, DOC_SERVICE, "connection-limit");
   out->spill_after_ms
       = (int64_t)number (section, DOC_SERVICE, "spill-after-ms");
+  out->queue_limit = (uint32_t)number (section, DOC_SERVICE, "queue-limit");
+  out->retry_percent
+      = (uint32_t)number (section, DOC_SERVICE, "retry-percent");
+  out->admission = word (section, DOC_SERVICE, "admission");
   out->owner = word (section, DOC_SERVICE, "owner");
   return section != NULL;
 }
@@ -166,6 +172,7 @@
   };
   out->urgent_rate = number (section, DOC_TEAM, "urgent-rate");
   out->urgent_burst = number (section, DOC_TEAM, "urgent-burst");
+  out->request_weight = (uint32_t)number (section, DOC_TEAM, "request-weight");
   return section != NULL;
 }
 
@@ -185,7 +192,6 @@
       = lookup (doc, DOC_CLASS, class_defaults[class].name);
   uint32_t weight = (uint32_t)number (section, DOC_CLASS, "weight");
   out->weight = weight > 0 ? weight : class_defaults[class].weight;
-  out->queue_limit = (uint32_t)number (section, DOC_CLASS, "queue-limit");
   return section != NULL;
 }
 
@@ -218,8 +224,5 @@
 {
   const doc_section_t *section = lookup (doc, DOC_FLEET, "");
   out->packing = word (section, DOC_FLEET, "packing");
-  out->cpu_overcommit = number (section, DOC_FLEET, "cpu-overcommit");
-  out->memory_factor = number (section, DOC_FLEET, "memory-factor");
-  out->reservation_s = (int64_t)number (section, DOC_FLEET, "reservation-s");
   return section != NULL;
 }
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -12,9 +12,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Above 32 KiB libmicrohttpd maps the buffer, so that an idle connection costs
-   only the pages it has touched.  */
-#define CONNECTION_MEMORY (48 * 1024)
+/* Holds the headers of a request and of its answer.  libmicrohttpd clears it
+   between requests; at 48 KiB that took 8% of an entry's time.  */
+#define CONNECTION_MEMORY (32 * 1024)
 #define IDLE_LIMIT_S 75
 #define LISTEN_BACKLOG 1024
 #define ANSWER_BLOCK (16 * 1024)
@@ -40,7 +40,8 @@
   void *stream_context;
   httpd_exchange_t *waiting; /* list of suspended exchanges */
   uint32_t open;
-  bool closing;
+  bool ending; /* answers end their connection */
+  bool stopped;
   bool dirty; /* libmicrohttpd has work without a socket event */
   int listen_fd;
   uint16_t port;
@@ -149,7 +150,7 @@
        i += 2)
     MHD_add_response_header (response, exchange->headers->pdata[i],
                              exchange->headers->pdata[i + 1]);
-  if (exchange->server->closing)
+  if (exchange->server->ending)
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
   enum MHD_Result result
       = MHD_queue_response (exchange->connection, exchange->status, response);
@@ -241,6 +242,15 @@
     httpd_answer_error (exchange, ERR_NOT_FOUND, "there is nothing here");
 }
 
+static bool
+has_long_body (httpd_exchange_t *exchange)
+{
+  const char *length = httpd_header (exchange, "Content-Length");
+  return httpd_header (exchange, "Transfer-Encoding") != NULL
+         || (length != NULL
+             && g_ascii_strtoull (length, NULL, 10) > ANSWER_BLOCK);
+}
+
 /* Takes a piece of the body; returns false to close the connection.  */
 static bool
 take_body (httpd_exchange_t *exchange, const char *data, size_t *length)
@@ -305,7 +315,11 @@
       exchange->path = g_strdup (path);
       exchange->method = g_strdup (method);
       begin_exchange (exchange);
-      return exchange->response != NULL ? queue_answer (exchange) : MHD_YES;
+      /* An answer before the body costs the connection, so it is worth it
+         only if there is a body to be spared.  */
+      if (exchange->response != NULL && has_long_body (exchange))
+        return queue_answer (exchange);
+      return MHD_YES;
     }
   if (*length > 0)
     return take_body (exchange, data, length) ? MHD_YES : MHD_NO;
@@ -643,14 +657,34 @@
   server->stream_context = context;
 }
 
+void
+httpd_end_connections (httpd_t *server)
+{
+  server->ending = true;
+}
+
 void
 httpd_stop_accepting (httpd_t *server)
 {
-  if (server->closing)
+  struct sockaddr_in from;
+  socklen_t length = sizeof from;
+  int fd;
+  if (server->stopped)
     return;
-  server->closing = true;
+  server->stopped = true;
+  server->ending = true;
   MHD_quiesce_daemon (server->daemon);
+  /* Connections that callers have already made would be reset by close.  */
+  while ((fd = accept4 (server->listen_fd, (struct sockaddr *)&from, &length,
+                        SOCK_NONBLOCK | SOCK_CLOEXEC))
+         >= 0)
+    {
+      MHD_add_connection (server->daemon, fd, (struct sockaddr *)&from,
+                          length);
+      length = sizeof from;
+    }
   close (server->listen_fd);
+  server->dirty = true;
 }
 
 uint32_t
--- a/src/main.c
+++ b/src/main.c
@@ -1,3 +1,6 @@
+#include "bench.h"
+#include "cli.h"
+#include "entry.h"
 #include "error.h"
 
 #include <stdio.h>
@@ -13,6 +16,16 @@
 } command_t;
 
 static const command_t commands[] = {
+  { "entry", entry_run, "run an entry process" },
+  { "submit", cli_submit, "submit jobs" },
+  { "status", cli_status, "print the state of the system or of a job" },
+  { "cancel", cli_cancel, "cancel jobs" },
+  { "explain", cli_explain, "print the decisions about a job" },
+  { "document", cli_document, "get, check, diff and apply the configuration" },
+  { "report", cli_report, "print the error budgets" },
+  { "settings", cli_settings, "print every flag, variable and key" },
+  { "hash-token", cli_hash_token, "make a token and its hash" },
+  { "bench", bench_run, "measure entries and the core" },
   { NULL, NULL, NULL },
 };
 
--- a/src/share_row.c
+++ b/src/share_row.c
@@ -1,5 +1,6 @@
 #include "share_internal.h"
 
+#include <string.h>
 #include <xxhash.h>
 
 /* Longest request deadline plus 2 s: a request that a dead entry sent can
@@ -27,6 +28,14 @@
   return share->was_member && !share->expelled;
 }
 
+/* Returns the backend server's id of KEY ("ID@INCARNATION"), owned.  */
+static char *
+id_of_key (const char *key)
+{
+  const char *at = strrchr (key, '@');
+  return at != NULL ? g_strndup (key, (gsize)(at - key)) : g_strdup (key);
+}
+
 static json_t *
 row_members (const json_t *row)
 {
@@ -69,13 +78,14 @@
 {
   share_process_t *dropped = share_process_at (share, process);
   share_process_drop (share, process);
+  dropped->base = 0;
+  dropped->gone = false;
   /* Some entry has seen it as gone, which is final; the list of this one still
-     shows it and would add it again under a new number.  */
+     shows it and would add the same key again.  */
   if (dropped->listed)
     {
-      dropped->gone = true;
       dropped->listed = false;
-      dropped->base = 0;
+      dropped->dropped = true;
       return;
     }
   share_process_free (share, process);
@@ -107,11 +117,14 @@
       was_in_row[i] = share_process_at (share, i)->in_row;
       share_process_at (share, i)->in_row = false;
       share_process_at (share, i)->base = 0;
+      share_process_at (share, i)->dropping = false;
     }
+  g_hash_table_remove_all (share->row_numbers);
   json_object_foreach (json_object_get (row, "limits"), key, value)
   {
-    share_process_t *process
-        = share_process_at (share, share_process (share, key));
+    uint32_t number = share_process (share, key);
+    share_process_t *process = share_process_at (share, number);
+    share_insert_number (share->row_numbers, id_of_key (key), number);
     process->in_row = true;
     process->limit = (uint32_t)json_integer_value (value);
   }
@@ -203,6 +216,40 @@
   return rank;
 }
 
+bool
+share_process_ending (const share_t *share, uint32_t process)
+{
+  const share_process_t *ending = share_process_at (share, process);
+  return ending->key != NULL && ending->gone && ending->in_row;
+}
+
+uint32_t
+share_collector (const share_t *share, uint32_t process)
+{
+  const char *key = share_process_at (share, process)->key;
+  XXH64_hash_t seed = XXH3_64bits (key, strlen (key));
+  XXH64_hash_t best
+      = XXH3_64bits_withSeed (share->self, strlen (share->self), seed);
+  uint32_t collector = SHARE_NONE;
+  for (guint i = 0; i < share->members->len; i++)
+    {
+      const share_member_t *member = share_member_at (share, i);
+      XXH64_hash_t hash
+          = XXH3_64bits_withSeed (member->name, strlen (member->name), seed);
+      if (!member->in_row || member->gone || hash <= best)
+        continue;
+      best = hash;
+      collector = i;
+    }
+  return collector;
+}
+
+char *
+share_process_id (const share_t *share, uint32_t process)
+{
+  return id_of_key (share_process_at (share, process)->key);
+}
+
 static bool
 is_due (const share_t *share, const char *key, int64_t since_ms,
         int64_t now_ms)
@@ -320,7 +367,7 @@
                          const GPtrArray *retiring)
 {
   const share_member_t *member = share_member_at (share, i);
-  if (!member->in_row || member->gone)
+  if (!member->in_row || member->gone || !share->rules.wait_for_statements)
     return false;
   for (guint k = 0; k < retiring->len; k++)
     if (!g_hash_table_contains (member->statements,
@@ -390,8 +437,7 @@
     return false;
   bool complete = true;
   for (guint i = 0; i < share->members->len; i++)
-    if (share->rules.wait_for_statements
-        && share_statement_missing (share, i, retiring))
+    if (share_statement_missing (share, i, retiring))
       complete = false;
   if (complete)
     {
@@ -411,11 +457,17 @@
   json_t *own = json_object_get (row_members (row), share->self);
   for (guint i = 0; i < share->processes->len; i++)
     {
-      const share_process_t *process = share_process_at (share, i);
+      share_process_t *process = share_process_at (share, i);
       if (process->key == NULL)
         continue;
-      bool add = process->listed && !process->in_row;
-      bool drop = process->gone && process->in_row;
+      bool add = process->listed && !process->in_row && !process->dropped;
+      bool drop = share_process_ending (share, i)
+                  && share_collector (share, i) == SHARE_NONE
+                  && (process->dropping
+                      || process->slots == (int32_t)process->limit);
+      /* It has come back, and only a newer row shows that the proposal to drop
+         it can no longer be carried out.  */
+      changed |= process->dropping && !drop;
       if ((!add && !drop)
           || (!first
               && !is_due (share, process->key, process->changed_ms, now_ms)))
@@ -431,6 +483,8 @@
         }
       const char *name;
       json_t *bases;
+      process->dropping = true;
+      share_recount (share, i);
       json_object_del (limits, process->key);
       json_object_foreach (row_members (row), name, bases)
       {
