--- a/src/io/cli.h
+++ b/src/io/cli.h
@@ -45,6 +45,7 @@
   bool prune;
   bool jobs;
   char *secret_file;
+  char *write_token;
   const char *command; /* for messages: "document apply" */
 } cli_settings_t;
 
--- a/src/io/cli_token.c
+++ b/src/io/cli_token.c
@@ -2,16 +2,40 @@
 #include "cli.h"
 #include "doc_keys.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 const option_t cli_token_options[] = {
   { "secret-file", OPTION_TEXT, offsetof (cli_settings_t, secret_file), NULL,
     false, 0, 0, NULL, "File with a secret to hash (default: a random one)" },
+  { "write-token", OPTION_TEXT, offsetof (cli_settings_t, write_token), NULL,
+    false, 0, 0, NULL,
+    "Write the token to this new file, readable by its owner only" },
   { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
 };
 
+/* Puts the token where --token-file can read it.  */
+static bool
+write_token (const cli_settings_t *settings, const char *name,
+             const char *secret)
+{
+  char *token = g_strconcat (name, ":", secret, "\n", NULL);
+  int fd = open (settings->write_token, O_WRONLY | O_CREAT | O_EXCL, 0600);
+  ssize_t length = (ssize_t)strlen (token);
+  bool done = fd >= 0 && write (fd, token, (size_t)length) == length;
+  if (!done)
+    cli_fail (settings, "%s: %s, expected a new file", settings->write_token,
+              g_strerror (errno));
+  if (fd >= 0)
+    close (fd);
+  g_free (token);
+  return done;
+}
+
 int
 cli_hash_token (int argc, char **argv)
 {
@@ -51,9 +75,13 @@
       cli_fail (&settings, "the system gives no random numbers");
       goto out;
     }
-  printf ("# token for --token-file; keep it secret\n%s:%s\n"
-          "# line for the section [access]\n%s = %s\n",
-          rest[0], secret, rest[0], hash);
+  if (settings.write_token == NULL)
+    printf ("# token for --token-file; keep it secret\n# %s:%s\n"
+            "# line for the section [access]\n",
+            rest[0], secret);
+  else if (!write_token (&settings, rest[0], secret))
+    goto out;
+  printf ("%s = %s\n", rest[0], hash);
   code = 0;
 out:
   g_free (hash);
--- a/src/io/jobs.c
+++ b/src/io/jobs.c
@@ -97,17 +97,90 @@
   json_decref (spec);
 }
 
+/* A question about a job that the rows in memory do not have: it was stored a
+   moment ago, or belongs to another zone.  The table service is asked.  */
+typedef struct
+{
+  jobs_t *jobs;
+  httpd_exchange_t *exchange;
+  auth_who_t who;
+  char *id;
+  bool cancel;
+} lookup_t;
+
+static void
+cancel_job (jobs_t *jobs, httpd_exchange_t *exchange, const auth_who_t *who,
+            const char *id, const char *team)
+{
+  if (!auth_may_act_for (who, team))
+    httpd_answer_error (exchange, ERR_FORBIDDEN,
+                        "a team cancels only its own jobs");
+  else
+    tasks_cancel (jobs->tasks, id, answer_done,
+                  answer_new (exchange, 202, id));
+}
+
 static void
-answer_or_not_found (httpd_exchange_t *exchange, json_t *value, const char *id)
+answer_not_found (httpd_exchange_t *exchange, const char *id)
+{
+  char *message = g_strdup_printf (
+      "there is no job \"%.100s\", expected an id that submit printed", id);
+  httpd_answer_error (exchange, ERR_NOT_FOUND, message);
+  g_free (message);
+}
+
+/* The row as it is stored, with the members of the views.  */
+static json_t *
+row_view (const char *id, const json_t *value)
 {
-  if (value != NULL)
+  json_t *view = json_copy ((json_t *)value);
+  json_object_del (view, "write_id");
+  json_object_set_new (view, "id", json_string (id));
+  json_object_set_new (view, "events", json_array ());
+  return view;
+}
+
+static void
+row_read (void *context, err_kind_t kind, const table_row_t *rows,
+          uint32_t count)
+{
+  lookup_t *lookup = context;
+  const json_t *value = kind == ERR_OK && count == 1 ? rows[0].value : NULL;
+  const json_t *spec = json_object_get (value, "spec");
+  if (kind != ERR_OK)
+    httpd_answer_error (lookup->exchange, kind,
+                        "the table service does not answer");
+  else if (!json_is_object (value))
+    answer_not_found (lookup->exchange, lookup->id);
+  else if (lookup->cancel)
+    cancel_job (lookup->jobs, lookup->exchange, &lookup->who, lookup->id,
+                json_string_value (json_object_get (spec, "team")));
+  else
+    api_answer_json (lookup->exchange, 200, row_view (lookup->id, value));
+  g_free (lookup->id);
+  g_free (lookup);
+}
+
+static void
+look_up (jobs_t *jobs, httpd_exchange_t *exchange, const auth_who_t *who,
+         const char *id, bool cancel)
+{
+  /* Other ids cannot be keys, and a '/' would lead to another row.  */
+  if (id[0] == '\0' || strlen (id) > JOB_ID_MAX || strchr (id, '/') != NULL)
     {
-      api_answer_json (exchange, 200, value);
+      answer_not_found (exchange, id);
       return;
     }
-  char *message = g_strdup_printf ("job \"%.100s\" is not known here", id);
-  httpd_answer_error (exchange, ERR_NOT_FOUND, message);
-  g_free (message);
+  lookup_t *lookup = g_new0 (lookup_t, 1);
+  *lookup = (lookup_t){ .jobs = jobs,
+                        .exchange = exchange,
+                        .who = *who,
+                        .id = g_strdup (id),
+                        .cancel = cancel };
+  char *key = job_key (id);
+  table_t *table = jobs->entry->table;
+  table->ops->get (table, key, row_read, lookup);
+  g_free (key);
 }
 
 static void
@@ -128,10 +201,13 @@
 {
   jobs_t *jobs = context;
   auth_who_t who;
-  if (begin (jobs, exchange, &who))
-    answer_or_not_found (exchange,
-                         sched_job (tasks_sched (jobs->tasks), request->rest),
-                         request->rest);
+  if (!begin (jobs, exchange, &who))
+    return;
+  json_t *job = sched_job (tasks_sched (jobs->tasks), request->rest);
+  if (job != NULL)
+    api_answer_json (exchange, 200, job);
+  else
+    look_up (jobs, exchange, &who, request->rest, false);
 }
 
 static void
@@ -140,10 +216,13 @@
 {
   jobs_t *jobs = context;
   auth_who_t who;
-  if (begin (jobs, exchange, &who))
-    answer_or_not_found (
-        exchange, sched_explain (tasks_sched (jobs->tasks), request->rest),
-        request->rest);
+  if (!begin (jobs, exchange, &who))
+    return;
+  json_t *events = sched_explain (tasks_sched (jobs->tasks), request->rest);
+  if (events != NULL)
+    api_answer_json (exchange, 200, events);
+  else
+    look_up (jobs, exchange, &who, request->rest, false);
 }
 
 static void
@@ -155,13 +234,10 @@
   if (!begin (jobs, exchange, &who))
     return;
   const char *team = sched_job_team (tasks_sched (jobs->tasks), request->rest);
-  /* The team of a job that is not known here cannot be judged.  */
-  if (!auth_may_act_for (&who, team))
-    httpd_answer_error (exchange, ERR_FORBIDDEN,
-                        "a team cancels only its own jobs");
+  if (team != NULL)
+    cancel_job (jobs, exchange, &who, request->rest, team);
   else
-    tasks_cancel (jobs->tasks, request->rest, answer_done,
-                  answer_new (exchange, 202, request->rest));
+    look_up (jobs, exchange, &who, request->rest, true);
 }
 
 static const httpd_route_t routes[] = {
