--- a/src/io/api_status.c
+++ b/src/io/api_status.c
@@ -199,12 +199,46 @@
     api_answer_json (exchange, 200, api_status (context));
 }
 
+static void
+set_burn_level (void *context, const char *service, burn_kind_t kind,
+                const burn_report_t *report)
+{
+  char *labels = g_strdup_printf ("service=\"%s\",objective=\"%s\"", service,
+                                  burn_kind_name (kind));
+  counter_set (counter_gauge (context, "magnoliadock_burn_level", labels),
+               report->level);
+  g_free (labels);
+}
+
+/* Gauges whose value is only needed when it is read.  */
+static void
+set_gauges (api_t *api)
+{
+  const api_options_t *options = &api->options;
+  counter_registry_t *registry = options->registry;
+  const char *why;
+  json_t *status = api_status (api);
+  json_t *unconfirmed = json_object_get (status, "unconfirmed");
+  counter_set (
+      counter_gauge (registry, "magnoliadock_config_unconfirmed", NULL),
+      (int64_t)json_array_size (unconfirmed));
+  json_decref (status);
+  counter_set (counter_gauge (registry, "magnoliadock_ready", NULL),
+               options->ready (options->context, &why));
+  counter_set (counter_gauge (registry, "magnoliadock_store_age_ms", NULL),
+               confrev_store_age_ms (conf_state (options->conf)));
+  counter_set (counter_gauge (registry, "magnoliadock_list_age_ms", NULL),
+               options->list_age_ms (options->context));
+  burnrow_each_own (options->burnrow, set_burn_level, registry);
+}
+
 void
 api_get_metrics (void *context, httpd_exchange_t *exchange,
                  const httpd_request_t *request)
 {
-  const api_t *api = context;
+  api_t *api = context;
   GString *out = g_string_new (NULL);
+  set_gauges (api);
   counter_print (api->options.registry, out);
   httpd_answer (exchange, 200, "text/plain; version=0.0.4", out->str,
                 out->len);
--- a/src/io/burnrow.c
+++ b/src/io/burnrow.c
@@ -370,3 +370,29 @@
   else
     burnrow->table->ops->scan (burnrow->table, "burn/", all_scanned, read);
 }
+
+void
+burnrow_each_own (const burnrow_t *burnrow,
+                  void (*each) (void *context, const char *service,
+                                burn_kind_t kind, const burn_report_t *report),
+                  void *context)
+{
+  doc_t *doc = burnrow->doc;
+  int64_t wall_ms = clk_wall_ms (burnrow->clock);
+  for (size_t i = 0; doc != NULL && i < doc_section_count (doc); i++)
+    {
+      const doc_section_t *section = doc_section_at (doc, i);
+      const char *service = doc_section_name (section);
+      doc_objective_t objective;
+      if (doc_section_type (section) != DOC_OBJECTIVE)
+        continue;
+      doc_objective (doc, service, &objective);
+      for (unsigned kind = 0; kind < BURN_KIND_COUNT; kind++)
+        {
+          burn_report_t report;
+          burn_report (burnrow->burn, service, &objective, (burn_kind_t)kind,
+                       wall_ms, &report);
+          each (context, service, (burn_kind_t)kind, &report);
+        }
+    }
+}
--- a/src/io/burnrow.h
+++ b/src/io/burnrow.h
@@ -46,6 +46,14 @@
                                 const burn_t *burn, doc_t *doc);
 void burnrow_read (burnrow_t *burnrow, burnrow_done_t done, void *context);
 
+/* Calls EACH with the report on every objective, from this process's own
+   counts only.  */
+void burnrow_each_own (const burnrow_t *burnrow,
+                       void (*each) (void *context, const char *service,
+                                     burn_kind_t kind,
+                                     const burn_report_t *report),
+                       void *context);
+
 /* Writes the last counts at a planned stop; burnrow_settled returns whether
    that is done.  */
 void burnrow_flush (burnrow_t *burnrow);
