dispatch: let the only entry of a zone leave its row before it stops

Cause: a single entry counted as drained at once, so the process could end before the row without it was written, and its successor had no slots for 62 s. Change: the only member of the row is drained once a row without it is loaded.

--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -245,9 +245,10 @@
    idle slot to peers.  */
 void dispatch_drain (dispatch_t *dispatch);
 /* Returns whether nothing is queued or in flight and the peers have learned
-   all slots given to them (or there is no peer to give to).  The only entry of
-   a zone then proposes a row without itself, which the I/O layer writes before
-   the process ends, so that the next entry starts with all slots.  */
+   all slots given to them (or there is no peer to give to).  The only member
+   of the row is not drained before dispatch_shares_propose has taken it out,
+   so that the next entry starts with all slots; the caller gives up waiting
+   for the table service at a limit of its own.  */
 bool dispatch_drained (const dispatch_t *dispatch);
 
 /* What another entry is told of a request that it handed over.  */
--- a/src/dispatch_lend.c
+++ b/src/dispatch_lend.c
@@ -616,6 +616,9 @@
       if (!share_confirmed (dispatch->share, peer->member))
         return false;
     }
+  /* Its row is still to be written.  */
+  if (share_is_only_member (dispatch->share))
+    return false;
   for (uint32_t number = 0;
        has_peer && number < share_process_count (dispatch->share); number++)
     if (share_slots (dispatch->share, number) > 0)
--- a/src/share.h
+++ b/src/share.h
@@ -82,6 +82,8 @@
 int64_t share_version (const share_t *share);
 /* Returns whether a row was loaded that names this entry.  */
 bool share_is_member (const share_t *share);
+/* Returns whether the row names this entry and no other.  */
+bool share_is_only_member (const share_t *share);
 /* Returns whether something waits for a newer row.  */
 bool share_wants_row (const share_t *share);
 /* Members of the row that are not gone, this entry included; at least 1.  */
--- a/src/share_row.c
+++ b/src/share_row.c
@@ -261,6 +261,13 @@
   return since_ms + rank_of_self (share, key) * RANK_PAUSE_MS <= now_ms;
 }
 
+bool
+share_is_only_member (const share_t *share)
+{
+  return share_is_member (share)
+         && json_object_size (row_members (share->row)) == 1;
+}
+
 bool
 share_wants_row (const share_t *share)
 {
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -506,6 +506,41 @@
   rig_clear (&rig);
 }
 
+/* Guards against a zone whose only entry stops and leaves its slots to nobody
+   for the 62 s of a retirement.  */
+static void
+test_only_entry_leaves (void)
+{
+  rig_t rig;
+  rig_init (&rig, 1, 8);
+  json_t *row = json_pack ("{s:{s:{s:i}},s:{s:i}}", "members", "e@1", "b0@1",
+                           8, "limits", "b0@1", 8);
+  int64_t version = 0;
+  CU_ASSERT_EQUAL (dispatch_shares_load (rig.dispatch, 1, row), ERR_OK);
+  submit (&rig, 1);
+  dispatch_drain (rig.dispatch);
+  CU_ASSERT_PTR_NULL (dispatch_shares_propose (rig.dispatch, &version));
+  dispatch_attempt_ended (rig.dispatch, 1, 1, ERR_OK, 200, OUTCOME_RAN);
+  CU_ASSERT_FALSE (dispatch_drained (rig.dispatch));
+  json_t *left = dispatch_shares_propose (rig.dispatch, &version);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (left);
+  CU_ASSERT_EQUAL (dispatch_shares_load (rig.dispatch, 2, left), ERR_OK);
+  CU_ASSERT_TRUE (dispatch_drained (rig.dispatch));
+  rig_clear (&rig);
+
+  rig_init (&rig, 1, 8);
+  CU_ASSERT_EQUAL (dispatch_shares_load (rig.dispatch, 2, left), ERR_OK);
+  json_t *first = dispatch_shares_propose (rig.dispatch, &version);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (first);
+  CU_ASSERT_EQUAL (dispatch_shares_load (rig.dispatch, 3, first), ERR_OK);
+  submit (&rig, 1);
+  CU_ASSERT_EQUAL (rig.sends, 1);
+  json_decref (row);
+  json_decref (left);
+  json_decref (first);
+  rig_clear (&rig);
+}
+
 /* Guards, in random runs with all faults at once, against more requests at a
    process than its limit, requests with no or two ends, false outcomes,
    non-idempotent requests that run twice, and slots that are lost for good. */
@@ -570,6 +605,7 @@
   { "spill", test_spill },
   { "urgent rate", test_urgent_rate },
   { "shares and drain", test_shares_and_drain },
+  { "only entry leaves", test_only_entry_leaves },
   { "random zones", test_zone },
   { "random zones notice a broken ledger", test_zone_notices },
   CU_TEST_INFO_NULL,
