--- a/src/io/bench.h
+++ b/src/io/bench.h
@@ -20,4 +20,7 @@
 /* Decision time, floods and slot sharing of the request core.  */
 int bench_dispatch_run (int argc, char **argv);
 
+/* Reachability between zones against the number of peers in each.  */
+int bench_mesh_run (int argc, char **argv);
+
 #endif
