--- a/src/io/bench_mesh.c
+++ b/src/io/bench_mesh.c
@@ -80,7 +80,7 @@
   mesh_t *mesh;
   uint32_t slot;
   char id[24];
-  char zone[8];
+  char zone[16];
   char address[24];
   int64_t incarnation;
   member_t *member; /* NULL: no process */
@@ -106,7 +106,7 @@
 typedef struct
 {
   char id[24];
-  char zone[8];
+  char zone[16];
   char address[24];
   bool gone;
   int64_t shown_ms;
