--- a/src/io/proxy.c
+++ b/src/io/proxy.c
@@ -91,7 +91,7 @@
       char *labels
           = g_strdup_printf ("outcome=\"%s\"", outcome_name ((outcome_t)i));
       proxy->outcomes[i] = counter_get (options->registry,
-                                        "magnoliadock_requests_total", labels);
+                                        "magnoliadock_outcomes_total", labels);
       g_free (labels);
     }
   for (unsigned i = 0; i < CLASS_COUNT; i++)
--- a/src/io/relay.c
+++ b/src/io/relay.c
@@ -11,13 +11,27 @@
 bool
 relay_is_hop_header (const char *name)
 {
-  static const char *const names[]
-      = { "Connection",       "Keep-Alive", "Proxy-Authenticate",
-          "Proxy-Connection", "TE",         "Proxy-Authorization",
-          "Trailer",          "Upgrade",    "Transfer-Encoding",
-          "Content-Length",   "Expect",     "Host" };
-  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
-    if (g_ascii_strcasecmp (names[i], name) == 0)
+  /* Called for every header, so the length rules most names out first.  */
+  static const struct
+  {
+    size_t length;
+    const char *name;
+  } rows[] = { { 2, "TE" },
+               { 4, "Host" },
+               { 6, "Expect" },
+               { 7, "Trailer" },
+               { 7, "Upgrade" },
+               { 10, "Connection" },
+               { 10, "Keep-Alive" },
+               { 14, "Content-Length" },
+               { 16, "Proxy-Connection" },
+               { 17, "Transfer-Encoding" },
+               { 18, "Proxy-Authenticate" },
+               { 19, "Proxy-Authorization" } };
+  size_t length = strlen (name);
+  for (size_t i = 0; i < G_N_ELEMENTS (rows) && rows[i].length <= length; i++)
+    if (rows[i].length == length
+        && g_ascii_strcasecmp (rows[i].name, name) == 0)
       return true;
   return false;
 }
