--- a/src/io/backend.c
+++ b/src/io/backend.c
@@ -295,8 +295,8 @@
   line = g_strdup_printf ("X-Deadline-Ms: %" G_GINT64_FORMAT, limit_ms);
   list = curl_slist_append (list, line);
   g_free (line);
-  if (!relay->idempotent)
-    list = curl_slist_append (list, "X-Idempotent: false");
+  list = curl_slist_append (list, relay->idempotent ? "X-Idempotent: true"
+                                                    : "X-Idempotent: false");
   /* Headers that libcurl would add on its own.  */
   if (relay->has_body)
     list = curl_slist_append (list, "Expect:");
--- a/src/io/callers.c
+++ b/src/io/callers.c
@@ -118,7 +118,8 @@
   if (relay_is_hop_header (name)
       || g_ascii_strncasecmp (name, own_prefix, sizeof own_prefix - 1) == 0
       || g_ascii_strcasecmp (name, "X-Request-Id") == 0
-      || g_ascii_strcasecmp (name, "X-Deadline-Ms") == 0)
+      || g_ascii_strcasecmp (name, "X-Deadline-Ms") == 0
+      || g_ascii_strcasecmp (name, "X-Idempotent") == 0)
     return;
   /* libcurl reads "Name:" as an order to leave the header out.  */
   g_ptr_array_add (relay->headers, value[0] != '\0'
