--- a/tests/standin_control.c
+++ b/tests/standin_control.c
@@ -178,8 +178,8 @@
     standin_answer (request, 200, violations ());
   else if (strcmp (path, "summary") == 0)
     standin_answer (request, 200,
-                    json_pack ("{s:i, s:o, s:o, s:o}", "violations",
-                               (int)total, "table",
+                    json_pack ("{s:i, s:O*, s:o, s:o, s:o}", "violations",
+                               (int)total, "counters", counters, "table",
                                standin_platform_summary (), "workers",
                                standin_worker_summary (), "requests",
                                standin_backend_summary ()));
