--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -23,12 +23,13 @@
   test_frame_suites,
   test_inquiry_suites,
   test_member_suites,
+  test_option_suites,
   test_outcome_suites,
   test_outlier_suites,
   test_retry_suites,
   test_sched_suites,
-  test_share_suites,
   test_settings_suites,
+  test_share_suites,
 };
 /* clang-format on */
 
