--- a/src/io/ops.c
+++ b/src/io/ops.c
@@ -185,9 +185,29 @@
   g_free ((char *)((doc_use_t *)data)->section);
 }
 
+/* Unfinished jobs of this zone keep the section of their team.  */
+static void
+add_team_use (ops_t *ops)
+{
+  tasks_t *tasks = ops->entry->tasks;
+  json_t *jobs = tasks != NULL ? sched_jobs (tasks_sched (tasks)) : NULL;
+  size_t index;
+  json_t *job;
+  json_array_foreach (jobs, index, job)
+  {
+    const char *state = json_string_value (json_object_get (job, "state"));
+    const char *team = json_string_value (json_object_get (job, "team"));
+    if (team != NULL
+        && (g_strcmp0 (state, "accepted") == 0
+            || g_strcmp0 (state, "cancelling") == 0))
+      add_use (ops, "team", team, NULL, 1, "unfinished jobs");
+  }
+  json_decref (jobs);
+}
+
 /* What this entry knows to be in use: the backend servers of its zone, whose
-   slots are divided among the entries for as long as they run, and the entries
-   of all zones.  */
+   slots are divided among the entries for as long as they run, the entries of
+   all zones, and the jobs of its zone.  */
 static size_t
 present_use (void *context, const doc_use_t **rows)
 {
@@ -206,6 +226,7 @@
   g_hash_table_iter_init (&iter, ops->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     add_use (ops, "zone", ((listed_t *)value)->zone, NULL, 1, "entries");
+  add_team_use (ops);
   *rows = (const doc_use_t *)ops->use->data;
   return ops->use->len;
 }
