--- a/tests/e2e_manual.sh
+++ b/tests/e2e_manual.sh
@@ -24,26 +24,47 @@
 
 # What must be refused: no token, a wrong one, a team's edit of another section.
 cd "$WORK/user" || exit 1
-expect () {
-  text=$1
-  shift
-  "$@" >"$WORK/out" 2>&1 && fail "not refused: $*"
+expect () { # EXIT-CODE TEXT COMMAND...
+  code=$1
+  text=$2
+  shift 2
+  "$@" >"$WORK/out" 2>&1
+  result=$?
+  [ "$result" = "$code" ] || fail "exit code $result, expected $code: $*"
   grep -q "$text" "$WORK/out" || {
     cat "$WORK/out"
     fail "expected \"$text\": $*"
   }
 }
-expect "unauthenticated" magnoliadock document get
+expect 1 "unauthenticated" magnoliadock document get
 echo "operator-anna:guess" >wrong.token
-expect "unauthenticated" magnoliadock status --token-file wrong.token
+expect 1 "unauthenticated" magnoliadock status --token-file wrong.token
 magnoliadock document get --token-file kitchen.token "service inspection" \
   >other.conf || fail "get"
 sed -i "s/spill-after-ms = .*/spill-after-ms = 1/" other.conf
-expect "forbidden" magnoliadock document apply --token-file kitchen.token other.conf
-expect "forbidden" magnoliadock document get --token-file kitchen.token access
+expect 1 "forbidden" magnoliadock document apply --token-file kitchen.token other.conf
+expect 1 "forbidden" magnoliadock document get --token-file kitchen.token access
 cp ordering.conf old.conf
 sed -i "s/spill-after-ms = .*/spill-after-ms = 2/" old.conf
-expect "expected 2; get it" magnoliadock document apply --token-file anna.token old.conf
+expect 1 "expected 2; get it" magnoliadock document apply --token-file anna.token old.conf
+sed "s/bulk/standard/; s/kitchen/quality/" job.json >quality.json
+expect 1 "forbidden" magnoliadock submit --token-file kitchen.token quality.json
+magnoliadock submit --token-file anna.token quality.json >quality.id ||
+  fail "submit for another team"
+expect 1 "forbidden" magnoliadock cancel --token-file kitchen.token \
+  "$(cat quality.id)"
+
+# Wrong usage and wrong input, each on one line.
+expect 2 "unknown command" magnoliadock nonsense
+expect 2 "expected FILE" magnoliadock document check
+expect 2 "expected one of get, check" magnoliadock document drop
+expect 2 "format" magnoliadock status --format xml
+expect 1 "no.conf: No such file" magnoliadock document check no.conf
+printf '[service x]\nrequest-limit = 0\n' >bad.conf
+expect 1 "bad.conf: line 2, column 17: .service x. request-limit: \"0\", expected a whole number" \
+  magnoliadock document check bad.conf
+expect 1 "expected an entry to answer" magnoliadock status --url http://127.0.0.1:1
+[ "$(wc -l <"$WORK/out")" = 1 ] || fail "more than one line"
 say "examples run: $(wc -l <"$WORK/lines")"
 cd "$root" || exit 1
 finish
