sched, bench: keep starts ahead of cancels, measure the task side

Cause: cancels stood before later submissions in one queue, and a start on a worker wrote every confirmed end there, up to 85 rows in a group, which used up the row budget of the following starts. Change: submissions have a queue of their own; a start writes only the ends whose room it needs; ends and closings leave part of the burst to starts.

--- a/src/io/bench.c
+++ b/src/io/bench.c
@@ -15,6 +15,7 @@
 static const subcommand_t subcommands[] = {
   { "http", bench_http_run, "requests to entries at a fixed rate" },
   { "dispatch", bench_dispatch_run, "the request core without sockets" },
+  { "sched", bench_sched_run, "the task core without sockets" },
   { NULL, NULL, NULL },
 };
 
--- a/src/io/bench.h
+++ b/src/io/bench.h
@@ -20,4 +20,8 @@
 /* Decision time, floods and slot sharing of the request core.  */
 int bench_dispatch_run (int argc, char **argv);
 
+/* Placement, packing, working state, row writes, cancels and floods of the
+   task core.  */
+int bench_sched_run (int argc, char **argv);
+
 #endif
--- /dev/null
+++ b/src/io/bench_sched.c
@@ -0,0 +1,507 @@
+#include "bench.h"
+#include "bench_fleet.h"
+#include "bench_pack.h"
+#include "sched_int.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+typedef struct
+{
+  int64_t seed;
+  char *only;
+  int64_t runs;
+  bool json;
+} settings_t;
+
+#define FIELD(name) offsetof (settings_t, name)
+
+static const option_t options[] = {
+  { .name = "seed",
+    .kind = OPTION_INTEGER,
+    .offset = FIELD (seed),
+    .initial = "20261204",
+    .min = 0,
+    .max = UINT32_MAX,
+    .help = "seed of all random numbers" },
+  { .name = "only",
+    .kind = OPTION_CHOICE,
+    .offset = FIELD (only),
+    .initial = "all",
+    .choices = "all|pass|pack|state|writes|cancel|flood",
+    .help = "which measurement to run" },
+  { .name = "runs",
+    .kind = OPTION_INTEGER,
+    .offset = FIELD (runs),
+    .initial = "5",
+    .min = 1,
+    .max = 100,
+    .help = "repetitions with seeds SEED, SEED+1, ..." },
+  { .name = "json",
+    .kind = OPTION_FLAG,
+    .offset = FIELD (json),
+    .help = "print JSON instead of tables" },
+  { .name = NULL },
+};
+
+static const resource_t worker_16 = { 16000, 65536, 0 };
+static const resource_t worker_gpu = { 32000, 65536, 8 };
+
+static double
+now_us (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (double)now.tv_sec * 1e6 + (double)now.tv_nsec / 1e3;
+}
+
+static int
+by_value (const void *a, const void *b)
+{
+  double first = *(const double *)a;
+  double second = *(const double *)b;
+  return (first > second) - (first < second);
+}
+
+static double
+median (double *values, size_t count)
+{
+  qsort (values, count, sizeof *values, by_value);
+  return values[count / 2];
+}
+
+/* A fleet of WORKERS, three quarters without accelerators, half full.  */
+static bench_fleet_t *
+half_full (uint32_t workers, uint32_t seed)
+{
+  bench_fleet_t *fleet = bench_fleet_new (NULL, 100000, seed);
+  bench_fleet_add (fleet, workers * 3 / 4, 4, worker_16);
+  bench_fleet_add (fleet, workers - workers * 3 / 4, 3, worker_gpu);
+  bench_fleet_run (fleet, 200);
+  GRand *random = g_rand_new_with_seed (seed);
+  for (guint i = 0; i < fleet->sched->workers->len; i++)
+    {
+      resource_t used = { g_rand_int_range (random, 0, 17) * 1000,
+                          g_rand_int_range (random, 0, 33) * 1024, 0 };
+      fleet_take (&fleet->sched->fleet, i, used);
+    }
+  g_rand_free (random);
+  return fleet;
+}
+
+/* Time of one pass over waiting jobs, nothing is sent.  */
+static double
+pass_us (uint32_t workers, bool gang, uint32_t seed, uint32_t *planned)
+{
+  bench_fleet_t *fleet = half_full (workers, seed);
+  GRand *random = g_rand_new_with_seed (seed);
+  sched_t *s = fleet->sched;
+  /* The tokens are taken away so that the ticks which bring the rows into
+     memory plan nothing.  */
+  for (uint32_t i = 0; i < (gang ? 1u : 50u); i++)
+    {
+      char id[16], team[16];
+      g_snprintf (id, sizeof id, "job%u", i);
+      g_snprintf (team, sizeof team, "team%u", i);
+      resource_t size = { 250 * g_rand_int_range (random, 1, 9),
+                          256 * g_rand_int_range (random, 1, 17), 0 };
+      if (gang)
+        size = (resource_t){ 1000, 2048, 0 };
+      bench_fleet_submit (fleet, id, gang ? "all-at-once" : "batch",
+                          "standard", team, gang ? 512 : 20, size, 60000);
+    }
+  for (int i = 0; i < 20; i++)
+    {
+      s->plan_retry_ms = INT64_MAX;
+      bench_fleet_run (fleet, 50);
+    }
+  double begin_us = now_us ();
+  *planned = plan_starts (s, UINT32_MAX, UINT32_MAX);
+  double took_us = now_us () - begin_us;
+  ops_undo (s, &s->duty);
+  g_rand_free (random);
+  bench_fleet_free (fleet);
+  return took_us;
+}
+
+static json_t *
+measure_pass (const settings_t *settings)
+{
+  static const uint32_t sizes[] = { 190, 475, 950, 1900, 3800 };
+  json_t *list = json_array ();
+  if (!settings->json)
+    printf ("one pass, median of %d runs\n%8s %10s %12s %10s %12s\n",
+            (int)settings->runs, "workers", "tasks", "ms", "gang", "ms");
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      double batch[100], gang[100];
+      uint32_t planned = 0;
+      uint32_t together = 0;
+      for (int run = 0; run < settings->runs; run++)
+        {
+          uint32_t seed = (uint32_t)settings->seed + (uint32_t)run;
+          batch[run] = pass_us (sizes[i], false, seed, &planned);
+          gang[run] = pass_us (sizes[i], true, seed, &together);
+        }
+      double batch_ms = median (batch, (size_t)settings->runs) / 1000.0;
+      double gang_ms = median (gang, (size_t)settings->runs) / 1000.0;
+      if (!settings->json)
+        printf ("%8u %10u %12.2f %10u %12.2f\n", sizes[i], planned, batch_ms,
+                together, gang_ms);
+      json_array_append_new (
+          list,
+          json_pack ("{s:I,s:I,s:f,s:I,s:f}", "workers", (json_int_t)sizes[i],
+                     "tasks", (json_int_t)planned, "pass_ms", batch_ms,
+                     "gang_tasks", (json_int_t)together, "gang_ms", gang_ms));
+    }
+  return list;
+}
+
+static int64_t
+resident_kib (void)
+{
+  char line[128];
+  int64_t pages = 0;
+  FILE *file = fopen ("/proc/self/statm", "r");
+  if (file == NULL)
+    return -1;
+  if (fgets (line, sizeof line, file) != NULL)
+    {
+      char *second = strchr (line, ' ');
+      pages = second != NULL ? g_ascii_strtoll (second, NULL, 10) : 0;
+    }
+  fclose (file);
+  return pages * sysconf (_SC_PAGESIZE) / 1024;
+}
+
+/* Fills the store with 1,900 workers and 46,000 running tasks in 500 jobs.  */
+static void
+make_rows (bench_fleet_t *fleet)
+{
+  worker_row_t *workers[1900];
+  for (int i = 0; i < 1900; i++)
+    workers[i] = worker_row_new (1);
+  uint32_t next = 0;
+  for (uint32_t job = 0; job < 500; job++)
+    {
+      char text[400], id[16], team[16], key[64];
+      g_snprintf (id, sizeof id, "job%u", job);
+      g_snprintf (team, sizeof team, "team%u", job % 50);
+      g_snprintf (
+          text, sizeof text,
+          "{\"id\":\"%s\",\"kind\":\"%s\",\"team\":\"%s\",\"tasks\":92,"
+          "\"size\":{\"cpu_millis\":500,\"memory_mib\":1024},"
+          "\"command\":\"run --input data/%u\",\"run_ms\":%d}",
+          id, job % 5 == 0 ? "service" : "batch", team, job,
+          job % 5 == 0 ? 0 : 600000);
+      json_t *json = json_loads (text, 0, NULL);
+      job_row_t *row = job_row_new (job_spec_parse (json, NULL), "e@0:1", 0);
+      job_row_add_part (row, "z", 0, 92);
+      part_row_t *part = part_row_new (0, 92);
+      for (uint32_t i = 0; i < 92; i++)
+        {
+          uint32_t worker = next++ % 1900;
+          char name[32], worker_id[16];
+          g_snprintf (name, sizeof name, "%s/%u", id, i);
+          g_snprintf (worker_id, sizeof worker_id, "w%u", worker);
+          part_task_t *task = &g_array_index (part->tasks, part_task_t, i);
+          g_ptr_array_add (part->workers, g_strdup (worker_id));
+          task->worker = (int32_t)part->workers->len - 1;
+          task->state = TASK_ASSIGNED;
+          task->generation = 1;
+          worker_row_assign (workers[worker], name, 1, row->spec->size);
+        }
+      g_snprintf (key, sizeof key, "job/%s", id);
+      bench_fleet_row (fleet, key, job_row_to_json (row, "e@0:1"));
+      g_snprintf (key, sizeof key, "part/z/%s", id);
+      bench_fleet_row (fleet, key, part_row_to_json (part, "e@0:1"));
+      part_row_free (part);
+      job_row_free (row);
+      json_decref (json);
+    }
+  for (int i = 0; i < 1900; i++)
+    {
+      char key[32];
+      g_snprintf (key, sizeof key, "worker/z/w%d", i);
+      bench_fleet_row (fleet, key, worker_row_to_json (workers[i], "e@0:1"));
+      worker_row_free (workers[i]);
+    }
+}
+
+static json_t *
+measure_state (const settings_t *settings)
+{
+  bench_fleet_t *fleet = bench_fleet_new (NULL, 400, (uint32_t)settings->seed);
+  make_rows (fleet);
+  int64_t before_kib = resident_kib ();
+  double begin_us = now_us ();
+  bench_fleet_add (fleet, 1900, 4, worker_16);
+  bench_fleet_run (fleet, 50);
+  double ms = (now_us () - begin_us) / 1000.0;
+  int64_t state_kib = resident_kib () - before_kib;
+  uint32_t assigned = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, fleet->sched->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    assigned += ((sched_job_t *)value)->assigned;
+  if (!settings->json)
+    printf (
+        "working state: 1900 workers, %u assigned tasks: %.1f MiB, rebuilt "
+        "from rows in %.0f ms (target 64 MiB, 5000 ms)\n",
+        assigned, (double)state_kib / 1024.0, ms);
+  bench_fleet_free (fleet);
+  return json_pack ("{s:I,s:I,s:f}", "tasks", (json_int_t)assigned,
+                    "state_kib", (json_int_t)state_kib, "rebuild_ms", ms);
+}
+
+/* 110 starts and 110 ends a second over 8 zones: one zone takes an eighth, in
+   jobs of 20 tasks.  */
+static json_t *
+measure_writes (const settings_t *settings)
+{
+  bench_fleet_t *fleet = bench_fleet_new (NULL, 400, (uint32_t)settings->seed);
+  bench_fleet_add (fleet, 238, 4, worker_16);
+  bench_fleet_run (fleet, 1000);
+  GRand *random = g_rand_new_with_seed ((uint32_t)settings->seed);
+  uint64_t rows_before = 0, started_before = 0;
+  double waiting = 0.0;
+  uint32_t job = 0;
+  for (int second = 0; second < 180; second++)
+    {
+      if (second == 60)
+        {
+          rows_before = fleet->row_writes;
+          started_before = fleet->started;
+        }
+      for (waiting += 110.0 / 8.0 / 20.0; waiting >= 1.0; waiting -= 1.0)
+        {
+          char id[16], team[16];
+          g_snprintf (id, sizeof id, "job%u", job++);
+          g_snprintf (team, sizeof team, "team%u", job % 50);
+          bench_fleet_submit (fleet, id, "batch", "standard", team, 20,
+                              (resource_t){ 1000, 2048, 0 },
+                              g_rand_int_range (random, 5000, 55000));
+        }
+      bench_fleet_run (fleet, 1000);
+    }
+  double seconds = 120.0;
+  double rows = (double)(fleet->row_writes - rows_before) / seconds * 8.0;
+  double starts = (double)(fleet->started - started_before) / seconds * 8.0;
+  if (!settings->json)
+    printf ("row writes: %.0f starts/s over 8 zones need %.0f row writes/s "
+            "(target 110 and 400)\n",
+            starts, rows);
+  g_rand_free (random);
+  bench_fleet_free (fleet);
+  return json_pack ("{s:f,s:f}", "starts_per_s", starts, "rows_per_s", rows);
+}
+
+typedef struct
+{
+  int64_t sent_ms[4096];
+  int64_t started_ms[4096];
+} probe_t;
+
+static void
+note_start (void *context, const char *job, int64_t now_ms)
+{
+  probe_t *probe = context;
+  if (strncmp (job, "probe", 5) == 0)
+    probe->started_ms[atoi (job + 5)] = now_ms;
+}
+
+/* Urgent jobs of one task every 500 ms for 30 s, with and without a wave of
+   10,000 cancels at the beginning.  Returns the largest start delay.  */
+static int64_t
+probe_delay (const settings_t *settings, bool wave, int64_t *last_answer_ms,
+             uint64_t *refused)
+{
+  bench_fleet_t *fleet = bench_fleet_new (NULL, 400, (uint32_t)settings->seed);
+  probe_t *probe = g_new0 (probe_t, 1);
+  fleet->on_start = note_start;
+  fleet->context = probe;
+  bench_fleet_add (fleet, 238, 4, worker_16);
+  bench_fleet_run (fleet, 1000);
+  char id[16];
+  for (int i = 0; i < 10000; i++)
+    {
+      g_snprintf (id, sizeof id, "old%d", i);
+      bench_fleet_submit (fleet, id, "batch", "bulk", "old", 1,
+                          (resource_t){ 100, 128, 0 }, 3600000);
+      if (i % 100 == 99)
+        bench_fleet_run (fleet, 1000);
+    }
+  bench_fleet_run (fleet, 120000);
+  uint64_t answers = fleet->answers;
+  int64_t begin_ms = clk_now_ms (&fleet->clock.base);
+  for (int i = 0; wave && i < 10000; i++)
+    {
+      g_snprintf (id, sizeof id, "old%d", i);
+      sched_cancel (fleet->sched, id, NULL);
+    }
+  int64_t worst_ms = 0;
+  for (int i = 0; i < 240; i++)
+    {
+      if (i < 60)
+        {
+          g_snprintf (id, sizeof id, "probe%d", i);
+          probe->sent_ms[i] = clk_now_ms (&fleet->clock.base);
+          bench_fleet_submit (fleet, id, "batch", "urgent", "new", 1,
+                              (resource_t){ 100, 128, 0 }, 3600000);
+        }
+      bench_fleet_run (fleet, 500);
+      if (wave && fleet->answers - answers < 10000)
+        *last_answer_ms = clk_now_ms (&fleet->clock.base) - begin_ms;
+    }
+  for (int i = 0; i < 60; i++)
+    worst_ms = MAX (worst_ms, probe->started_ms[i] == 0
+                                  ? INT64_MAX
+                                  : probe->started_ms[i] - probe->sent_ms[i]);
+  *refused = fleet->refused;
+  g_free (probe);
+  bench_fleet_free (fleet);
+  return worst_ms;
+}
+
+static json_t *
+measure_cancel (const settings_t *settings)
+{
+  int64_t answered_ms = 0;
+  uint64_t refused = 0;
+  int64_t quiet_ms = probe_delay (settings, false, &answered_ms, &refused);
+  int64_t wave_ms = probe_delay (settings, true, &answered_ms, &refused);
+  if (!settings->json)
+    printf ("10,000 cancels at once: worst urgent start %ld ms, without the "
+            "wave %ld ms (target: at most 1000 ms more); all cancels answered "
+            "after %ld ms, %lu of them refused\n",
+            (long)wave_ms, (long)quiet_ms, (long)answered_ms,
+            (unsigned long)refused);
+  return json_pack ("{s:I,s:I,s:I,s:I}", "refused", (json_int_t)refused,
+                    "quiet_ms", (json_int_t)quiet_ms, "wave_ms",
+                    (json_int_t)wave_ms, "answered_ms",
+                    (json_int_t)answered_ms);
+}
+
+static uint32_t
+running_of (bench_fleet_t *fleet, const char *prefix)
+{
+  uint32_t running = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, fleet->sched->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const sched_job_t *job = value;
+      if (g_str_has_prefix (job->id, prefix))
+        running += job->assigned;
+    }
+  return running;
+}
+
+/* All classes ask for their guaranteed share of 952 cores, then CLASS submits
+   ten times the capacity.  Returns the mean of what the others run, in parts
+   of what they asked for.  */
+static double
+flood_kept (const settings_t *settings, const char *flood)
+{
+  static const struct
+  {
+    const char *class;
+    uint32_t tasks;
+  } classes[] = { { "urgent", 480 }, { "standard", 330 }, { "bulk", 140 } };
+  bench_fleet_t *fleet = bench_fleet_new (NULL, 400, (uint32_t)settings->seed);
+  bench_fleet_add (fleet, 60, 4, worker_16);
+  bench_fleet_run (fleet, 1000);
+  resource_t size = { 1000, 2048, 0 };
+  double kept = 0.0;
+  uint32_t samples = 0;
+  for (int second = 0; second < 180; second++)
+    {
+      char id[24];
+      /* Steady load: jobs of ten tasks of 20 s.  */
+      for (size_t i = 0; i < G_N_ELEMENTS (classes); i++)
+        for (uint32_t n = 0; n < classes[i].tasks / 10; n++)
+          {
+            if ((int)(n % 20) != second % 20)
+              continue;
+            g_snprintf (id, sizeof id, "%s%d.%u", classes[i].class, second, n);
+            bench_fleet_submit (fleet, id, "batch", classes[i].class,
+                                classes[i].class, 10, size, 20000);
+          }
+      for (int n = 0; second == 60 && n < 96; n++)
+        {
+          g_snprintf (id, sizeof id, "flood%d", n);
+          bench_fleet_submit (fleet, id, "batch", flood, "flood", 100, size,
+                              20000);
+        }
+      bench_fleet_run (fleet, 1000);
+      for (size_t i = 0; second >= 90 && i < G_N_ELEMENTS (classes); i++)
+        if (strcmp (classes[i].class, flood) != 0)
+          {
+            double part = (double)running_of (fleet, classes[i].class)
+                          / (double)classes[i].tasks;
+            kept += MIN (part, 1.0);
+            samples++;
+          }
+    }
+  bench_fleet_free (fleet);
+  return kept / (double)samples;
+}
+
+static json_t *
+measure_flood (const settings_t *settings)
+{
+  static const char *const floods[] = { "bulk", "standard", "urgent" };
+  json_t *json = json_object ();
+  for (size_t i = 0; i < G_N_ELEMENTS (floods); i++)
+    {
+      double kept = flood_kept (settings, floods[i]);
+      if (!settings->json)
+        printf ("flood of 10 times capacity in class %-8s: the other classes "
+                "keep %.1f%% (target 95%%)\n",
+                floods[i], kept * 100.0);
+      json_object_set_new (json, floods[i], json_real (kept));
+    }
+  return json;
+}
+
+static json_t *
+measure_pack (const settings_t *settings)
+{
+  return bench_pack (settings->json, (uint32_t)settings->runs,
+                     (uint32_t)settings->seed);
+}
+
+int
+bench_sched_run (int argc, char **argv)
+{
+  static const struct
+  {
+    const char *name;
+    json_t *(*run) (const settings_t *settings);
+  } rows[] = {
+    { "pass", measure_pass },     { "pack", measure_pack },
+    { "state", measure_state },   { "writes", measure_writes },
+    { "cancel", measure_cancel }, { "flood", measure_flood },
+  };
+  settings_t settings = { 0 };
+  if (!options_parse (options, &settings,
+                      "measure the task side without sockets", argc, argv,
+                      NULL))
+    return err_info (ERR_USAGE)->exit_code;
+  json_t *result = json_pack ("{s:I}", "seed", (json_int_t)settings.seed);
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    if (strcmp (settings.only, "all") == 0
+        || strcmp (settings.only, rows[i].name) == 0)
+      json_object_set_new (result, rows[i].name, rows[i].run (&settings));
+  if (settings.json)
+    {
+      json_dumpf (result, stdout, JSON_INDENT (2));
+      putchar ('\n');
+    }
+  json_decref (result);
+  options_clear (options, &settings);
+  return 0;
+}
--- a/src/sched.c
+++ b/src/sched.c
@@ -93,6 +93,7 @@
   txn_init (&s->duty, false);
   txn_init (&s->front, true);
   g_queue_init (&s->front_queue);
+  g_queue_init (&s->cancel_queue);
 }
 
 static void
@@ -148,6 +149,7 @@
   txn_clear (&s->duty);
   txn_clear (&s->front);
   g_queue_clear_full (&s->front_queue, front_item_free);
+  g_queue_clear_full (&s->cancel_queue, front_item_free);
   g_hash_table_unref (s->jobs);
   g_hash_table_unref (s->workers_by_id);
   g_ptr_array_unref (s->workers);
@@ -283,7 +285,7 @@
 sched_idle (const sched_t *s)
 {
   return s->duty.state == TXN_IDLE && s->front.state == TXN_IDLE
-         && s->front_queue.length == 0;
+         && s->front_queue.length == 0 && s->cancel_queue.length == 0;
 }
 
 bool
--- a/src/sched_front.c
+++ b/src/sched_front.c
@@ -10,8 +10,6 @@
 #define SUBMIT_LIMIT_MS 8000
 /* A wave of cancels waits for rows that starts leave.  */
 #define CANCEL_LIMIT_MS 60000
-/* Rows that cancels leave to the starts of the same second.  */
-#define START_RESERVE 24.0
 #define MAX_WAITING 20000
 
 void
@@ -231,7 +229,7 @@
 sched_cancel (sched_t *s, const char *id, void *token)
 {
   s->now_ms = clk_now_ms (s->clock);
-  if (!job_id_valid (id) || s->front_queue.length >= MAX_WAITING)
+  if (!job_id_valid (id) || s->cancel_queue.length >= MAX_WAITING)
     {
       bool valid = job_id_valid (id);
       s->actions->answer (
@@ -244,7 +242,7 @@
   item->token = token;
   item->id = g_strdup (id);
   item->deadline_ms = s->now_ms + CANCEL_LIMIT_MS;
-  g_queue_push_tail (&s->front_queue, item);
+  g_queue_push_tail (&s->cancel_queue, item);
   /* The job may be new to this entry.  */
   const sched_job_t *job = g_hash_table_lookup (s->jobs, id);
   if (job == NULL || job->row == NULL)
@@ -407,15 +405,9 @@
 }
 
 static void
-expire_all (sched_t *s)
+expire_queue (sched_t *s, GQueue *queue)
 {
-  for (guint i = 0; i < s->front.items->len; i++)
-    {
-      front_item_t *item = s->front.items->pdata[i];
-      if (!item->answered && s->now_ms >= item->deadline_ms)
-        expire (s, item, true);
-    }
-  for (GList *link = s->front_queue.head; link != NULL;)
+  for (GList *link = queue->head; link != NULL;)
     {
       GList *next = link->next;
       front_item_t *item = link->data;
@@ -423,39 +415,47 @@
         {
           expire (s, item, false);
           front_item_free (item);
-          g_queue_delete_link (&s->front_queue, link);
+          g_queue_delete_link (queue, link);
         }
       link = next;
     }
 }
 
+static void
+expire_all (sched_t *s)
+{
+  for (guint i = 0; i < s->front.items->len; i++)
+    {
+      front_item_t *item = s->front.items->pdata[i];
+      if (!item->answered && s->now_ms >= item->deadline_ms)
+        expire (s, item, true);
+    }
+  expire_queue (s, &s->front_queue);
+  expire_queue (s, &s->cancel_queue);
+}
+
 /* Rows that a submission or cancel is allowed to use now.  Submissions are
    starts to be; cancels wait for what the starts leave.  */
 static bool
 may_add (const sched_t *s, const txn_t *txn, const front_item_t *item)
 {
   double left = s->row_tokens - txn->rows->len;
-  return left >= (item->cancel ? START_RESERVE : 1.0);
+  return left >= (item->cancel ? CANCEL_RESERVE_ROWS : 1.0);
 }
 
-void
-front_tick (sched_t *s)
+/* Moves items of QUEUE into the transaction until it is full.  */
+static void
+take_items (sched_t *s, txn_t *txn, GQueue *queue)
 {
-  txn_t *txn = &s->front;
-  expire_all (s);
-  if (txn->state != TXN_IDLE)
-    return;
   GQueue later = G_QUEUE_INIT;
   front_item_t *item;
   uint32_t tried = 0;
   while (txn->items->len < GROUP_ITEMS && tried++ < 4 * GROUP_ITEMS
-         && (item = g_queue_peek_head (&s->front_queue)) != NULL)
+         && (item = g_queue_peek_head (queue)) != NULL)
     {
-      if (item->alone && txn->items->len > 0)
+      if ((item->alone && txn->items->len > 0) || !may_add (s, txn, item))
         break;
-      if (!may_add (s, txn, item))
-        break;
-      g_queue_pop_head (&s->front_queue);
+      g_queue_pop_head (queue);
       added_t added = try_item (s, txn, item);
       if (added == ADDED)
         g_ptr_array_add (txn->items, item);
@@ -467,7 +467,26 @@
         break;
     }
   while ((item = g_queue_pop_tail (&later)) != NULL)
-    g_queue_push_head (&s->front_queue, item);
+    g_queue_push_head (queue, item);
+}
+
+static bool
+is_alone (const txn_t *txn)
+{
+  return txn->items->len == 1
+         && ((const front_item_t *)txn->items->pdata[0])->alone;
+}
+
+void
+front_tick (sched_t *s)
+{
+  txn_t *txn = &s->front;
+  expire_all (s);
+  if (txn->state != TXN_IDLE)
+    return;
+  take_items (s, txn, &s->front_queue);
+  if (!is_alone (txn))
+    take_items (s, txn, &s->cancel_queue);
   if (txn->items->len == 0)
     return;
   for (guint i = 0; i < txn->rows->len; i++)
@@ -538,7 +557,8 @@
         {
           /* Tried again alone, after the rows have been read.  */
           item->alone = true;
-          g_queue_push_head (&s->front_queue, item);
+          g_queue_push_head (item->cancel ? &s->cancel_queue : &s->front_queue,
+                             item);
           continue;
         }
       else
--- a/src/sched_int.h
+++ b/src/sched_int.h
@@ -21,6 +21,10 @@
    of the transaction that is under way, which can be undone.  */
 
 #define SCHED_TICK_MS 50
+/* Rows of the burst that cancels leave to starts, and those that the closing
+   of ended and cancelled jobs leaves to both.  */
+#define CANCEL_RESERVE_ROWS 24.0
+#define CLOSE_RESERVE_ROWS 40.0
 
 /* What this entry knows of an assigned task beyond its row.  */
 typedef enum
@@ -312,7 +316,8 @@
   int64_t reload_retry_ms;
 
   txn_t duty, front;
-  GQueue front_queue; /* front_item_t */
+  GQueue front_queue;  /* front_item_t, submissions */
+  GQueue cancel_queue; /* front_item_t, go after the submissions */
   int64_t plan_retry_ms;
   uint32_t plan_backoff_ms;
   double row_tokens;
--- a/src/sched_plan.c
+++ b/src/sched_plan.c
@@ -39,6 +39,14 @@
   int64_t end_ms;
 } pass_t;
 
+/* Whether another row leaves RESERVE rows of the burst to more urgent
+   writes.  */
+static bool
+rows_left (const sched_t *s, double reserve)
+{
+  return s->row_tokens - s->duty.rows->len >= reserve;
+}
+
 static int
 by_turn (gconstpointer a, gconstpointer b)
 {
@@ -225,9 +233,26 @@
   return job->count;
 }
 
-/* Plans the writing of all confirmed ends on WORKER.  */
+/* What is free on WORKER by its row, without the ends that are not written. */
+static resource_t
+free_by_row (const sched_t *s, const sched_worker_t *worker)
+{
+  resource_t room = fleet_free (&s->fleet, worker->index);
+  for (guint i = 0; worker->ends > 0 && i < worker->assigned->len; i++)
+    {
+      const sched_assign_t *assign
+          = &g_array_index (worker->assigned, sched_assign_t, i);
+      if (assign->freed)
+        room = resource_sub (room, sched_assign_size (assign));
+    }
+  return room;
+}
+
+/* Plans the writing of confirmed ends on WORKER: all of them, as far as the
+   rows allow, or, if NEED is not NULL, as many as a task of that size needs to
+   fit by the row.  Returns false if the rows do not agree.  */
 static bool
-end_worker (sched_t *s, sched_worker_t *worker)
+end_worker (sched_t *s, sched_worker_t *worker, const resource_t *need)
 {
   for (guint i = worker->assigned->len; worker->ends > 0 && i-- > 0;)
     {
@@ -237,6 +262,9 @@
           = &g_array_index (worker->assigned, sched_assign_t, i);
       if (!assign->freed)
         continue;
+      if (need != NULL ? resource_fits (*need, free_by_row (s, worker))
+                       : !rows_left (s, CLOSE_RESERVE_ROWS))
+        break;
       sched_job_t *job = assign->job;
       const sched_task_t *task = sched_task_find (job, assign->number);
       if (task == NULL || task->worker != worker
@@ -267,7 +295,7 @@
         }
       pass->worker_rows--;
     }
-  if (!end_worker (s, worker))
+  if (!end_worker (s, worker, &job->size))
     {
       worker->avoid_until_ms = s->now_ms + 2 * SCHED_TICK_MS;
       sched_worker_refresh (s, worker);
@@ -387,19 +415,21 @@
       return false;
     }
   bool good = true;
+  /* More than any worker has: every confirmed end is written.  */
+  static const resource_t all = { INT32_MAX, INT32_MAX, 0 };
   for (guint i = 0; i < chosen->len && good; i++)
-    good = end_worker (s,
-                       s->workers->pdata[g_array_index (chosen, uint32_t, i)]);
+    good = end_worker (
+        s, s->workers->pdata[g_array_index (chosen, uint32_t, i)], &all);
   /* A group that is already partly full must not end up with only some of the
      tasks, so the row limit does not hold here.  */
-  uint32_t rows_left = pass->worker_rows;
+  uint32_t left = pass->worker_rows;
   for (guint i = 0; i < chosen->len && good; i++)
     {
       pass->worker_rows = 1;
       start_on (pass, job, next_task (s, job),
                 g_array_index (chosen, uint32_t, i));
     }
-  pass->worker_rows = rows_left > chosen->len ? rows_left - chosen->len : 0;
+  pass->worker_rows = left > chosen->len ? left - chosen->len : 0;
   if (good && s->gang.job != NULL && strcmp (s->gang.job, job->id) == 0)
     gang_drop (&s->gang, &s->fleet);
   g_array_unref (chosen);
@@ -517,7 +547,9 @@
       if (worker->ends == 0 || worker->in_txn
           || s->now_ms - worker->end_since_ms < END_WAIT_MS)
         continue;
-      end_worker (s, worker);
+      if (!rows_left (s, CLOSE_RESERVE_ROWS))
+        return;
+      end_worker (s, worker, NULL);
       rows--;
     }
 }
@@ -558,7 +590,7 @@
   for (guint i = 0; i < rows; i++)
     {
       const txn_row_t *row = &g_array_index (s->duty.rows, txn_row_t, i);
-      if (row->kind == ROW_PART)
+      if (row->kind == ROW_PART && rows_left (s, CLOSE_RESERVE_ROWS))
         close_job (s, row->object);
     }
 }
@@ -590,8 +622,7 @@
               work_stop (s, job, &job->tasks[i], STOP_GRACEFUL);
               s->stop_tokens -= 1.0;
             }
-      if (jobs > 0 && s->row_tokens - s->duty.rows->len >= 2.0
-          && close_job (s, job))
+      if (jobs > 0 && rows_left (s, CLOSE_RESERVE_ROWS) && close_job (s, job))
         jobs--;
     }
 }
