dispatch: hold the slot of an attempt that was given up

Cause: an entry that closes a connection at the deadline, or because it has gone silent, freed the slot at once, although the backend server may go on with the request. The stand-in hid this: it did not count requests whose connection was closed. Change: dispatch_attempt_abandoned keeps the slot until the deadline the server was told and 2 s more; a connection closed by the server still frees it at once. The stand-in counts a request until its deadline and 1 s. Ruled out: holding every failed attempt; one answer cut in a hundred would take a process's 8 slots away at 100 requests a second.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -14,6 +14,9 @@
 /* 40 bytes each: at most 16 MiB for each of the two tables.  */
 #define OUTCOME_CAPACITY 400000
 #define RETRY_AFTER_MS 1000
+/* A backend server stops at the deadline it was told; this covers the way
+   there and the difference between both clocks.  */
+#define ABANDONED_MARGIN_MS 2000
 
 void
 dispatch_read_clock (dispatch_t *dispatch)
@@ -41,6 +44,7 @@
   dispatch->processes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                                dispatch_process_free);
   dispatch->numbered = g_ptr_array_new ();
+  dispatch->held = g_array_new (FALSE, FALSE, sizeof (held_slot_t));
   dispatch->removed = g_ptr_array_new_with_free_func (dispatch_process_free);
   dispatch->peers = g_ptr_array_new ();
   dispatch->team_numbers
@@ -74,6 +78,7 @@
   dispatch_teams_free (dispatch);
   g_hash_table_unref (dispatch->processes);
   g_ptr_array_unref (dispatch->numbered);
+  g_array_unref (dispatch->held);
   g_ptr_array_unref (dispatch->removed);
   g_hash_table_unref (dispatch->services);
   g_ptr_array_unref (dispatch->service_list);
@@ -440,6 +445,39 @@
     request->replayable = replayable;
 }
 
+static void
+free_slot (dispatch_t *dispatch, process_t *process)
+{
+  process->in_flight--;
+  process->service->in_flight--;
+  if (process->removed)
+    {
+      if (process->in_flight == 0)
+        g_ptr_array_remove_fast (dispatch->removed, process);
+      return;
+    }
+  if (process->service->owed > 0)
+    dispatch_pay_owed (dispatch, process);
+  dispatch_refresh (dispatch, process);
+}
+
+/* Frees the slots of abandoned attempts whose servers must have stopped.  */
+static void
+free_held_slots (dispatch_t *dispatch)
+{
+  for (guint i = 0; i < dispatch->held->len;)
+    {
+      held_slot_t held = g_array_index (dispatch->held, held_slot_t, i);
+      if (held.until_ms > dispatch->now_ms)
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index_fast (dispatch->held, i);
+      free_slot (dispatch, held.process);
+    }
+}
+
 /* Frees the slot of REQUEST and tells what its process did.  */
 static void
 end_at_process (dispatch_t *dispatch, request_t *request, err_kind_t kind,
@@ -457,20 +495,18 @@
   else if (status >= 500 || (kind != ERR_OK && kind != ERR_CANCELLED))
     result = OUTLIER_FAILED;
   request->process = NULL;
-  process->in_flight--;
-  service->in_flight--;
   if (kind == ERR_OK)
     admit_served (service->admit, request->item.class, held_ms);
-  if (process->removed)
+  if (!process->removed)
+    dispatch_note_result (dispatch, process, result, latency_ms);
+  if (!request->abandoned)
     {
-      if (process->in_flight == 0)
-        g_ptr_array_remove_fast (dispatch->removed, process);
+      free_slot (dispatch, process);
       return;
     }
-  dispatch_note_result (dispatch, process, result, latency_ms);
-  if (service->owed > 0)
-    dispatch_pay_owed (dispatch, process);
-  dispatch_refresh (dispatch, process);
+  request->abandoned = false;
+  held_slot_t held = { process, request->deadline_ms + ABANDONED_MARGIN_MS };
+  g_array_append_val (dispatch->held, held);
 }
 
 /* Puts a request back that another zone's entry has refused.  */
@@ -514,6 +550,18 @@
   dispatch_set_timer (dispatch, request, due_ms);
 }
 
+void
+dispatch_attempt_abandoned (dispatch_t *dispatch, uint64_t id,
+                            uint32_t attempt)
+{
+  request_t *request = find_request (dispatch, id);
+  if (request == NULL || request->attempt != attempt
+      || request->phase != PHASE_IN_FLIGHT)
+    return;
+  request->abandoned = true;
+  counter_add (dispatch->metrics.abandoned, 1);
+}
+
 void
 dispatch_attempt_ended (dispatch_t *dispatch, uint64_t id, uint32_t attempt,
                         err_kind_t kind, uint16_t status, outcome_t outcome)
@@ -595,6 +643,7 @@
   if (demand)
     dispatch->next_demand_ms = dispatch->now_ms + DEMAND_PERIOD_MS;
   run_timers (dispatch);
+  free_held_slots (dispatch);
   for (guint i = 0; i < dispatch->service_list->len; i++)
     {
       service_t *service = g_ptr_array_index (dispatch->service_list, i);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -171,6 +171,13 @@
                              uint32_t attempt, err_kind_t kind,
                              uint16_t status, outcome_t outcome);
 
+/* To be called before dispatch_attempt_ended when this side gave ATTEMPT up
+   after its request may have reached the backend server: the server may go on
+   with it until the deadline it was told, so the slot stays in use until
+   then and 2 s more.  */
+void dispatch_attempt_abandoned (dispatch_t *dispatch, uint64_t id,
+                                 uint32_t attempt);
+
 void dispatch_probe_ended (dispatch_t *dispatch, const char *backend,
                            err_kind_t kind);
 
--- a/src/dispatch_internal.h
+++ b/src/dispatch_internal.h
@@ -48,6 +48,13 @@
   uint32_t owed; /* slots it gets as they become free */
 } peer_load_t;
 
+/* Slot of an attempt that this side gave up.  */
+typedef struct
+{
+  process_t *process;
+  int64_t until_ms;
+} held_slot_t;
+
 struct service
 {
   char *name;
@@ -127,6 +134,7 @@
   bool no_hand_over;
   bool started;
   bool cancelled;
+  bool abandoned; /* the present attempt */
 };
 
 typedef struct
@@ -136,6 +144,7 @@
   counter_t *retries;
   counter_t *hand_overs;
   counter_t *late_ends;
+  counter_t *abandoned;
   counter_t *ejections;
   counter_t *slots_given;
   counter_t *slots_learned;
@@ -162,6 +171,7 @@
   GPtrArray *peers;      /* peer_t */
   GHashTable *team_numbers;
   GArray *teams; /* team_t; the first stands for unknown ones */
+  GArray *held;  /* held_slot_t */
   share_t *share;
   outcome_table_t *caller_ids;
   outcome_table_t *handed_ids;
--- a/src/dispatch_status.c
+++ b/src/dispatch_status.c
@@ -76,6 +76,8 @@
       = counter_get (registry, "magnoliadock_retries_total", NULL);
   metrics->hand_overs
       = counter_get (registry, "magnoliadock_hand_overs_total", NULL);
+  metrics->abandoned
+      = counter_get (registry, "magnoliadock_abandoned_attempts_total", NULL);
   metrics->late_ends
       = counter_get (registry, "magnoliadock_late_attempt_ends_total", NULL);
   metrics->ejections
--- a/src/io/backend.c
+++ b/src/io/backend.c
@@ -84,6 +84,15 @@
   g_free (attempt);
 }
 
+/* Tells dispatch that this side closes the connection of ATTEMPT while the
+   backend server may be at work on it.  */
+static void
+abandon (attempt_t *attempt)
+{
+  dispatch_attempt_abandoned (proxy_dispatch (attempt->pool->proxy),
+                              attempt->relay->id, attempt->relay->attempt);
+}
+
 static void
 end_attempt (attempt_t *attempt, err_kind_t kind, outcome_t outcome)
 {
@@ -122,6 +131,8 @@
     }
   if (kind == ERR_OK)
     note_time (attempt);
+  else if (outcome != OUTCOME_NOT_RUN && !httpc_closed_by_peer (code))
+    abandon (attempt);
   end_attempt (attempt, kind, outcome);
 }
 
@@ -374,6 +385,7 @@
       log_event (LOG_WARN, "connection_silent", "backend", backend, "id",
                  suspect->relay->request_id, "new_connection",
                  code == CURLE_OK ? "answered" : "failed", NULL);
+      abandon (suspect);
       end_attempt (suspect, ERR_CONNECTION_LOST, OUTCOME_UNKNOWN);
     }
   else if (asked)
--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -215,6 +215,13 @@
   g_free (transfer);
 }
 
+bool
+httpc_closed_by_peer (CURLcode code)
+{
+  return code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR
+         || code == CURLE_SEND_ERROR || code == CURLE_PARTIAL_FILE;
+}
+
 err_kind_t
 httpc_transfer_kind (const httpc_transfer_t *transfer, CURLcode code,
                      outcome_t *outcome)
--- a/src/io/httpc_easy.h
+++ b/src/io/httpc_easy.h
@@ -39,4 +39,8 @@
 err_kind_t httpc_transfer_kind (const httpc_transfer_t *transfer,
                                 CURLcode code, outcome_t *outcome);
 
+/* Whether CODE means that the other side closed the connection, so that it no
+   longer works on the request.  */
+bool httpc_closed_by_peer (CURLcode code);
+
 #endif
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -90,7 +90,9 @@
   int32_t retry_after_s;
   char *answer; /* owned */
   size_t answer_length;
-  bool counted;      /* backend server: holds a request slot */
+  bool counted; /* backend server: holds a request slot */
+  int64_t arrived_ms;
+  int64_t until_ms;  /* end of the work if the connection is closed */
   GPtrArray *header; /* name, value, name, value... of the answer */
 };
 
--- a/tests/standin_backend.c
+++ b/tests/standin_backend.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #define LEAVING_GRACE_MS 3000
+#define DEADLINE_GRACE_MS 1000
 #define MAX_SERVICE_MS 600000
 #define MAX_ANSWER_BYTES (64 << 20)
 
@@ -17,6 +18,7 @@
   int listener;         /* -1: closed */
   GPtrArray *in_flight; /* standin_request_t */
   unsigned requests, most_at_once;
+  int64_t begun_ms; /* start of the present process */
 };
 
 static struct MHD_Daemon *daemon_;
@@ -146,7 +148,8 @@
   return id != NULL ? id : standin_header (request, "X-Request-Id");
 }
 
-/* Requests of connections that the other side has closed no longer count.  */
+/* A request goes on after its connection was closed, until its deadline and
+   1 s more; it ends with the process.  */
 static unsigned
 at_once (const standin_backend_t *backend)
 {
@@ -155,11 +158,21 @@
     {
       const standin_request_t *request
           = g_ptr_array_index (backend->in_flight, i);
-      count += !standin_peer_closed (request->connection);
+      count += request->arrived_ms >= backend->begun_ms
+               && (request->until_ms > standin_now_ms ()
+                   || !standin_peer_closed (request->connection));
     }
   return count;
 }
 
+static int64_t
+number_header (const standin_request_t *request, const char *name,
+               int64_t missing, int64_t most)
+{
+  const char *text = standin_header (request, name);
+  return text ? CLAMP (g_ascii_strtoll (text, NULL, 10), 0, most) : missing;
+}
+
 static void
 start_request (standin_request_t *request)
 {
@@ -169,6 +182,10 @@
   standin_backend_t *backend = instance->backend;
   g_ptr_array_add (backend->in_flight, request);
   request->counted = true;
+  request->arrived_ms = standin_now_ms ();
+  request->until_ms
+      = request->arrived_ms + DEADLINE_GRACE_MS
+        + number_header (request, "X-Deadline-Ms", 0, MAX_SERVICE_MS);
   backend->requests++;
   standin_count ("requests", 1);
   unsigned count = backend->in_flight->len;
@@ -205,14 +222,6 @@
   g_ptr_array_add (request->header, g_strdup (value));
 }
 
-static int64_t
-number_header (const standin_request_t *request, const char *name,
-               int64_t missing, int64_t most)
-{
-  const char *text = standin_header (request, name);
-  return text ? CLAMP (g_ascii_strtoll (text, NULL, 10), 0, most) : missing;
-}
-
 /* Echoes the body, X-Answer-Bytes of filling, or what the request was.  */
 static void
 echo (standin_request_t *request, const standin_instance_t *instance)
@@ -321,7 +330,10 @@
       standin_reset_connections (instance);
     }
   else if (fault->mode != MODE_DOWN && backend->listener < 0)
-    backend->listener = listen_on (instance);
+    {
+      backend->begun_ms = standin_now_ms ();
+      backend->listener = listen_on (instance);
+    }
   wake_acceptor ();
 }
 
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -596,7 +596,45 @@
     }
 }
 
+/* Guards against a slot that is given out again while the backend server may
+   still work on a request that was given up.  */
+static void
+test_abandoned_attempt (void)
+{
+  static const struct
+  {
+    bool abandoned;
+    err_kind_t kind;
+    int64_t after_ms;
+    unsigned sends; /* of the next request, which needs the only slot */
+  } rows[] = {
+    { true, ERR_TIMEOUT, 0, 0 },     { true, ERR_CONNECTION_LOST, 9000, 0 },
+    { true, ERR_TIMEOUT, 11900, 0 }, { true, ERR_TIMEOUT, 12100, 1 },
+    { false, ERR_ANSWER_CUT, 0, 1 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      rig_t rig;
+      rig_init (&rig, 1, 1);
+      dispatch_request_t first = request_of (&rig, 1);
+      first.replayable = false;
+      dispatch_submit (rig.dispatch, &first);
+      CU_ASSERT_EQUAL (rig.sends, 1);
+      if (rows[i].abandoned)
+        dispatch_attempt_abandoned (rig.dispatch, 1, rig.attempt);
+      dispatch_attempt_ended (rig.dispatch, 1, rig.attempt, rows[i].kind, 0,
+                              OUTCOME_UNKNOWN);
+      run_for (&rig, rows[i].after_ms);
+      rig.sends = 0;
+      dispatch_request_t second = request_of (&rig, 2);
+      dispatch_submit (rig.dispatch, &second);
+      CU_ASSERT_EQUAL (rig.sends, rows[i].sends);
+      rig_clear (&rig);
+    }
+}
+
 static CU_TestInfo dispatch_tests[] = {
+  { "abandoned attempts keep their slot", test_abandoned_attempt },
   { "failures", test_failures },
   { "repeated ids", test_repeated_ids },
   { "barred hand-overs", test_barred },
