share: let a stopping entry take itself out of the row

Change: once its slots are handed back, a stopping entry collects the closing statements about itself and proposes the row without it, for at most 3 s.

--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -244,11 +244,11 @@
 /* Planned stop: refuses new requests, serves the queued ones and gives every
    idle slot to peers.  */
 void dispatch_drain (dispatch_t *dispatch);
-/* Returns whether nothing is queued or in flight and the peers have learned
-   all slots given to them (or there is no peer to give to).  The only member
-   of the row is not drained before dispatch_shares_propose has taken it out,
-   so that the next entry starts with all slots; the caller gives up waiting
-   for the table service at a limit of its own.  */
+/* Returns whether nothing is queued or in flight, the peers have learned all
+   slots given to them (or there is no peer to give to), and the row no longer
+   names this entry.  It proposes a row without itself once its peers have made
+   their closing statements; if that takes longer than 3 s, the others retire
+   it later.  */
 bool dispatch_drained (const dispatch_t *dispatch);
 
 /* What another entry is told of a request that it handed over.  */
--- a/src/dispatch_internal.h
+++ b/src/dispatch_internal.h
@@ -179,6 +179,7 @@
   int64_t next_closing_ms;
   int64_t next_read_ms;
   bool draining;
+  int64_t handed_back_ms; /* since when peers know all its slots, or 0 */
 };
 
 /* dispatch.c */
--- a/src/dispatch_lend.c
+++ b/src/dispatch_lend.c
@@ -8,6 +8,9 @@
 #define WANT_MAX 1024
 #define RESEND_PERIOD_MS 500
 #define CLOSING_PERIOD_MS 500
+/* A stopping entry gives up taking itself out of the row after this; the
+   others then retire it like a dead one.  */
+#define LEAVE_LIMIT_MS 3000
 /* A quiet zone reads its row this often, so that a large row costs little.  */
 #define QUIET_READ_MS 10000
 #define READ_PERIOD_MS 1000
@@ -445,7 +448,7 @@
 dispatch_shares_propose (dispatch_t *dispatch, int64_t *version)
 {
   dispatch_read_clock (dispatch);
-  bool leave = dispatch->draining && dispatch->request_count == 0;
+  bool leave = dispatch->handed_back_ms > 0;
   if (dispatch->draining && !leave)
     return NULL;
   for (guint i = 0; i < dispatch->numbered->len; i++)
@@ -494,7 +497,10 @@
 static void
 request_closing (dispatch_t *dispatch)
 {
-  GPtrArray *retiring = share_retiring (dispatch->share, dispatch->now_ms);
+  GPtrArray *retiring
+      = dispatch->handed_back_ms > 0
+            ? share_leaving (dispatch->share)
+            : share_retiring (dispatch->share, dispatch->now_ms);
   if (retiring == NULL)
     return;
   const char *name;
@@ -570,6 +576,30 @@
     }
 }
 
+/* Returns whether nothing is queued or in flight and the peers have learned
+   all slots.  */
+static bool
+has_handed_back (const dispatch_t *dispatch)
+{
+  if (dispatch->request_count > 0)
+    return false;
+  bool has_peer = false;
+  for (guint i = 0; i < dispatch->peers->len; i++)
+    {
+      const peer_t *peer = peer_at (dispatch, i);
+      if (!peer->up || !peer->own_zone)
+        continue;
+      has_peer |= may_give (dispatch, peer);
+      if (!share_confirmed (dispatch->share, peer->member))
+        return false;
+    }
+  for (uint32_t number = 0;
+       has_peer && number < share_process_count (dispatch->share); number++)
+    if (share_slots (dispatch->share, number) > 0)
+      return false;
+  return true;
+}
+
 void
 dispatch_lend_tick (dispatch_t *dispatch)
 {
@@ -588,6 +618,12 @@
       if (peer->up && peer->own_zone)
         send_ledger (dispatch, peer, resend);
     }
+  if (dispatch->draining && dispatch->handed_back_ms == 0
+      && has_handed_back (dispatch))
+    {
+      dispatch->handed_back_ms = dispatch->now_ms;
+      dispatch->next_closing_ms = dispatch->now_ms;
+    }
   if (dispatch->now_ms >= dispatch->next_closing_ms)
     {
       dispatch->next_closing_ms = dispatch->now_ms + CLOSING_PERIOD_MS;
@@ -604,24 +640,7 @@
 bool
 dispatch_drained (const dispatch_t *dispatch)
 {
-  if (dispatch->request_count > 0)
-    return false;
-  bool has_peer = false;
-  for (guint i = 0; i < dispatch->peers->len; i++)
-    {
-      const peer_t *peer = peer_at (dispatch, i);
-      if (!peer->up || !peer->own_zone)
-        continue;
-      has_peer |= may_give (dispatch, peer);
-      if (!share_confirmed (dispatch->share, peer->member))
-        return false;
-    }
-  /* Its row is still to be written.  */
-  if (share_is_only_member (dispatch->share))
-    return false;
-  for (uint32_t number = 0;
-       has_peer && number < share_process_count (dispatch->share); number++)
-    if (share_slots (dispatch->share, number) > 0)
-      return false;
-  return true;
+  return dispatch->handed_back_ms > 0
+         && (!share_is_member (dispatch->share)
+             || dispatch->now_ms - dispatch->handed_back_ms >= LEAVE_LIMIT_MS);
 }
--- a/src/share.h
+++ b/src/share.h
@@ -76,14 +76,13 @@
 err_kind_t share_load (share_t *share, int64_t version, const json_t *value,
                        int64_t now_ms);
 /* Returns a new row or NULL; see dispatch_shares_propose.  LEAVE: this entry
-   uses no slot any more and takes itself out if it is the only member.  */
+   uses no slot any more and takes itself out, once every other member has made
+   its closing statement about it.  */
 json_t *share_propose (share_t *share, bool leave, int64_t now_ms,
                        int64_t *version);
 int64_t share_version (const share_t *share);
 /* Returns whether a row was loaded that names this entry.  */
 bool share_is_member (const share_t *share);
-/* Returns whether the row names this entry and no other.  */
-bool share_is_only_member (const share_t *share);
 /* Returns whether something waits for a newer row.  */
 bool share_wants_row (const share_t *share);
 /* Members of the row that are not gone, this entry included; at least 1.  */
@@ -129,6 +128,9 @@
 /* Returns the gone members that are to be retired by this entry now (new array
    of strings, the ledger's), NULL if none.  */
 GPtrArray *share_retiring (share_t *share, int64_t now_ms);
+/* The same for this entry if it may take itself out of the row; no member that
+   is gone may be in it, as that one's statement would be missing.  */
+GPtrArray *share_leaving (share_t *share);
 /* Returns whether the statement of member I of the row is still missing.  */
 bool share_statement_missing (const share_t *share, uint32_t i,
                               const GPtrArray *retiring);
--- a/src/share_row.c
+++ b/src/share_row.c
@@ -261,13 +261,6 @@
   return since_ms + rank_of_self (share, key) * RANK_PAUSE_MS <= now_ms;
 }
 
-bool
-share_is_only_member (const share_t *share)
-{
-  return share_is_member (share)
-         && json_object_size (row_members (share->row)) == 1;
-}
-
 bool
 share_wants_row (const share_t *share)
 {
@@ -398,10 +391,11 @@
     json_object_set_new (bases, key, json_integer (value));
 }
 
-/* Writes the base of each survivor with the gone members left out, and what is
-   left of each limit to this entry.  */
+/* Writes the base of each survivor with the RETIRING members left out, and
+   what is left of each limit to HEIR, one of the survivors.  */
 static void
-rebase (share_t *share, json_t *row, const GPtrArray *retiring)
+rebase (share_t *share, json_t *row, const GPtrArray *retiring,
+        const char *heir)
 {
   json_t *members = row_members (row);
   for (guint k = 0; k < retiring->len; k++)
@@ -426,19 +420,57 @@
         }
     }
   const char *key, *name;
-  json_t *limit, *bases, *own = json_object ();
+  json_t *limit, *bases, *rests = json_object ();
   json_object_foreach (json_object_get (row, "limits"), key, limit)
   {
     int64_t rest = json_integer_value (limit);
     json_object_foreach (members, name, bases)
     {
-      if (strcmp (name, share->self) != 0)
+      if (strcmp (name, heir) != 0)
         rest -= json_integer_value (json_object_get (bases, key));
     }
     if (rest != 0)
-      json_object_set_new (own, key, json_integer (rest));
+      json_object_set_new (rests, key, json_integer (rest));
   }
-  json_object_set_new (members, share->self, own);
+  json_object_set_new (members, heir, rests);
+}
+
+GPtrArray *
+share_leaving (share_t *share)
+{
+  if (!share_is_member (share))
+    return NULL;
+  for (guint i = 0; i < share->members->len; i++)
+    if (share_member_at (share, i)->in_row && share_member_at (share, i)->gone)
+      return NULL;
+  GPtrArray *names = g_ptr_array_new ();
+  g_ptr_array_add (names, share->self);
+  return names;
+}
+
+/* Takes this entry, which uses no slot any more, out of the row.  Nobody may
+   be left to know its slots: then the next entry starts anew.  */
+static bool
+leave_row (share_t *share, json_t *row)
+{
+  GPtrArray *leaving = share_leaving (share);
+  if (leaving == NULL)
+    return false;
+  const char *heir = NULL;
+  bool complete = true;
+  for (guint i = 0; i < share->members->len; i++)
+    {
+      if (share_member_at (share, i)->in_row)
+        heir = share_member_at (share, i)->name;
+      if (share_statement_missing (share, i, leaving))
+        complete = false;
+    }
+  if (complete && heir != NULL)
+    rebase (share, row, leaving, heir);
+  else if (complete)
+    json_object_del (row_members (row), share->self);
+  g_ptr_array_unref (leaving);
+  return complete;
 }
 
 static bool
@@ -455,7 +487,7 @@
     {
       g_array_unref (share_close (share, (const char *const *)retiring->pdata,
                                   retiring->len));
-      rebase (share, row, retiring);
+      rebase (share, row, retiring, share->self);
     }
   g_ptr_array_unref (retiring);
   return complete;
@@ -572,11 +604,7 @@
   json_t *members = row_members (row);
   bool changed = false;
   if (leave)
-    {
-      /* Nobody is left to learn the slots, so the next entry starts anew.  */
-      if (json_object_size (members) == 1 && share_is_member (share))
-        changed = json_object_del (members, share->self) == 0;
-    }
+    changed = leave_row (share, row);
   else
     {
       if (!share_is_member (share))
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -14,7 +14,7 @@
   clk_fake_t clock;
   counter_registry_t *registry;
   dispatch_t *dispatch;
-  unsigned sends, refusals, hand_overs, probes, wants, ledgers;
+  unsigned sends, refusals, hand_overs, probes, wants, ledgers, closings;
   uint64_t sent_id, refused_id;
   uint32_t attempt;
   char backend[16];
@@ -78,12 +78,20 @@
   ((rig_t *)context)->wants++;
 }
 
+static void
+on_closing (void *context, const char *entry, const char *const *members,
+            uint32_t count)
+{
+  ((rig_t *)context)->closings++;
+}
+
 static const dispatch_actions_t actions = { .send = on_send,
                                             .hand_over = on_hand_over,
                                             .refuse = on_refuse,
                                             .probe = on_probe,
                                             .send_ledger = on_ledger,
-                                            .want_slots = on_want };
+                                            .want_slots = on_want,
+                                            .closing_request = on_closing };
 
 static void
 set_backend (rig_t *rig, unsigned number, uint32_t limit, bool leaving)
@@ -498,10 +506,29 @@
   CU_ASSERT_FALSE (dispatch_drained (rig.dispatch));
   dispatch_given_t told = { "b0@1", 0, 7, false };
   dispatch_peer_ledger (rig.dispatch, "f@1", &told, 1);
+  run_for (&rig, 5000);
   CU_ASSERT_FALSE (dispatch_drained (rig.dispatch));
+  CU_ASSERT_EQUAL (rig.closings, 0);
   told.learned = 8;
   dispatch_peer_ledger (rig.dispatch, "f@1", &told, 1);
+  run_for (&rig, 10);
+  CU_ASSERT_EQUAL (rig.closings, 1);
+  /* It leaves the row only with the statement of the other member.  */
+  int64_t version = 0;
+  CU_ASSERT_PTR_NULL (dispatch_shares_propose (rig.dispatch, &version));
+  CU_ASSERT_FALSE (dispatch_drained (rig.dispatch));
+  const char *const self[] = { "e@1" };
+  dispatch_closing_t item = { "e@1", "b0@1", 0, 8 };
+  dispatch_peer_closing_statement (rig.dispatch, "f@1", self, 1, &item, 1);
+  json_t *left = dispatch_shares_propose (rig.dispatch, &version);
+  json_int_t base = 0;
+  CU_ASSERT_EQUAL (
+      json_unpack (left, "{s:{s:{s:I}!}}", "members", "f@1", "b0@1", &base),
+      0);
+  CU_ASSERT_EQUAL (base, 8);
+  CU_ASSERT_EQUAL (dispatch_shares_load (rig.dispatch, 2, left), ERR_OK);
   CU_ASSERT_TRUE (dispatch_drained (rig.dispatch));
+  json_decref (left);
   json_decref (row);
   rig_clear (&rig);
 }
@@ -521,6 +548,7 @@
   dispatch_drain (rig.dispatch);
   CU_ASSERT_PTR_NULL (dispatch_shares_propose (rig.dispatch, &version));
   dispatch_attempt_ended (rig.dispatch, 1, 1, ERR_OK, 200, OUTCOME_RAN);
+  run_for (&rig, 10);
   CU_ASSERT_FALSE (dispatch_drained (rig.dispatch));
   json_t *left = dispatch_shares_propose (rig.dispatch, &version);
   CU_ASSERT_PTR_NOT_NULL_FATAL (left);
