share: copy the row only if something may change in it

Cause: each dispatch_shares_propose copied the row, 0.5 ms a second with 1,150 processes and one call a second. Change: return at once when nothing waits for a newer row.

--- a/src/share_row.c
+++ b/src/share_row.c
@@ -275,7 +275,8 @@
       if (process->key != NULL
           && ((process->listed && !process->in_row)
               || (process->gone && process->in_row)
-              || (process->listed && process->listed_limit != process->limit)))
+              || (process->listed && process->listed_limit != process->limit)
+              || process->dropping || process->withheld > 0))
         return true;
     }
   return false;
@@ -600,6 +601,9 @@
   *version = share->version;
   if (json_object_size (row_members (share->row)) == 0)
     return leave ? NULL : first_row (share, now_ms);
+  /* A large row is copied only if something may change in it.  */
+  if (!leave && !share_wants_row (share))
+    return NULL;
   json_t *row = json_deep_copy (share->row);
   json_t *members = row_members (row);
   bool changed = false;
