--- a/src/io/bench.c
+++ b/src/io/bench.c
@@ -16,6 +16,7 @@
   { "http", bench_http_run, "requests to entries at a fixed rate" },
   { "dispatch", bench_dispatch_run, "the request core without sockets" },
   { "mesh", bench_mesh_run, "reachability of zones against peers" },
+  { "sched", bench_sched_run, "the task core without sockets" },
   { NULL, NULL, NULL },
 };
 
--- a/src/io/bench.h
+++ b/src/io/bench.h
@@ -22,5 +22,8 @@
 
 /* Reachability between zones against the number of peers in each.  */
 int bench_mesh_run (int argc, char **argv);
+/* Placement, packing, working state, row writes, cancels and floods of the
+   task core.  */
+int bench_sched_run (int argc, char **argv);
 
 #endif
