--- a/tests/fake_zone_entry.c
+++ b/tests/fake_zone_entry.c
@@ -221,7 +221,7 @@
   entry_t *entry = context;
   message_t *message = message_new (entry, MESSAGE_CLOSING_REQUEST);
   for (uint32_t i = 0; i < count; i++)
-    keep (message, members[i]);
+    g_ptr_array_add (message->names, g_strdup (members[i]));
   message->a = count;
   post (entry, to, message);
 }
@@ -234,7 +234,7 @@
   entry_t *entry = context;
   message_t *message = message_new (entry, MESSAGE_CLOSING_STATEMENT);
   for (uint32_t i = 0; i < count; i++)
-    keep (message, members[i]);
+    g_ptr_array_add (message->names, g_strdup (members[i]));
   message->a = count;
   for (uint32_t i = 0; i < item_count; i++)
     {
