--- a/src/io/table_http.c
+++ b/src/io/table_http.c
@@ -7,8 +7,10 @@
 #include <string.h>
 
 #define PAGE_ROWS 500
-/* A scan waits this often for the read rate, then fails.  */
+/* How often a call waits for the rate before it fails.  A large scan alone
+   exceeds the read rate.  */
 #define SCAN_WAITS 10
+#define CALL_WAITS 2
 /* Without Retry-After a refusal is repeated no sooner.  */
 #define DEFAULT_PAUSE_MS 1000
 /* Entries that were refused together do not come back together.  */
@@ -22,23 +24,28 @@
   const clk_t *clock;
   char *url;
   GHashTable *open; /* call_t, owned */
-  int64_t reads_from_ms, writes_from_ms;
+  /* Nothing is sent before: after 503 anything, after 429 reads or writes.  */
+  int64_t up_from_ms, reads_from_ms, writes_from_ms;
 } table_http_t;
 
-typedef struct
+typedef struct call call_t;
+
+struct call
 {
   table_http_t *table;
   httpc_call_t *http;
-  ev_timer timer; /* failure of a call that is not made, or wait of a scan */
-  char *place;    /* key or prefix, for logs */
+  ev_timer timer; /* failure of a call that is not made, or wait */
+  void (*send) (call_t *call);
+  char *place; /* key or prefix, for logs */
   table_read_done_t read_done;
   table_txn_done_t txn_done;
   void *context;
   json_t *rows; /* of a scan, so far */
   int waits;
+  char *body;          /* of a transaction */
   table_row_t *writes; /* keys only, owned */
   uint32_t write_count;
-} call_t;
+};
 
 static err_kind_t
 read_fields (json_t *object, table_row_t *row, const char **detail)
@@ -185,6 +192,7 @@
   for (uint32_t i = 0; i < call->write_count; i++)
     g_free ((char *)call->writes[i].key);
   g_free (call->writes);
+  free (call->body);
   json_decref (call->rows);
   g_free (call->place);
   g_free (call);
@@ -210,8 +218,8 @@
   return call;
 }
 
-/* Notes until when the service asked to be left alone: writes and reads for
-   themselves when a rate was exceeded, both when it is down.  */
+/* Notes until when the service asked to be left alone: reads or writes when
+   their rate was exceeded, everything when it is down.  */
 static void
 note_pause (table_http_t *table, const httpc_result_t *result, bool write)
 {
@@ -223,16 +231,15 @@
                          : DEFAULT_PAUSE_MS;
   int64_t from_ms = clk_now_ms (table->clock) + pause_ms
                     + g_random_int_range (0, PAUSE_JITTER_MS);
-  if (write || result->status == 503)
-    table->writes_from_ms = MAX (table->writes_from_ms, from_ms);
-  if (!write || result->status == 503)
-    table->reads_from_ms = MAX (table->reads_from_ms, from_ms);
+  int64_t *until = result->status == 503 ? &table->up_from_ms
+                   : write               ? &table->writes_from_ms
+                                         : &table->reads_from_ms;
+  *until = MAX (*until, from_ms);
 }
 
 static void
-on_refused (struct ev_loop *loop, ev_timer *timer, int events)
+fail_call (call_t *call)
 {
-  call_t *call = timer->data;
   if (call->txn_done != NULL)
     {
       call->txn_done (call->context, ERR_STORE_UNAVAILABLE, NULL, 0);
@@ -242,14 +249,55 @@
     end_read (call, ERR_STORE_UNAVAILABLE, NULL, 0);
 }
 
-/* Fails CALL from the loop if the service asked to be left alone.  */
+static void send_or_wait (call_t *call);
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  call_t *call = timer->data;
+  if (clk_now_ms (call->table->clock) < call->table->up_from_ms)
+    fail_call (call);
+  else
+    send_or_wait (call);
+}
+
+static void
+start_timer (call_t *call, int64_t after_ms)
+{
+  ev_now_update (call->table->loop);
+  ev_timer_init (&call->timer, on_timer, (double)after_ms / 1000.0, 0.0);
+  ev_timer_start (call->table->loop, &call->timer);
+}
+
+/* Sends CALL now, or after the pause that the service asked for.  While it is
+   down the call fails from the loop.  */
+static void
+send_or_wait (call_t *call)
+{
+  const table_http_t *table = call->table;
+  int64_t now_ms = clk_now_ms (table->clock);
+  int64_t from_ms
+      = call->txn_done ? table->writes_from_ms : table->reads_from_ms;
+  if (now_ms < table->up_from_ms)
+    start_timer (call, 0);
+  else if (now_ms < from_ms)
+    start_timer (call, from_ms - now_ms);
+  else
+    call->send (call);
+}
+
+/* Takes note of a pause that RESULT asks for.  Returns whether CALL is sent
+   again after it: 429 says that nothing was done.  */
 static bool
-refused (call_t *call, int64_t from_ms)
+waits_for_rate (call_t *call, const httpc_result_t *result)
 {
-  if (clk_now_ms (call->table->clock) >= from_ms)
+  int most = call->rows ? SCAN_WAITS : CALL_WAITS;
+  call->http = NULL;
+  note_pause (call->table, result, call->txn_done != NULL);
+  if (result->kind != ERR_OK || result->status != 429 || call->waits >= most)
     return false;
-  ev_timer_init (&call->timer, on_refused, 0.0, 0.0);
-  ev_timer_start (call->table->loop, &call->timer);
+  call->waits++;
+  send_or_wait (call);
   return true;
 }
 
@@ -260,7 +308,8 @@
   json_t *value;
   table_row_t row;
   const char *detail;
-  note_pause (call->table, result, false);
+  if (waits_for_rate (call, result))
+    return;
   err_kind_t kind
       = table_http_read_row (result, call->place, &value, &row, &detail);
   if (kind == ERR_INTERNAL)
@@ -270,27 +319,23 @@
 }
 
 static void
-table_get (table_t *self, const char *key, table_read_done_t done,
-           void *context)
+send_get (call_t *call)
 {
-  table_http_t *table = (table_http_t *)self;
-  call_t *call = call_new (table, key, context);
-  call->read_done = done;
-  if (refused (call, table->reads_from_ms))
-    return;
-  g_autofree char *escaped = g_uri_escape_string (key, "/", FALSE);
+  g_autofree char *escaped = g_uri_escape_string (call->place, "/", FALSE);
   g_autofree char *url
-      = g_strdup_printf ("%s/v1/rows/%s", table->url, escaped);
-  call->http = httpc_call (table->client, "GET", url, NULL, ANSWER_LIMIT_MS,
-                           on_row, call);
+      = g_strdup_printf ("%s/v1/rows/%s", call->table->url, escaped);
+  call->http = httpc_call (call->table->client, "GET", url, NULL,
+                           ANSWER_LIMIT_MS, on_row, call);
 }
 
-static void ask_page (call_t *call);
-
 static void
-on_waited (struct ev_loop *loop, ev_timer *timer, int events)
+table_get (table_t *self, const char *key, table_read_done_t done,
+           void *context)
 {
-  ask_page (timer->data);
+  call_t *call = call_new ((table_http_t *)self, key, context);
+  call->read_done = done;
+  call->send = send_get;
+  send_or_wait (call);
 }
 
 static void
@@ -312,18 +357,9 @@
   json_t *rows;
   bool more = false;
   const char *detail;
-  call->http = NULL;
+  if (waits_for_rate (call, result))
+    return;
   err_kind_t kind = table_http_read_page (result, &rows, &more, &detail);
-  if (result->kind == ERR_OK && result->status == 429
-      && call->waits++ < SCAN_WAITS)
-    {
-      /* A large scan alone exceeds the read rate; it waits and goes on.  */
-      double wait_s = result->retry_after_s > 0 ? result->retry_after_s : 1;
-      ev_timer_init (&call->timer, on_waited, wait_s, 0.0);
-      ev_timer_start (call->table->loop, &call->timer);
-      return;
-    }
-  note_pause (call->table, result, false);
   if (kind == ERR_INTERNAL)
     answer_log_bad ("table", call->place, result, detail);
   if (kind == ERR_OK)
@@ -332,7 +368,7 @@
   if (kind != ERR_OK)
     end_read (call, kind, NULL, 0);
   else if (more)
-    ask_page (call);
+    send_or_wait (call);
   else
     end_scan (call);
 }
@@ -358,12 +394,11 @@
 table_scan (table_t *self, const char *prefix, table_read_done_t done,
             void *context)
 {
-  table_http_t *table = (table_http_t *)self;
-  call_t *call = call_new (table, prefix, context);
+  call_t *call = call_new ((table_http_t *)self, prefix, context);
   call->read_done = done;
   call->rows = json_array ();
-  if (!refused (call, table->reads_from_ms))
-    ask_page (call);
+  call->send = ask_page;
+  send_or_wait (call);
 }
 
 static void
@@ -371,8 +406,9 @@
 {
   call_t *call = context;
   const char *detail;
+  if (waits_for_rate (call, result))
+    return;
   int64_t *versions = g_new0 (int64_t, call->write_count + 1);
-  note_pause (call->table, result, true);
   err_kind_t kind = table_http_read_txn (result, call->writes,
                                          call->write_count, versions, &detail);
   if (detail != NULL)
@@ -403,26 +439,29 @@
   return text;
 }
 
+static void
+send_txn (call_t *call)
+{
+  g_autofree char *url = g_strconcat (call->table->url, "/v1/txn", NULL);
+  call->http = httpc_call (call->table->client, "POST", url, call->body,
+                           ANSWER_LIMIT_MS, on_txn, call);
+}
+
 static void
 table_txn (table_t *self, const table_row_t *checks, uint32_t check_count,
            const table_row_t *writes, uint32_t write_count,
            table_txn_done_t done, void *context)
 {
-  table_http_t *table = (table_http_t *)self;
-  call_t *call
-      = call_new (table, write_count > 0 ? writes[0].key : "txn", context);
+  const char *place = write_count > 0 ? writes[0].key : "txn";
+  call_t *call = call_new ((table_http_t *)self, place, context);
   call->txn_done = done;
   call->writes = g_new0 (table_row_t, write_count + 1);
   call->write_count = write_count;
   for (uint32_t i = 0; i < write_count; i++)
     call->writes[i].key = g_strdup (writes[i].key);
-  if (refused (call, table->writes_from_ms))
-    return;
-  char *body = txn_body (checks, check_count, writes, write_count);
-  g_autofree char *url = g_strconcat (table->url, "/v1/txn", NULL);
-  call->http = httpc_call (table->client, "POST", url, body, ANSWER_LIMIT_MS,
-                           on_txn, call);
-  free (body);
+  call->body = txn_body (checks, check_count, writes, write_count);
+  call->send = send_txn;
+  send_or_wait (call);
 }
 
 table_t *
--- a/src/io/table_http.h
+++ b/src/io/table_http.h
@@ -10,10 +10,10 @@
 /* NAME
      table_http - table service over HTTP (docs/contracts/table-service.md)
 
-   Every call is answered within 2 s for each page of it.  After 429 or 503
-   with Retry-After the service is not asked again before that time: calls made
-   until then fail at once with ERR_STORE_UNAVAILABLE, so that a service that
-   is over its rate gets no more load.  */
+   An answer takes at most 2 s for each page.  The service is left alone as
+   long as it asks for by Retry-After: while it is down (503) calls fail at
+   once with ERR_STORE_UNAVAILABLE; when a rate was exceeded (429) calls wait
+   and are sent then, a scan at most 10 times, others twice.  */
 
 /* CLIENT, LOOP and CLOCK stay the caller's.  URL ("http://IP:PORT"
    with an optional path, no '/' at the end) is copied.  Free the result with
