--- a/tests/e2e_http.sh
+++ b/tests/e2e_http.sh
@@ -4,10 +4,10 @@
 PORT=${PORT:-21950}
 . tests/lib.sh
 
-start_standin --deployment carta --entries 1 --workers 0 --service-ms 0
-ENTRY=$(entry_ids)
-start_entry "$ENTRY"
-wait_entry "$ENTRY"
+start_standin --deployment carta --entries 2 --workers 0 --service-ms 0 \
+  --list-lag-ms 0
+start_entries
+ENTRY=$(entry_ids | head -n 1)
 ADDRESS=$(entry_http "$ENTRY")
 PEER=$(entry_peer "$ENTRY")
 
@@ -75,6 +75,41 @@
 entry_is_ready "$ENTRY" || fail "the entry is gone after malformed input"
 expect 200 - "$S/x"
 
+# Callers that go away at any moment: with a request in flight, while they
+# send, while they read; first at an own process, then handed over.
+leave () { # SECONDS PATH FLAG...
+  leave_s=$1 leave_path=$2
+  shift 2
+  curl -s -m "$leave_s" -o /dev/null "$@" "$S/$leave_path" &
+}
+leave_round () {
+  for after in 0.02 0.05 0.1 0.2 0.3; do
+    leave $after wait -H 'X-Service-Ms: 150'
+    leave $after wait -X POST -d x -H 'X-Service-Ms: 150'
+    leave $after up -T "$WORK/large" --limit-rate 2M
+    leave $after up -X POST -T - -H 'Expect:' --limit-rate 2M <"$WORK/large"
+    leave $after down -H 'X-Answer-Bytes: 30000000' --limit-rate 10M
+  done
+  sleep 1
+}
+leave_round
+leave_round
+inject "instance?zone=$(entry_zone "$ENTRY")&kind=backend&state=leaving"
+sleep 3
+expect 200 - "$S/x"
+leave_round
+leave_round
+expect 200 - "$S/x"
+# Both entries stop within seconds only if nothing of those requests is left.
+for id in $(entry_ids); do signal_entry "$id" TERM; done
+for id in $(entry_ids); do
+  wait_for 5 "planned stop of $id" is_gone "$(entry_pid "$id")"
+  wait "$(entry_pid "$id")" || fail "planned stop of $id ended with $?"
+  rm -f "$WORK/$id.pid"
+  grep -q 'event=drain_done complete=true' "$WORK/$id.log" \
+    || fail "requests of callers that left keep $id from stopping"
+done
+
 "$BUILD/magnoliadock" entry --instance-id e --zone z --http nonsense \
   --peer 127.0.0.1:1 --list-url http://127.0.0.1:1 2>"$WORK/usage"
 [ $? -eq 2 ] || fail "a bad flag does not end with 2"
