sched: move and refuse misfits, drop old rows, relieve workers under pressure

Jobs that can never run in their zone move to one that can hold them or are refused with the need and the largest thing there is; jobs that wait 10 s for room go where room is advertised. Rows of ended jobs are dropped after 10 min. Corrected sizes and pressure work on the reported usage; the held-back state of a worker is written.

--- a/src/sched.c
+++ b/src/sched.c
@@ -5,7 +5,8 @@
 
 #define POLL_DUTY_MS 500
 #define POLL_OTHER_MS 5000
-/* A repair only; reads count against the table service's 2,000 a second.  */
+/* Ended jobs are dropped and missed changes repaired; reads count against the
+   table service's 2,000 a second.  */
 #define RESCAN_MS 600000
 #define UNLISTED_MS 600000
 #define SCAN_RETRY_MS 500
@@ -369,6 +370,7 @@
   s->scanning = false;
   s->ready = true;
   s->scan_done_ms = s->now_ms;
+  sched_forget (s);
 }
 
 static void
@@ -487,7 +489,7 @@
       s->scan_wanted = true;
     }
   s->on_duty = duty;
-  if (s->on_duty && s->ready && s->now_ms - s->scan_done_ms >= RESCAN_MS)
+  if (s->ready && s->now_ms - s->scan_done_ms >= RESCAN_MS)
     s->scan_wanted = true;
   if (s->scan_wanted && !s->scanning && s->now_ms >= s->scan_retry_ms)
     start_scan (s);
--- a/src/sched_front.c
+++ b/src/sched_front.c
@@ -53,9 +53,9 @@
 
 /* How many tasks of SPEC fit in the empty ZONE, -1 if nothing is known of
    it.  */
-static int64_t
-zone_fit (const sched_t *s, const char *zone, const job_spec_t *spec,
-          resource_t *largest)
+int64_t
+sched_zone_fit (const sched_t *s, const char *zone, const job_spec_t *spec,
+                resource_t *largest)
 {
   if (strcmp (zone, s->zone) == 0)
     return s->list_read ? (int64_t)fleet_fit_empty (&s->fleet, spec->size,
@@ -77,8 +77,8 @@
 }
 
 /* The zones that SPEC allows; names are borrowed.  */
-static GPtrArray *
-allowed_zones (const sched_t *s, const job_spec_t *spec)
+GPtrArray *
+sched_zones (const sched_t *s, const job_spec_t *spec)
 {
   GPtrArray *names = g_ptr_array_new ();
   if (spec->zones != NULL)
@@ -99,8 +99,8 @@
 
 /* Room of ZONE that is neither used nor waited for, by the dimension that
    SIZE needs most, in tasks.  */
-static double
-zone_room (const sched_t *s, const char *zone, resource_t size)
+double
+sched_zone_room (const sched_t *s, const char *zone, resource_t size)
 {
   resource_t room = { 0 };
   const sched_zone_t *row = g_hash_table_lookup (s->zones, zone);
@@ -122,7 +122,7 @@
 {
   const job_spec_t *spec = row->spec;
   uint32_t need = spec->kind == JOB_ALL_AT_ONCE ? spec->tasks : 1;
-  GPtrArray *zones = allowed_zones (s, spec);
+  GPtrArray *zones = sched_zones (s, spec);
   resource_t largest = { 0 };
   int64_t most = 0;
   const char *best = NULL;
@@ -130,7 +130,7 @@
   for (guint i = zones->len; i-- > 0;)
     {
       resource_t here = { 0 };
-      int64_t fit = zone_fit (s, zones->pdata[i], spec, &here);
+      int64_t fit = sched_zone_fit (s, zones->pdata[i], spec, &here);
       if (fit >= 0 && fit < need)
         {
           if (fit > most || largest.cpu_millis == 0)
@@ -139,7 +139,7 @@
           g_ptr_array_remove_index (zones, i);
           continue;
         }
-      double room = zone_room (s, zones->pdata[i], spec->size);
+      double room = sched_zone_room (s, zones->pdata[i], spec->size);
       bool own = strcmp (zones->pdata[i], s->zone) == 0;
       if (own && room >= (double)spec->tasks)
         room = G_MAXDOUBLE;
@@ -249,10 +249,8 @@
     sched_want_key (s, job_key (id));
 }
 
-/* Adds ID to the changes row of ZONE.  Returns false if that row has not been
-   read yet or is part of a transaction.  */
-static bool
-note_change (sched_t *s, txn_t *txn, const char *zone, const char *id)
+void
+sched_note_change (sched_t *s, txn_t *txn, const char *zone, const char *id)
 {
   sched_changes_t *changes = sched_changes_get (s, zone);
   if (!changes->in_txn)
@@ -267,7 +265,6 @@
   g_queue_push_tail (&changes->ids, g_strdup (id));
   while (changes->ids.length > CHANGES_KEPT)
     g_free (g_queue_pop_head (&changes->ids));
-  return true;
 }
 
 /* Whether the changes rows of all zones of ROW are known; asks for those that
@@ -279,11 +276,11 @@
   for (guint i = 0; i < row->parts->len; i++)
     {
       const job_part_t *part = row->parts->pdata[i];
-      if (sched_changes_get (s, part->zone)->version >= 0)
-        continue;
-      known = false;
-      sched_want_key (s,
-                      g_strdup_printf ("changes/%s/%s", part->zone, s->entry));
+      const sched_changes_t *changes = sched_changes_get (s, part->zone);
+      known = known && changes->version >= 0 && !changes->by_duty;
+      if (changes->version < 0)
+        sched_want_key (
+            s, g_strdup_printf ("changes/%s/%s", part->zone, s->entry));
     }
   return known;
 }
@@ -300,7 +297,7 @@
       txn_add_row (txn, ROW_OTHER, NULL, part_key (part->zone, item->id), 0,
                    part_row_to_json (row, ""));
       part_row_free (row);
-      note_change (s, txn, part->zone, item->id);
+      sched_note_change (s, txn, part->zone, item->id);
     }
 }
 
@@ -314,8 +311,8 @@
   job->row_in_txn = true;
   txn_add_row (txn, ROW_JOB, job, job_key (item->id), job->version, value);
   for (guint i = 0; i < job->row->parts->len; i++)
-    note_change (s, txn, ((job_part_t *)job->row->parts->pdata[i])->zone,
-                 item->id);
+    sched_note_change (s, txn, ((job_part_t *)job->row->parts->pdata[i])->zone,
+                       item->id);
 }
 
 typedef enum
@@ -489,12 +486,6 @@
     take_items (s, txn, &s->cancel_queue);
   if (txn->items->len == 0)
     return;
-  for (guint i = 0; i < txn->rows->len; i++)
-    {
-      txn_row_t *row = &g_array_index (txn->rows, txn_row_t, i);
-      if (row->kind == ROW_CHANGES)
-        row->value = sched_changes_json (row->object, "");
-    }
   s->row_tokens -= txn->rows->len;
   txn_send (s, txn);
 }
@@ -517,9 +508,8 @@
     }
 }
 
-/* Undoes the changes rows; they are read again after a conflict.  */
-static void
-undo_changes (const txn_t *txn, bool unknown)
+void
+sched_undo_changes (const txn_t *txn, bool conflict)
 {
   for (guint i = 0; i < txn->rows->len; i++)
     {
@@ -532,7 +522,7 @@
           g_free (g_queue_pop_tail (&changes->ids));
           changes->sequence--;
         }
-      if (unknown)
+      if (conflict)
         changes->version = -1;
     }
 }
@@ -542,8 +532,6 @@
 {
   if (done)
     take_committed (s, txn);
-  else
-    undo_changes (txn, kind == ERR_CONFLICT);
   while (txn->items->len > 0)
     {
       front_item_t *item
--- a/src/sched_int.h
+++ b/src/sched_int.h
@@ -139,6 +139,7 @@
   bool calls_wanted; /* starts or stops are due */
   GArray *acks;      /* sched_ack_t */
   GArray *unproven;  /* sched_unproven_t */
+  bool hold_due;     /* the held-back state is to be written */
   uint32_t ends;     /* confirmed ends to be written */
   int64_t end_since_ms;
   int64_t avoid_until_ms;
@@ -164,6 +165,7 @@
   int64_t version;
   json_t *value; /* NULL: only checked, or deleted */
   bool write;
+  bool drop; /* deleted */
 } txn_row_t;
 
 typedef enum
@@ -173,7 +175,8 @@
   OP_JOB_DONE,
   OP_TASKS_CANCEL,
   OP_HOLD,
-  OP_DROP /* removes the rows of an ended job or a gone worker */
+  OP_MOVE, /* of an unassigned part to the zone named by reason */
+  OP_DROP  /* removes the part row or job row of an ended job */
 } op_kind_t;
 
 typedef struct
@@ -222,6 +225,7 @@
   int64_t sequence;
   GQueue ids; /* char *, newest last */
   bool in_txn;
+  bool by_duty; /* in_txn: in the duty's transaction */
   int64_t old_sequence;
 } sched_changes_t;
 
@@ -325,7 +329,7 @@
   int64_t tokens_ms;
   double stop_tokens; /* stops of cancelled jobs */
   int64_t preempt_ms; /* no further preemption before */
-  int64_t zone_row_due_ms, compare_due_ms;
+  int64_t zone_row_due_ms, compare_due_ms, misfit_due_ms;
   char *zone_text; /* what was advertised last */
 
   quota_t quota;
@@ -401,7 +405,8 @@
 void op_job_done (sched_t *s, sched_job_t *job, job_state_t state,
                   const char *reason);
 void op_tasks_cancel (sched_t *s, sched_job_t *job);
-void op_hold (sched_t *s, sched_worker_t *worker, bool held);
+/* Plans the writing of the held-back state.  */
+void op_hold (sched_t *s, sched_worker_t *worker);
 void ops_commit (sched_t *s, txn_t *txn);
 void ops_undo (sched_t *s, txn_t *txn);
 void op_clear (gpointer data);
@@ -413,6 +418,15 @@
    sending anything.  Returns how many were planned.  */
 uint32_t plan_starts (sched_t *s, uint32_t worker_rows, uint32_t limit);
 
+/* sched_jobs.c */
+/* Refuses or moves jobs that cannot start here, and drops the rows of jobs
+   that ended a while ago.  */
+void plan_misfits (sched_t *s);
+void plan_drops (sched_t *s);
+void op_move_commit (sched_t *s, op_t *op);
+/* Forgets jobs that have no rows any more.  */
+void sched_forget (sched_t *s);
+
 /* sched_zone.c */
 /* Plans the row that advertises this zone's room, if it has changed.  */
 void plan_zone_row (sched_t *s);
@@ -428,6 +442,19 @@
                 stop_mode_t mode);
 
 /* sched_front.c */
+/* Adds ID to the changes row of ZONE, which must have been read.  */
+void sched_note_change (sched_t *s, txn_t *txn, const char *zone,
+                        const char *id);
+/* Undoes the changes rows of TXN; after a conflict they are read again.  */
+void sched_undo_changes (const txn_t *txn, bool conflict);
+/* How many tasks of SPEC fit in the empty ZONE, at most spec->tasks; -1 if
+   nothing is known of it.  */
+int64_t sched_zone_fit (const sched_t *s, const char *zone,
+                        const job_spec_t *spec, resource_t *largest);
+/* Tasks of SIZE that ZONE has room for beside what already waits there.  */
+double sched_zone_room (const sched_t *s, const char *zone, resource_t size);
+/* The zones that SPEC allows; the names are borrowed.  */
+GPtrArray *sched_zones (const sched_t *s, const job_spec_t *spec);
 /* Sends the next group of submissions and cancels.  */
 void front_tick (sched_t *s);
 void front_finished (sched_t *s, txn_t *txn, err_kind_t kind, bool committed);
--- /dev/null
+++ b/src/sched_jobs.c
@@ -0,0 +1,231 @@
+#include "sched_int.h"
+
+#include <string.h>
+
+#define MISFIT_EVERY_MS 1000
+/* A job that waits longer for room goes to a zone that has some.  */
+#define MOVE_AFTER_MS 10000
+/* How long the rows of an ended job are kept for operators.  */
+#define KEEP_MS 600000
+/* The job row stays longer than the part rows, which every zone drops by
+   itself.  */
+#define KEEP_JOB_MS (KEEP_MS + 120000)
+#define DROPS 8
+
+static op_t *
+add_op (sched_t *s, op_kind_t kind, sched_job_t *job)
+{
+  op_t op = { .kind = kind, .job = job };
+  g_array_append_val (s->duty.ops, op);
+  return &g_array_index (s->duty.ops, op_t, s->duty.ops->len - 1);
+}
+
+/* Another zone of JOB that can hold it, the one with most room first.
+ *UNKNOWN is set if a zone may be able to, but has not told.  */
+static const char *
+other_zone (const sched_t *s, const sched_job_t *job, uint32_t need,
+            double least_room, bool *unknown)
+{
+  GPtrArray *zones = sched_zones (s, job->row->spec);
+  const char *best = NULL;
+  double best_room = 0.0;
+  for (guint i = 0; i < zones->len; i++)
+    {
+      resource_t largest = { 0 };
+      const char *zone = zones->pdata[i];
+      if (strcmp (zone, s->zone) == 0)
+        continue;
+      int64_t fit = sched_zone_fit (s, zone, job->row->spec, &largest);
+      if (fit < 0)
+        *unknown = true;
+      double room = sched_zone_room (s, zone, job->size);
+      if (fit < (int64_t)need || room < least_room
+          || (best != NULL && room <= best_room))
+        continue;
+      best = zone;
+      best_room = room;
+    }
+  g_ptr_array_unref (zones);
+  return best;
+}
+
+/* Plans the move of the unassigned part of JOB to ZONE: both part rows, the
+   job row and the note for the other zone change in one transaction.  */
+static void
+move_part (sched_t *s, sched_job_t *job, const char *zone)
+{
+  sched_changes_t *changes = sched_changes_get (s, zone);
+  if (changes->version < 0)
+    {
+      sched_want_key (s, g_strdup_printf ("changes/%s/%s", zone, s->entry));
+      return;
+    }
+  if (changes->in_txn)
+    return;
+  op_t *op = add_op (s, OP_MOVE, job);
+  op->reason = g_strdup (zone);
+  json_t *part_value = sched_part_json (job, "");
+  job_part_t *part = job_row_part (job->row, s->zone);
+  char *own = part->zone;
+  part->zone = op->reason;
+  json_t *job_value = job_row_to_json (job->row, "");
+  part->zone = own;
+  job->row_in_txn = true;
+  job->part_in_txn = true;
+  txn_add_row (&s->duty, ROW_JOB, job, job_key (job->id), job->version,
+               job_value);
+  txn_row_t *drop
+      = txn_add_row (&s->duty, ROW_PART, job, part_key (s->zone, job->id),
+                     job->part_version, NULL);
+  drop->drop = true;
+  txn_add_row (&s->duty, ROW_OTHER, NULL, part_key (zone, job->id), 0,
+               part_value);
+  sched_note_change (s, &s->duty, zone, job->id);
+  changes->by_duty = true;
+}
+
+void
+op_move_commit (sched_t *s, op_t *op)
+{
+  sched_job_t *job = op->job;
+  job_part_t *part = job_row_part (job->row, s->zone);
+  explain_add (&s->explain, clk_wall_ms (s->clock), job->id, -1, "moved",
+               "to zone %s, which has room for it", op->reason);
+  g_free (part->zone);
+  part->zone = op->reason;
+  op->reason = NULL;
+  job->part_version = 0;
+  job->waiting = job->assigned = job->done = job->failed = 0;
+  job->count = 0;
+  g_clear_pointer (&job->tasks, g_free);
+}
+
+static void
+refuse (sched_t *s, sched_job_t *job, uint32_t need, resource_t largest,
+        int64_t fit)
+{
+  char *size = resource_text (job->row->spec->size);
+  char *room = resource_text (largest);
+  char *reason = g_strdup_printf (
+      "needs %u tasks of %s at once in one zone; the largest worker has %s "
+      "and zone %s takes %" G_GINT64_FORMAT " of them",
+      need, size, room, s->zone, fit);
+  op_tasks_cancel (s, job);
+  op_job_done (s, job, JOB_REFUSED, reason);
+  explain_add (&s->explain, clk_wall_ms (s->clock), job->id, -1, "refused",
+               "%s", reason);
+  g_free (size);
+  g_free (room);
+  g_free (reason);
+}
+
+static void
+plan_misfit (sched_t *s, sched_job_t *job)
+{
+  const job_spec_t *spec = job->row->spec;
+  uint32_t need = spec->kind == JOB_ALL_AT_ONCE ? spec->tasks : 1;
+  resource_t largest = { 0 };
+  bool unknown = false;
+  int64_t fit = sched_zone_fit (s, s->zone, spec, &largest);
+  bool moves = spec->kind != JOB_SERVICE && job->row->parts->len == 1;
+  const char *zone = NULL;
+  if (fit >= need)
+    {
+      if (moves && s->now_ms - job->seen_ms >= MOVE_AFTER_MS)
+        zone = other_zone (s, job, need, (double)spec->tasks, &unknown);
+    }
+  else if (moves)
+    zone = other_zone (s, job, need, -1e18, &unknown);
+  if (zone != NULL)
+    move_part (s, job, zone);
+  else if (fit >= 0 && fit < need && !unknown && job->row->parts->len == 1)
+    refuse (s, job, need, largest, fit);
+}
+
+void
+plan_misfits (sched_t *s)
+{
+  if (s->now_ms < s->misfit_due_ms || !s->list_read || s->workers->len == 0)
+    return;
+  s->misfit_due_ms = s->now_ms + MISFIT_EVERY_MS;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, s->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      sched_job_t *job = value;
+      if (!job->blocked || job->stopping || job->row == NULL
+          || job->part_version == 0 || job->row_in_txn || job->part_in_txn
+          || job->waiting == 0 || job->waiting < job->count)
+        continue;
+      plan_misfit (s, job);
+    }
+}
+
+/* Plans the deletion of one row of an ended job that is old enough.  */
+static bool
+drop_row (sched_t *s, sched_job_t *job, int64_t wall_ms)
+{
+  if (job->row == NULL || job->row->ended_ms == 0 || job->row_in_txn
+      || job->part_in_txn || job->assigned > 0)
+    return false;
+  int64_t age_ms = wall_ms - job->row->ended_ms;
+  const job_part_t *first
+      = job->row->parts->len > 0 ? job->row->parts->pdata[0] : NULL;
+  bool part = job->part_version > 0;
+  if (part ? age_ms < KEEP_MS
+           : age_ms < KEEP_JOB_MS
+                 || (first != NULL && strcmp (first->zone, s->zone) != 0))
+    return false;
+  txn_row_t *row;
+  if (part)
+    row = txn_add_row (&s->duty, ROW_PART, job, part_key (s->zone, job->id),
+                       job->part_version, NULL);
+  else
+    row = txn_add_row (&s->duty, ROW_JOB, job, job_key (job->id), job->version,
+                       NULL);
+  job->part_in_txn = part;
+  job->row_in_txn = !part;
+  row->drop = true;
+  add_op (s, OP_DROP, job)->index = part;
+  return true;
+}
+
+void
+plan_drops (sched_t *s)
+{
+  int64_t wall_ms = clk_wall_ms (s->clock);
+  uint32_t drops = DROPS;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, s->jobs);
+  while (drops > 0 && g_hash_table_iter_next (&iter, NULL, &value))
+    if (drop_row (s, value, wall_ms))
+      drops--;
+}
+
+void
+sched_forget (sched_t *s)
+{
+  if (s->duty.state != TXN_IDLE || s->front.state != TXN_IDLE)
+    return;
+  GHashTable *needed = g_hash_table_new (NULL, NULL);
+  for (guint i = 0; i < s->workers->len; i++)
+    {
+      const sched_worker_t *worker = s->workers->pdata[i];
+      for (guint j = 0; j < worker->assigned->len; j++)
+        g_hash_table_add (
+            needed, g_array_index (worker->assigned, sched_assign_t, j).job);
+    }
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, s->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const sched_job_t *job = value;
+      if (job->version == 0 && job->part_version == 0
+          && !g_hash_table_contains (needed, job))
+        g_hash_table_iter_remove (&iter);
+    }
+  g_hash_table_unref (needed);
+}
--- a/src/sched_ops.c
+++ b/src/sched_ops.c
@@ -151,7 +151,7 @@
 }
 
 void
-op_hold (sched_t *s, sched_worker_t *worker, bool held)
+op_hold (sched_t *s, sched_worker_t *worker)
 {
   op_t *op = add_op (s, OP_HOLD);
   op->worker = worker;
@@ -169,6 +169,21 @@
   g_array_append_val (op->worker->acks, ack);
 }
 
+static void
+commit_drop (sched_job_t *job, bool part)
+{
+  if (part)
+    {
+      job->part_version = 0;
+      job->waiting = job->done = job->failed = 0;
+      job->count = 0;
+      g_clear_pointer (&job->tasks, g_free);
+      return;
+    }
+  job->version = 0;
+  g_clear_pointer (&job->row, job_row_free);
+}
+
 void
 ops_commit (sched_t *s, txn_t *txn)
 {
@@ -191,6 +206,15 @@
         case OP_END:
           commit_end (s, op);
           break;
+        case OP_MOVE:
+          op_move_commit (s, op);
+          break;
+        case OP_HOLD:
+          op->worker->hold_due = false;
+          break;
+        case OP_DROP:
+          commit_drop (op->job, op->index != 0);
+          break;
         default:
           break;
         }
--- a/src/sched_plan.c
+++ b/src/sched_plan.c
@@ -88,6 +88,8 @@
       sched_job_t *job = value;
       if (job->row == NULL || job->count == 0)
         continue;
+      job->size = estimate_reserve (&job->estimate, job->row->spec->size,
+                                    job->row->spec->throttle);
       if (job->assigned > 0)
         quota_use (&s->quota, job->team, job->row->spec->class, job->size,
                    job->assigned);
@@ -582,6 +584,17 @@
   return true;
 }
 
+static void
+plan_holds (sched_t *s)
+{
+  for (guint i = 0; i < s->workers->len; i++)
+    {
+      sched_worker_t *worker = s->workers->pdata[i];
+      if (worker->hold_due && worker->version > 0)
+        op_hold (s, worker);
+    }
+}
+
 /* Parts whose last task ends in this group are closed in it.  */
 static void
 plan_touched (sched_t *s)
@@ -640,6 +653,10 @@
   plan_ends (s);
   plan_touched (s);
   plan_jobs (s);
+  plan_holds (s);
+  plan_misfits (s);
+  if (rows_left (s, CLOSE_RESERVE_ROWS))
+    plan_drops (s);
   plan_zone_row (s);
   histogram_add (s->plan_us,
                  (uint64_t)(clk_now_ns (s->clock) - begin_ns) / 1000);
--- a/src/sched_txn.c
+++ b/src/sched_txn.c
@@ -91,19 +91,22 @@
       switch (row->kind)
         {
         case ROW_JOB:
-          if (row->value == NULL && row->write)
+          if (row->value == NULL && !row->drop)
             row->value = job_row_to_json (job->row, txn->write_id);
           break;
         case ROW_PART:
           if (row->key == NULL)
             row->key = part_key (s->zone, job->id);
-          if (row->value == NULL && row->write)
+          if (row->value == NULL && !row->drop)
             row->value = sched_part_json (job, txn->write_id);
           break;
         case ROW_WORKER:
           row->key = worker_key (s->zone, worker->id);
           row->value = sched_worker_json (worker, txn->write_id);
           break;
+        case ROW_CHANGES:
+          row->value = sched_changes_json (row->object, txn->write_id);
+          break;
         default:
           break;
         }
@@ -187,6 +190,7 @@
           break;
         case ROW_CHANGES:
           changes->in_txn = false;
+          changes->by_duty = false;
           changes->version = version > 0 ? version : changes->version;
           break;
         default:
@@ -229,6 +233,7 @@
 {
   if (!txn->front)
     ops_undo (s, txn);
+  sched_undo_changes (txn, kind == ERR_CONFLICT);
   release_rows (s, txn, NULL);
   if (kind == ERR_CONFLICT)
     {
--- a/src/sched_work.c
+++ b/src/sched_work.c
@@ -171,8 +171,8 @@
       }
   if (!suspect_record (&worker->health, fail, &peers, s->now_ms))
     return;
+  worker->hold_due = true;
   sched_worker_refresh (s, worker);
-  worker->avoid_until_ms = MAX (worker->avoid_until_ms, s->now_ms);
 }
 
 /* Notes a failure of JOB on WORKER.  Only its first healthy worker counts a
@@ -573,6 +573,64 @@
     }
 }
 
+static void
+relieve (sched_t *s, sched_worker_t *worker, const sched_report_t *report,
+         const pressure_task_t *plan)
+{
+  sched_job_t *job = NULL;
+  sched_task_t *task
+      = find_assigned (s, worker, report->task, report->generation, &job);
+  if (task == NULL)
+    return;
+  sched_worker_ref_t ref = worker_ref (worker, worker->row_incarnation);
+  bool throttle = plan->action == PRESSURE_THROTTLE;
+  if (throttle)
+    s->actions->throttle (s->context, &ref, report->task, report->generation,
+                          plan->reserved.cpu_millis);
+  else
+    work_stop (s, job, task,
+               plan->action == PRESSURE_CHECKPOINT ? STOP_CHECKPOINT
+                                                   : STOP_GRACEFUL);
+  explain_add (&s->explain, clk_wall_ms (s->clock), job->id,
+               (int64_t)job->first + (task - job->tasks),
+               throttle ? "throttled" : "stopped", "worker %s is short of %s",
+               worker->id, throttle ? "processors" : "memory");
+}
+
+/* Relieves a worker whose tasks use more than it has.  */
+static void
+check_pressure (sched_t *s, sched_worker_t *worker,
+                const sched_report_t *reports, uint32_t count)
+{
+  pressure_task_t *tasks = g_new0 (pressure_task_t, count + 1);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      sched_job_t *job = NULL;
+      const sched_assign_t *line = reported_line (s, worker, &reports[i]);
+      if (line == NULL || reports[i].state != REPORT_RUNNING
+          || find_assigned (s, worker, reports[i].task, reports[i].generation,
+                            &job)
+                 == NULL
+          || job->row == NULL)
+        continue;
+      bool fresh = reports[i].usage_age_ms >= 0
+                   && reports[i].usage_age_ms <= ESTIMATE_FRESH_MS;
+      tasks[i] = (pressure_task_t){ .class = job->row->spec->class,
+                                    .kind = job->row->spec->kind,
+                                    .throttle = job->row->spec->throttle,
+                                    .reserved = sched_assign_size (line),
+                                    .cpu_millis
+                                    = fresh ? reports[i].cpu_millis : -1,
+                                    .memory_mib
+                                    = fresh ? reports[i].memory_mib : -1 };
+    }
+  uint32_t touched = pressure_plan (tasks, count, worker->capacity);
+  for (uint32_t i = 0; touched > 0 && i < count; i++)
+    if (tasks[i].action != PRESSURE_NONE)
+      relieve (s, worker, &reports[i], &tasks[i]);
+  g_free (tasks);
+}
+
 /* Keeps only what the last report still lists.  */
 static void
 prune_unproven (sched_worker_t *worker, const sched_report_t *reports,
@@ -639,6 +697,7 @@
             take_report (s, worker, &reports[i]);
           take_absences (s, worker, sent_ms);
           prune_unproven (worker, reports, count);
+          check_pressure (s, worker, reports, count);
           follow_up_all (s, worker);
         }
     }
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -28,6 +28,8 @@
   test_outlier_suites,
   test_retry_suites,
   test_sched_suites,
+  test_job_suites,
+  test_pack_suites,
   test_explore_suites,
   test_settings_suites,
   test_share_suites,
--- /dev/null
+++ b/tests/test_pack.c
@@ -0,0 +1,261 @@
+#include "test.h"
+
+#include "estimate.h"
+#include "gang.h"
+#include "lease.h"
+#include "pack.h"
+#include "pressure.h"
+#include "quota.h"
+#include "suspect.h"
+
+#include <string.h>
+
+/* Guards against a rule that ignores what it is for.  Workers: 0 with
+   accelerators, 1 empty, 2 half full of processors.  */
+static void
+test_rules (void)
+{
+  static const struct
+  {
+    const char *rule;
+    resource_t size;
+    int64_t worker;
+  } rows[] = {
+    { "first-fit", { 1000, 1000, 0 }, 0 },
+    { "best-fit", { 1000, 1000, 0 }, 2 },
+    { "keep-accelerators", { 1000, 1000, 0 }, 2 },
+    { "keep-accelerators", { 1000, 1000, 1 }, 0 },
+    { "keep-accelerators", { 9000, 1000, 0 }, 1 },
+    { "keep-accelerators", { 17000, 1000, 0 }, -1 },
+    { "alignment", { 1000, 1000, 8 }, 0 },
+  };
+  fleet_t fleet;
+  fleet_init (&fleet);
+  for (int i = 0; i < 3; i++)
+    fleet_set (&fleet, fleet_add (&fleet),
+               (resource_t){ 16000, 64000, i == 0 ? 8 : 0 }, "r", true);
+  fleet_take (&fleet, 2, (resource_t){ 8000, 32000, 0 });
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    CU_ASSERT_EQUAL (pack_choose (pack_rule_find (rows[i].rule), &fleet,
+                                  rows[i].size, NULL),
+                     rows[i].worker);
+  fleet_set (&fleet, 1, (resource_t){ 16000, 64000, 0 }, "r", false);
+  CU_ASSERT_EQUAL (pack_choose (pack_rule_find ("best-fit"), &fleet,
+                                (resource_t){ 9000, 1, 0 }, NULL),
+                   0);
+  fleet_clear (&fleet);
+}
+
+/* Guards against a share that a flood takes away, and against preemption of
+   work that is within its share.  */
+static void
+test_class_order (void)
+{
+  static const struct
+  {
+    int64_t used[CLASS_COUNT];
+    bool waiting[CLASS_COUNT];
+    class_t next;
+  } rows[] = {
+    { { 0, 0, 0 }, { true, true, true }, CLASS_URGENT },
+    { { 90, 0, 0 }, { true, false, true }, CLASS_BULK },
+    { { 10, 34, 14 }, { true, true, true }, CLASS_URGENT },
+    { { 50, 35, 15 }, { false, true, true }, CLASS_STANDARD },
+    { { 50, 0, 0 }, { false, false, false }, CLASS_COUNT },
+  };
+  resource_t total = { 100, 100, 0 };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      quota_t quota;
+      quota_init (&quota);
+      uint16_t team = quota_team (&quota, "t");
+      for (class_t class = 0; class < CLASS_COUNT; class ++)
+        quota_use (&quota, team, class,
+                   (resource_t){ rows[i].used[class], 0, 0 }, 1);
+      CU_ASSERT_EQUAL (quota_next_class (&quota, rows[i].waiting, total),
+                       rows[i].next);
+      CU_ASSERT_EQUAL (
+          quota_may_preempt (&quota, CLASS_BULK, CLASS_URGENT, total),
+          rows[i].used[CLASS_URGENT] > 50 && rows[i].used[CLASS_BULK] < 15);
+      quota_clear (&quota);
+    }
+}
+
+/* Guards against a reservation that a backfilled task delays.  */
+static void
+test_reservation (void)
+{
+  static const struct
+  {
+    int64_t cpu, end_ms;
+    uint32_t worker;
+    bool may;
+  } rows[] = {
+    { 4000, 9000, 0, true },   /* ends before */
+    { 4000, 11000, 0, false }, /* would be in the way */
+    { 4000, 11000, 2, true },  /* not reserved */
+    { 2000, INT64_MAX, 0, false },
+  };
+  fleet_t fleet;
+  gang_t gang;
+  fleet_init (&fleet);
+  gang_init (&gang);
+  for (int i = 0; i < 3; i++)
+    fleet_set (&fleet, fleet_add (&fleet), (resource_t){ 8000, 8000, 0 }, "r",
+               true);
+  for (uint32_t i = 0; i < 3; i++)
+    fleet_take (&fleet, i, (resource_t){ 4000, 1000, 0 });
+  GArray *releases = g_array_new (FALSE, FALSE, sizeof (gang_release_t));
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      gang_release_t release
+          = { i, i == 2 ? INT64_MAX : 10000, { 4000, 1000, 0 } };
+      g_array_append_val (releases, release);
+    }
+  resource_t size = { 8000, 1000, 0 };
+  CU_ASSERT (gang_reserve (&gang, &fleet, "g", size, 2, releases, 0));
+  CU_ASSERT_EQUAL (gang.ready_ms, 10000);
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    CU_ASSERT_EQUAL (gang_may_use (&gang, rows[i].worker,
+                                   (resource_t){ rows[i].cpu, 10, 0 },
+                                   rows[i].end_ms),
+                     rows[i].may);
+  /* Three never fit at once, so nothing may be held for them.  */
+  CU_ASSERT (!gang_reserve (&gang, &fleet, "h", size, 3, releases, 0));
+  CU_ASSERT_PTR_NULL (gang.job);
+  CU_ASSERT (!fleet_slot (&fleet, 0)->reserved);
+  g_array_unref (releases);
+  gang_clear (&gang);
+  fleet_clear (&fleet);
+}
+
+/* Guards against a move while the old holder may still run.  */
+static void
+test_moves (void)
+{
+  static const struct
+  {
+    lease_holder_t holder;
+    int64_t now_ms;
+    bool may;
+  } rows[] = {
+    { { false, 1, 1, -1 }, 1000000, false },
+    { { true, 1, 1, -1 }, 0, true },
+    { { false, 1, 2, -1 }, 0, true },
+    { { false, 2, 1, -1 }, 0, false },
+    { { false, 1, 1, 1000 }, 1000 + 25749, false },
+    { { false, 1, 1, 1000 }, 1000 + 25750, true },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    CU_ASSERT_EQUAL (lease_may_move (&rows[i].holder, rows[i].now_ms),
+                     rows[i].may);
+}
+
+/* Guards against a good worker that is held back for bad jobs, and a bad one
+   that is not.  */
+static void
+test_bad_workers (void)
+{
+  static const struct
+  {
+    uint32_t failures, starts; /* of this worker, failures last */
+    suspect_peers_t peers;
+    bool held;
+  } rows[] = {
+    { 20, 20, { 100, 5 }, true },  { 11, 20, { 100, 9 }, true },
+    { 10, 20, { 100, 0 }, false }, { 20, 20, { 100, 10 }, false },
+    { 19, 19, { 100, 0 }, false }, { 20, 20, { 0, 0 }, false },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      suspect_t suspect = { 0 };
+      for (uint32_t n = 0; n < rows[i].starts; n++)
+        suspect_record (&suspect, n >= rows[i].starts - rows[i].failures,
+                        &rows[i].peers, 1000);
+      CU_ASSERT_EQUAL (suspect.held, rows[i].held);
+      CU_ASSERT_EQUAL (suspect_may_place (&suspect, 1000), !rows[i].held);
+      CU_ASSERT (suspect_may_place (&suspect, 31000));
+      if (!rows[i].held)
+        continue;
+      suspect_record (&suspect, true, &rows[i].peers, 31000);
+      CU_ASSERT (!suspect_may_place (&suspect, 31000 + 59999));
+      CU_ASSERT (suspect_may_place (&suspect, 31000 + 60000));
+      CU_ASSERT (suspect_record (&suspect, false, &rows[i].peers, 91000));
+      CU_ASSERT (!suspect.held);
+    }
+}
+
+/* Guards against unknown usage that counts as zero.  */
+static void
+test_estimates (void)
+{
+  static const struct
+  {
+    int64_t memory_mib, age_ms, reserve_mib;
+  } rows[] = {
+    { -1, 0, 1000 },      { 2000, 30001, 1000 }, { 2000, -1, 1000 },
+    { 2000, 1000, 2400 }, { 100, 1000, 1000 },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      estimate_t estimate = { 0 };
+      estimate_usage (&estimate, rows[i].memory_mib, rows[i].age_ms);
+      resource_t size
+          = estimate_reserve (&estimate, (resource_t){ 1000, 1000, 0 }, false);
+      CU_ASSERT_EQUAL (size.memory_mib, rows[i].reserve_mib);
+    }
+  estimate_t none = { 0 };
+  CU_ASSERT_EQUAL (estimate_end_ms (&none, 0, 5, 100), INT64_MAX);
+  CU_ASSERT_EQUAL (estimate_end_ms (&none, 50, 20, 100), 130);
+  CU_ASSERT (estimate_end_ms (&none, 50, 90, 100) > 100);
+}
+
+/* Guards against urgent work or services that are stopped before bulk work. */
+static void
+test_pressure (void)
+{
+  pressure_task_t tasks[] = {
+    { CLASS_URGENT, JOB_BATCH, false, { 100, 100, 0 }, 100, 400, 0 },
+    { CLASS_BULK, JOB_BATCH, false, { 100, 100, 0 }, 100, 300, 0 },
+    { CLASS_BULK, JOB_SERVICE, true, { 100, 100, 0 }, 900, 300, 0 },
+    { CLASS_STANDARD, JOB_SERVICE, false, { 100, 100, 0 }, -1, -1, 0 },
+  };
+  CU_ASSERT_EQUAL (pressure_plan (tasks, 4, (resource_t){ 1000, 900, 0 }), 2);
+  CU_ASSERT_EQUAL (tasks[0].action, PRESSURE_NONE);
+  CU_ASSERT_EQUAL (tasks[1].action, PRESSURE_CHECKPOINT);
+  CU_ASSERT_EQUAL (tasks[2].action, PRESSURE_THROTTLE);
+  CU_ASSERT_EQUAL (tasks[3].action, PRESSURE_NONE);
+  CU_ASSERT_EQUAL (pressure_plan (tasks, 4, (resource_t){ 10000, 5000, 0 }),
+                   0);
+}
+
+static CU_TestInfo pack_tests[] = {
+  { "each rule does what it is for", test_rules },
+  { "classes keep their shares", test_class_order },
+  { "lagging usage", test_estimates },
+  { "least urgent first under pressure", test_pressure },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_TestInfo gang_tests[] = {
+  { "backfill does not delay a reservation", test_reservation },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_TestInfo lease_tests[] = {
+  { "when a task may move", test_moves },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_TestInfo suspect_tests[] = {
+  { "bad workers and bad jobs", test_bad_workers },
+  CU_TEST_INFO_NULL,
+};
+
+CU_SuiteInfo test_pack_suites[] = {
+  { "pack", NULL, NULL, NULL, NULL, pack_tests },
+  { "gang", NULL, NULL, NULL, NULL, gang_tests },
+  { "lease", NULL, NULL, NULL, NULL, lease_tests },
+  { "suspect", NULL, NULL, NULL, NULL, suspect_tests },
+  CU_SUITE_INFO_NULL,
+};
