quota, sched: preempt only what leaves both classes at their shares

Cause: a class that a single task lifts over its guaranteed share could be preempted by the class that this task had been taken from, and back again. Change: the victim's class keeps its share without the task, a less urgent class stays within its own with the new one, and room that is being made counts as used up.

--- a/src/quota.c
+++ b/src/quota.c
@@ -74,11 +74,18 @@
   return resource_dominant_share (row->used, total) * TEAMS_WITHOUT_QUOTA;
 }
 
+static double
+part_of_share (const quota_t *quota, class_t class, resource_t used,
+               resource_t total)
+{
+  return resource_dominant_share (used, total) * 100.0
+         / (double)MAX (quota->percent[class], 1);
+}
+
 double
 quota_class_share (const quota_t *quota, class_t class, resource_t total)
 {
-  double share = resource_dominant_share (quota->class_used[class], total);
-  return share * 100.0 / (double)MAX (quota->percent[class], 1);
+  return part_of_share (quota, class, quota->class_used[class], total);
 }
 
 class_t
@@ -103,10 +110,14 @@
 }
 
 bool
-quota_may_preempt (const quota_t *quota, class_t class, class_t victim,
-                   resource_t total)
+quota_may_preempt (const quota_t *quota, class_t class, resource_t size,
+                   class_t victim, resource_t victim_size, resource_t total)
 {
-  if (class == victim || quota_class_share (quota, victim, total) <= 1.0)
+  if (class == victim)
+    return false;
+  resource_t left = resource_sub (quota->class_used[victim], victim_size);
+  if (part_of_share (quota, victim, left, total) < 1.0)
     return false;
-  return class < victim || quota_class_share (quota, class, total) < 1.0;
+  resource_t with = resource_add (quota->class_used[class], size);
+  return class < victim || part_of_share (quota, class, with, total) <= 1.0;
 }
--- a/src/quota.h
+++ b/src/quota.h
@@ -57,10 +57,13 @@
 class_t quota_next_class (const quota_t *quota,
                           const bool waiting[CLASS_COUNT], resource_t total);
 
-/* Whether waiting work of CLASS may take room from running batch work of
-   VICTIM: the victim's class is over its guaranteed share, and the other one
-   is more urgent or under its own share.  */
-bool quota_may_preempt (const quota_t *quota, class_t class, class_t victim,
+/* Whether waiting work of CLASS and SIZE may take the room of running batch
+   work of VICTIM and VICTIM_SIZE.  The victim's class must keep its guaranteed
+   share without that task; the other class must be more urgent, or stay within
+   its own share with the new one.  So no two classes preempt each other in
+   turn.  */
+bool quota_may_preempt (const quota_t *quota, class_t class, resource_t size,
+                        class_t victim, resource_t victim_size,
                         resource_t total);
 
 #endif
--- a/src/sched_zone.c
+++ b/src/sched_zone.c
@@ -93,8 +93,9 @@
 {
   return job->row != NULL && job->row->spec->kind == JOB_BATCH
          && !job->stopping && task->phase == PHASE_RUNNING
-         && quota_may_preempt (&s->quota, wants->row->spec->class,
-                               job->row->spec->class, s->fleet.total);
+         && quota_may_preempt (&s->quota, wants->row->spec->class, wants->size,
+                               job->row->spec->class, job->size,
+                               s->fleet.total);
 }
 
 /* Room on WORKER if all possible victims were stopped.  *VICTIMS receives
@@ -119,11 +120,21 @@
   return room;
 }
 
-/* Checkpoints tasks on WORKER, least urgent first, until WANTS fits.  */
+/* Takes one task of JOB out of what its class uses.  */
 static void
+release (sched_t *s, const sched_job_t *job)
+{
+  if (job->row != NULL)
+    quota_use (&s->quota, job->team, job->row->spec->class, job->size, -1);
+}
+
+/* Checkpoints tasks on WORKER, least urgent first, until WANTS fits.  Returns
+   how many.  */
+static int64_t
 preempt_on (sched_t *s, sched_job_t *wants, sched_worker_t *worker)
 {
   resource_t room = fleet_free (&s->fleet, worker->index);
+  int64_t count = 0;
   while (!resource_fits (wants->size, room))
     {
       sched_assign_t *next = NULL;
@@ -141,7 +152,9 @@
             next = assign;
         }
       if (next == NULL)
-        return;
+        break;
+      count++;
+      release (s, next->job);
       sched_task_t *task = sched_task_find (next->job, next->number);
       room = resource_add (room, sched_assign_size (next));
       work_stop (s, next->job, task, STOP_CHECKPOINT);
@@ -152,11 +165,13 @@
                    "checkpointed on worker %s for %s job %s", worker->id,
                    job_class_name (wants->row->spec->class), wants->id);
     }
+  return count;
 }
 
-/* Preempted tasks whose stop is not confirmed yet.  */
+/* Takes preempted tasks whose stop is not confirmed yet out of what their
+   classes use.  Returns their number.  */
 static uint32_t
-preempting (const sched_t *s)
+preempting (sched_t *s)
 {
   uint32_t count = 0;
   for (guint i = 0; i < s->workers->len; i++)
@@ -168,55 +183,78 @@
               = &g_array_index (worker->assigned, sched_assign_t, j);
           const sched_task_t *task
               = sched_task_find (assign->job, assign->number);
-          count
-              += task != NULL && task->phase == PHASE_STOP && task->preempted;
+          if (task == NULL || task->phase != PHASE_STOP || !task->preempted)
+            continue;
+          release (s, assign->job);
+          count++;
         }
     }
   return count;
 }
 
+/* The worker on which the fewest tasks must make room for one of WANTS.  */
+static sched_worker_t *
+cheapest (const sched_t *s, const sched_job_t *wants)
+{
+  sched_worker_t *best = NULL;
+  uint32_t fewest = UINT32_MAX;
+  for (guint i = 0; i < s->workers->len; i++)
+    {
+      uint32_t victims = 0;
+      if (!fleet_slot (&s->fleet, i)->usable
+          || !resource_fits (
+              wants->size,
+              room_after (s, wants, s->workers->pdata[i], &victims))
+          || victims == 0 || victims >= fewest)
+        continue;
+      best = s->workers->pdata[i];
+      fewest = victims;
+    }
+  return best;
+}
+
+/* Whether any class could lose work to WANTS.  */
+static bool
+may_claim (const sched_t *s, const sched_job_t *wants)
+{
+  static const resource_t nothing = { 0 };
+  if (!wants->blocked || wants->waiting == 0
+      || wants->row->spec->kind == JOB_ALL_AT_ONCE)
+    return false;
+  for (class_t class = 0; class < CLASS_COUNT; class ++)
+    if (quota_may_preempt (&s->quota, wants->row->spec->class, wants->size,
+                           class, nothing, s->fleet.total))
+      return true;
+  return false;
+}
+
 void
 preempt_for (sched_t *s, const GPtrArray *jobs)
 {
   if (s->now_ms < s->preempt_ms)
     return;
   s->preempt_ms = s->now_ms + PREEMPT_EVERY_MS;
-  uint32_t open = UINT32_MAX;
+  int64_t wanted = 0;
+  for (guint i = 0; i < jobs->len; i++)
+    if (may_claim (s, jobs->pdata[i]))
+      wanted += ((const sched_job_t *)jobs->pdata[i])->waiting;
+  if (wanted == 0)
+    return;
+  /* Room that is already being made is waited for first.  */
+  int64_t left = MIN (wanted, PREEMPT_MAX) - preempting (s);
   for (guint i = 0; i < jobs->len; i++)
     {
       sched_job_t *wants = jobs->pdata[i];
-      if (!wants->blocked || wants->waiting == 0
-          || wants->row->spec->kind == JOB_ALL_AT_ONCE)
-        continue;
-      bool possible = false;
-      for (class_t class = 0; class < CLASS_COUNT; class ++)
-        possible = possible
-                   || quota_may_preempt (&s->quota, wants->row->spec->class,
-                                         class, s->fleet.total);
-      if (!possible)
+      if (!may_claim (s, wants))
         continue;
-      if (open == UINT32_MAX)
-        open = preempting (s);
-      for (uint32_t n = 0; n < wants->waiting && open < PREEMPT_MAX; n++)
+      for (uint32_t n = 0; n < wants->waiting && left > 0; n++)
         {
-          sched_worker_t *best = NULL;
-          uint32_t fewest = UINT32_MAX;
-          for (guint j = 0; j < s->workers->len; j++)
-            {
-              sched_worker_t *worker = s->workers->pdata[j];
-              uint32_t victims;
-              if (!fleet_slot (&s->fleet, j)->usable
-                  || !resource_fits (wants->size,
-                                     room_after (s, wants, worker, &victims))
-                  || victims == 0 || victims >= fewest)
-                continue;
-              best = worker;
-              fewest = victims;
-            }
-          if (best == NULL)
+          sched_worker_t *worker = cheapest (s, wants);
+          if (worker == NULL)
             break;
-          preempt_on (s, wants, best);
-          open += MAX (fewest, 1);
+          left -= preempt_on (s, wants, worker);
+          quota_use (&s->quota, wants->team, wants->row->spec->class,
+                     wants->size, 1);
         }
     }
 }
--- a/tests/test_pack.c
+++ b/tests/test_pack.c
@@ -64,6 +64,7 @@
     { { 50, 0, 0 }, { false, false, false }, CLASS_COUNT },
   };
   resource_t total = { 100, 100, 0 };
+  resource_t one = { 1, 1, 0 };
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
     {
       quota_t quota;
@@ -74,9 +75,10 @@
                    (resource_t){ rows[i].used[class], 0, 0 }, 1);
       CU_ASSERT_EQUAL (quota_next_class (&quota, rows[i].waiting, total),
                        rows[i].next);
-      CU_ASSERT_EQUAL (
-          quota_may_preempt (&quota, CLASS_BULK, CLASS_URGENT, total),
-          rows[i].used[CLASS_URGENT] > 50 && rows[i].used[CLASS_BULK] < 15);
+      CU_ASSERT_EQUAL (quota_may_preempt (&quota, CLASS_BULK, one,
+                                          CLASS_URGENT, one, total),
+                       rows[i].used[CLASS_URGENT] > 50
+                           && rows[i].used[CLASS_BULK] < 15);
       quota_clear (&quota);
     }
 }
