--- a/src/dispatch_lend.c
+++ b/src/dispatch_lend.c
@@ -448,7 +448,18 @@
   bool leave = dispatch->draining && dispatch->request_count == 0;
   if (dispatch->draining && !leave)
     return NULL;
-  return share_propose (dispatch->share, leave, dispatch->now_ms, version);
+  for (guint i = 0; i < dispatch->numbered->len; i++)
+    {
+      const process_t *process = dispatch->numbered->pdata[i];
+      if (process != NULL)
+        share_set_in_use (dispatch->share, i, process->in_flight);
+    }
+  json_t *row
+      = share_propose (dispatch->share, leave, dispatch->now_ms, version);
+  /* A proposal may withhold slots.  */
+  if (row != NULL)
+    refresh_all (dispatch);
+  return row;
 }
 
 void
@@ -605,6 +616,9 @@
       if (!share_confirmed (dispatch->share, peer->member))
         return false;
     }
+  /* Its row is still to be written.  */
+  if (share_is_only_member (dispatch->share))
+    return false;
   for (uint32_t number = 0;
        has_peer && number < share_process_count (dispatch->share); number++)
     if (share_slots (dispatch->share, number) > 0)
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -466,8 +466,9 @@
   rig_clear (&rig);
 }
 
-/* Guards against slots used before a row names the entry, and against a stop
-   that ends before the peers know the slots that they were given.  */
+/* Guards against slots used before a row names the entry or beyond a lowered
+   limit, and against a stop that ends before the peers know the slots that
+   they were given.  */
 static void
 test_shares_and_drain (void)
 {
@@ -486,6 +487,11 @@
   uint32_t idle = 0, queued = 0;
   dispatch_load (rig.dispatch, "svc", &idle, &queued);
   CU_ASSERT_EQUAL (idle, 3);
+  /* A lowered limit holds before the row is cut: 4 slots of 8, 2 for one.  */
+  set_backend (&rig, 0, 2, false);
+  dispatch_load (rig.dispatch, "svc", &idle, &queued);
+  CU_ASSERT_EQUAL (idle, 0);
+  set_backend (&rig, 0, 8, false);
   dispatch_drain (rig.dispatch);
   dispatch_attempt_ended (rig.dispatch, 1, 1, ERR_OK, 200, OUTCOME_RAN);
   run_for (&rig, 50);
@@ -500,6 +506,41 @@
   rig_clear (&rig);
 }
 
+/* Guards against a zone whose only entry stops and leaves its slots to nobody
+   for the 62 s of a retirement.  */
+static void
+test_only_entry_leaves (void)
+{
+  rig_t rig;
+  rig_init (&rig, 1, 8);
+  json_t *row = json_pack ("{s:{s:{s:i}},s:{s:i}}", "members", "e@1", "b0@1",
+                           8, "limits", "b0@1", 8);
+  int64_t version = 0;
+  CU_ASSERT_EQUAL (dispatch_shares_load (rig.dispatch, 1, row), ERR_OK);
+  submit (&rig, 1);
+  dispatch_drain (rig.dispatch);
+  CU_ASSERT_PTR_NULL (dispatch_shares_propose (rig.dispatch, &version));
+  dispatch_attempt_ended (rig.dispatch, 1, 1, ERR_OK, 200, OUTCOME_RAN);
+  CU_ASSERT_FALSE (dispatch_drained (rig.dispatch));
+  json_t *left = dispatch_shares_propose (rig.dispatch, &version);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (left);
+  CU_ASSERT_EQUAL (dispatch_shares_load (rig.dispatch, 2, left), ERR_OK);
+  CU_ASSERT_TRUE (dispatch_drained (rig.dispatch));
+  rig_clear (&rig);
+
+  rig_init (&rig, 1, 8);
+  CU_ASSERT_EQUAL (dispatch_shares_load (rig.dispatch, 2, left), ERR_OK);
+  json_t *first = dispatch_shares_propose (rig.dispatch, &version);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (first);
+  CU_ASSERT_EQUAL (dispatch_shares_load (rig.dispatch, 3, first), ERR_OK);
+  submit (&rig, 1);
+  CU_ASSERT_EQUAL (rig.sends, 1);
+  json_decref (row);
+  json_decref (left);
+  json_decref (first);
+  rig_clear (&rig);
+}
+
 /* Guards, in random runs with all faults at once, against more requests at a
    process than its limit, requests with no or two ends, false outcomes,
    non-idempotent requests that run twice, and slots that are lost for good. */
@@ -555,7 +596,45 @@
     }
 }
 
+/* Guards against a slot that is given out again while the backend server may
+   still work on a request that was given up.  */
+static void
+test_abandoned_attempt (void)
+{
+  static const struct
+  {
+    bool abandoned;
+    err_kind_t kind;
+    int64_t after_ms;
+    unsigned sends; /* of the next request, which needs the only slot */
+  } rows[] = {
+    { true, ERR_TIMEOUT, 0, 0 },     { true, ERR_CONNECTION_LOST, 9000, 0 },
+    { true, ERR_TIMEOUT, 11900, 0 }, { true, ERR_TIMEOUT, 12100, 1 },
+    { false, ERR_ANSWER_CUT, 0, 1 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      rig_t rig;
+      rig_init (&rig, 1, 1);
+      dispatch_request_t first = request_of (&rig, 1);
+      first.replayable = false;
+      dispatch_submit (rig.dispatch, &first);
+      CU_ASSERT_EQUAL (rig.sends, 1);
+      if (rows[i].abandoned)
+        dispatch_attempt_abandoned (rig.dispatch, 1, rig.attempt);
+      dispatch_attempt_ended (rig.dispatch, 1, rig.attempt, rows[i].kind, 0,
+                              OUTCOME_UNKNOWN);
+      run_for (&rig, rows[i].after_ms);
+      rig.sends = 0;
+      dispatch_request_t second = request_of (&rig, 2);
+      dispatch_submit (rig.dispatch, &second);
+      CU_ASSERT_EQUAL (rig.sends, rows[i].sends);
+      rig_clear (&rig);
+    }
+}
+
 static CU_TestInfo dispatch_tests[] = {
+  { "abandoned attempts keep their slot", test_abandoned_attempt },
   { "failures", test_failures },
   { "repeated ids", test_repeated_ids },
   { "barred hand-overs", test_barred },
@@ -564,6 +643,7 @@
   { "spill", test_spill },
   { "urgent rate", test_urgent_rate },
   { "shares and drain", test_shares_and_drain },
+  { "only entry leaves", test_only_entry_leaves },
   { "random zones", test_zone },
   { "random zones notice a broken ledger", test_zone_notices },
   CU_TEST_INFO_NULL,
