--- a/src/io/cli_document.c
+++ b/src/io/cli_document.c
@@ -341,6 +341,44 @@
   return compare_file (settings, rest[0], true);
 }
 
+static doc_t *
+parse_version (const json_t *row)
+{
+  const char *text = cli_text (row, "text");
+  GPtrArray *errors = doc_errors_new ();
+  doc_t *doc = doc_parse_part (text, strlen (text), errors);
+  g_ptr_array_free (errors, TRUE);
+  return doc;
+}
+
+/* Prints each version with the keys that it changed.  */
+static void
+print_history (const json_t *rows, const char *name)
+{
+  doc_t *before = NULL;
+  size_t index;
+  json_t *row;
+  json_array_foreach (rows, index, row)
+  {
+    const char *who = cli_text (row, "who");
+    printf ("version %" PRId64 "  %s  %s  %s%s\n", cli_number (row, "version"),
+            cli_text (row, "when"), *who != '\0' ? who : "(tokens off)",
+            cli_text (row, "why"),
+            cli_text (row, "text")[0] == '\0' ? "  (removed)" : "");
+    doc_t *after = parse_version (row);
+    GString *diff = g_string_new (NULL);
+    doc_diff (doc_section (before, name), doc_section (after, name), diff);
+    char **lines = g_strsplit (diff->str, "\n", -1);
+    for (char **line = lines; **line != '\0'; line++)
+      printf ("    %s\n", *line);
+    g_strfreev (lines);
+    g_string_free (diff, TRUE);
+    doc_unref (before);
+    before = after;
+  }
+  doc_unref (before);
+}
+
 static int
 run_history (const cli_settings_t *settings, char **rest)
 {
@@ -352,19 +390,10 @@
   g_free (escaped);
   if (!done)
     return 1;
-  size_t index;
-  json_t *row;
   if (strcmp (settings->format, "json") == 0)
     cli_print_json (answer);
   else
-    json_array_foreach (json_object_get (answer, "history"), index, row)
-    {
-      const char *who = cli_text (row, "who");
-      printf ("version %" PRId64 "  %s  %s  %s%s\n",
-              cli_number (row, "version"), cli_text (row, "when"),
-              *who != '\0' ? who : "(tokens off)", cli_text (row, "why"),
-              cli_text (row, "text")[0] == '\0' ? "  (removed)" : "");
-    }
+    print_history (json_object_get (answer, "history"), rest[0]);
   json_decref (answer);
   return 0;
 }
@@ -420,7 +449,7 @@
   { "apply", cli_apply_options, 1, 1, "FILE", run_apply,
     "applies the changed sections of a file; FILE may hold a part" },
   { "history", cli_plain_options, 1, 1, "SECTION", run_history,
-    "prints the versions of a section" },
+    "prints the versions of a section and what each changed" },
   { "status", cli_plain_options, 0, 0, "", run_status,
     "prints where the revision is in force" },
 };
