--- a/src/io/cli_document.c
+++ b/src/io/cli_document.c
@@ -369,7 +369,7 @@
     GString *diff = g_string_new (NULL);
     doc_diff (doc_section (before, name), doc_section (after, name), diff);
     char **lines = g_strsplit (diff->str, "\n", -1);
-    for (char **line = lines; **line != '\0'; line++)
+    for (char **line = lines; *line != NULL && **line != '\0'; line++)
       printf ("    %s\n", *line);
     g_strfreev (lines);
     g_string_free (diff, TRUE);
