--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -76,7 +76,7 @@
 } dispatch_given_t;
 
 /* One process's transfers between the sender of a closing statement and the
-   gone entry MEMBER.  */
+   gone or stopping entry MEMBER.  */
 typedef struct
 {
   const char *member;
@@ -119,8 +119,8 @@
   /* Asks ENTRY for up to COUNT slots of SERVICE.  */
   void (*want_slots) (void *context, const char *entry, const char *service,
                       uint32_t count);
-  /* Asks ENTRY for its closing statement about the gone MEMBERS.  Repeated
-     until it is answered.  */
+  /* Asks ENTRY for its closing statement about MEMBERS: gone entries, or this
+     one when it stops.  Repeated until it is answered.  */
   void (*closing_request) (void *context, const char *entry,
                            const char *const *members, uint32_t count);
   /* Sends ENTRY the closing statement about MEMBERS.  */
