--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -167,11 +167,12 @@
 standin_set_state (standin_instance_t *instance, const char *state,
                    int64_t incarnation)
 {
+  char *copy = g_strdup (state); /* STATE may be the instance's own */
   g_free (instance->state);
-  instance->state = g_strdup (state);
+  instance->state = copy;
   instance->incarnation = incarnation;
   instance->changed_ms = standin_now_ms ();
-  if (strcmp (state, "live") == 0)
+  if (strcmp (instance->state, "live") == 0)
     instance->leaving_shown_ms = 0;
 }
 
