sched: update services task by task

A submission with the id, team and number of tasks of a running service is an update: the job row gets a new specification and revision, and the entry on duty replaces one task at a time when all others have run for 2 s. unit-tests sched: never fewer than 3 of 4 tasks run during the update.

--- a/src/job.h
+++ b/src/job.h
@@ -93,6 +93,7 @@
   char *reason;       /* why refused or stopped, "" if none */
   char *submit_id;    /* names the submission for good */
   int64_t created_ms; /* wall clock */
+  int64_t revision;   /* of the specification, grows with each update */
   int64_t ended_ms;   /* wall clock, 0 until the job has ended */
   GPtrArray *parts;   /* job_part_t, owned */
 } job_row_t;
@@ -112,7 +113,8 @@
   uint32_t generation;
   int32_t worker; /* index in workers, -1: none */
   uint16_t failures;
-  char state; /* task_state_t */
+  char state;        /* task_state_t */
+  uint16_t revision; /* of the specification that it was started with */
 } part_task_t;
 
 typedef struct
--- a/src/job_row.c
+++ b/src/job_row.c
@@ -18,6 +18,7 @@
   row->reason = g_strdup ("");
   row->submit_id = g_strdup (submit_id);
   row->created_ms = created_ms;
+  row->revision = 1;
   row->parts = g_ptr_array_new_with_free_func (job_part_free);
   return row;
 }
@@ -76,6 +77,7 @@
       spec, submit_id ? submit_id : "",
       json_integer_value (json_object_get (json, "created_ms")));
   row->ended_ms = json_integer_value (json_object_get (json, "ended_ms"));
+  row->revision = json_integer_value (json_object_get (json, "revision"));
   const char *reason = json_string_value (json_object_get (json, "reason"));
   if (reason != NULL)
     {
@@ -119,13 +121,13 @@
                                       (json_int_t)part->tasks, "done",
                                       part->done, "failed", part->failed));
     }
-  return json_pack ("{s:o,s:s,s:s,s:s,s:s,s:o,s:s,s:I,s:I,s:s}", "spec",
-                    job_spec_to_json (row->spec), "class",
-                    job_class_name (row->spec->class), "team", row->spec->team,
-                    "state", job_state_name (row->state), "reason",
-                    row->reason, "parts", parts, "submit_id", row->submit_id,
-                    "created_ms", (json_int_t)row->created_ms, "ended_ms",
-                    (json_int_t)row->ended_ms, "write_id", write_id);
+  return json_pack (
+      "{s:o,s:s,s:s,s:s,s:s,s:o,s:s,s:I,s:I,s:I,s:s}", "spec",
+      job_spec_to_json (row->spec), "class", job_class_name (row->spec->class),
+      "team", row->spec->team, "state", job_state_name (row->state), "reason",
+      row->reason, "parts", parts, "submit_id", row->submit_id, "created_ms",
+      (json_int_t)row->created_ms, "ended_ms", (json_int_t)row->ended_ms,
+      "revision", (json_int_t)row->revision, "write_id", write_id);
 }
 
 part_row_t *
@@ -182,6 +184,7 @@
   const json_t *generations = json_object_get (json, "generation");
   const json_t *workers = json_object_get (json, "worker");
   const json_t *failures = json_object_get (json, "failures");
+  const json_t *revisions = json_object_get (json, "revision");
   const char *states = json_string_value (json_object_get (json, "state"));
   size_t count = json_array_size (generations);
   if (states == NULL || strlen (states) != count
@@ -204,6 +207,8 @@
       task->worker = (int32_t)json_integer_value (json_array_get (workers, i));
       task->failures
           = (uint16_t)json_integer_value (json_array_get (failures, i));
+      task->revision
+          = (uint16_t)json_integer_value (json_array_get (revisions, i));
       task->state = states[i];
       good = good && strchr ("waefx", states[i]) != NULL
              && task->worker < (int32_t)row->workers->len
@@ -222,6 +227,8 @@
   json_t *generations = json_array ();
   json_t *workers = json_array ();
   json_t *failures = json_array ();
+  json_t *revisions = json_array ();
+  bool updated = false;
   bool any_failure = false;
   char *states = g_new0 (char, row->tasks->len + 1);
   for (guint i = 0; i < row->tasks->len; i++)
@@ -231,6 +238,8 @@
       json_array_append_new (workers, json_integer (task->worker));
       json_array_append_new (failures, json_integer (task->failures));
       any_failure = any_failure || task->failures > 0;
+      json_array_append_new (revisions, json_integer (task->revision));
+      updated = updated || task->revision > 1;
       states[i] = task->state;
     }
   json_t *json = json_pack (
@@ -241,6 +250,9 @@
   if (any_failure)
     json_object_set (json, "failures", failures);
   json_decref (failures);
+  if (updated)
+    json_object_set (json, "revision", revisions);
+  json_decref (revisions);
   g_free (states);
   return json;
 }
--- a/src/sched.h
+++ b/src/sched.h
@@ -201,7 +201,9 @@
                     const stop_result_t *results, uint32_t count);
 
 /* Takes a job in JSON.  Answered by the answer action with TOKEN, maybe before
-   this returns.  */
+   this returns.  A service that has the id, team and number of tasks of a
+   running one is an update of it: its tasks are replaced one after another in
+   each zone, each when all others run.  */
 void sched_submit (sched_t *sched, const json_t *spec, void *token);
 /* Cancels job ID.  ERR_OK means that the cancel is committed; the job shows
    "cancelled" once every stop is confirmed.  */
--- a/src/sched_front.c
+++ b/src/sched_front.c
@@ -178,6 +178,29 @@
   return reason;
 }
 
+/* Whether SPEC may replace the specification of the known JOB: a running
+   service of the same team with the same tasks.  */
+static bool
+may_update (const sched_job_t *job, const job_spec_t *spec)
+{
+  const job_row_t *row = job->row;
+  return row != NULL && row->state == JOB_ACCEPTED
+         && row->spec->kind == JOB_SERVICE && spec->kind == JOB_SERVICE
+         && row->spec->tasks == spec->tasks
+         && strcmp (row->spec->team, spec->team) == 0;
+}
+
+static bool
+same_spec (const sched_job_t *job, const job_spec_t *spec)
+{
+  json_t *first = job_spec_to_json (job->row->spec);
+  json_t *second = job_spec_to_json (spec);
+  bool same = json_equal (first, second);
+  json_decref (first);
+  json_decref (second);
+  return same;
+}
+
 void
 sched_submit (sched_t *s, const json_t *json, void *token)
 {
@@ -204,8 +227,11 @@
   item->deadline_ms = s->now_ms + SUBMIT_LIMIT_MS;
   g_free (submit_id);
   const sched_job_t *known = g_hash_table_lookup (s->jobs, item->id);
+  item->update = known != NULL && may_update (known, spec);
   char *reason = choose_parts (s, item->row);
-  if (known != NULL && known->version > 0)
+  if (item->update && same_spec (known, spec))
+    answer (s, item, ERR_OK, "unchanged");
+  else if (known != NULL && known->version > 0 && !item->update)
     answer (s, item, ERR_CONFLICT, "a job with this id exists");
   else if (reason != NULL)
     {
@@ -363,11 +389,38 @@
     return LATER;
   if (strcmp (job->row->submit_id, item->row->submit_id) == 0)
     answer (s, item, ERR_OK, job_state_name (job->row->state));
+  else if (item->update)
+    return LATER;
   else
     answer (s, item, ERR_CONFLICT, "a job with this id exists");
   return ANSWERED;
 }
 
+/* Adds the new specification of a service to the transaction.  */
+static added_t
+try_update (sched_t *s, txn_t *txn, front_item_t *item)
+{
+  sched_job_t *job = g_hash_table_lookup (s->jobs, item->id);
+  if (job == NULL || !may_update (job, item->row->spec))
+    {
+      answer (s, item, ERR_CONFLICT, "the service is no longer running");
+      return ANSWERED;
+    }
+  if (job->row_in_txn || !changes_known (s, job->row))
+    return LATER;
+  job_row_t row = *job->row;
+  row.spec = item->row->spec;
+  row.submit_id = item->row->submit_id;
+  row.revision++;
+  job->row_in_txn = true;
+  txn_add_row (txn, ROW_JOB, job, job_key (item->id), job->version,
+               job_row_to_json (&row, ""));
+  for (guint i = 0; i < row.parts->len; i++)
+    sched_note_change (s, txn, ((job_part_t *)row.parts->pdata[i])->zone,
+                       item->id);
+  return ADDED;
+}
+
 static added_t
 try_item (sched_t *s, txn_t *txn, front_item_t *item)
 {
@@ -380,6 +433,8 @@
     }
   if (item->cancel)
     return try_cancel (s, txn, item);
+  if (item->update)
+    return try_update (s, txn, item);
   if (!changes_known (s, item->row))
     return LATER;
   add_submission (s, txn, item);
@@ -500,8 +555,10 @@
       if (row->kind == ROW_JOB)
         {
           sched_job_t *job = row->object;
-          job->row->state = JOB_CANCELLING;
-          job->stopping = true;
+          job_row_t *parsed = job_row_parse (row->value, NULL);
+          job_row_free (job->row);
+          job->row = parsed;
+          job->stopping = parsed == NULL || parsed->state != JOB_ACCEPTED;
         }
       else if (row->kind == ROW_OTHER)
         sched_want_key (s, g_strdup (row->key));
--- a/src/sched_int.h
+++ b/src/sched_int.h
@@ -52,6 +52,7 @@
   int64_t since_ms; /* assigned: begin of the phase; waiting: not before */
   uint32_t generation;
   uint16_t failures;
+  uint16_t revision; /* of the specification that it was started with */
   char state;        /* task_state_t */
   uint8_t phase;     /* phase_t */
   uint8_t stop_mode; /* stop_mode_t, in PHASE_STOP */
@@ -233,6 +234,7 @@
 typedef struct
 {
   bool cancel;
+  bool update; /* a new specification of a running service */
   void *token;
   char *id;
   job_row_t *row; /* of a submission */
@@ -330,7 +332,8 @@
   int64_t tokens_ms;
   double stop_tokens; /* stops of cancelled jobs */
   int64_t preempt_ms; /* no further preemption before */
-  int64_t zone_row_due_ms, compare_due_ms, misfit_due_ms, view_due_ms;
+  int64_t zone_row_due_ms, compare_due_ms, roll_due_ms, misfit_due_ms,
+      view_due_ms;
   char *zone_text; /* what was advertised last */
 
   quota_t quota;
@@ -424,6 +427,9 @@
    that ended a while ago.  */
 void plan_misfits (sched_t *s);
 void plan_drops (sched_t *s);
+/* Replaces tasks of services whose specification has changed, one at a
+   time.  */
+void plan_rolls (sched_t *s);
 void op_move_commit (sched_t *s, op_t *op);
 /* Forgets jobs that have no rows any more.  */
 void sched_forget (sched_t *s);
--- a/src/sched_jobs.c
+++ b/src/sched_jobs.c
@@ -11,6 +11,9 @@
    itself.  */
 #define KEEP_JOB_MS (KEEP_MS + 120000)
 #define DROPS 8
+#define ROLL_EVERY_MS 500
+/* The next task of a service is replaced when all have run this long.  */
+#define ROLL_HEALTHY_MS 2000
 
 static op_t *
 add_op (sched_t *s, op_kind_t kind, sched_job_t *job)
@@ -162,6 +165,47 @@
     }
 }
 
+/* Stops one outdated task of JOB if all its tasks run.  */
+static void
+roll (sched_t *s, sched_job_t *job)
+{
+  sched_task_t *outdated = NULL;
+  for (uint32_t i = 0; i < job->count; i++)
+    {
+      sched_task_t *task = &job->tasks[i];
+      if (task->phase != PHASE_RUNNING
+          || s->now_ms - task->since_ms < ROLL_HEALTHY_MS)
+        return;
+      if (task->revision != (uint16_t)job->row->revision)
+        outdated = task;
+    }
+  if (outdated == NULL)
+    return;
+  work_stop (s, job, outdated, STOP_GRACEFUL);
+  explain_add (&s->explain, clk_wall_ms (s->clock), job->id,
+               (int64_t)job->first + (outdated - job->tasks), "stopped",
+               "replaced by revision %" G_GINT64_FORMAT, job->row->revision);
+}
+
+void
+plan_rolls (sched_t *s)
+{
+  if (s->now_ms < s->roll_due_ms)
+    return;
+  s->roll_due_ms = s->now_ms + ROLL_EVERY_MS;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, s->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      sched_job_t *job = value;
+      if (job->row != NULL && job->row->spec->kind == JOB_SERVICE
+          && job->row->revision > 1 && !job->stopping && job->waiting == 0
+          && job->assigned == job->count && job->count > 0)
+        roll (s, job);
+    }
+}
+
 /* Plans the deletion of one row of an ended job that is old enough.  */
 static bool
 drop_row (sched_t *s, sched_job_t *job, int64_t wall_ms)
--- a/src/sched_ops.c
+++ b/src/sched_ops.c
@@ -30,6 +30,7 @@
   txn_touch_part (&s->duty, job);
   txn_touch_worker (&s->duty, worker);
   task->generation++;
+  task->revision = (uint16_t)job->row->revision;
   task->worker = worker;
   task->phase = PHASE_PLANNED;
   task->since_ms = s->now_ms;
--- a/src/sched_plan.c
+++ b/src/sched_plan.c
@@ -651,6 +651,7 @@
   plan_touched (s);
   plan_jobs (s);
   plan_holds (s);
+  plan_rolls (s);
   plan_misfits (s);
   if (rows_left (s, CLOSE_RESERVE_ROWS))
     plan_drops (s);
--- a/src/sched_rows.c
+++ b/src/sched_rows.c
@@ -211,6 +211,7 @@
               && task->generation == read->generation
               && task->worker == worker;
   task->failures = read->failures;
+  task->revision = MAX (read->revision, 1);
   if (same)
     return;
   task->state = read->state;
@@ -578,6 +579,7 @@
       part_task_t *out = &g_array_index (part->tasks, part_task_t, i);
       out->generation = task->generation;
       out->failures = task->failures;
+      out->revision = task->revision;
       out->state = task->state;
       if (task->worker == NULL)
         continue;
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -65,7 +65,7 @@
 {
   part_row_t *part = part_row_new (7, 3);
   part_task_t *task = &g_array_index (part->tasks, part_task_t, 1);
-  *task = (part_task_t){ 5, 0, 2, TASK_ASSIGNED };
+  *task = (part_task_t){ 5, 0, 2, TASK_ASSIGNED, 3 };
   g_ptr_array_add (part->workers, g_strdup ("w1"));
   g_ptr_array_add (part->failed_on, g_strdup ("w9"));
   worker_row_t *worker = worker_row_new (42);
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -44,6 +44,35 @@
     }
 }
 
+/* Guards against an update that stops more than one task of a service at a
+   time, or leaves some as they were.  */
+static void
+test_rolling_update (void)
+{
+  int first, second, third;
+  fake_world_t *world = fake_world_new (2, 4, worker_size, test_seed ());
+  fake_world_run (world, 500);
+  fake_world_submit (world, 0, JOB ("s", "service", "urgent", 4, 2000, 0),
+                     &first);
+  fake_world_run (world, 8000);
+  uint64_t starts = world->worker_starts;
+  fake_world_submit (world, 1, JOB ("s", "service", "urgent", 4, 1000, 0),
+                     &second);
+  for (int i = 0; i < 400; i++)
+    {
+      fake_world_run (world, 100);
+      CU_ASSERT (fake_world_running (world, "s") >= 3);
+    }
+  CU_ASSERT_EQUAL (fake_world_answer (world, &second), ERR_OK);
+  CU_ASSERT_EQUAL (world->worker_starts - starts, 4);
+  CU_ASSERT_EQUAL (fake_world_running (world, "s"), 4);
+  CU_ASSERT_EQUAL (world->violations, 0);
+  fake_world_submit (world, 1, JOB ("s", "service", "urgent", 5, 1000, 0),
+                     &third);
+  CU_ASSERT_EQUAL (fake_world_answer (world, &third), ERR_CONFLICT);
+  fake_world_free (world);
+}
+
 /* Random faults at every step.  */
 
 #define STORM_JOBS 40
@@ -297,6 +326,7 @@
 
 static CU_TestInfo sched_tests[] = {
   { "each kind of job runs", test_each_kind_runs },
+  { "rolling update", test_rolling_update },
   { "faults at every step", test_storm },
   CU_TEST_INFO_NULL,
 };
