--- a/src/sched.c
+++ b/src/sched.c
@@ -406,7 +406,7 @@
     reload_done (s, call, kind, rows, count);
   else if (call->step == UINT32_MAX)
     {
-      s->poll_open = false;
+      s->polls_open--;
       for (uint32_t i = 0; kind == ERR_OK && i < count; i++)
         sched_row_apply (s, &rows[i], call->stamp);
     }
@@ -454,18 +454,33 @@
 }
 
 static void
-poll_changes (sched_t *s)
+send_poll (sched_t *s, const char *prefix)
 {
-  if (s->poll_open || s->scanning || !s->ready || s->now_ms < s->poll_due_ms)
-    return;
-  s->poll_due_ms = s->now_ms + (s->on_duty ? POLL_DUTY_MS : POLL_OTHER_MS);
-  s->poll_open = true;
   uint64_t tag;
   call_t *call = sched_call_new (s, CALL_SCAN, &tag);
   call->step = UINT32_MAX;
-  char *prefix = g_strdup_printf ("changes/%s/", s->zone);
+  s->polls_open++;
   s->actions->scan (s->context, tag, prefix);
-  g_free (prefix);
+}
+
+/* Reads what other entries changed, and what other zones advertise.  */
+static void
+poll_rows (sched_t *s)
+{
+  if (s->polls_open > 0 || s->scanning || !s->ready)
+    return;
+  if (s->now_ms >= s->poll_due_ms)
+    {
+      s->poll_due_ms = s->now_ms + (s->on_duty ? POLL_DUTY_MS : POLL_OTHER_MS);
+      char *prefix = g_strdup_printf ("changes/%s/", s->zone);
+      send_poll (s, prefix);
+      g_free (prefix);
+    }
+  if (s->now_ms >= s->zones_due_ms)
+    {
+      s->zones_due_ms = s->now_ms + POLL_OTHER_MS;
+      send_poll (s, "zone/");
+    }
 }
 
 /* Asks again for the rows of some unfinished jobs that another entry works
@@ -530,7 +545,7 @@
   if (s->scan_wanted && !s->scanning && s->now_ms >= s->scan_retry_ms)
     start_scan (s);
   send_reloads (s);
-  poll_changes (s);
+  poll_rows (s);
   refresh_views (s);
   if (s->on_duty && s->ready && s->now_ms >= s->compare_due_ms)
     {
--- a/src/sched_front.c
+++ b/src/sched_front.c
@@ -140,6 +140,9 @@
           continue;
         }
       double room = sched_zone_room (s, zones->pdata[i], spec->size);
+      /* A zone that has told nothing is the last choice.  */
+      if (fit < 0)
+        room = -G_MAXDOUBLE;
       bool own = strcmp (zones->pdata[i], s->zone) == 0;
       if (own && room >= (double)spec->tasks)
         room = G_MAXDOUBLE;
--- a/src/sched_int.h
+++ b/src/sched_int.h
@@ -317,7 +317,8 @@
   bool scanning, scan_wanted;
   uint64_t scan_stamp;
   int64_t scan_retry_ms, scan_done_ms, poll_due_ms;
-  bool poll_open;
+  uint32_t polls_open;
+  int64_t zones_due_ms;
   GHashTable *wanted; /* keys to be read */
   uint32_t reloads_open;
   int64_t reload_retry_ms;
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -73,6 +73,125 @@
   fake_world_free (world);
 }
 
+/* Puts the row by which zone "y" advertises workers of CAPACITY.  */
+static void
+advertise (fake_world_t *world, resource_t capacity)
+{
+  json_t *value
+      = json_pack ("{s:o,s:o,s:[o]}", "free", resource_to_json (capacity),
+                   "waiting", resource_to_json ((resource_t){ 0 }), "shapes",
+                   resource_to_json (capacity));
+  json_object_set_new (json_array_get (json_object_get (value, "shapes"), 0),
+                       "count", json_integer (1));
+  sched_row_t row = { .key = "zone/y", .value = value };
+  int64_t version;
+  fake_store_txn (&world->store, NULL, 0, &row, 1, &version);
+  json_decref (value);
+}
+
+static bool
+has_row (const fake_world_t *world, const char *key)
+{
+  return fake_store_get (&world->store, key).version > 0;
+}
+
+/* Guards against a job that waits for ever for what does not exist, a refusal
+   that leaves a row, and a job that stays where it can never run.  */
+static void
+test_misfits (void)
+{
+  static const struct
+  {
+    const char *json;
+    bool other_zone; /* zone "y" has one worker of 64 cores */
+    int answer;
+    const char *key; /* row that must exist then, NULL: no row of the job */
+  } rows[] = {
+    { JOB ("j", "batch", "bulk", 1, 9000, 1000), false, ERR_NEVER_FITS, NULL },
+    { JOB ("j", "all-at-once", "bulk", 9, 4000, 1000), false, ERR_NEVER_FITS,
+      NULL },
+    { JOB ("j", "all-at-once", "bulk", 8, 4000, 1000), false, ERR_OK,
+      "part/z/j" },
+    { JOB ("j", "batch", "bulk", 1, 9000, 1000), true, ERR_OK, "part/y/j" },
+    { JOB ("j", "batch", "bulk", 1, 65000, 1000), true, ERR_NEVER_FITS, NULL },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      int token;
+      fake_world_t *world = fake_world_new (1, 4, worker_size, test_seed ());
+      sched_entry_set (world->entries[0].sched, "f0", "y", rows[i].other_zone);
+      if (rows[i].other_zone)
+        advertise (world, (resource_t){ 64000, 65536, 0 });
+      fake_world_run (world, 6000);
+      fake_world_submit (world, 0, rows[i].json, &token);
+      fake_world_run (world, 1000);
+      CU_ASSERT_EQUAL (fake_world_answer (world, &token), rows[i].answer);
+      CU_ASSERT_EQUAL (has_row (world, "job/j"), rows[i].key != NULL);
+      if (rows[i].key != NULL)
+        {
+          CU_ASSERT (has_row (world, rows[i].key));
+        }
+      else
+        {
+          const char *why = g_hash_table_lookup (world->refused, "j");
+          CU_ASSERT (why != NULL && strstr (why, "needs") != NULL);
+        }
+      fake_world_free (world);
+    }
+}
+
+/* Guards against a part that stays in a full zone while another one has room,
+   or that exists in both.  */
+static void
+test_zone_move (void)
+{
+  int tokens[2];
+  fake_world_t *world = fake_world_new (1, 4, worker_size, test_seed ());
+  sched_entry_set (world->entries[0].sched, "f0", "y", true);
+  fake_world_run (world, 500);
+  /* Half of the service is for zone "y", which has told nothing yet.  */
+  fake_world_submit (world, 0, JOB ("s", "service", "urgent", 8, 8000, 0),
+                     &tokens[0]);
+  fake_world_run (world, 1000);
+  fake_world_submit (world, 0, JOB ("b", "batch", "urgent", 2, 8000, 100),
+                     &tokens[1]);
+  fake_world_run (world, 5000);
+  CU_ASSERT (has_row (world, "part/z/b"));
+  advertise (world, (resource_t){ 64000, 65536, 0 });
+  fake_world_run (world, 20000);
+  CU_ASSERT (has_row (world, "part/y/b"));
+  CU_ASSERT (!has_row (world, "part/z/b"));
+  CU_ASSERT (has_row (world, "changes/y/e0"));
+  CU_ASSERT_EQUAL (world->violations, 0);
+  fake_world_free (world);
+}
+
+/* Guards against a job that fails everywhere and goes on taking workers, and
+   against good workers that are held back for it.  */
+static void
+test_bad_job (void)
+{
+  int token;
+  fake_world_t *world = fake_world_new (1, 6, worker_size, test_seed ());
+  fake_world_run (world, 500);
+  fake_world_submit (
+      world, 0,
+      "{\"id\":\"bad\",\"kind\":\"batch\",\"team\":\"t\",\"tasks\":6,"
+      "\"size\":{\"cpu_millis\":8000,\"memory_mib\":100},"
+      "\"command\":\"fail\",\"restart\":{\"max_failures\":-1,"
+      "\"backoff_ms\":100}}",
+      &token);
+  fake_world_run (world, 30000);
+  CU_ASSERT_STRING_EQUAL (fake_world_job_state (world, "bad"), "ended");
+  json_t *job = sched_job (world->entries[0].sched, "bad");
+  CU_ASSERT_PTR_NOT_NULL (strstr (
+      json_string_value (json_object_get (job, "reason")), "3 healthy"));
+  json_decref (job);
+  CU_ASSERT (world->worker_starts < 40);
+  CU_ASSERT_EQUAL (world->violations, 0);
+  fake_world_free (world);
+}
+
 /* Random faults at every step.  */
 
 #define STORM_JOBS 40
@@ -327,6 +446,9 @@
 static CU_TestInfo sched_tests[] = {
   { "each kind of job runs", test_each_kind_runs },
   { "rolling update", test_rolling_update },
+  { "what can never run here", test_misfits },
+  { "move to a zone with room", test_zone_move },
+  { "a job that fails everywhere", test_bad_job },
   { "faults at every step", test_storm },
   CU_TEST_INFO_NULL,
 };
