--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -192,6 +192,41 @@
   fake_world_free (world);
 }
 
+/* Guards against two all-at-once jobs that each hold half of what the other
+   one needs, and against small jobs that delay them without end.  */
+static void
+test_large_jobs (void)
+{
+  int tokens[64];
+  fake_world_t *world = fake_world_new (1, 4, worker_size, test_seed ());
+  fake_world_run (world, 500);
+  fake_world_submit (world, 0, JOB ("f", "batch", "standard", 16, 2000, 5000),
+                     &tokens[0]);
+  fake_world_run (world, 1000);
+  fake_world_submit (world, 0,
+                     JOB ("g", "all-at-once", "standard", 3, 8000, 3000),
+                     &tokens[1]);
+  fake_world_submit (world, 0,
+                     JOB ("h", "all-at-once", "standard", 3, 8000, 3000),
+                     &tokens[2]);
+  for (int i = 3; i < 60; i++)
+    {
+      char text[300];
+      g_snprintf (text, sizeof text,
+                  "{\"id\":\"s%d\",\"kind\":\"batch\",\"class\":"
+                  "\"standard\",\"team\":\"t\",\"tasks\":2,\"size\":{"
+                  "\"cpu_millis\":1000,\"memory_mib\":100},\"command\":"
+                  "\"run\",\"run_ms\":4000}",
+                  i);
+      fake_world_submit (world, 0, text, &tokens[i]);
+      fake_world_run (world, 500);
+    }
+  CU_ASSERT_STRING_EQUAL (fake_world_job_state (world, "g"), "ended");
+  CU_ASSERT_STRING_EQUAL (fake_world_job_state (world, "h"), "ended");
+  CU_ASSERT_EQUAL (world->violations, 0);
+  fake_world_free (world);
+}
+
 /* Random faults at every step.  */
 
 #define STORM_JOBS 40
@@ -449,6 +484,7 @@
   { "what can never run here", test_misfits },
   { "move to a zone with room", test_zone_move },
   { "a job that fails everywhere", test_bad_job },
+  { "two large all-at-once jobs", test_large_jobs },
   { "faults at every step", test_storm },
   CU_TEST_INFO_NULL,
 };
