--- a/tests/fake_world.c
+++ b/tests/fake_world.c
@@ -704,6 +704,8 @@
   char id[16];
   g_snprintf (id, sizeof id, "e%u", index);
   entry->up = false;
+  world->orphans += counter_value (
+      counter_get (entry->registry, "task_orphans_total", NULL));
   g_clear_pointer (&entry->sched, sched_free);
   g_clear_pointer (&entry->registry, counter_registry_free);
   for (uint32_t i = 0; i < world->entry_count; i++)
--- a/tests/fake_world.h
+++ b/tests/fake_world.h
@@ -82,6 +82,7 @@
   uint32_t violations;
   char first[200];
   uint64_t worker_starts;
+  int64_t orphans; /* tasks that entries, now ended, took for orphans */
 };
 
 fake_world_t *fake_world_new (uint32_t entries, uint32_t workers,
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -227,6 +227,58 @@
   fake_world_free (world);
 }
 
+/* Guards against tasks that lose their lease because the entry that renews it
+   was replaced while the table service is down, and against work that is done
+   without it.  */
+static void
+test_outage (void)
+{
+  int before, during;
+  fake_world_t *world = fake_world_new (2, 4, worker_size, test_seed ());
+  fake_world_run (world, 500);
+  fake_world_submit (world, 0, JOB ("s", "service", "urgent", 4, 2000, 0),
+                     &before);
+  fake_world_run (world, 3000);
+  uint64_t starts = world->worker_starts;
+  world->store_down = true;
+  for (uint32_t entry = 0; entry < 2; entry++)
+    {
+      fake_world_entry_crash (world, entry);
+      fake_world_entry_start (world, entry);
+    }
+  fake_world_submit (world, 0, JOB ("b", "batch", "urgent", 1, 2000, 100),
+                     &during);
+  fake_world_run (world, 120000);
+  CU_ASSERT_EQUAL (fake_world_running (world, "s"), 4);
+  CU_ASSERT_EQUAL (fake_world_answer (world, &during), ERR_STORE_UNAVAILABLE);
+  world->store_down = false;
+  fake_world_run (world, 10000);
+  CU_ASSERT_EQUAL (fake_world_running (world, "s"), 4);
+  CU_ASSERT_EQUAL (world->worker_starts, starts);
+  CU_ASSERT_EQUAL (world->violations, 0);
+  fake_world_free (world);
+}
+
+/* Guards against an orphan that runs on for ever.  */
+static void
+test_orphan (void)
+{
+  fake_world_t *world = fake_world_new (1, 2, worker_size, test_seed ());
+  fake_world_run (world, 500);
+  fake_task_t task = { .name = g_strdup ("lost/0"),
+                       .generation = 7,
+                       .state = REPORT_RUNNING,
+                       .size = { 1000, 1000, 0 },
+                       .end_ms = INT64_MAX,
+                       .lease_ms = INT64_MAX,
+                       .stop_ms = INT64_MAX };
+  g_array_append_val (world->workers[0].tasks, task);
+  CU_ASSERT_EQUAL (fake_world_running (world, "lost"), 1);
+  fake_world_run (world, 25000);
+  CU_ASSERT_EQUAL (fake_world_running (world, "lost"), 0);
+  fake_world_free (world);
+}
+
 /* Random faults at every step.  */
 
 #define STORM_JOBS 40
@@ -443,6 +495,16 @@
                 fake_world_running (storm.world, storm.ids[job]));
         storm_print (&storm, storm.ids[job]);
       }
+  /* No task without an assignment can come about here, so every one that was
+     taken for an orphan was judged by an old row.  */
+  for (uint32_t entry = 0; entry < entries; entry++)
+    fake_world_entry_crash (storm.world, entry);
+  if (storm.world->orphans > 0)
+    {
+      printf ("seed %u: %d tasks taken for orphans\n", seed,
+              (int)storm.world->orphans);
+      wrong++;
+    }
   fake_world_free (storm.world);
   g_rand_free (storm.random);
   return wrong;
@@ -485,6 +547,8 @@
   { "move to a zone with room", test_zone_move },
   { "a job that fails everywhere", test_bad_job },
   { "two large all-at-once jobs", test_large_jobs },
+  { "entries replaced during an outage of the store", test_outage },
+  { "an orphan is stopped", test_orphan },
   { "faults at every step", test_storm },
   CU_TEST_INFO_NULL,
 };
