--- a/src/io/tasks.c
+++ b/src/io/tasks.c
@@ -16,6 +16,9 @@
   char *entry, *zone;
   bool draining;
   GHashTable *waiting; /* waiting_t, submissions and cancels */
+  /* Contexts of open calls of table and workers.  */
+  GHashTable *calls; /* call_t */
+  GHashTable *reads; /* read_t */
 };
 
 typedef struct
@@ -34,9 +37,10 @@
   err_kind_t kind;
   GPtrArray *keys; /* char * */
   GArray *rows;    /* sched_row_t, values owned */
+  struct read_row *parts;
 } read_t;
 
-typedef struct
+typedef struct read_row
 {
   read_t *read;
   uint32_t index;
@@ -54,21 +58,37 @@
   call_t *call = g_new (call_t, 1);
   call->tasks = tasks;
   call->tag = tag;
+  g_hash_table_add (tasks->calls, call);
   return call;
 }
 
 static void
-read_finish (read_t *read)
+read_free (gpointer data)
 {
-  sched_rows_read (read->tasks->sched, read->tag, read->kind,
-                   (const sched_row_t *)read->rows->data, read->rows->len);
+  read_t *read = data;
   for (guint i = 0; i < read->rows->len; i++)
     json_decref (g_array_index (read->rows, sched_row_t, i).value);
   g_array_unref (read->rows);
   g_ptr_array_unref (read->keys);
+  g_free (read->parts);
   g_free (read);
 }
 
+static void
+read_finish (read_t *read)
+{
+  sched_rows_read (read->tasks->sched, read->tag, read->kind,
+                   (const sched_row_t *)read->rows->data, read->rows->len);
+  g_hash_table_remove (read->tasks->reads, read);
+}
+
+/* Forgets the context of a call that has ended.  */
+static void
+call_end (call_t *call)
+{
+  g_hash_table_remove (call->tasks->calls, call);
+}
+
 static void
 on_row (void *context, err_kind_t kind, const table_row_t *rows,
         uint32_t count)
@@ -83,7 +103,6 @@
       row->version = rows[0].version;
       row->value = json_incref (rows[0].value);
     }
-  g_free (part);
   if (--read->left == 0)
     read_finish (read);
 }
@@ -96,6 +115,8 @@
   read->tasks = tasks;
   read->tag = tag;
   read->left = count;
+  read->parts = g_new0 (read_row_t, count + 1);
+  g_hash_table_add (tasks->reads, read);
   read->keys = g_ptr_array_new_with_free_func (g_free);
   read->rows = g_array_new (FALSE, TRUE, sizeof (sched_row_t));
   if (count == 0)
@@ -111,7 +132,7 @@
     }
   for (uint32_t i = 0; i < count; i++)
     {
-      read_row_t *part = g_new (read_row_t, 1);
+      read_row_t *part = &read->parts[i];
       part->read = read;
       part->index = i;
       tasks->table->ops->get (tasks->table, read->keys->pdata[i], on_row,
@@ -129,7 +150,7 @@
     copy[i] = (sched_row_t){ rows[i].key, rows[i].version, rows[i].value };
   sched_rows_read (call->tasks->sched, call->tag, kind, copy, count);
   g_free (copy);
-  g_free (call);
+  call_end (call);
 }
 
 static void
@@ -146,7 +167,7 @@
 {
   call_t *call = context;
   sched_txn_ended (call->tasks->sched, call->tag, kind, versions, count);
-  g_free (call);
+  call_end (call);
 }
 
 static table_row_t *
@@ -187,7 +208,7 @@
     copy[i] = map[results[i]];
   sched_started (call->tasks->sched, call->tag, kind, copy, count);
   g_free (copy);
-  g_free (call);
+  call_end (call);
 }
 
 static void
@@ -231,7 +252,7 @@
                                 .usage_age_ms = list[i].usage_age_ms };
   sched_leased (call->tasks->sched, call->tag, kind, incarnation, copy, count);
   g_free (copy);
-  g_free (call);
+  call_end (call);
 }
 
 static void
@@ -262,7 +283,7 @@
     copy[i] = map[results[i]];
   sched_stopped (call->tasks->sched, call->tag, kind, copy, count);
   g_free (copy);
-  g_free (call);
+  call_end (call);
 }
 
 static void
@@ -342,6 +363,8 @@
   tasks->entry = g_strdup (options->entry);
   tasks->zone = g_strdup (options->zone);
   tasks->waiting = g_hash_table_new_full (NULL, NULL, g_free, NULL);
+  tasks->calls = g_hash_table_new_full (NULL, NULL, g_free, NULL);
+  tasks->reads = g_hash_table_new_full (NULL, NULL, read_free, NULL);
   tasks->sched = sched_new (&sched_options, &actions, tasks, clock, registry);
   tasks->timer = loop_timer_new (loop, TICK_MS, on_tick, tasks);
   return tasks;
@@ -355,6 +378,8 @@
   loop_timer_free (tasks->timer);
   sched_free (tasks->sched);
   g_hash_table_unref (tasks->waiting);
+  g_hash_table_unref (tasks->calls);
+  g_hash_table_unref (tasks->reads);
   g_free (tasks->entry);
   g_free (tasks->zone);
   g_free (tasks);
