--- a/src/confrev.c
+++ b/src/confrev.c
@@ -289,7 +289,8 @@
 }
 
 int64_t
-confrev_peers_highest (const confrev_t *confrev, const char **entry)
+confrev_peers_highest (const confrev_t *confrev, const char *except,
+                       const char **entry)
 {
   int64_t highest = 0;
   GHashTableIter iter;
@@ -298,7 +299,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const peer_t *peer = value;
-      if (!peer->direct || peer->revision <= highest)
+      if (!peer->direct || peer->revision <= highest
+          || g_strcmp0 (peer->entry, except) == 0)
         continue;
       highest = peer->revision;
       if (entry != NULL)
--- a/src/confrev.h
+++ b/src/confrev.h
@@ -92,9 +92,10 @@
                            const char *zone, int64_t revision);
 /* The instance called ID was terminated.  */
 void confrev_peer_gone (confrev_t *confrev, const char *id);
-/* Highest revision that a peer reported itself, 0 without peers; *ENTRY (may
-   be NULL) is set to that peer.  */
-int64_t confrev_peers_highest (const confrev_t *confrev, const char **entry);
+/* Highest revision that a peer other than EXCEPT (may be NULL) reported
+   itself, 0 without such peers; *ENTRY (may be NULL) is set to that peer.  */
+int64_t confrev_peers_highest (const confrev_t *confrev, const char *except,
+                               const char **entry);
 
 typedef struct
 {
--- a/src/io/conf.c
+++ b/src/io/conf.c
@@ -322,23 +322,30 @@
   conf_head_clear (&head);
 }
 
-/* Asks the peer with the highest revision for what this entry lacks.  */
+/* Asks the peer with the highest revision for what this entry lacks.  A peer
+   that has not answered may be dead, so a repeat goes to another one.  */
 static void
 maybe_fetch (conf_t *conf)
 {
+  int64_t own = confrev_revision (conf->state);
   const char *entry = NULL;
-  int64_t highest = confrev_peers_highest (conf->state, &entry);
+  int64_t highest = confrev_peers_highest (conf->state, NULL, &entry);
   int64_t now_ms = clk_now_ms (conf->clock);
   bool asked = highest <= conf->fetch_revision && now_ms < conf->fetch_at_ms;
-  if (highest <= confrev_revision (conf->state) || asked)
+  if (highest <= own || asked)
     return;
   if (confrev_source (conf->state) == CONFREV_NONE
       && now_ms < conf->started_ms + START_WAIT_MS)
     return;
+  const char *other = NULL;
+  if (highest <= conf->fetch_revision
+      && confrev_peers_highest (conf->state, conf->fetch_entry, &other) > own)
+    entry = other;
   conf->fetch_at_ms = now_ms + FETCH_MS;
   conf->fetch_revision = highest;
-  conf->peers->fetch (conf->peer_context, entry,
-                      confrev_revision (conf->state));
+  g_free (conf->fetch_entry);
+  conf->fetch_entry = g_strdup (entry);
+  conf->peers->fetch (conf->peer_context, entry, own);
 }
 
 /* A section that has stood unchanged here since HAVE_REVISION or before is
@@ -495,6 +502,7 @@
   conf_edits_free (conf);
   confrev_free (conf->state);
   g_array_free (conf->listeners, TRUE);
+  g_free (conf->fetch_entry);
   g_free (conf->self);
   g_free (conf->zone);
   g_free (conf);
--- a/src/io/conf_edit.c
+++ b/src/io/conf_edit.c
@@ -91,17 +91,26 @@
   edit->confirmed += peer->revision >= edit->revision;
 }
 
-/* Answers a committed edit if it is in force in reach, or time is up.  */
+/* Answers a committed edit if it is in force in reach, or time is up.  An edit
+   that not even this entry has in force, because the store failed right after
+   the commit, is not answered as accepted: nobody could keep the promise that
+   it comes into force within seconds.  */
 static void
 confirm (edit_t *edit)
 {
   conf_t *conf = edit->conf;
+  int64_t now_ms = clk_now_ms (conf->clock);
+  bool here = confrev_revision (conf->state) >= edit->revision;
   edit->confirmed = edit->reachable = 0;
   confrev_each_peer (conf->state, count_peer, edit);
-  bool everywhere = edit->confirmed == edit->reachable
-                    && confrev_revision (conf->state) >= edit->revision;
-  if (everywhere || clk_now_ms (conf->clock) >= edit->confirm_ms)
+  if (here
+      && (edit->confirmed == edit->reachable || now_ms >= edit->confirm_ms))
     edit_end (edit, ERR_OK, NULL, edit->version + 1, edit->revision);
+  else if (!here && now_ms >= edit->limit_ms)
+    edit_end (edit, ERR_TIMEOUT,
+              "the edit is stored, but the table service failed before it "
+              "came into force; it will when the service answers",
+              edit->version + 1, edit->revision);
 }
 
 static void
@@ -174,30 +183,31 @@
   return kind;
 }
 
-/* Puts the committed revision in force here without reading it again.  */
+/* Puts the committed REVISION in force here without reading it again, if this
+   edit is all that differs from the one in force: one revision lies between
+   them, and the section's version has changed.  */
 static void
-apply_own (edit_t *edit)
+apply_own (edit_t *edit, int64_t revision)
 {
   conf_t *conf = edit->conf;
+  if (confrev_revision (conf->state) != revision - 1
+      || confrev_version (conf->state, edit->name) != edit->version)
+    return;
   GPtrArray *present = confrev_sections (conf->state);
   GArray *sections = g_array_new (FALSE, FALSE, sizeof (confrev_section_t));
   confrev_section_t own = { .name = edit->name,
                             .version = edit->version + 1,
                             .text = edit->text };
   g_array_append_val (sections, own);
-  bool same = confrev_revision (conf->state) == edit->head.revision;
   for (unsigned i = 0; i < present->len; i++)
     {
       confrev_section_t *section = g_ptr_array_index (present, i);
       if (strcmp (section->name, edit->name) != 0)
         g_array_append_val (sections, *section);
     }
-  if (same)
-    {
-      conf_apply (conf, edit->head.revision + 1, (void *)sections->data,
-                  sections->len, CONFREV_STORE);
-      confrev_store_seen (conf->state, edit->head.revision + 1);
-    }
+  conf_apply (conf, revision, (void *)sections->data, sections->len,
+              CONFREV_STORE);
+  confrev_store_seen (conf->state, revision);
   g_array_free (sections, TRUE);
   g_ptr_array_free (present, TRUE);
 }
@@ -210,7 +220,7 @@
   switch (kind)
     {
     case ERR_OK:
-      apply_own (edit);
+      apply_own (edit, edit->head.revision + 1);
       edit_committed (edit, edit->head.revision + 1);
       return;
     case ERR_CONFLICT:
@@ -303,6 +313,8 @@
       = json_string_value (json_object_get (rows[0].value, "write_id"));
   if (g_strcmp0 (write_id, edit->write_id) == 0)
     {
+      if (conf_head_version (&edit->head, edit->name) == edit->version + 1)
+        apply_own (edit, edit->head.revision);
       if (edit->head.revision > confrev_revision (edit->conf->state))
         conf_load_start (edit->conf, &edit->head);
       edit_committed (edit, edit->head.revision);
--- a/src/io/conf_private.h
+++ b/src/io/conf_private.h
@@ -32,6 +32,7 @@
   int64_t poll_at_ms;
   int64_t fetch_at_ms;    /* earliest repeat of the fetch for ... */
   int64_t fetch_revision; /* ... this revision */
+  char *fetch_entry;      /* that was asked last */
   int64_t relay_at_ms;    /* next report to other zones */
   bool zone_changed;      /* an entry of the own zone reported a change */
   conf_load_t *load;      /* the one in progress, NULL: none */
--- a/tests/test_conf.c
+++ b/tests/test_conf.c
@@ -515,6 +515,31 @@
   return count;
 }
 
+/* Every entry must have exactly the versions that the head names, with the
+   texts that the store has.  */
+static void
+check_content (const sim_t *sim, const confrev_t *state)
+{
+  const row_t *head = g_hash_table_lookup (sim->rows, "doc/head");
+  const char *name;
+  json_t *version;
+  if (head == NULL)
+    return;
+  json_object_foreach (json_object_get (head->value, "sections"), name,
+                       version)
+  {
+    const confrev_section_t *section = confrev_section (state, name);
+    CU_ASSERT_PTR_NOT_NULL_FATAL (section);
+    CU_ASSERT_EQUAL (section->version, json_integer_value (version));
+    char *key = g_strdup_printf ("doc/section/%s", name);
+    const row_t *row = g_hash_table_lookup (sim->rows, key);
+    CU_ASSERT_PTR_NOT_NULL_FATAL (row);
+    CU_ASSERT_STRING_EQUAL (section->text, json_string_value (json_object_get (
+                                               row->value, "text")));
+    g_free (key);
+  }
+}
+
 static void
 check_end (sim_t *sim)
 {
@@ -526,6 +551,7 @@
             : 0;
   for (unsigned i = 0; i < ENTRIES; i++)
     {
+      check_content (sim, conf_state (sim->entries[i].conf));
       CU_ASSERT_EQUAL (sim->entries[i].revision, last);
       CU_ASSERT_EQUAL (confrev_source (conf_state (sim->entries[i].conf)),
                        CONFREV_STORE);
--- a/tests/test_confrev.c
+++ b/tests/test_confrev.c
@@ -93,16 +93,17 @@
   clk_fake_init (&clock, 0);
   confrev_t *state = confrev_new (&clock.base);
   const char *entry = NULL;
-  CU_ASSERT_EQUAL (confrev_peers_highest (state, &entry), 0);
+  CU_ASSERT_EQUAL (confrev_peers_highest (state, NULL, &entry), 0);
   CU_ASSERT (confrev_peer (state, "e1", "z", 4));
   CU_ASSERT_FALSE (confrev_peer (state, "e1", "z", 4));
   confrev_peer_relayed (state, "e2", "y", 9);
   confrev_peer_relayed (state, "e1", "z", 3);
-  CU_ASSERT_EQUAL (confrev_peers_highest (state, &entry), 4);
+  CU_ASSERT_EQUAL (confrev_peers_highest (state, NULL, &entry), 4);
   CU_ASSERT_STRING_EQUAL (entry, "e1");
+  CU_ASSERT_EQUAL (confrev_peers_highest (state, "e1", &entry), 0);
   clk_fake_advance_ms (&clock, 6000);
   confrev_peer_relayed (state, "e1", "z", 5);
-  CU_ASSERT_EQUAL (confrev_peers_highest (state, &entry), 0);
+  CU_ASSERT_EQUAL (confrev_peers_highest (state, NULL, &entry), 0);
   confrev_peer_gone (state, "e1");
   CU_ASSERT (confrev_peer (state, "e1", "z", 5));
   /* A late word of or about an old incarnation changes nothing.  */
