--- a/src/io/conf.c
+++ b/src/io/conf.c
@@ -337,15 +337,19 @@
   if (confrev_source (conf->state) == CONFREV_NONE
       && now_ms < conf->started_ms + START_WAIT_MS)
     return;
-  const char *other = NULL;
-  if (highest <= conf->fetch_revision
-      && confrev_peers_highest (conf->state, conf->fetch_entry, &other) > own)
+  const char *last = conf->fetch_entry, *other = NULL;
+  bool repeat = highest <= conf->fetch_revision;
+  if (repeat && confrev_peers_highest (conf->state, last, &other) > own)
     entry = other;
   conf->fetch_at_ms = now_ms + FETCH_MS;
   conf->fetch_revision = highest;
+  conf->peers->fetch (conf->peer_context, entry, own);
+  /* Without a configuration this entry is of no use: it asks two.  */
+  if (confrev_source (conf->state) == CONFREV_NONE
+      && confrev_peers_highest (conf->state, entry, &other) > own)
+    conf->peers->fetch (conf->peer_context, other, own);
   g_free (conf->fetch_entry);
   conf->fetch_entry = g_strdup (entry);
-  conf->peers->fetch (conf->peer_context, entry, own);
 }
 
 /* A section that has stood unchanged here since HAVE_REVISION or before is
