sched: preempt only if the waiting task fits in the end

Cause: room was counted with all possible victims, while each victim brings its class nearer to its share; some were stopped for nothing. Change: the victims are chosen one after another and stopped only if they are enough. Flags of a task's last run are cleared when it starts again.

--- a/src/sched_ops.c
+++ b/src/sched_ops.c
@@ -36,6 +36,9 @@
   task->since_ms = s->now_ms;
   task->call_open = false;
   task->end_hint = false;
+  task->stop_due = false;
+  task->counted = false;
+  task->preempted = false;
   sched_task_state (job, task, TASK_ASSIGNED);
   sched_assign_t assign = { .job = job,
                             .number = job->first + index,
--- a/src/sched_zone.c
+++ b/src/sched_zone.c
@@ -5,6 +5,7 @@
 #define ZONE_ROW_EVERY_MS 5000
 #define PREEMPT_EVERY_MS 250
 #define PREEMPT_MAX 32
+#define VICTIMS_MAX 32
 
 static void
 add_shape (GArray *shapes, resource_t capacity)
@@ -92,7 +93,7 @@
            const sched_task_t *task)
 {
   return job->row != NULL && job->row->spec->kind == JOB_BATCH
-         && !job->stopping && task->phase == PHASE_RUNNING
+         && !job->stopping && !task->preempted && task->phase == PHASE_RUNNING
          && quota_may_preempt (&s->quota, wants->row->spec->class, wants->size,
                                job->row->spec->class, job->size,
                                s->fleet.total);
@@ -120,52 +121,72 @@
   return room;
 }
 
-/* Takes one task of JOB out of what its class uses.  */
+/* Takes TASKS tasks of JOB out of what its class uses.  */
 static void
-release (sched_t *s, const sched_job_t *job)
+release (sched_t *s, const sched_job_t *job, int64_t tasks)
 {
   if (job->row != NULL)
-    quota_use (&s->quota, job->team, job->row->spec->class, job->size, -1);
+    quota_use (&s->quota, job->team, job->row->spec->class, job->size, -tasks);
 }
 
-/* Checkpoints tasks on WORKER, least urgent first, until WANTS fits.  Returns
-   how many.  */
-static int64_t
+/* The least urgent task on WORKER that may make room for WANTS.  */
+static sched_assign_t *
+next_victim (const sched_t *s, const sched_job_t *wants,
+             const sched_worker_t *worker)
+{
+  sched_assign_t *next = NULL;
+  for (guint i = 0; i < worker->assigned->len; i++)
+    {
+      sched_assign_t *assign
+          = &g_array_index (worker->assigned, sched_assign_t, i);
+      const sched_task_t *task = sched_task_find (assign->job, assign->number);
+      if (task == NULL || task->worker != worker || assign->freed
+          || !is_victim (s, wants, assign->job, task))
+        continue;
+      if (next == NULL
+          || assign->job->row->spec->class > next->job->row->spec->class)
+        next = assign;
+    }
+  return next;
+}
+
+/* Checkpoints tasks on WORKER, least urgent first, until WANTS fits; none if
+   it would not fit in the end.  Returns how many.  */
+static uint32_t
 preempt_on (sched_t *s, sched_job_t *wants, sched_worker_t *worker)
 {
+  sched_assign_t *chosen[VICTIMS_MAX];
+  uint32_t count = 0;
   resource_t room = fleet_free (&s->fleet, worker->index);
-  int64_t count = 0;
-  while (!resource_fits (wants->size, room))
+  while (!resource_fits (wants->size, room) && count < VICTIMS_MAX)
     {
-      sched_assign_t *next = NULL;
-      for (guint i = 0; i < worker->assigned->len; i++)
-        {
-          sched_assign_t *assign
-              = &g_array_index (worker->assigned, sched_assign_t, i);
-          const sched_task_t *task
-              = sched_task_find (assign->job, assign->number);
-          if (task == NULL || task->worker != worker || assign->freed
-              || !is_victim (s, wants, assign->job, task))
-            continue;
-          if (next == NULL
-              || assign->job->row->spec->class > next->job->row->spec->class)
-            next = assign;
-        }
+      sched_assign_t *next = next_victim (s, wants, worker);
       if (next == NULL)
         break;
-      count++;
-      release (s, next->job);
-      sched_task_t *task = sched_task_find (next->job, next->number);
       room = resource_add (room, sched_assign_size (next));
-      work_stop (s, next->job, task, STOP_CHECKPOINT);
-      task->preempted = true;
+      sched_task_find (next->job, next->number)->preempted = true;
+      release (s, next->job, 1);
+      chosen[count++] = next;
+    }
+  bool enough = resource_fits (wants->size, room);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      sched_job_t *job = chosen[i]->job;
+      sched_task_t *task = sched_task_find (job, chosen[i]->number);
+      if (!enough)
+        {
+          task->preempted = false;
+          release (s, job, -1);
+          continue;
+        }
+      work_stop (s, job, task, STOP_CHECKPOINT);
       counter_add (s->preempted, 1);
-      explain_add (&s->explain, clk_wall_ms (s->clock), next->job->id,
-                   next->number, "preempted",
+      explain_add (&s->explain, clk_wall_ms (s->clock), job->id,
+                   chosen[i]->number, "preempted",
                    "checkpointed on worker %s for %s job %s", worker->id,
                    job_class_name (wants->row->spec->class), wants->id);
     }
-  return count;
+  return enough ? count : 0;
 }
 
 /* Takes preempted tasks whose stop is not confirmed yet out of what their
@@ -185,7 +206,7 @@
               = sched_task_find (assign->job, assign->number);
           if (task == NULL || task->phase != PHASE_STOP || !task->preempted)
             continue;
-          release (s, assign->job);
+          release (s, assign->job, 1);
           count++;
         }
     }
@@ -252,7 +273,10 @@
           sched_worker_t *worker = cheapest (s, wants);
           if (worker == NULL)
             break;
-          left -= preempt_on (s, wants, worker);
+          uint32_t victims = preempt_on (s, wants, worker);
+          if (victims == 0)
+            break;
+          left -= victims;
           quota_use (&s->quota, wants->team, wants->row->spec->class,
                      wants->size, 1);
         }
