dispatch: refuse requests that come too late, balance idle entries

Cause: (1) in an overload requests were sent with too little time left, ended as unknown and kept their slot for 2 s more. (2) The first entry of a zone held all slots until others had waiting requests; when it was killed, the zone had no slot for 62 s. Change: (1) a request is refused (deadline, not-run) when less than 1.5 times the mean time at a backend server is left. (2) An idle entry with less than half of its even part asks a peer that has more than an even part idle, at most once a second.

--- a/src/admit.c
+++ b/src/admit.c
@@ -406,6 +406,12 @@
   average (&admit->all_held_ms, sample);
 }
 
+double
+admit_held_ms (const admit_t *admit, class_t class)
+{
+  return admit->held_ms[class];
+}
+
 int64_t
 admit_wait_ms (const admit_t *admit, class_t class, uint32_t team,
                uint32_t slots)
--- a/src/admit.h
+++ b/src/admit.h
@@ -72,6 +72,10 @@
 /* A request of CLASS held a slot for HELD_MS.  */
 void admit_served (admit_t *admit, class_t class, double held_ms);
 
+/* Returns how long requests of CLASS hold a slot on average, 0 if none has
+   ended yet.  */
+double admit_held_ms (const admit_t *admit, class_t class);
+
 /* Returns how long a new request of CLASS and TEAM would wait with SLOTS
    slots, -1 if nothing has been completed yet.  */
 int64_t admit_wait_ms (const admit_t *admit, class_t class, uint32_t team,
--- a/src/dispatch_internal.h
+++ b/src/dispatch_internal.h
@@ -71,9 +71,10 @@
   uint32_t ejected;
   GArray *loads; /* peer_load_t by peer */
   uint32_t owed;
-  int64_t want_again_ms; /* no SlotWant before */
-  uint32_t asked_peer;   /* by the last SlotWant */
-  uint32_t asked_in_row; /* SlotWants without any slot */
+  int64_t want_again_ms;    /* no SlotWant before */
+  int64_t balance_again_ms; /* no SlotWant without waiting requests before */
+  uint32_t asked_peer;      /* by the last SlotWant */
+  uint32_t asked_in_row;    /* SlotWants without any slot */
   uint32_t next_busy_peer;
   /* Most requests in flight in the last and the present demand window.  */
   uint32_t last_peak;
--- a/src/dispatch_lend.c
+++ b/src/dispatch_lend.c
@@ -4,6 +4,7 @@
 
 /* A SlotWant that brought nothing is repeated to another peer after this.  */
 #define WANT_PAUSE_MS 100
+#define BALANCE_PERIOD_MS 1000
 /* Most slots asked for in one message.  */
 #define WANT_MAX 1024
 #define RESEND_PERIOD_MS 500
@@ -203,12 +204,26 @@
 dispatch_want (dispatch_t *dispatch, service_t *service)
 {
   uint32_t queued = admit_count (service->admit);
-  if (queued == 0 || dispatch->now_ms < service->want_again_ms)
+  if (dispatch->now_ms < service->want_again_ms)
+    return;
+  /* Even an idle entry asks for its even part, so that a killed entry does not
+     take most of the zone's slots with it until its retirement.  */
+  bool idle = queued == 0;
+  if (idle
+      && (dispatch->draining || !dispatch_is_short (service)
+          || service->even_part <= service->own_slots
+          || dispatch->now_ms < service->balance_again_ms))
     return;
   uint32_t from = lender (dispatch, service);
   if (from == SHARE_NONE)
     return;
+  /* A peer with less idle than an even part is about to need it itself.  */
+  if (idle
+      && dispatch_peer_load_of (service, from)->free_slots
+             <= service->even_part)
+    return;
   service->want_again_ms = dispatch->now_ms + WANT_PAUSE_MS;
+  service->balance_again_ms = dispatch->now_ms + BALANCE_PERIOD_MS;
   service->asked_peer = from;
   service->asked_in_row++;
   /* Half of what was idle will be left; nothing if it does not answer.  */
@@ -217,6 +232,8 @@
   /* Growing by half spares a busy entry many small requests.  */
   uint32_t wanted
       = queued + (dispatch_is_short (service) ? service->own_slots / 2 : 0);
+  if (idle)
+    wanted = service->even_part - service->own_slots;
   dispatch->actions->want_slots (dispatch->context,
                                  peer_at (dispatch, from)->name, service->name,
                                  MIN (wanted, WANT_MAX));
--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -8,6 +8,9 @@
 #define DEFAULT_CONNECTIONS 64
 #define DEFAULT_QUEUE_LIMIT 2048
 #define DEFAULT_SPILL_AFTER_MS 50
+/* In an overload requests wait until just enough time is left; with the mean
+   alone about half of them would end after their deadline.  */
+#define HELD_MARGIN 1.5
 #define DEFAULT_RETRY_PERCENT 10
 
 static const uint32_t default_weight[CLASS_COUNT] = { 50, 35, 15 };
@@ -302,6 +305,22 @@
                            process->id, process->url, !request->idempotent);
 }
 
+/* Whether REQUEST has waited so long that it would probably not end before its
+   deadline.  One whose deadline never left time enough is sent all the same:
+   the average may be of other requests.  */
+static bool
+is_too_late (const dispatch_t *dispatch, const service_t *service,
+             const request_t *request)
+{
+  int64_t left_ms = request->deadline_ms - dispatch->now_ms;
+  double held_ms
+      = admit_held_ms (service->admit, request->item.class) * HELD_MARGIN;
+  return left_ms <= 0
+         || ((double)left_ms < held_ms
+             && (double)(request->deadline_ms - request->item.since_ms)
+                    >= held_ms);
+}
+
 void
 dispatch_pump (dispatch_t *dispatch, service_t *service)
 {
@@ -314,8 +333,7 @@
       if (item == NULL)
         return;
       request_t *request = (request_t *)(void *)item;
-      /* After a pause of this process, timers may be late.  */
-      if (request->deadline_ms <= dispatch->now_ms)
+      if (is_too_late (dispatch, service, request))
         {
           dispatch_finish (dispatch, request, ERR_DEADLINE, 0);
           continue;
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -640,6 +640,75 @@
     }
 }
 
+/* Guards against an idle entry that holds no slots when the entry with all of
+   them is killed, and against one that asks a busy peer for them.  */
+static void
+test_idle_entry_asks (void)
+{
+  static const struct
+  {
+    uint32_t own, peer_free; /* of 16 slots */
+    unsigned wants;
+  } rows[] = { { 0, 16, 1 }, { 3, 13, 1 }, { 4, 12, 0 }, { 0, 8, 0 } };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      rig_t rig;
+      rig_init (&rig, 0, 0);
+      dispatch_shares_expect (rig.dispatch);
+      set_backend (&rig, 0, 16, false);
+      json_t *row = json_pack ("{s:{s:{s:i},s:{s:i}},s:{s:i}}", "members",
+                               "e@1", "b0@1", (int)rows[i].own, "f@1", "b0@1",
+                               16 - (int)rows[i].own, "limits", "b0@1", 16);
+      CU_ASSERT_EQUAL (dispatch_shares_load (rig.dispatch, 1, row), ERR_OK);
+      json_decref (row);
+      dispatch_peer_up (rig.dispatch, "f@1", "z");
+      dispatch_peer_load (rig.dispatch, "f@1", "svc", rows[i].peer_free, 0);
+      run_for (&rig, 1900);
+      CU_ASSERT_EQUAL (rig.wants, rows[i].wants);
+      rig_clear (&rig);
+    }
+}
+
+/* Guards against requests that are sent too late to end before their deadline:
+   they would take a slot and end with an unknown outcome.  */
+static void
+test_late_requests (void)
+{
+  static const struct
+  {
+    int64_t deadline_ms, wait_ms;
+    bool sent;
+  } rows[] = {
+    { 1000, 800, true },  /* 200 ms left for a request of 100 ms */
+    { 1000, 950, false }, /* 50 ms left */
+    { 80, 20, true },     /* the deadline was never long enough */
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      rig_t rig;
+      rig_init (&rig, 1, 1);
+      for (uint64_t id = 1; id <= 20; id++)
+        {
+          submit (&rig, id);
+          run_for (&rig, 100);
+          dispatch_attempt_ended (rig.dispatch, id, rig.attempt, ERR_OK, 200,
+                                  OUTCOME_RAN);
+        }
+      submit (&rig, 50);
+      dispatch_request_t late = request_of (&rig, 51);
+      late.deadline_ms = clk_now_ms (&rig.clock.base) + rows[i].deadline_ms;
+      dispatch_submit (rig.dispatch, &late);
+      run_for (&rig, rows[i].wait_ms);
+      dispatch_attempt_ended (rig.dispatch, 50, rig.attempt, ERR_OK, 200,
+                              OUTCOME_RAN);
+      CU_ASSERT_EQUAL (rig.sent_id == 51, rows[i].sent);
+      CU_ASSERT_EQUAL (rig.refusals, rows[i].sent ? 0 : 1);
+      if (!rows[i].sent)
+        CU_ASSERT_EQUAL (rig.outcome, OUTCOME_NOT_RUN);
+      rig_clear (&rig);
+    }
+}
+
 /* Guards against a slot that is given out again while the backend server may
    still work on a request that was given up.  */
 static void
@@ -678,6 +747,8 @@
 }
 
 static CU_TestInfo dispatch_tests[] = {
+  { "idle entries ask for slots", test_idle_entry_asks },
+  { "late requests", test_late_requests },
   { "abandoned attempts keep their slot", test_abandoned_attempt },
   { "failures", test_failures },
   { "repeated ids", test_repeated_ids },
