sched: divide the row writes of ends between the zones

Cause: after a wave of cancellations each zone's entry on duty wrote ends at up to 200 rows/s, eight of them together more than the table service's 400, and every 429 stopped the starts of that entry for a second. Change: rows of ends and closed jobs have a budget of their own, 200 rows/s divided by the zones with a live entry. Ruled out: dividing the whole budget (it would limit starts when all load is in one zone); dividing the rows of cancels (18 rows in the measured wave).

--- a/src/sched.c
+++ b/src/sched.c
@@ -16,6 +16,10 @@
 #define VIEW_JOBS 10
 #define STOPS_PER_S 400.0
 #define DEFAULT_ROWS_PER_S 200
+/* Half of the rows a second that the table service takes.  The zones' entries
+   on duty divide them, so that a wave of ends leaves the rest to starts.  */
+#define END_ROWS_PER_S 200.0
+#define END_BURST_ROWS 16.0
 /* What the table service may take at once above its steady rate.  */
 #define BURST_ROWS 64.0
 
@@ -517,12 +521,34 @@
     }
 }
 
+/* Zones that have a live entry, the own one included.  */
+static uint32_t
+live_zones (const sched_t *s)
+{
+  uint32_t count = 0;
+  for (guint i = 0; i < s->entries->len; i++)
+    {
+      const sched_entry_t *entry = s->entries->pdata[i];
+      bool counted = !entry->live;
+      for (guint k = 0; k < i && !counted; k++)
+        {
+          const sched_entry_t *other = s->entries->pdata[k];
+          counted = other->live && strcmp (other->zone, entry->zone) == 0;
+        }
+      count += !counted;
+    }
+  return MAX (count, 1);
+}
+
 static void
 refill (sched_t *s)
 {
   double seconds = (double)(s->now_ms - s->tokens_ms) / 1000.0;
   s->tokens_ms = s->now_ms;
   s->row_tokens = MIN (s->row_tokens + seconds * s->rows_per_s, BURST_ROWS);
+  s->end_tokens
+      = MIN (s->end_tokens + seconds * END_ROWS_PER_S / live_zones (s),
+             END_BURST_ROWS);
   s->stop_tokens
       = MIN (s->stop_tokens + seconds * STOPS_PER_S, STOPS_PER_S / 4.0);
 }
--- a/src/sched_int.h
+++ b/src/sched_int.h
@@ -329,6 +329,8 @@
   int64_t plan_retry_ms;
   uint32_t plan_backoff_ms;
   double row_tokens;
+  double end_tokens;   /* rows of ends and closed jobs, part of the former */
+  uint32_t start_rows; /* rows of the duty's group that its starts need */
   uint32_t rows_per_s;
   int64_t tokens_ms;
   double stop_tokens; /* stops of cancelled jobs */
--- a/src/sched_plan.c
+++ b/src/sched_plan.c
@@ -39,12 +39,13 @@
   int64_t end_ms;
 } pass_t;
 
-/* Whether another row leaves RESERVE rows of the burst to more urgent
-   writes.  */
+/* Whether another row may be written for an end or a closed job: it leaves
+   enough of the burst to more urgent writes.  */
 static bool
-rows_left (const sched_t *s, double reserve)
+rows_left (const sched_t *s)
 {
-  return s->row_tokens - s->duty.rows->len >= reserve;
+  return s->row_tokens - s->duty.rows->len >= CLOSE_RESERVE_ROWS
+         && (double)(s->duty.rows->len - s->start_rows) < s->end_tokens;
 }
 
 static int
@@ -265,7 +266,7 @@
       if (!assign->freed)
         continue;
       if (need != NULL ? resource_fits (*need, free_by_row (s, worker))
-                       : !rows_left (s, CLOSE_RESERVE_ROWS))
+                       : !rows_left (s))
         break;
       sched_job_t *job = assign->job;
       const sched_task_t *task = sched_task_find (job, assign->number);
@@ -546,7 +547,7 @@
       if (worker->ends == 0 || worker->in_txn
           || s->now_ms - worker->end_since_ms < END_WAIT_MS)
         continue;
-      if (!rows_left (s, CLOSE_RESERVE_ROWS))
+      if (!rows_left (s))
         return;
       end_worker (s, worker, NULL);
       rows--;
@@ -600,7 +601,7 @@
   for (guint i = 0; i < rows; i++)
     {
       const txn_row_t *row = &g_array_index (s->duty.rows, txn_row_t, i);
-      if (row->kind == ROW_PART && rows_left (s, CLOSE_RESERVE_ROWS))
+      if (row->kind == ROW_PART && rows_left (s))
         close_job (s, row->object);
     }
 }
@@ -632,7 +633,7 @@
               work_stop (s, job, &job->tasks[i], STOP_GRACEFUL);
               s->stop_tokens -= 1.0;
             }
-      if (jobs > 0 && rows_left (s, CLOSE_RESERVE_ROWS) && close_job (s, job))
+      if (jobs > 0 && rows_left (s) && close_job (s, job))
         jobs--;
     }
 }
@@ -646,14 +647,16 @@
     return;
   int64_t begin_ns = clk_now_ns (s->clock);
   uint32_t rows = (uint32_t)MIN (s->row_tokens, GROUP_WORKERS);
+  s->start_rows = 0;
   plan_starts (s, rows, UINT32_MAX);
+  s->start_rows = s->duty.rows->len;
   plan_ends (s);
   plan_touched (s);
   plan_jobs (s);
   plan_holds (s);
   plan_rolls (s);
   plan_misfits (s);
-  if (rows_left (s, CLOSE_RESERVE_ROWS))
+  if (rows_left (s))
     plan_drops (s);
   plan_zone_row (s);
   histogram_add (s->plan_us,
@@ -661,5 +664,6 @@
   if (s->duty.rows->len == 0)
     return;
   s->row_tokens -= s->duty.rows->len;
+  s->end_tokens -= s->duty.rows->len - s->start_rows;
   txn_send (s, &s->duty);
 }
