conf: poll a row that holds the revision only

Cause: every entry read doc/head once a second, which names every section: 4,416 bytes with 314 sections, above the 4 KB/s that control may cost a node. Change: each edit also writes doc/revision; a poll reads that row, and doc/head only if the revision is not the one in force. Conclusion: the cost of a poll does not depend on the document's size.

--- a/src/io/conf.c
+++ b/src/io/conf.c
@@ -322,6 +322,29 @@
   conf_head_clear (&head);
 }
 
+/* Reads the head, which names every section, only if the revision is not the
+   one in force: a poll costs the same for every size of the document.  */
+static void
+revision_done (void *context, err_kind_t kind, const table_row_t *rows,
+               uint32_t count)
+{
+  conf_t *conf = context;
+  int64_t revision = 0;
+  if (kind == ERR_OK && count == 1)
+    revision
+        = json_integer_value (json_object_get (rows[0].value, "revision"));
+  bool in_force = revision > 0 && revision == confrev_revision (conf->state)
+                  && confrev_document (conf->state) != NULL;
+  if (kind == ERR_OK && !in_force)
+    {
+      conf->table->ops->get (conf->table, "doc/head", poll_done, conf);
+      return;
+    }
+  conf->polling = false;
+  if (in_force)
+    confrev_store_seen (conf->state, revision);
+}
+
 /* Asks the peer with the highest revision for what this entry lacks.  A peer
    that has not answered may be dead, so a repeat goes to another one.  */
 static void
@@ -537,7 +560,7 @@
     {
       conf->polling = true;
       conf->poll_at_ms = now_ms + POLL_MS;
-      conf->table->ops->get (conf->table, "doc/head", poll_done, conf);
+      conf->table->ops->get (conf->table, "doc/revision", revision_done, conf);
     }
   if (now_ms >= conf->relay_at_ms
       || (conf->zone_changed
--- a/src/io/conf_edit.c
+++ b/src/io/conf_edit.c
@@ -275,6 +275,8 @@
   char *history_key = g_strdup_printf ("doc/history/%s/%" PRId64, edit->name,
                                        edit->version + 1);
   json_t *value = section_value (edit), *head = head_value (edit);
+  json_t *revision
+      = json_pack ("{s:I}", "revision", (json_int_t)edit->head.revision + 1);
   const table_row_t checks[] = {
     { .key = "doc/head", .version = edit->head.row_version },
     { .key = section_key, .version = section_row_version },
@@ -284,6 +286,7 @@
     { .key = "doc/head", .value = head },
     { .key = section_key, .value = value },
     { .key = history_key, .value = value },
+    { .key = "doc/revision", .value = revision },
   };
   edit->sent_row_version = edit->head.row_version;
   edit->retry_ms = -1;
@@ -291,6 +294,7 @@
                          G_N_ELEMENTS (writes), txn_done, edit);
   json_decref (value);
   json_decref (head);
+  json_decref (revision);
   g_free (section_key);
   g_free (history_key);
 }
