tests: move the fake workers into a file of their own

Change: what workers do with messages is tests/fake_worker.c; names are now prefixed by their module. No behaviour changes.

--- /dev/null
+++ b/tests/fake_worker.h
@@ -0,0 +1,79 @@
+#ifndef MAGNOLIADOCK_FAKE_WORKER_H
+#define MAGNOLIADOCK_FAKE_WORKER_H
+
+#include "fake_world.h"
+
+/* NAME
+     fake_worker - what the workers of a fake_world do with messages  */
+
+typedef enum
+{
+  MESSAGE_READ,
+  MESSAGE_SCAN,
+  MESSAGE_TXN,
+  MESSAGE_START,
+  MESSAGE_LEASE,
+  MESSAGE_STOP
+} message_kind_t;
+
+typedef struct
+{
+  message_kind_t kind;
+  uint32_t entry;
+  int64_t entry_incarnation;
+  uint64_t tag;
+  int64_t effect_ms; /* takes effect then, -1: has taken or never will */
+  int64_t reply_ms;  /* answered then, -1: has been */
+  int64_t again_ms;  /* takes effect a second time then, -1 */
+  bool timed_out;    /* the answer is that it timed out */
+  /* Request.  */
+  GPtrArray *keys;
+  GArray *checks, *writes; /* sched_row_t with own keys and values */
+  uint32_t worker;
+  int64_t incarnation, lease_ms;
+  int64_t answered; /* incarnation in the answer */
+  GArray *items;    /* fake_item_t */
+  /* Answer.  */
+  err_kind_t result;
+  GArray *rows; /* sched_row_t with own keys and values */
+  GArray *versions;
+  GArray *codes;   /* uint32_t */
+  GArray *reports; /* sched_report_t with own names */
+} fake_message_t;
+
+typedef struct
+{
+  char *task;
+  uint32_t generation;
+  stop_mode_t mode;
+  resource_t size;
+  job_kind_t kind;
+  int64_t run_ms;
+  bool fails;
+} fake_item_t;
+
+static inline int64_t
+fake_world_now (const fake_world_t *world)
+{
+  return clk_to_ms (world->clock.now);
+}
+
+/* Counts a violation: WHAT about TASK.  */
+void fake_world_violation (fake_world_t *world, const char *what,
+                           const char *task);
+
+/* Bars GENERATION of task NAME and those below it from ever running again.  */
+void fake_worker_bar (fake_worker_t *worker, const char *name,
+                      uint32_t generation);
+
+/* Effect of one item of a start or stop message, and of a lease message.  The
+   start checks all promises about the task.  */
+start_result_t fake_worker_start (fake_world_t *world, fake_worker_t *worker,
+                                  const fake_message_t *message,
+                                  const fake_item_t *item);
+stop_result_t fake_worker_stop (fake_world_t *world, fake_worker_t *worker,
+                                const fake_item_t *item);
+void fake_worker_renew (fake_world_t *world, fake_worker_t *worker,
+                        fake_message_t *message);
+
+#endif
--- a/tests/fake_world.c
+++ b/tests/fake_world.c
@@ -1,74 +1,22 @@
-#include "fake_world.h"
+#include "fake_worker.h"
 
 #include <stdio.h>
 #include <string.h>
 
 #define TIMEOUT_MS 2000
 
-typedef enum
-{
-  MESSAGE_READ,
-  MESSAGE_SCAN,
-  MESSAGE_TXN,
-  MESSAGE_START,
-  MESSAGE_LEASE,
-  MESSAGE_STOP
-} message_kind_t;
-
-typedef struct
-{
-  message_kind_t kind;
-  uint32_t entry;
-  int64_t entry_incarnation;
-  uint64_t tag;
-  int64_t effect_ms; /* takes effect then, -1: has taken or never will */
-  int64_t reply_ms;  /* answered then, -1: has been */
-  int64_t again_ms;  /* takes effect a second time then, -1 */
-  bool timed_out;    /* the answer is that it timed out */
-  /* Request.  */
-  GPtrArray *keys;
-  GArray *checks, *writes; /* sched_row_t with own keys and values */
-  uint32_t worker;
-  int64_t incarnation, lease_ms;
-  int64_t answered; /* incarnation in the answer */
-  GArray *items;    /* fake_item_t */
-  /* Answer.  */
-  err_kind_t result;
-  GArray *rows; /* sched_row_t with own keys and values */
-  GArray *versions;
-  GArray *codes;   /* uint32_t */
-  GArray *reports; /* sched_report_t with own names */
-} fake_message_t;
-
-typedef struct
-{
-  char *task;
-  uint32_t generation;
-  stop_mode_t mode;
-  resource_t size;
-  job_kind_t kind;
-  int64_t run_ms;
-  bool fails;
-} fake_item_t;
-
-static int64_t
-now_of (const fake_world_t *world)
-{
-  return clk_to_ms (world->clock.now);
-}
-
 static bool
 chance (fake_world_t *world, uint32_t percent)
 {
   return (uint32_t)g_rand_int_range (world->random, 0, 100) < percent;
 }
 
-static void
-violation (fake_world_t *world, const char *what, const char *task)
+void
+fake_world_violation (fake_world_t *world, const char *what, const char *task)
 {
   if (world->violations++ == 0)
     g_snprintf (world->first, sizeof world->first, "%s: %s at %ld ms", what,
-                task, (long)now_of (world));
+                task, (long)fake_world_now (world));
 }
 
 static void
@@ -122,7 +70,7 @@
   fake_world_t *world = entry->world;
   const fake_faults_t *faults = &world->faults;
   fake_message_t *message = g_new0 (fake_message_t, 1);
-  int64_t now_ms = now_of (world);
+  int64_t now_ms = fake_world_now (world);
   message->kind = kind;
   message->entry = entry->index;
   message->entry_incarnation = entry->incarnation;
@@ -272,7 +220,8 @@
 {
   fake_entry_t *entry = context;
   if (g_hash_table_contains (entry->world->answers, token))
-    violation (entry->world, "answered twice", id != NULL ? id : "-");
+    fake_world_violation (entry->world, "answered twice",
+                          id != NULL ? id : "-");
   g_hash_table_insert (entry->world->answers, token,
                        GINT_TO_POINTER ((int)kind + 1));
   if (kind != ERR_OK && kind != ERR_TIMEOUT && id != NULL
@@ -285,182 +234,6 @@
     = { act_read,  act_scan, act_txn,      act_start,
         act_lease, act_stop, act_throttle, act_answer };
 
-/* Workers.  */
-
-static fake_task_t *
-task_on (const fake_worker_t *worker, const char *name, uint32_t generation)
-{
-  for (guint i = 0; i < worker->tasks->len; i++)
-    {
-      fake_task_t *task = &g_array_index (worker->tasks, fake_task_t, i);
-      if (task->generation == generation && strcmp (task->name, name) == 0)
-        return task;
-    }
-  return NULL;
-}
-
-static void
-bar (fake_worker_t *worker, const char *name, uint32_t generation)
-{
-  uint32_t known
-      = GPOINTER_TO_UINT (g_hash_table_lookup (worker->barred, name));
-  if (generation > known)
-    g_hash_table_insert (worker->barred, g_strdup (name),
-                         GUINT_TO_POINTER (generation));
-}
-
-/* Checks against the rows that GENERATION of NAME may start on WORKER.  */
-static void
-check_rows (fake_world_t *world, const fake_worker_t *worker, const char *name,
-            uint32_t generation)
-{
-  char job[JOB_ID_MAX + 1];
-  uint32_t number;
-  if (!task_name_split (name, job, &number))
-    {
-      violation (world, "bad task name", name);
-      return;
-    }
-  char *key = part_key ("z", job);
-  json_t *part = fake_store_get (&world->store, key).value;
-  g_free (key);
-  int64_t committed = json_integer_value (
-      json_array_get (json_object_get (part, "generation"), number));
-  const char *states = json_string_value (json_object_get (part, "state"));
-  if (committed < generation)
-    violation (world, "started before the commit", name);
-  else if (states != NULL && strchr ("efx", states[number]) != NULL)
-    violation (world, "started after its end was committed", name);
-  if (strcmp (fake_world_job_state (world, job), "cancelled") == 0)
-    violation (world, "started after cancelled", name);
-  if (g_hash_table_contains (world->refused, job))
-    violation (world, "started although refused",
-               g_hash_table_lookup (world->refused, job));
-}
-
-/* Checks the promises that concern the start of NAME on WORKER.  */
-static void
-check_start (fake_world_t *world, const fake_worker_t *worker,
-             const char *name, uint32_t generation)
-{
-  resource_t used = { 0 };
-  for (guint i = 0; i < worker->tasks->len; i++)
-    {
-      const fake_task_t *task = &g_array_index (worker->tasks, fake_task_t, i);
-      if (task->state == REPORT_RUNNING)
-        used = resource_add (used, task->size);
-    }
-  if (!resource_fits (used, worker->capacity))
-    violation (world, "over capacity", worker->id);
-  uint32_t places = 0;
-  for (uint32_t w = 0; w < world->worker_count; w++)
-    for (guint i = 0; i < world->workers[w].tasks->len; i++)
-      {
-        const fake_task_t *task
-            = &g_array_index (world->workers[w].tasks, fake_task_t, i);
-        places
-            += task->state == REPORT_RUNNING && strcmp (task->name, name) == 0;
-      }
-  if (places > 1)
-    violation (world, "runs in two places", name);
-  if (g_hash_table_contains (world->ended, name))
-    violation (world, "started after it ended", name);
-  check_rows (world, worker, name, generation);
-}
-
-static start_result_t
-start_task (fake_world_t *world, fake_worker_t *worker,
-            const fake_message_t *message, const fake_item_t *item)
-{
-  if (task_on (worker, item->task, item->generation) != NULL)
-    {
-      const fake_task_t *known
-          = task_on (worker, item->task, item->generation);
-      return known->state == REPORT_RUNNING ? START_RUNNING : START_STALE;
-    }
-  if (GPOINTER_TO_UINT (g_hash_table_lookup (worker->barred, item->task))
-      >= item->generation)
-    return START_STALE;
-  resource_t free = worker->capacity;
-  for (guint i = 0; i < worker->tasks->len; i++)
-    {
-      const fake_task_t *task = &g_array_index (worker->tasks, fake_task_t, i);
-      if (task->state == REPORT_RUNNING)
-        free = resource_sub (free, task->size);
-    }
-  if (!resource_fits (item->size, free))
-    return START_NO_CAPACITY;
-  int64_t now_ms = now_of (world);
-  fake_task_t task = { .name = g_strdup (item->task),
-                       .generation = item->generation,
-                       .state = REPORT_RUNNING,
-                       .size = item->size,
-                       .end_ms = item->run_ms > 0 && item->kind != JOB_SERVICE
-                                     ? now_ms + item->run_ms
-                                     : INT64_MAX,
-                       .lease_ms = now_ms + message->lease_ms,
-                       .stop_ms = INT64_MAX,
-                       .fails = item->fails || worker->fails };
-  if (task.fails)
-    task.end_ms = now_ms + 200;
-  g_array_append_val (worker->tasks, task);
-  world->worker_starts++;
-  check_start (world, worker, item->task, item->generation);
-  return START_RUNNING;
-}
-
-static stop_result_t
-stop_task (fake_world_t *world, fake_worker_t *worker, const fake_item_t *item)
-{
-  fake_task_t *task = task_on (worker, item->task, item->generation);
-  if (task == NULL)
-    {
-      bar (worker, item->task, item->generation);
-      return STOP_UNKNOWN;
-    }
-  if (task->state == REPORT_RUNNING)
-    {
-      int64_t wait_ms = item->mode == STOP_NOW
-                            ? 0
-                            : g_rand_int_range (world->random, 0, 1000);
-      task->stop_ms = MIN (task->stop_ms, now_of (world) + wait_ms);
-      if (wait_ms > 0)
-        return STOP_STOPPING;
-      task->state = REPORT_STOPPED;
-    }
-  bar (worker, item->task, item->generation);
-  return task->state == REPORT_STOPPED ? STOP_STOPPED : STOP_ENDED;
-}
-
-static void
-renew (fake_world_t *world, fake_worker_t *worker, fake_message_t *message)
-{
-  for (guint i = 0; i < message->items->len; i++)
-    {
-      const fake_item_t *ack = &g_array_index (message->items, fake_item_t, i);
-      fake_task_t *task = task_on (worker, ack->task, ack->generation);
-      if (task == NULL || task->state == REPORT_RUNNING)
-        continue;
-      bar (worker, ack->task, ack->generation);
-      g_array_remove_index_fast (
-          worker->tasks,
-          (guint)(task - &g_array_index (worker->tasks, fake_task_t, 0)));
-    }
-  for (guint i = 0; i < worker->tasks->len; i++)
-    {
-      fake_task_t *task = &g_array_index (worker->tasks, fake_task_t, i);
-      task->lease_ms
-          = MAX (task->lease_ms, now_of (world) + message->lease_ms);
-      sched_report_t report = { .task = g_strdup (task->name),
-                                .generation = task->generation,
-                                .state = task->state,
-                                .cpu_millis = -1,
-                                .memory_mib = -1,
-                                .usage_age_ms = 0 };
-      g_array_append_val (message->reports, report);
-    }
-}
-
 static void
 take_effect_on_worker (fake_world_t *world, fake_message_t *message)
 {
@@ -481,13 +254,13 @@
       uint32_t code;
       if (message->kind == MESSAGE_START)
         code = wrong ? START_WRONG_INCARNATION
-                     : start_task (world, worker, message, item);
+                     : fake_worker_start (world, worker, message, item);
       else
-        code = wrong ? STOP_STOPPING : stop_task (world, worker, item);
+        code = wrong ? STOP_STOPPING : fake_worker_stop (world, worker, item);
       g_array_append_val (message->codes, code);
     }
   if (message->kind == MESSAGE_LEASE && !wrong)
-    renew (world, worker, message);
+    fake_worker_renew (world, worker, message);
   message->answered = worker->incarnation;
 }
 
@@ -575,7 +348,7 @@
 static void
 deliver (fake_world_t *world)
 {
-  int64_t now_ms = now_of (world);
+  int64_t now_ms = fake_world_now (world);
   for (GList *link = world->messages.head; link != NULL;)
     {
       fake_message_t *message = link->data;
@@ -612,7 +385,7 @@
 static void
 run_workers (fake_world_t *world)
 {
-  int64_t now_ms = now_of (world);
+  int64_t now_ms = fake_world_now (world);
   for (uint32_t w = 0; w < world->worker_count; w++)
     {
       fake_worker_t *worker = &world->workers[w];
@@ -627,7 +400,7 @@
             task->state = REPORT_STOPPED;
           else
             continue;
-          bar (worker, task->name, task->generation);
+          fake_worker_bar (worker, task->name, task->generation);
           /* What a cut-off worker finished is never reported.  */
           if (task->state == REPORT_ENDED && !worker->cut)
             g_hash_table_add (world->ended, g_strdup (task->name));
@@ -647,7 +420,7 @@
         {
           fake_entry_t *entry = &world->entries[i];
           if (entry->up && !entry->paused
-              && (now_of (world) / 10 + i) % 5 == 0)
+              && (fake_world_now (world) / 10 + i) % 5 == 0)
             sched_tick (entry->sched);
         }
     }
