--- a/src/io/bench.h
+++ b/src/io/bench.h
@@ -11,6 +11,15 @@
 
 int bench_run (int argc, char **argv);
 
+/* The --seed row of the benches that use no network; OFFSET_ is that of an
+   int64_t in their settings.  */
+#define BENCH_SEED_OPTION(offset_)                                            \
+  {                                                                           \
+    .name = "seed", .kind = OPTION_INTEGER, .offset = (offset_),              \
+    .initial = "20261204", .min = 0, .max = UINT32_MAX,                       \
+    .help = "seed of all random numbers"                                      \
+  }
+
 /* Flags of "bench http"; ends with a NULL name.  */
 extern const option_t bench_http_options[];
 
--- a/src/io/bench_sched.c
+++ b/src/io/bench_sched.c
@@ -19,13 +19,7 @@
 #define FIELD(name) offsetof (settings_t, name)
 
 static const option_t options[] = {
-  { .name = "seed",
-    .kind = OPTION_INTEGER,
-    .offset = FIELD (seed),
-    .initial = "20261204",
-    .min = 0,
-    .max = UINT32_MAX,
-    .help = "seed of all random numbers" },
+  BENCH_SEED_OPTION (FIELD (seed)),
   { .name = "only",
     .kind = OPTION_CHOICE,
     .offset = FIELD (only),
