tests: guard the budget of end rows and the size of a quiet poll

Change: test_sched "rows of a wave of ends" counts row writes a second with one and eight zones; test_conf "quiet polls" asserts that doc/head is not read while nothing changes.

--- a/tests/test_conf.c
+++ b/tests/test_conf.c
@@ -81,6 +81,7 @@
   GPtrArray *edits;  /* edit_t */
   entry_t entries[ENTRIES];
   bool store_down;
+  unsigned head_reads;
   double lost_replies, lost_messages;
 };
 
@@ -143,6 +144,7 @@
 fake_get (table_t *self, const char *key, table_read_done_t done,
           void *context)
 {
+  ((entry_t *)self)->sim->head_reads += strcmp (key, "doc/head") == 0;
   read_add (self, EVENT_GET, key, done, context);
 }
 
@@ -620,6 +622,20 @@
     }
 }
 
+/* Guards against polls whose cost grows with the document.  */
+static void
+test_quiet_poll (void)
+{
+  sim_t *sim = sim_new (test_seed ());
+  edit_start (sim, 0, "zone a", "[zone a]\nentries = 2\n");
+  run_ms (sim, 5000);
+  sim->head_reads = 0;
+  run_ms (sim, 10000);
+  CU_ASSERT_EQUAL (sim->head_reads, 0);
+  check_end (sim);
+  sim_free (sim);
+}
+
 /* Guards against a wrong answer to an edit in each single fault.  */
 static void
 test_edit_cases (void)
@@ -736,6 +752,7 @@
   { "replaced entry without store", test_replaced_without_store },
   { "accepting entry dies", test_acceptor_dies },
   { "random faults", test_random },
+  { "quiet polls", test_quiet_poll },
   CU_TEST_INFO_NULL,
 };
 
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -540,7 +540,57 @@
       }
 }
 
+/* Guards against a wave of ends that takes the table service's rate away from
+   the starts of other zones.  Bounds: 200 rows/s divided by the zones, a burst
+   of 16 and the rows of one more group item.  */
+static void
+test_end_rows (void)
+{
+  static const struct
+  {
+    uint32_t other_zones;
+    uint64_t most;
+  } rows[] = { { 0, 220 }, { 7, 45 } };
+  enum
+  {
+    JOBS = 60
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      int tokens[JOBS];
+      fake_world_t *world = fake_world_new (1, 16, worker_size, test_seed ());
+      for (uint32_t zone = 0; zone < rows[i].other_zones; zone++)
+        {
+          char name[8];
+          g_snprintf (name, sizeof name, "y%u", zone);
+          sched_entry_set (world->entries[0].sched, name, name, true);
+        }
+      fake_world_run (world, 500);
+      for (unsigned job = 0; job < JOBS; job++)
+        {
+          char *json = g_strdup_printf (
+              JOB ("b%u", "batch", "standard", 1, 1000, 8000), job);
+          fake_world_submit (world, 0, json, &tokens[job]);
+          g_free (json);
+        }
+      fake_world_run (world, 6000);
+      uint64_t most = 0;
+      for (unsigned second = 0; second < 30; second++)
+        {
+          uint64_t before = world->store.row_writes;
+          fake_world_run (world, 1000);
+          most = MAX (most, world->store.row_writes - before);
+        }
+      CU_ASSERT (most <= rows[i].most);
+      CU_ASSERT_STRING_EQUAL (fake_world_job_state (world, "b0"), "ended");
+      CU_ASSERT_STRING_EQUAL (fake_world_job_state (world, "b59"), "ended");
+      CU_ASSERT_EQUAL (world->violations, 0);
+      fake_world_free (world);
+    }
+}
+
 static CU_TestInfo sched_tests[] = {
+  { "rows of a wave of ends", test_end_rows },
   { "each kind of job runs", test_each_kind_runs },
   { "rolling update", test_rolling_update },
   { "what can never run here", test_misfits },
