--- a/Makefile
+++ b/Makefile
@@ -11,14 +11,17 @@
 CFLAGS_asan := -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer \
   -fno-sanitize-recover=undefined
 CPPFLAGS := -D_GNU_SOURCE -iquote src -iquote src/io -iquote src/proto \
+  -iquote platform \
   -iquote tests $(PKG_CFLAGS)
 CFLAGS := -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes -Werror \
   -Wno-unused-parameter $(CFLAGS_$(MODE))
 
 CORE_SRCS := $(filter-out src/main.c,$(wildcard src/*.c))
 IO_SRCS := $(wildcard src/io/*.c)
+PLATFORM_SRCS := $(wildcard platform/*.c)
 PROTO_SRCS := $(wildcard src/proto/*.pb-c.c)
-LIB_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(CORE_SRCS) $(IO_SRCS) $(PROTO_SRCS))
+LIB_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(CORE_SRCS) $(IO_SRCS) $(PLATFORM_SRCS) \
+  $(PROTO_SRCS))
 MAIN_OBJS := $(BUILD)/src/main.o
 # tests/test_*.c hold CUnit suites, tests/standin*.c the stand-in program and
 # tests/fake_*.c shared fakes.
@@ -26,7 +29,9 @@
   tests/fake_*.c))
 STANDIN_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/standin*.c))
 FORMAT_SRCS := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] \
-  src/io/*.[ch] tests/*.[ch]))
+  src/io/*.[ch] platform/*.[ch] tests/*.[ch]))
+
+magnoliadock: $(BUILD)/magnoliadock
 
 all: $(BUILD)/magnoliadock $(BUILD)/standin $(BUILD)/unit-tests
 
@@ -61,7 +66,7 @@
 	  --suppress=varFuncNullUB --library=gtk \
 	  --suppress='preprocessorErrorDirective:src/proto/*' \
 	  --library=scripts/cppcheck.cfg \
-	  -D_GNU_SOURCE -Isrc -Isrc/io -Isrc/proto \
+	  -D_GNU_SOURCE -Isrc -Isrc/io -Isrc/proto -Iplatform \
 	  $(filter %.c,$(FORMAT_SRCS))
 	printf '%s\n' $(TIDY_SRCS) | xargs -P 8 -n 1 scripts/tidy
 
@@ -81,4 +86,4 @@
 -include $(LIB_OBJS:.o=.d) $(MAIN_OBJS:.o=.d) $(TEST_OBJS:.o=.d) \
   $(STANDIN_OBJS:.o=.d)
 
-.PHONY: all proto format format-check lint deps check demo clean
+.PHONY: all magnoliadock proto format format-check lint deps check demo clean
--- /dev/null
+++ b/src/work.c
@@ -0,0 +1,308 @@
+#include "work.h"
+
+#include <stdio.h>
+#include <string.h>
+
+work_job_t *
+work_job_new (const char *id, const char *queue, uint32_t step_count)
+{
+  work_job_t *job = g_new0 (work_job_t, 1);
+  g_strlcpy (job->id, id, sizeof job->id);
+  job->queue = g_strdup (queue);
+  job->steps = g_new0 (work_step_t, step_count);
+  job->step_count = step_count;
+  return job;
+}
+
+void
+work_job_free (work_job_t *job)
+{
+  if (job == NULL)
+    return;
+  for (uint32_t i = 0; i < job->step_count; i++)
+    {
+      work_step_t *step = &job->steps[i];
+      g_free (step->after);
+      g_free (step->label);
+      g_free (step->data_rack);
+      g_free (step->image);
+    }
+  g_free (job->steps);
+  g_free (job->queue);
+  g_free (job->spec);
+  g_free (job);
+}
+
+bool
+work_id_valid (const char *id)
+{
+  size_t length = strspn (id, "0123456789abcdefABCDEF");
+  return length == WORK_ID_LENGTH && id[length] == '\0';
+}
+
+static bool
+check_step (const work_job_t *job, uint32_t at, GError **error)
+{
+  const work_step_t *step = &job->steps[at];
+  if (step->count == 0 || step->count > WORK_MAX_TASKS)
+    {
+      g_set_error (error, ERROR_DOMAIN, ERR_BAD_REQUEST,
+                   "step %u: count %u is not between 1 and %u", at,
+                   step->count, WORK_MAX_TASKS);
+      return false;
+    }
+  if (resource_negative (step->need) || step->estimate_ms < 0)
+    {
+      g_set_error (error, ERROR_DOMAIN, ERR_BAD_REQUEST,
+                   "step %u: sizes and estimate must not be negative", at);
+      return false;
+    }
+  for (uint32_t i = 0; i < step->after_count; i++)
+    if (step->after[i] >= at)
+      {
+        g_set_error (error, ERROR_DOMAIN, ERR_BAD_REQUEST,
+                     "step %u: comes after step %u, expected an earlier one",
+                     at, step->after[i]);
+        return false;
+      }
+  return true;
+}
+
+bool
+work_job_check (const work_job_t *job, GError **error)
+{
+  if (job->step_count == 0 || job->step_count > WORK_MAX_STEPS)
+    {
+      g_set_error (error, ERROR_DOMAIN, ERR_BAD_REQUEST,
+                   "%u steps, expected 1 to %u", job->step_count,
+                   WORK_MAX_STEPS);
+      return false;
+    }
+  if (job->spec == NULL || strlen (job->spec) > WORK_MAX_SPEC)
+    {
+      g_set_error (error, ERROR_DOMAIN, ERR_BAD_REQUEST,
+                   "spec: expected a text of at most %u bytes", WORK_MAX_SPEC);
+      return false;
+    }
+  for (uint32_t i = 0; i < job->step_count; i++)
+    if (!check_step (job, i, error))
+      return false;
+  return true;
+}
+
+static void
+set_text (json_t *object, const char *key, const char *value)
+{
+  if (value != NULL)
+    json_object_set_new (object, key, json_string (value));
+}
+
+static void
+set_integer (json_t *object, const char *key, int64_t value)
+{
+  if (value != 0)
+    json_object_set_new (object, key, json_integer (value));
+}
+
+static void
+set_flag (json_t *object, const char *key, bool value)
+{
+  if (value)
+    json_object_set_new (object, key, json_true ());
+}
+
+static json_t *
+step_to_json (const work_step_t *step)
+{
+  json_t *object = json_object ();
+  set_integer (object, "count", step->count);
+  set_integer (object, "cpu_millis", step->need.cpu_millis);
+  set_integer (object, "memory_mib", step->need.memory_mib);
+  set_integer (object, "accelerators", step->need.accelerators);
+  set_integer (object, "estimate_ms", step->estimate_ms);
+  set_flag (object, "gang", step->gang);
+  set_flag (object, "rack_bound", step->rack_bound);
+  set_flag (object, "speculative", step->speculative);
+  set_flag (object, "lasting", step->lasting);
+  set_flag (object, "checkpoints", step->checkpoints);
+  set_flag (object, "filler", step->filler);
+  set_text (object, "label", step->label);
+  set_text (object, "data_rack", step->data_rack);
+  set_text (object, "image", step->image);
+  set_integer (object, "spread", step->spread);
+  set_integer (object, "may_miss", step->may_miss);
+  set_integer (object, "tail_limit_ms", step->tail_limit_ms);
+  if (step->after_count > 0)
+    {
+      json_t *after = json_array ();
+      for (uint32_t i = 0; i < step->after_count; i++)
+        json_array_append_new (after, json_integer (step->after[i]));
+      json_object_set_new (object, "after", after);
+    }
+  return object;
+}
+
+char *
+work_job_encode (const work_job_t *job)
+{
+  json_t *object = json_object ();
+  set_text (object, "id", job->id);
+  set_text (object, "queue", job->queue);
+  set_text (object, "spec", job->spec);
+  set_integer (object, "times", job->times);
+  set_integer (object, "first_due_ms", job->first_due_ms);
+  set_integer (object, "interval_ms", job->interval_ms);
+  set_integer (object, "accepted_ms", job->accepted_ms);
+  json_t *steps = json_array ();
+  for (uint32_t i = 0; i < job->step_count; i++)
+    json_array_append_new (steps, step_to_json (&job->steps[i]));
+  json_object_set_new (object, "steps", steps);
+  char *text = json_dumps (object, JSON_COMPACT);
+  json_decref (object);
+  return text;
+}
+
+static int64_t
+get_integer (const json_t *object, const char *key)
+{
+  return json_integer_value (json_object_get (object, key));
+}
+
+static bool
+get_flag (const json_t *object, const char *key)
+{
+  return json_is_true (json_object_get (object, key));
+}
+
+static char *
+get_text (const json_t *object, const char *key)
+{
+  return g_strdup (json_string_value (json_object_get (object, key)));
+}
+
+static void
+step_from_json (work_step_t *step, const json_t *object)
+{
+  step->count = (uint32_t)get_integer (object, "count");
+  step->need.cpu_millis = get_integer (object, "cpu_millis");
+  step->need.memory_mib = get_integer (object, "memory_mib");
+  step->need.accelerators = get_integer (object, "accelerators");
+  step->estimate_ms = get_integer (object, "estimate_ms");
+  step->gang = get_flag (object, "gang");
+  step->rack_bound = get_flag (object, "rack_bound");
+  step->speculative = get_flag (object, "speculative");
+  step->lasting = get_flag (object, "lasting");
+  step->checkpoints = get_flag (object, "checkpoints");
+  step->filler = get_flag (object, "filler");
+  step->label = get_text (object, "label");
+  step->data_rack = get_text (object, "data_rack");
+  step->image = get_text (object, "image");
+  step->spread = (uint32_t)get_integer (object, "spread");
+  step->may_miss = (uint32_t)get_integer (object, "may_miss");
+  step->tail_limit_ms = get_integer (object, "tail_limit_ms");
+  const json_t *after = json_object_get (object, "after");
+  step->after_count = (uint32_t)json_array_size (after);
+  step->after = g_new0 (uint32_t, step->after_count);
+  for (uint32_t i = 0; i < step->after_count; i++)
+    step->after[i] = (uint32_t)json_integer_value (json_array_get (after, i));
+}
+
+work_job_t *
+work_job_decode (const char *text, size_t length, GError **error)
+{
+  work_job_t *job = NULL;
+  json_t *object = json_loadb (text, length, 0, NULL);
+  const char *id = json_string_value (json_object_get (object, "id"));
+  const char *queue = json_string_value (json_object_get (object, "queue"));
+  const json_t *steps = json_object_get (object, "steps");
+  if (id == NULL || queue == NULL || !work_id_valid (id))
+    {
+      g_set_error (error, ERROR_DOMAIN, ERR_BAD_REQUEST,
+                   "row of a job: expected an object with id and queue");
+      goto out;
+    }
+  job = work_job_new (id, queue, (uint32_t)json_array_size (steps));
+  job->spec = get_text (object, "spec");
+  job->times = (uint32_t)get_integer (object, "times");
+  job->first_due_ms = get_integer (object, "first_due_ms");
+  job->interval_ms = get_integer (object, "interval_ms");
+  job->accepted_ms = get_integer (object, "accepted_ms");
+  for (uint32_t i = 0; i < job->step_count; i++)
+    step_from_json (&job->steps[i], json_array_get (steps, i));
+  if (!work_job_check (job, error))
+    {
+      work_job_free (job);
+      job = NULL;
+    }
+out:
+  json_decref (object);
+  return job;
+}
+
+int64_t
+work_job_chain_ms (const work_job_t *job)
+{
+  int64_t ends_ms[WORK_MAX_STEPS] = { 0 };
+  int64_t longest_ms = 0;
+  for (uint32_t i = 0; i < job->step_count; i++)
+    {
+      const work_step_t *step = &job->steps[i];
+      int64_t begin_ms = 0;
+      for (uint32_t j = 0; j < step->after_count; j++)
+        begin_ms = MAX (begin_ms, ends_ms[step->after[j]]);
+      ends_ms[i] = begin_ms + step->estimate_ms;
+      longest_ms = MAX (longest_ms, ends_ms[i]);
+    }
+  return longest_ms;
+}
+
+bool
+work_job_lasts (const work_job_t *job)
+{
+  for (uint32_t i = 0; i < job->step_count; i++)
+    if (job->steps[i].lasting)
+      return true;
+  return false;
+}
+
+void
+work_name_format (char out[WORK_NAME_BYTES], const char *id,
+                  uint32_t occurrence, uint32_t step, uint32_t index)
+{
+  snprintf (out, WORK_NAME_BYTES, "%s.%u.%u.%u", id, occurrence, step, index);
+}
+
+void
+work_step_name_format (char out[WORK_NAME_BYTES], const char *id,
+                       uint32_t occurrence, uint32_t step)
+{
+  snprintf (out, WORK_NAME_BYTES, "%s.%u.%u", id, occurrence, step);
+}
+
+/* Reads ".NUMBER" at *TEXT and moves *TEXT behind it.  */
+static bool
+read_part (const char **text, uint32_t *value)
+{
+  if (**text != '.' || !g_ascii_isdigit ((*text)[1]))
+    return false;
+  char *end;
+  guint64 number = g_ascii_strtoull (*text + 1, &end, 10);
+  if (number > G_MAXUINT32)
+    return false;
+  *value = (uint32_t)number;
+  *text = end;
+  return true;
+}
+
+bool
+work_name_parse (const char *text, work_name_t *name)
+{
+  if (strlen (text) <= WORK_ID_LENGTH || text[WORK_ID_LENGTH] != '.')
+    return false;
+  memcpy (name->id, text, WORK_ID_LENGTH);
+  name->id[WORK_ID_LENGTH] = '\0';
+  const char *rest = text + WORK_ID_LENGTH;
+  return work_id_valid (name->id) && read_part (&rest, &name->occurrence)
+         && read_part (&rest, &name->step) && read_part (&rest, &name->index)
+         && *rest == '\0';
+}
--- /dev/null
+++ b/src/work.h
@@ -0,0 +1,97 @@
+#ifndef MAGNOLIADOCK_WORK_H
+#define MAGNOLIADOCK_WORK_H
+
+#include "error.h"
+#include "resource.h"
+
+#include <jansson.h>
+
+/* NAME
+     work - jobs made of dependent steps, as the cells of a deployment run them
+
+   A job's description never changes after it was accepted.  A step has COUNT
+   equal tasks; a job with times runs all its steps once for each occurrence.
+   All strings are owned by the structure that holds them.  */
+
+#define WORK_ID_LENGTH 16
+#define WORK_MAX_STEPS 64
+#define WORK_MAX_TASKS 2000 /* of a step; the row of a job holds 64 KB */
+#define WORK_MAX_SPEC 4000  /* bytes */
+/* "ID.OCCURRENCE.STEP.INDEX" with its NUL.  */
+#define WORK_NAME_BYTES 56
+
+typedef struct
+{
+  uint32_t count;
+  resource_t need; /* of each task */
+  int64_t estimate_ms;
+  uint32_t *after; /* earlier steps that have to be done first */
+  uint32_t after_count;
+  bool gang;         /* tasks work only together */
+  bool rack_bound;   /* slower when spread over several racks */
+  bool speculative;  /* copies may run in parallel */
+  bool lasting;      /* runs until the job is cancelled */
+  bool checkpoints;  /* saves its progress */
+  bool filler;       /* runs on processor time that others leave unused */
+  char *label;       /* a worker must have it; NULL: any worker */
+  char *data_rack;   /* rack of the data; NULL: none */
+  char *image;       /* tasks of one image behave alike; may be NULL */
+  uint32_t spread;   /* most tasks of the step on one worker; 0: no limit */
+  uint32_t may_miss; /* tasks that planned actions may keep away at once */
+  int64_t tail_limit_ms; /* response times to keep below; 0: none */
+} work_step_t;
+
+typedef struct
+{
+  char id[WORK_ID_LENGTH + 1];
+  char *queue;
+  char *spec;
+  work_step_t *steps;
+  uint32_t step_count;
+  uint32_t times;       /* occurrences; 0: the job runs once, at once */
+  int64_t first_due_ms; /* wall time of occurrence 0 */
+  int64_t interval_ms;  /* between two occurrences */
+  int64_t accepted_ms;  /* wall time of its acceptance */
+} work_job_t;
+
+/* Coordinates of a task.  */
+typedef struct
+{
+  char id[WORK_ID_LENGTH + 1];
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+} work_name_t;
+
+/* Returns a job of STEP_COUNT empty steps.  */
+work_job_t *work_job_new (const char *id, const char *queue,
+                          uint32_t step_count);
+void work_job_free (work_job_t *job);
+
+/* Whether ID has WORK_ID_LENGTH hexadecimal digits.  */
+bool work_id_valid (const char *id);
+
+/* Whether JOB can be run at all: counts, sizes, and steps that come after
+   earlier ones only.  Sets ERROR (ERR_BAD_REQUEST) if not.  */
+bool work_job_check (const work_job_t *job, GError **error);
+
+/* The row of a job.  Decoding returns NULL and sets ERROR on a row that this
+   program did not write.  The text is the caller's (free).  */
+char *work_job_encode (const work_job_t *job);
+work_job_t *work_job_decode (const char *text, size_t length, GError **error);
+
+/* Longest chain of estimates through the steps, in ms.  */
+int64_t work_job_chain_ms (const work_job_t *job);
+
+/* Whether a step of JOB runs until it is cancelled.  */
+bool work_job_lasts (const work_job_t *job);
+
+void work_name_format (char out[WORK_NAME_BYTES], const char *id,
+                       uint32_t occurrence, uint32_t step, uint32_t index);
+/* "ID.OCCURRENCE.STEP".  */
+void work_step_name_format (char out[WORK_NAME_BYTES], const char *id,
+                            uint32_t occurrence, uint32_t step);
+/* Returns whether TEXT is the name of a task.  */
+bool work_name_parse (const char *text, work_name_t *name);
+
+#endif
