--- /dev/null
+++ b/src/cell.c
@@ -0,0 +1,256 @@
+#include "cell_int.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+cell_t *
+cell_new (const cell_options_t *options, const clk_t *clock,
+          const cell_actions_t *actions, void *context)
+{
+  cell_t *cell = g_new0 (cell_t, 1);
+  cell->options = *options;
+  cell->clock = clock;
+  cell->actions = actions;
+  cell->context = context;
+  cell->now_ms = clk_now_ms (clock);
+  cell->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                      (GDestroyNotify)cell_job_free);
+  cell->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                         (GDestroyNotify)cell_worker_free);
+  cell->queues = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                        (GDestroyNotify)queue_free);
+  cell->worker_list = g_ptr_array_new ();
+  cell->open = g_ptr_array_new ();
+  cell->timed = g_ptr_array_new ();
+  cell->dirty = g_ptr_array_new ();
+  cell->expiring = g_ptr_array_new ();
+  cell->saving = g_ptr_array_new ();
+  cell->saving_states = g_array_new (FALSE, FALSE, sizeof (job_show_t));
+  return cell;
+}
+
+void
+cell_free (cell_t *cell)
+{
+  if (cell == NULL)
+    return;
+  g_hash_table_unref (cell->jobs);
+  g_hash_table_unref (cell->workers);
+  g_hash_table_unref (cell->queues);
+  g_ptr_array_unref (cell->worker_list);
+  g_ptr_array_unref (cell->open);
+  g_ptr_array_unref (cell->timed);
+  g_ptr_array_unref (cell->dirty);
+  g_ptr_array_unref (cell->expiring);
+  g_ptr_array_unref (cell->saving);
+  g_array_unref (cell->saving_states);
+  g_free (cell);
+}
+
+void
+cell_note (cell_t *cell, const char *event, const char *subject,
+           const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  char *detail = g_strdup_vprintf (format, args);
+  va_end (args);
+  cell->actions->note (cell->context, event, subject, detail);
+  g_free (detail);
+}
+
+void
+cell_mark_dirty (cell_job_t *job)
+{
+  if (job->dirty)
+    return;
+  job->dirty = true;
+  g_ptr_array_add (job->cell->dirty, job);
+}
+
+cell_task_t *
+cell_find_task (cell_t *cell, const char *name)
+{
+  work_name_t parts;
+  if (!work_name_parse (name, &parts))
+    return NULL;
+  cell_job_t *job = g_hash_table_lookup (cell->jobs, parts.id);
+  if (job == NULL || job->work == NULL)
+    return NULL;
+  cell_group_t *group = cell_job_group (job, parts.occurrence, parts.step);
+  if (group == NULL || parts.index >= group->spec->count)
+    return NULL;
+  return &group->tasks[parts.index];
+}
+
+void
+cell_task_name (const cell_task_t *task, char out[WORK_NAME_BYTES])
+{
+  work_name_format (out, task->group->job->id, task->group->occurrence,
+                    task->group->step, task->index);
+}
+
+static bool
+is_waiting (const cell_task_t *task)
+{
+  return task->state == RUN_WAITING && task->worker == NULL;
+}
+
+void
+cell_set_task (cell_task_t *task, run_state_t state)
+{
+  cell_group_t *group = task->group;
+  group->waiting -= is_waiting (task);
+  group->done -= task->state == RUN_DONE;
+  task->state = (uint8_t)state;
+  group->waiting += is_waiting (task);
+  group->done += task->state == RUN_DONE;
+  if (state == RUN_WAITING)
+    group->job->cell->place_wanted = true;
+}
+
+void
+cell_release (cell_task_t *task)
+{
+  cell_worker_t *worker = task->worker;
+  if (worker == NULL)
+    return;
+  worker->used = resource_sub (worker->used, cell_need (task->group->spec));
+  g_ptr_array_remove_fast (worker->tasks, task);
+  task->group->waiting -= is_waiting (task);
+  task->worker = NULL;
+  task->group->waiting += is_waiting (task);
+  task->group->job->cell->place_wanted = true;
+}
+
+void
+cell_set_queues (cell_t *cell, const queue_table_t *table)
+{
+  for (guint i = 0; i < table->queues->len; i++)
+    {
+      queue_t *queue = queue_copy (table->queues->pdata[i]);
+      g_hash_table_replace (cell->queues, queue->name, queue);
+    }
+  /* Jobs hold copies, so that a queue may be removed while they run.  */
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init (&iterator, cell->jobs);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      cell_job_t *job = value;
+      if (job->work == NULL)
+        continue;
+      const queue_t *queue
+          = g_hash_table_lookup (cell->queues, job->work->queue);
+      if (queue == NULL)
+        continue;
+      queue_free (job->queue);
+      job->queue = queue_copy (queue);
+    }
+  cell->place_wanted = true;
+}
+
+void
+cell_begin (cell_t *cell, bool previous_over)
+{
+  cell->now_ms = clk_now_ms (cell->clock);
+  cell->begun = true;
+  cell->begun_ms = cell->now_ms;
+  cell->confirmed_ms = cell->now_ms;
+  cell->previous_renews_until_ms
+      = cell->now_ms + (previous_over ? 0 : cell->options.evidence_ms);
+}
+
+void
+cell_confirmed (cell_t *cell, int64_t at_ms)
+{
+  cell->confirmed_ms = MAX (cell->confirmed_ms, at_ms);
+}
+
+bool
+cell_fenced (const cell_t *cell)
+{
+  return cell->fenced;
+}
+
+void
+cell_run (cell_t *cell, int64_t wall_ms)
+{
+  cell->now_ms = clk_now_ms (cell->clock);
+  cell->wall_ms = wall_ms;
+  if (!cell->begun || cell->fenced)
+    return;
+  cell_open_occurrences (cell);
+  if (cell->now_ms >= cell->next_scan_ms)
+    {
+      cell->next_scan_ms = cell->now_ms + CELL_TICK_MS;
+      cell_check_workers (cell);
+      cell_retry_orders (cell);
+      cell->place_wanted = true;
+    }
+  cell_save_if_due (cell);
+}
+
+static const char *const show_names[]
+    = { "queued", "running", "completed", "failed", "cancelled", NULL };
+
+const char *
+cell_state (const cell_t *cell, const char *id)
+{
+  const cell_job_t *job = g_hash_table_lookup (cell->jobs, id);
+  return job == NULL ? NULL : show_names[job->saved_state];
+}
+
+const char *
+cell_record_state (const char *text, size_t length)
+{
+  static const char letters[] = "QRCFX";
+  if (length < 3)
+    return NULL;
+  const char *letter = strchr (letters, text[2]);
+  return letter == NULL || *letter == '\0' ? NULL
+                                           : show_names[letter - letters];
+}
+
+void
+cell_each_pending (const cell_t *cell,
+                   void (*each) (void *context, const char *queue,
+                                 uint32_t pending),
+                   void *context)
+{
+  GHashTable *counts = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter iterator;
+  gpointer key;
+  gpointer value;
+  g_hash_table_iter_init (&iterator, cell->jobs);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const cell_job_t *job = value;
+      if (job->work == NULL || job->work->times > 0 || job->begun
+          || job->state > JOB_STATE_RUNNING)
+        continue;
+      guint count
+          = GPOINTER_TO_UINT (g_hash_table_lookup (counts, job->work->queue));
+      g_hash_table_insert (counts, job->work->queue,
+                           GUINT_TO_POINTER (count + 1));
+    }
+  g_hash_table_iter_init (&iterator, counts);
+  while (g_hash_table_iter_next (&iterator, &key, &value))
+    each (context, key, GPOINTER_TO_UINT (value));
+  g_hash_table_unref (counts);
+}
+
+void
+cell_totals (const cell_t *cell, cell_totals_t *totals)
+{
+  *totals = (cell_totals_t){ .jobs = g_hash_table_size (cell->jobs),
+                             .workers = cell->worker_list->len };
+  for (guint i = 0; i < cell->open->len; i++)
+    totals->waiting_tasks += ((cell_group_t *)cell->open->pdata[i])->waiting;
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    {
+      const cell_worker_t *worker = cell->worker_list->pdata[i];
+      totals->live_tasks += worker->tasks->len;
+      totals->silent_workers += !worker->ok;
+    }
+}
--- /dev/null
+++ b/src/cell_advice.c
@@ -0,0 +1,163 @@
+#include "cell_int.h"
+
+/* Most workers named in one call; the objective of a job counts on 30.  */
+#define ASK_MOST_WORKERS 30
+/* A ticket is renewed this long before it expires, on top of the duration of
+   the call.  */
+#define RENEW_BEFORE_MS 150
+/* A ticket that expires sooner may do so on its way to the worker: a save
+   comes before the start.  */
+#define TICKET_MARGIN_MS 60
+/* Pause after a call without an answer.  */
+#define ASK_AGAIN_MS 100
+
+static permit_t *
+permit_of (const cell_group_t *group, const cell_worker_t *worker)
+{
+  return g_hash_table_lookup (group->permits, worker->id);
+}
+
+const char *
+cell_ticket (const cell_group_t *group, const cell_worker_t *worker)
+{
+  const permit_t *permit = permit_of (group, worker);
+  if (permit == NULL || permit->ticket == NULL
+      || permit->born_ms != worker->born_ms
+      || permit->valid_until_ms < group->job->cell->now_ms + TICKET_MARGIN_MS)
+    return NULL;
+  return permit->ticket;
+}
+
+bool
+cell_denied (const cell_group_t *group, const cell_worker_t *worker)
+{
+  const permit_t *permit = permit_of (group, worker);
+  return permit != NULL && permit->ticket == NULL;
+}
+
+typedef struct
+{
+  cell_worker_t *worker;
+  double room; /* free share, higher first */
+} candidate_t;
+
+static gint
+compare_candidates (gconstpointer a, gconstpointer b)
+{
+  const candidate_t *left = a;
+  const candidate_t *right = b;
+  return left->room > right->room ? -1 : left->room < right->room;
+}
+
+static bool
+usable (const cell_group_t *group, const cell_worker_t *worker)
+{
+  const work_step_t *step = group->spec;
+  return worker->listed && !worker->draining && worker->ok
+         && !cell_denied (group, worker)
+         && (step->label == NULL
+             || g_hash_table_contains (worker->labels, step->label))
+         && resource_fits (cell_need (step), worker->capacity);
+}
+
+/* Fills CANDIDATES with the workers to name.  */
+static void
+collect_candidates (cell_t *cell, cell_group_t *group, GArray *candidates)
+{
+  const queue_t *queue = group->job->queue;
+  int64_t soon_ms = cell->now_ms + (int64_t)queue->advice_ms + RENEW_BEFORE_MS;
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    {
+      cell_worker_t *worker = cell->worker_list->pdata[i];
+      const permit_t *permit = permit_of (group, worker);
+      if (!usable (group, worker)
+          || (permit != NULL && permit->valid_until_ms > soon_ms
+              && permit->born_ms == worker->born_ms))
+        continue;
+      resource_t left = resource_sub (worker->capacity, worker->used);
+      candidate_t candidate
+          = { worker, resource_dominant_share (left, worker->capacity) };
+      if (resource_fits (cell_need (group->spec), left))
+        candidate.room += 1.0;
+      if (permit != NULL)
+        candidate.room += 0.5; /* known to be allowed */
+      g_array_append_val (candidates, candidate);
+    }
+  g_array_sort (candidates, compare_candidates);
+  if (candidates->len > ASK_MOST_WORKERS)
+    g_array_set_size (candidates, ASK_MOST_WORKERS);
+}
+
+void
+cell_ask_advice (cell_t *cell, cell_group_t *group)
+{
+  if (group->asking || cell->now_ms < group->ask_after_ms)
+    return;
+  const queue_t *queue = group->job->queue;
+  GArray *candidates = g_array_new (FALSE, FALSE, sizeof (candidate_t));
+  collect_candidates (cell, group, candidates);
+  const char *names[ASK_MOST_WORKERS];
+  g_ptr_array_set_size (group->asked, 0);
+  for (guint i = 0; i < candidates->len; i++)
+    {
+      names[i] = g_array_index (candidates, candidate_t, i).worker->id;
+      g_ptr_array_add (group->asked, g_strdup (names[i]));
+    }
+  char step[WORK_NAME_BYTES];
+  work_step_name_format (step, group->job->id, group->occurrence, group->step);
+  if (candidates->len > 0)
+    group->asking = cell->actions->advise (
+        cell->context, step, names, candidates->len,
+        queue->advice_ms + queue->advice_each_ms * (double)candidates->len);
+  g_array_unref (candidates);
+}
+
+static cell_group_t *
+find_group (cell_t *cell, const char *step)
+{
+  char name[WORK_NAME_BYTES];
+  work_name_t parts;
+  g_snprintf (name, sizeof name, "%s.0", step);
+  if (!work_name_parse (name, &parts))
+    return NULL;
+  cell_job_t *job = g_hash_table_lookup (cell->jobs, parts.id);
+  if (job == NULL || job->work == NULL)
+    return NULL;
+  return cell_job_group (job, parts.occurrence, parts.step);
+}
+
+/* TICKET is NULL for a worker that may not run the step.  */
+static void
+keep_permit (const cell_t *cell, cell_group_t *group, const char *id,
+             const char *ticket, int64_t valid_ms)
+{
+  const cell_worker_t *worker = cell_worker_find (cell, id);
+  if (worker == NULL)
+    return;
+  permit_t *permit = g_new0 (permit_t, 1);
+  permit->ticket = g_strdup (ticket);
+  permit->valid_until_ms = cell->now_ms + valid_ms;
+  permit->born_ms = worker->born_ms;
+  g_hash_table_insert (group->permits, g_strdup (id), permit);
+}
+
+void
+cell_advised (cell_t *cell, const char *step, bool ok,
+              const advice_row_t *rows, uint32_t count, int64_t valid_ms)
+{
+  cell->now_ms = clk_now_ms (cell->clock);
+  cell->place_wanted = true;
+  cell_group_t *group = find_group (cell, step);
+  if (group == NULL)
+    return;
+  group->asking = false;
+  if (!ok)
+    {
+      group->ask_after_ms = cell->now_ms + ASK_AGAIN_MS;
+      return;
+    }
+  for (guint i = 0; i < group->asked->len; i++)
+    keep_permit (cell, group, group->asked->pdata[i], NULL, valid_ms);
+  for (uint32_t i = 0; i < count; i++)
+    keep_permit (cell, group, rows[i].worker, rows[i].ticket, valid_ms);
+}
--- /dev/null
+++ b/src/cell_jobs.c
@@ -0,0 +1,266 @@
+#include "cell_int.h"
+
+#include <string.h>
+
+/* An occurrence is laid out this long before it is due.  */
+#define OCCURRENCE_LEAD_MS 0
+
+/* Age of a job at most, as told by clocks that may differ or jump.  */
+#define MAX_AGE_MS 60000
+
+static void
+permit_free (void *data)
+{
+  permit_t *permit = data;
+  g_free (permit->ticket);
+  g_free (permit);
+}
+
+static void
+group_free (void *data)
+{
+  cell_group_t *group = data;
+  for (uint32_t i = 0; i < group->spec->count; i++)
+    {
+      cell_release (&group->tasks[i]);
+      g_free (group->tasks[i].checkpoint);
+    }
+  g_ptr_array_remove_fast (group->job->cell->open, group);
+  g_hash_table_unref (group->permits);
+  g_ptr_array_unref (group->asked);
+  g_free (group->gang_checkpoint);
+  g_free (group->tasks);
+  g_free (group);
+}
+
+void
+cell_job_free (cell_job_t *job)
+{
+  if (job->groups != NULL)
+    g_ptr_array_unref (job->groups);
+  work_job_free (job->work);
+  queue_free (job->queue);
+  g_free (job);
+}
+
+cell_group_t *
+cell_job_group (cell_job_t *job, uint32_t occurrence, uint32_t step)
+{
+  /* Groups lie in the order of occurrence and step, except that those of old
+     occurrences are gone.  */
+  if (occurrence < job->finished_below || step >= job->work->step_count)
+    return NULL;
+  guint at = (occurrence - job->finished_below) * job->work->step_count + step;
+  return at < job->groups->len ? job->groups->pdata[at] : NULL;
+}
+
+void
+cell_job_add_groups (cell_job_t *job, uint32_t occurrence)
+{
+  for (uint32_t step = 0; step < job->work->step_count; step++)
+    {
+      cell_group_t *group = g_new0 (cell_group_t, 1);
+      group->job = job;
+      group->occurrence = occurrence;
+      group->step = step;
+      group->spec = &job->work->steps[step];
+      group->tasks = g_new0 (cell_task_t, group->spec->count);
+      group->waiting = group->spec->count;
+      group->permits = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                              permit_free);
+      group->asked = g_ptr_array_new_with_free_func (g_free);
+      for (uint32_t i = 0; i < group->spec->count; i++)
+        {
+          group->tasks[i].group = group;
+          group->tasks[i].index = i;
+          group->tasks[i].pace = 100;
+        }
+      g_ptr_array_add (job->groups, group);
+    }
+  job->next_occurrence = occurrence + 1;
+}
+
+static bool
+steps_before_finished (const cell_group_t *group)
+{
+  for (uint32_t i = 0; i < group->spec->after_count; i++)
+    if (!cell_job_group (group->job, group->occurrence, group->spec->after[i])
+             ->finished)
+      return false;
+  return true;
+}
+
+static void
+open_ready_groups (cell_job_t *job)
+{
+  cell_t *cell = job->cell;
+  for (guint i = 0; i < job->groups->len; i++)
+    {
+      cell_group_t *group = job->groups->pdata[i];
+      if (group->open_ms != 0 || group->finished
+          || !steps_before_finished (group))
+        continue;
+      group->open_ms = MAX (cell->now_ms, 1);
+      g_ptr_array_add (cell->open, group);
+      cell->place_wanted = true;
+    }
+}
+
+/* Removes the groups of the oldest occurrences that are over.  */
+static void
+drop_finished_occurrences (cell_job_t *job)
+{
+  uint32_t steps = job->work->step_count;
+  while (job->groups->len >= steps && job->work->times > 0)
+    {
+      for (uint32_t i = 0; i < steps; i++)
+        {
+          const cell_group_t *group = job->groups->pdata[i];
+          if (!group->finished)
+            return;
+          for (uint32_t j = 0; j < group->spec->count; j++)
+            if (group->tasks[j].worker != NULL)
+              return;
+        }
+      g_ptr_array_remove_range (job->groups, 0, steps);
+      job->finished_below++;
+    }
+}
+
+static bool
+all_groups_finished (const cell_job_t *job)
+{
+  if (job->work->times > 0 && job->next_occurrence < job->work->times)
+    return false;
+  for (guint i = 0; i < job->groups->len; i++)
+    if (!((cell_group_t *)job->groups->pdata[i])->finished)
+      return false;
+  return true;
+}
+
+void
+cell_job_settle (cell_job_t *job)
+{
+  if (job->state > JOB_STATE_RUNNING)
+    return;
+  if (all_groups_finished (job))
+    {
+      cell_job_over (job, JOB_STATE_COMPLETED);
+      return;
+    }
+  drop_finished_occurrences (job);
+  open_ready_groups (job);
+}
+
+void
+cell_group_check (cell_group_t *group)
+{
+  if (group->finished || group->done < group->spec->count)
+    return;
+  group->finished = true;
+  g_ptr_array_remove_fast (group->job->cell->open, group);
+  cell_job_settle (group->job);
+}
+
+static const char *const show_words[]
+    = { "queued", "running", "completed", "failed", "cancelled" };
+
+/* Ends the runs of a job that is over.  */
+static void
+close_groups (cell_job_t *job)
+{
+  job->ended_ms = job->cell->now_ms;
+  g_ptr_array_add (job->cell->expiring, job);
+  for (guint i = 0; i < job->groups->len; i++)
+    {
+      cell_group_t *group = job->groups->pdata[i];
+      if (!group->finished)
+        g_ptr_array_remove_fast (job->cell->open, group);
+      for (uint32_t j = 0; j < group->spec->count; j++)
+        cell_want_stop (&group->tasks[j]);
+    }
+}
+
+void
+cell_job_over (cell_job_t *job, job_show_t state)
+{
+  cell_t *cell = job->cell;
+  if (job->state > JOB_STATE_RUNNING)
+    return;
+  job->state = state;
+  cell_mark_dirty (job);
+  cell_note (cell, "job_over", job->id, "state=%s age_ms=%lld",
+             show_words[state], (long long)(cell->now_ms - job->added_ms));
+  close_groups (job);
+}
+
+void
+cell_job_loaded_over (cell_job_t *job, job_show_t state)
+{
+  job->state = state;
+  close_groups (job);
+}
+
+void
+cell_add_job (cell_t *cell, work_job_t *work)
+{
+  if (g_hash_table_contains (cell->jobs, work->id))
+    {
+      work_job_free (work);
+      return;
+    }
+  cell->now_ms = clk_now_ms (cell->clock);
+  cell_job_t *job = g_new0 (cell_job_t, 1);
+  job->cell = cell;
+  job->work = work;
+  g_strlcpy (job->id, work->id, sizeof job->id);
+  job->groups = g_ptr_array_new_with_free_func (group_free);
+  int64_t age_ms = clk_wall_ms (cell->clock) - work->accepted_ms;
+  job->added_ms = cell->now_ms - CLAMP (age_ms, 0, MAX_AGE_MS);
+  job->state = JOB_STATE_QUEUED;
+  job->saved_state = JOB_STATE_QUEUED;
+  const queue_t *queue = g_hash_table_lookup (cell->queues, work->queue);
+  if (queue != NULL)
+    job->queue = queue_copy (queue);
+  g_hash_table_insert (cell->jobs, job->id, job);
+  if (work->times > 0)
+    {
+      g_ptr_array_add (cell->timed, job);
+      return;
+    }
+  cell_job_add_groups (job, 0);
+  open_ready_groups (job);
+}
+
+void
+cell_cancel_job (cell_t *cell, const char *id)
+{
+  cell_job_t *job = g_hash_table_lookup (cell->jobs, id);
+  if (job == NULL || job->state > JOB_STATE_RUNNING)
+    return;
+  cell->now_ms = clk_now_ms (cell->clock);
+  cell_job_over (job, JOB_STATE_CANCELLED);
+}
+
+void
+cell_open_occurrences (cell_t *cell)
+{
+  for (guint i = 0; i < cell->timed->len;)
+    {
+      cell_job_t *job = cell->timed->pdata[i];
+      while (job->state <= JOB_STATE_RUNNING
+             && job->next_occurrence < job->work->times
+             && job->work->first_due_ms
+                        + job->next_occurrence * job->work->interval_ms
+                    <= cell->wall_ms + OCCURRENCE_LEAD_MS)
+        {
+          cell_job_add_groups (job, job->next_occurrence);
+          open_ready_groups (job);
+        }
+      if (job->state > JOB_STATE_RUNNING
+          || job->next_occurrence >= job->work->times)
+        g_ptr_array_remove_index_fast (cell->timed, i);
+      else
+        i++;
+    }
+}
--- /dev/null
+++ b/src/cell_pace.c
@@ -0,0 +1,55 @@
+#include "cell_int.h"
+
+/* Fillers are slowed down once a serving task's tail reaches this share of its
+   limit, and may speed up again below the lower one.  The reported tail covers
+   half a second only and is rough.  */
+#define SLOW_DOWN_SHARE 0.8
+#define SPEED_UP_SHARE 0.5
+#define SPEED_UP_STEP 20u
+#define FULL_PACE 100u
+
+/* Returns the highest share of its limit that a serving task on WORKER has
+   reached, -1 if none serves there.  */
+static double
+worst_tail_share (const cell_worker_t *worker)
+{
+  double worst = -1.0;
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const cell_task_t *task = worker->tasks->pdata[i];
+      int64_t limit_ms = task->group->spec->tail_limit_ms;
+      if (limit_ms > 0 && task->state == RUN_LIVE)
+        worst = MAX (worst, (double)task->measure / (double)limit_ms);
+    }
+  return worst;
+}
+
+static void
+set_pace (cell_t *cell, cell_task_t *task, uint32_t percent)
+{
+  char name[WORK_NAME_BYTES];
+  cell_worker_ref_t ref = { task->worker->id, task->worker->address };
+  cell_task_name (task, name);
+  cell_note (cell, "pace", name, "percent=%u worker=%s", percent,
+             task->worker->id);
+  task->pace = (uint8_t)percent;
+  cell->actions->pace (cell->context, &ref, name, task->run, percent);
+}
+
+void
+cell_adjust_pace (cell_t *cell, cell_worker_t *worker)
+{
+  double share = worst_tail_share (worker);
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      cell_task_t *task = worker->tasks->pdata[i];
+      if (!task->group->spec->filler || task->state != RUN_LIVE)
+        continue;
+      if (share >= 1.0 && task->pace > 0)
+        set_pace (cell, task, 0);
+      else if (share >= SLOW_DOWN_SHARE && task->pace > 0)
+        set_pace (cell, task, task->pace / 2);
+      else if (share < SPEED_UP_SHARE && task->pace < FULL_PACE)
+        set_pace (cell, task, MIN (FULL_PACE, task->pace + SPEED_UP_STEP));
+    }
+}
--- /dev/null
+++ b/src/cell_place.c
@@ -0,0 +1,323 @@
+#include "cell_int.h"
+
+#include <math.h>
+
+/* A job that takes up to this many objectives still earns a part.  */
+#define LATE_OBJECTIVES 3
+
+/* How urgent a group is; lower tiers go first.  */
+enum
+{
+  TIER_IN_TIME,
+  TIER_LATE,
+  TIER_TOO_LATE
+};
+
+resource_t
+cell_need (const work_step_t *step)
+{
+  resource_t need = step->need;
+  if (step->filler)
+    need.cpu_millis = 0;
+  return need;
+}
+
+/* Longest chain of estimates from STEP to the end of its job.  */
+static int64_t
+chain_from (const work_job_t *job, uint32_t step)
+{
+  int64_t tail_ms[WORK_MAX_STEPS] = { 0 };
+  for (uint32_t i = job->step_count; i > step; i--)
+    {
+      tail_ms[i - 1] += job->steps[i - 1].estimate_ms;
+      for (uint32_t j = 0; j < job->steps[i - 1].after_count; j++)
+        {
+          uint32_t before = job->steps[i - 1].after[j];
+          tail_ms[before] = MAX (tail_ms[before], tail_ms[i - 1]);
+        }
+    }
+  return tail_ms[step];
+}
+
+static void
+rank_group (const cell_t *cell, cell_group_t *group)
+{
+  const cell_job_t *job = group->job;
+  const queue_t *queue = job->queue;
+  int64_t since_ms = job->added_ms;
+  if (job->work->times > 0)
+    since_ms = group->open_ms;
+  if (group->spec->lasting || queue == NULL)
+    {
+      group->tier = TIER_IN_TIME;
+      group->rank_ms = since_ms - cell->now_ms;
+      return;
+    }
+  double objective_ms = queue->stretch * (double)work_job_chain_ms (job->work)
+                        + (double)queue->target_ms;
+  int64_t left_ms = since_ms + (int64_t)objective_ms - cell->now_ms
+                    - chain_from (job->work, group->step);
+  group->rank_ms = left_ms;
+  if (left_ms >= 0)
+    group->tier = TIER_IN_TIME;
+  else if (left_ms >= -(int64_t)((LATE_OBJECTIVES - 1) * objective_ms))
+    group->tier = TIER_LATE;
+  else
+    group->tier = TIER_TOO_LATE;
+}
+
+static uint32_t
+priority_of (const cell_group_t *group)
+{
+  return group->job->queue != NULL ? group->job->queue->priority : 0;
+}
+
+static gint
+compare_groups (gconstpointer a, gconstpointer b)
+{
+  const cell_group_t *left = *(cell_group_t *const *)a;
+  const cell_group_t *right = *(cell_group_t *const *)b;
+  if (left->tier != right->tier)
+    return left->tier < right->tier ? -1 : 1;
+  uint32_t left_priority = priority_of (left);
+  uint32_t right_priority = priority_of (right);
+  if (left_priority != right_priority)
+    return left_priority < right_priority ? -1 : 1;
+  if (left->rank_ms != right->rank_ms)
+    return left->rank_ms < right->rank_ms ? -1 : 1;
+  return 0;
+}
+
+/* Whether WORKER takes tasks at all, and of GROUP.  */
+static bool
+eligible (const cell_t *cell, const cell_group_t *group,
+          const cell_worker_t *worker)
+{
+  const work_step_t *step = group->spec;
+  return worker->listed && !worker->draining && worker->fenced && worker->ok
+         && worker->ghosts == 0 && cell->now_ms >= worker->avoid_until_ms
+         && (step->label == NULL
+             || g_hash_table_contains (worker->labels, step->label))
+         && resource_fits (cell_need (step), worker->capacity);
+}
+
+static resource_t
+free_room (const cell_worker_t *worker)
+{
+  return resource_sub (resource_sub (worker->capacity, worker->used),
+                       worker->promised);
+}
+
+static uint32_t
+tasks_of_group (const cell_worker_t *worker, const cell_group_t *group)
+{
+  uint32_t count = 0;
+  for (guint i = 0; i < worker->tasks->len; i++)
+    count += ((cell_task_t *)worker->tasks->pdata[i])->group == group;
+  return count;
+}
+
+static bool
+has_serving (const cell_worker_t *worker)
+{
+  for (guint i = 0; i < worker->tasks->len; i++)
+    if (((cell_task_t *)worker->tasks->pdata[i])->group->spec->tail_limit_ms
+        > 0)
+      return true;
+  return false;
+}
+
+static bool
+has_fillers (const cell_worker_t *worker)
+{
+  for (guint i = 0; i < worker->tasks->len; i++)
+    if (((cell_task_t *)worker->tasks->pdata[i])->group->spec->filler)
+      return true;
+  return false;
+}
+
+/* Lower is better.  Tight fits keep room for wide tasks.  */
+static double
+score (const cell_group_t *group, const cell_worker_t *worker)
+{
+  const work_step_t *step = group->spec;
+  resource_t left = resource_sub (free_room (worker), cell_need (step));
+  double value = resource_dominant_share (left, worker->capacity);
+  if (step->data_rack != NULL && g_strcmp0 (step->data_rack, worker->rack))
+    value += 10.0;
+  if (step->filler && has_serving (worker))
+    value += 5.0;
+  if (step->tail_limit_ms > 0 && has_fillers (worker))
+    value += 5.0;
+  if (worker->fail_streak > 0)
+    value += 2.0;
+  return value;
+}
+
+static bool
+can_take (const cell_t *cell, const cell_group_t *group,
+          const cell_worker_t *worker)
+{
+  if (!eligible (cell, group, worker)
+      || !resource_fits (cell_need (group->spec), free_room (worker)))
+    return false;
+  if (group->spec->spread > 0
+      && tasks_of_group (worker, group) >= group->spec->spread)
+    return false;
+  return group->job->queue == NULL || !group->job->queue->advised
+         || cell_ticket (group, worker) != NULL;
+}
+
+/* RACK: only workers of this rack; NULL: all.  */
+static cell_worker_t *
+best_worker (const cell_t *cell, const cell_group_t *group, const char *rack)
+{
+  cell_worker_t *best = NULL;
+  double best_score = INFINITY;
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    {
+      cell_worker_t *worker = cell->worker_list->pdata[i];
+      if ((rack != NULL && g_strcmp0 (rack, worker->rack) != 0)
+          || !can_take (cell, group, worker))
+        continue;
+      double value = score (group, worker);
+      if (value < best_score)
+        {
+          best = worker;
+          best_score = value;
+        }
+    }
+  return best;
+}
+
+static void
+place_tasks (cell_t *cell, cell_group_t *group)
+{
+  for (uint32_t i = 0; i < group->spec->count && group->waiting > 0; i++)
+    {
+      cell_task_t *task = &group->tasks[i];
+      if (task->state != RUN_WAITING || task->worker != NULL)
+        continue;
+      cell_worker_t *worker = best_worker (cell, group, NULL);
+      if (worker == NULL)
+        return;
+      cell_assign (task, worker);
+    }
+}
+
+/* Chooses workers for all members, one after the other; undoes it if one finds
+   none.  */
+static bool
+place_gang_on (cell_t *cell, cell_group_t *group, const char *rack)
+{
+  uint32_t count = group->spec->count;
+  uint32_t run = 0;
+  uint32_t placed = 0;
+  for (uint32_t i = 0; i < count; i++)
+    run = MAX (run, group->tasks[i].run);
+  cell_worker_t **chosen = g_new0 (cell_worker_t *, count);
+  resource_t need = cell_need (group->spec);
+  for (; placed < count; placed++)
+    {
+      chosen[placed] = best_worker (cell, group, rack);
+      if (chosen[placed] == NULL)
+        break;
+      chosen[placed]->used = resource_add (chosen[placed]->used, need);
+    }
+  for (uint32_t i = 0; i < placed; i++)
+    chosen[i]->used = resource_sub (chosen[i]->used, need);
+  for (uint32_t i = 0; i < count && placed == count; i++)
+    {
+      group->tasks[i].run = run; /* members share one run */
+      cell_assign (&group->tasks[i], chosen[i]);
+    }
+  g_free (chosen);
+  return placed == count;
+}
+
+static bool
+place_gang (cell_t *cell, cell_group_t *group)
+{
+  if (!group->spec->rack_bound && group->spec->data_rack == NULL)
+    return place_gang_on (cell, group, NULL);
+  GHashTable *tried = g_hash_table_new (g_str_hash, g_str_equal);
+  bool placed = false;
+  for (guint i = 0; i < cell->worker_list->len && !placed; i++)
+    {
+      const cell_worker_t *worker = cell->worker_list->pdata[i];
+      if (g_hash_table_add (tried, worker->rack))
+        placed = place_gang_on (cell, group, worker->rack);
+    }
+  g_hash_table_unref (tried);
+  return placed || place_gang_on (cell, group, NULL);
+}
+
+/* Keeps the room that a gang waits for from groups of lower rank: the workers
+   with most of it free already.  */
+static void
+promise_room (cell_t *cell, cell_group_t *group)
+{
+  resource_t need = cell_need (group->spec);
+  for (uint32_t left = group->spec->count; left > 0; left--)
+    {
+      cell_worker_t *best = NULL;
+      double best_share = -INFINITY;
+      for (guint i = 0; i < cell->worker_list->len; i++)
+        {
+          cell_worker_t *worker = cell->worker_list->pdata[i];
+          if (!eligible (cell, group, worker) || cell_denied (group, worker)
+              || !resource_fits (resource_add (worker->promised, need),
+                                 worker->capacity))
+            continue;
+          double share
+              = resource_dominant_share (free_room (worker), worker->capacity);
+          if (share > best_share)
+            {
+              best = worker;
+              best_share = share;
+            }
+        }
+      if (best == NULL)
+        return;
+      best->promised = resource_add (best->promised, need);
+    }
+}
+
+static void
+place_group (cell_t *cell, cell_group_t *group, bool *promised)
+{
+  bool whole = group->waiting == group->spec->count;
+  if (group->spec->gang && whole && !place_gang (cell, group) && !*promised
+      && group->tier != TIER_TOO_LATE)
+    {
+      promise_room (cell, group);
+      *promised = true;
+    }
+  if (!group->spec->gang)
+    place_tasks (cell, group);
+  if (group->waiting > 0 && group->job->queue != NULL
+      && group->job->queue->advised)
+    cell_ask_advice (cell, group);
+}
+
+void
+cell_place (cell_t *cell)
+{
+  GPtrArray *ranked = g_ptr_array_new ();
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    ((cell_worker_t *)cell->worker_list->pdata[i])->promised
+        = (resource_t){ 0 };
+  for (guint i = 0; i < cell->open->len; i++)
+    {
+      cell_group_t *group = cell->open->pdata[i];
+      if (group->waiting == 0)
+        continue;
+      rank_group (cell, group);
+      g_ptr_array_add (ranked, group);
+    }
+  g_ptr_array_sort (ranked, compare_groups);
+  bool promised = false;
+  for (guint i = 0; i < ranked->len; i++)
+    place_group (cell, ranked->pdata[i], &promised);
+  g_ptr_array_unref (ranked);
+}
--- /dev/null
+++ b/src/cell_record.c
@@ -0,0 +1,327 @@
+#include "cell_int.h"
+
+#include <string.h>
+
+/* The record of a job: a line "1 STATE FINISHED_BELOW" with a letter for the
+   state, then for each group that differs from a new one
+     g OCCURRENCE STEP GANG_FAILURES CHECKPOINT
+   and behind it a line for each task that differs
+     t INDEX STATE RUN FAILURES WORKER CHECKPOINT
+   with "-" for an empty text.  A group all of whose tasks are done has the
+   single line "f OCCURRENCE STEP".  */
+
+/* Gives the part of the store that takes the saves, 200 transactions a second,
+   room for other writes, and collects the decisions of several events.  */
+#define SAVE_GAP_MS 15
+/* A transaction holds 100 entries, two of them the owner's.  */
+#define SAVE_MAX_JOBS 90
+#define SAVE_MAX_BYTES (600 * 1024)
+
+static const char state_letters[] = "QRCFX";
+
+static const char *
+or_dash (const char *text)
+{
+  return text != NULL && text[0] != '\0' ? text : "-";
+}
+
+static char
+task_letter (const cell_task_t *task)
+{
+  if (task->state == RUN_DONE)
+    return 'd';
+  return task->worker != NULL ? 'a' : 'w';
+}
+
+static void
+append_group (GString *text, const cell_group_t *group)
+{
+  if (group->finished)
+    {
+      g_string_append_printf (text, "f %u %u\n", group->occurrence,
+                              group->step);
+      return;
+    }
+  if (group->waiting == group->spec->count && group->gang_failures == 0
+      && group->tasks[0].run == 0 && group->done == 0)
+    {
+      bool fresh = true;
+      for (uint32_t i = 0; i < group->spec->count; i++)
+        fresh = fresh && group->tasks[i].run == 0;
+      if (fresh)
+        return;
+    }
+  g_string_append_printf (text, "g %u %u %u %s\n", group->occurrence,
+                          group->step, group->gang_failures,
+                          or_dash (group->gang_checkpoint));
+  for (uint32_t i = 0; i < group->spec->count; i++)
+    {
+      const cell_task_t *task = &group->tasks[i];
+      if (task->run == 0)
+        continue;
+      g_string_append_printf (text, "t %u %c %u %u %s %s\n", task->index,
+                              task_letter (task), task->run, task->failures,
+                              task->worker != NULL ? task->worker->id : "-",
+                              or_dash (task->checkpoint));
+    }
+}
+
+static char *
+encode_record (const cell_job_t *job)
+{
+  GString *text = g_string_sized_new (256);
+  g_string_append_printf (text, "1 %c %u\n", state_letters[job->state],
+                          job->finished_below);
+  for (guint i = 0; i < job->groups->len; i++)
+    append_group (text, job->groups->pdata[i]);
+  return g_string_free (text, FALSE);
+}
+
+/* Reads the task line FIELDS of GROUP.  */
+static bool
+load_task (cell_group_t *group, char **fields)
+{
+  uint32_t index = (uint32_t)g_ascii_strtoull (fields[1], NULL, 10);
+  if (index >= group->spec->count)
+    return false;
+  cell_t *cell = group->job->cell;
+  cell_task_t *task = &group->tasks[index];
+  task->run = (uint32_t)g_ascii_strtoull (fields[3], NULL, 10);
+  task->failures = (uint32_t)g_ascii_strtoull (fields[4], NULL, 10);
+  if (strcmp (fields[6], "-") != 0)
+    task->checkpoint = g_strdup (fields[6]);
+  if (fields[2][0] == 'd')
+    cell_set_task (task, RUN_DONE);
+  if (strcmp (fields[5], "-") != 0)
+    {
+      cell_worker_t *worker = cell_worker_find (cell, fields[5]);
+      if (worker == NULL)
+        {
+          /* No longer listed; its runs last until its lease has expired.  */
+          worker_row_t row = { .id = fields[5], .address = "" };
+          cell_worker_listed (cell, &row);
+          cell_worker_unlisted (cell, fields[5]);
+          worker = cell_worker_find (cell, fields[5]);
+        }
+      worker->used = resource_add (worker->used, cell_need (group->spec));
+      g_ptr_array_add (worker->tasks, task);
+      group->waiting -= task->state == RUN_WAITING;
+      task->worker = worker;
+      if (task->state != RUN_DONE)
+        cell_set_task (task, RUN_LIVE);
+    }
+  return true;
+}
+
+static cell_group_t *
+find_loaded_group (cell_job_t *job, char **fields)
+{
+  uint32_t occurrence = (uint32_t)g_ascii_strtoull (fields[1], NULL, 10);
+  uint32_t step = (uint32_t)g_ascii_strtoull (fields[2], NULL, 10);
+  while (job->work->times > 0 && job->next_occurrence <= occurrence
+         && job->next_occurrence < job->work->times)
+    cell_job_add_groups (job, job->next_occurrence);
+  return cell_job_group (job, occurrence, step);
+}
+
+static bool
+load_line (cell_job_t *job, cell_group_t **group, char **fields)
+{
+  guint count = g_strv_length (fields);
+  if (count >= 3 && fields[0][0] == 'f')
+    {
+      *group = find_loaded_group (job, fields);
+      if (*group == NULL)
+        return false;
+      for (uint32_t i = 0; i < (*group)->spec->count; i++)
+        cell_set_task (&(*group)->tasks[i], RUN_DONE);
+      (*group)->finished = true;
+      g_ptr_array_remove_fast (job->cell->open, *group);
+      return true;
+    }
+  if (count >= 5 && fields[0][0] == 'g')
+    {
+      *group = find_loaded_group (job, fields);
+      if (*group == NULL)
+        return false;
+      (*group)->gang_failures
+          = (uint32_t)g_ascii_strtoull (fields[3], NULL, 10);
+      if (strcmp (fields[4], "-") != 0)
+        (*group)->gang_checkpoint = g_strdup (fields[4]);
+      return true;
+    }
+  return count >= 7 && fields[0][0] == 't' && *group != NULL
+         && load_task (*group, fields);
+}
+
+/* Reads the first line.  Returns false if it is not one of ours.  */
+static bool
+load_head (cell_job_t *job, const char *line, job_show_t *state)
+{
+  const char *letter
+      = strlen (line) >= 5 ? strchr (state_letters, line[2]) : NULL;
+  if (letter == NULL || line[0] != '1')
+    return false;
+  *state = (job_show_t)(letter - state_letters);
+  job->finished_below = (uint32_t)g_ascii_strtoull (line + 4, NULL, 10);
+  if (job->finished_below > 0)
+    job->next_occurrence = job->finished_below;
+  return true;
+}
+
+bool
+cell_load_record (cell_t *cell, const char *id, const char *text,
+                  size_t length)
+{
+  cell_job_t *job = g_hash_table_lookup (cell->jobs, id);
+  if (job == NULL || job->work == NULL)
+    return false;
+  char *copy = g_strndup (text, length);
+  char **lines = g_strsplit (copy, "\n", 0);
+  job_show_t state = JOB_STATE_QUEUED;
+  bool ok = lines[0] != NULL && load_head (job, lines[0], &state);
+  cell_group_t *group = NULL;
+  for (char **line = lines + 1; ok && lines[0] != NULL && *line != NULL;
+       line++)
+    {
+      if (**line == '\0')
+        continue;
+      char **fields = g_strsplit (*line, " ", 0);
+      ok = load_line (job, &group, fields);
+      g_strfreev (fields);
+    }
+  g_strfreev (lines);
+  g_free (copy);
+  job->begun = state != JOB_STATE_QUEUED;
+  job->saved_state = state;
+  if (state > JOB_STATE_RUNNING)
+    cell_job_loaded_over (job, state);
+  else
+    {
+      job->state = state;
+      cell_job_settle (job);
+    }
+  return ok;
+}
+
+/* Takes the dirty jobs into the save that is about to begin.  */
+static void
+collect_records (cell_t *cell, GArray *records)
+{
+  size_t bytes = 0;
+  while (cell->dirty->len > 0 && records->len < SAVE_MAX_JOBS
+         && bytes < SAVE_MAX_BYTES)
+    {
+      cell_job_t *job = g_ptr_array_steal_index (cell->dirty, 0);
+      job->dirty = false;
+      for (guint i = 0; i < job->groups->len; i++)
+        {
+          cell_group_t *group = job->groups->pdata[i];
+          for (uint32_t j = 0; j < group->spec->count; j++)
+            if (group->tasks[j].state == RUN_ASSIGNED)
+              {
+                group->tasks[j].in_save = true;
+                if (job->state == JOB_STATE_QUEUED)
+                  job->state = JOB_STATE_RUNNING;
+              }
+        }
+      cell_record_t record = { job->id, encode_record (job) };
+      bytes += strlen (record.text);
+      g_array_append_val (records, record);
+      g_ptr_array_add (cell->saving, job);
+      g_array_append_val (cell->saving_states, job->state);
+    }
+}
+
+static void
+cover_seen (cell_t *cell)
+{
+  /* Ends are in the records only if no dirty job was left out.  */
+  if (cell->dirty->len > 0)
+    return;
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    {
+      cell_worker_t *worker = cell->worker_list->pdata[i];
+      worker->in_save_seen = worker->seen;
+    }
+}
+
+static void
+acknowledge_covered (cell_t *cell)
+{
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    {
+      cell_worker_t *worker = cell->worker_list->pdata[i];
+      worker->saved_seen = MAX (worker->saved_seen, worker->in_save_seen);
+      cell_look_if_due (cell, worker);
+    }
+}
+
+void
+cell_save_if_due (cell_t *cell)
+{
+  if (cell->save_open || cell->now_ms < cell->next_save_ms)
+    return;
+  if (cell->place_wanted)
+    {
+      cell->place_wanted = false;
+      cell_place (cell);
+    }
+  if (cell->dirty->len == 0)
+    {
+      if (cell->seen_dirty)
+        {
+          cell->seen_dirty = false;
+          cover_seen (cell);
+          acknowledge_covered (cell);
+        }
+      return;
+    }
+  cell->save_open = true;
+  cell->next_save_ms = cell->now_ms + SAVE_GAP_MS;
+  cell->seen_dirty = false;
+  GArray *records = g_array_new (FALSE, FALSE, sizeof (cell_record_t));
+  collect_records (cell, records);
+  cover_seen (cell);
+  cell->actions->save (cell->context, (cell_record_t *)(void *)records->data,
+                       records->len);
+  for (guint i = 0; i < records->len; i++)
+    g_free ((char *)g_array_index (records, cell_record_t, i).text);
+  g_array_unref (records);
+}
+
+/* Sends the starts that the save covers.  */
+static void
+order_saved (cell_job_t *job)
+{
+  for (guint i = 0; job->groups != NULL && i < job->groups->len; i++)
+    {
+      cell_group_t *group = job->groups->pdata[i];
+      for (uint32_t j = 0; j < group->spec->count; j++)
+        {
+          cell_task_t *task = &group->tasks[j];
+          if (task->state == RUN_ASSIGNED && task->in_save)
+            {
+              task->in_save = false;
+              cell_order (task);
+            }
+        }
+    }
+}
+
+void
+cell_saved (cell_t *cell)
+{
+  cell->now_ms = clk_now_ms (cell->clock);
+  cell->save_open = false;
+  cell_confirmed (cell, cell->now_ms);
+  for (guint i = 0; i < cell->saving->len; i++)
+    {
+      cell_job_t *job = cell->saving->pdata[i];
+      job->saved_state = g_array_index (cell->saving_states, job_show_t, i);
+      order_saved (job);
+    }
+  g_ptr_array_set_size (cell->saving, 0);
+  g_array_set_size (cell->saving_states, 0);
+  acknowledge_covered (cell);
+}
--- /dev/null
+++ b/src/cell_runs.c
@@ -0,0 +1,377 @@
+#include "cell_int.h"
+
+#include <string.h>
+
+/* An order without an answer is sent again after this time; a sound worker
+   answers within a few ms.  */
+#define ORDER_REPEAT_MS 300
+/* The same while the worker answers nothing at all.  */
+#define ORDER_REPEAT_SILENT_MS 700
+/* Failed runs in a row, of any jobs, after which a worker is avoided, and for
+   how long at first and at most.  */
+#define FAIL_STREAK 3
+#define AVOID_FIRST_MS 2000
+#define AVOID_MOST_MS 16000
+/* A ticket that expires sooner may do so on its way to the worker.  */
+#define TICKET_MARGIN_MS 30
+
+static cell_worker_ref_t
+worker_ref (const cell_worker_t *worker)
+{
+  return (cell_worker_ref_t){ worker->id, worker->address };
+}
+
+static bool
+job_is_over (const cell_task_t *task)
+{
+  return task->group->job->state > JOB_STATE_RUNNING;
+}
+
+void
+cell_assign (cell_task_t *task, cell_worker_t *worker)
+{
+  cell_group_t *group = task->group;
+  worker->used = resource_add (worker->used, cell_need (group->spec));
+  g_ptr_array_add (worker->tasks, task);
+  group->waiting -= 1;
+  task->worker = worker;
+  task->run++;
+  task->unsure = false;
+  task->in_save = false;
+  task->start_open = false;
+  task->stop_open = false;
+  task->stopped_ms = 0;
+  task->stop_sent_ms = 0;
+  task->percent = 0;
+  task->pace = 100;
+  cell_set_task (task, RUN_ASSIGNED);
+  cell_mark_dirty (group->job);
+}
+
+/* Takes an assignment back whose start was never sent.  */
+static void
+unassign (cell_task_t *task)
+{
+  cell_release (task);
+  cell_set_task (task, job_is_over (task) ? RUN_OVER : RUN_WAITING);
+  if (task->group->spec->gang && !job_is_over (task))
+    cell_break_gang (task->group);
+}
+
+static void
+send_start (cell_task_t *task)
+{
+  cell_group_t *group = task->group;
+  cell_t *cell = group->job->cell;
+  cell_worker_t *worker = task->worker;
+  char name[WORK_NAME_BYTES];
+  cell_task_name (task, name);
+  const char *checkpoint
+      = group->spec->gang ? group->gang_checkpoint : task->checkpoint;
+  cell_order_t order
+      = { .task = name,
+          .run = task->run,
+          .spec = group->job->work->spec,
+          .lease_until_ms = cell_lease_until (worker, cell),
+          .checkpoint = checkpoint != NULL ? checkpoint : "",
+          .ticket = group->job->queue != NULL && group->job->queue->advised
+                        ? cell_ticket (group, worker)
+                        : NULL };
+  cell_worker_ref_t ref = worker_ref (worker);
+  task->start_open = true;
+  task->ordered_ms = cell->now_ms;
+  cell->actions->start (cell->context, &ref, &order);
+}
+
+void
+cell_order (cell_task_t *task)
+{
+  cell_group_t *group = task->group;
+  bool advised = group->job->queue != NULL && group->job->queue->advised;
+  if (advised && cell_ticket (group, task->worker) == NULL)
+    {
+      unassign (task);
+      return;
+    }
+  cell_set_task (task, RUN_ORDERED);
+  send_start (task);
+}
+
+static void
+send_stop (cell_task_t *task)
+{
+  cell_t *cell = task->group->job->cell;
+  char name[WORK_NAME_BYTES];
+  cell_task_name (task, name);
+  cell_worker_ref_t ref = worker_ref (task->worker);
+  task->stop_open = true;
+  task->stop_sent_ms = cell->now_ms;
+  cell->actions->stop (cell->context, &ref, name, task->run);
+}
+
+void
+cell_want_stop (cell_task_t *task)
+{
+  switch ((run_state_t)task->state)
+    {
+    case RUN_WAITING:
+      if (job_is_over (task))
+        cell_set_task (task, RUN_OVER);
+      break;
+    case RUN_ASSIGNED:
+      cell_release (task);
+      cell_set_task (task, job_is_over (task) ? RUN_OVER : RUN_WAITING);
+      break;
+    case RUN_ORDERED:
+    case RUN_LIVE:
+      cell_set_task (task, RUN_STOPPING);
+      task->stopped_ms = 0;
+      send_stop (task);
+      break;
+    case RUN_STOPPING:
+    case RUN_DONE:
+    case RUN_OVER:
+      break;
+    }
+}
+
+static void
+keep_checkpoint (cell_task_t *task, const char *checkpoint)
+{
+  if (checkpoint == NULL || checkpoint[0] == '\0')
+    return;
+  char **slot = task->group->spec->gang ? &task->group->gang_checkpoint
+                                        : &task->checkpoint;
+  if (g_strcmp0 (*slot, checkpoint) == 0)
+    return;
+  g_free (*slot);
+  *slot = g_strdup (checkpoint);
+}
+
+/* Stops every member of the gang that is not over yet, so that all can start
+   again together.  */
+void
+cell_break_gang (cell_group_t *group)
+{
+  if (group->finished)
+    return;
+  for (uint32_t i = 0; i < group->spec->count; i++)
+    cell_want_stop (&group->tasks[i]);
+}
+
+static void
+gang_done (cell_group_t *group)
+{
+  for (uint32_t i = 0; i < group->spec->count; i++)
+    cell_set_task (&group->tasks[i], RUN_DONE);
+}
+
+static uint32_t
+attempts_allowed (const cell_job_t *job)
+{
+  return job->queue != NULL && job->queue->max_attempts > 0
+             ? job->queue->max_attempts
+             : 1;
+}
+
+static void
+count_failure (cell_task_t *task)
+{
+  cell_group_t *group = task->group;
+  cell_job_t *job = group->job;
+  uint32_t failures;
+  if (group->spec->gang)
+    {
+      if (group->gang_failed_run != task->run)
+        group->gang_failures++;
+      group->gang_failed_run = task->run;
+      failures = group->gang_failures;
+    }
+  else
+    failures = ++task->failures;
+  if (!group->spec->lasting && failures >= attempts_allowed (job))
+    cell_job_over (job, JOB_STATE_FAILED);
+}
+
+static void
+judge_worker (cell_t *cell, cell_worker_t *worker, end_kind_t how)
+{
+  if (how == END_DONE)
+    worker->fail_streak = 0;
+  if (how != END_FAILED || ++worker->fail_streak < FAIL_STREAK)
+    return;
+  int64_t avoid_ms = AVOID_FIRST_MS
+                     << MIN (worker->fail_streak - FAIL_STREAK, 4u);
+  worker->avoid_until_ms = cell->now_ms + MIN (avoid_ms, AVOID_MOST_MS);
+  cell_note (cell, "worker_avoided", worker->id, "failed_runs=%u for_ms=%lld",
+             worker->fail_streak, (long long)avoid_ms);
+}
+
+static const char *const end_names[]
+    = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+
+void
+cell_run_ended (cell_task_t *task, end_kind_t how, const char *checkpoint)
+{
+  cell_group_t *group = task->group;
+  cell_job_t *job = group->job;
+  cell_t *cell = job->cell;
+  run_state_t state = (run_state_t)task->state;
+  cell_worker_t *worker = task->worker;
+  if (how != END_DONE)
+    {
+      char name[WORK_NAME_BYTES];
+      cell_task_name (task, name);
+      cell_note (cell, "run_ended", name, "run=%u how=%s worker=%s", task->run,
+                 end_names[how], worker != NULL ? worker->id : "-");
+    }
+  if (worker != NULL)
+    judge_worker (cell, worker, how);
+  cell_release (task);
+  cell_mark_dirty (job);
+  if (state == RUN_DONE)
+    return; /* another member's end has told it already */
+  if (how != END_DONE)
+    keep_checkpoint (task, checkpoint);
+  if (how == END_DONE && !group->spec->lasting
+      && job->state <= JOB_STATE_RUNNING)
+    {
+      if (group->spec->gang)
+        gang_done (group);
+      else
+        cell_set_task (task, RUN_DONE);
+      cell_group_check (group);
+      return;
+    }
+  cell_set_task (task, job_is_over (task) ? RUN_OVER : RUN_WAITING);
+  if (job_is_over (task))
+    return;
+  if (how == END_FAILED)
+    count_failure (task);
+  if (group->spec->gang && !job_is_over (task))
+    cell_break_gang (group);
+}
+
+static void
+start_refused (cell_task_t *task, order_result_t result)
+{
+  char name[WORK_NAME_BYTES];
+  cell_task_name (task, name);
+  cell_note (task->group->job->cell, "start_refused", name,
+             "run=%u worker=%s result=%d unsure=%d", task->run,
+             task->worker->id, result, task->unsure);
+  if (result == ORDER_NO_TICKET)
+    g_hash_table_remove (task->group->permits, task->worker->id);
+  if (result == ORDER_UNREACHED)
+    task->worker->ok = false;
+  if (result == ORDER_REFUSED || result == ORDER_NO_ROOM)
+    task->worker->avoid_until_ms
+        = task->group->job->cell->now_ms + ORDER_REPEAT_MS;
+  /* An earlier copy of the order may still be carried out, and a run that has
+     ended there is in the next report.  */
+  if (task->unsure || result == ORDER_STALE)
+    cell_want_stop (task);
+  else
+    unassign (task);
+}
+
+void
+cell_started (cell_t *cell, const char *worker_id, const char *name,
+              uint32_t run, order_result_t result)
+{
+  cell->now_ms = clk_now_ms (cell->clock);
+  cell_task_t *task = cell_find_task (cell, name);
+  if (result == ORDER_FENCED)
+    cell->fenced = true;
+  if (task == NULL || task->run != run || task->worker == NULL
+      || strcmp (task->worker->id, worker_id) != 0)
+    return;
+  cell_worker_t *worker = task->worker;
+  task->start_open = false;
+  if (result == ORDER_UNKNOWN)
+    {
+      task->unsure = true;
+      worker->ok = false;
+      return;
+    }
+  if (result == ORDER_MOVED)
+    {
+      cell_look_failed (cell, worker_id, result);
+      return;
+    }
+  if (task->state != RUN_ORDERED)
+    {
+      if (task->state == RUN_STOPPING && result != ORDER_TAKEN && !task->unsure
+          && result != ORDER_STALE)
+        cell_run_ended (task, END_STOPPED, NULL);
+      return;
+    }
+  if (result != ORDER_TAKEN)
+    {
+      if (result != ORDER_FENCED)
+        start_refused (task, result);
+      return;
+    }
+  cell_set_task (task, RUN_LIVE);
+  task->confirmed_ms = cell->now_ms;
+  task->progress_ms = cell->now_ms;
+  task->group->job->begun = true;
+  cell_look_if_due (cell, worker);
+}
+
+void
+cell_stopped (cell_t *cell, const char *worker_id, const char *name,
+              uint32_t run, order_result_t result)
+{
+  cell->now_ms = clk_now_ms (cell->clock);
+  cell_task_t *task = cell_find_task (cell, name);
+  if (result == ORDER_FENCED)
+    cell->fenced = true;
+  if (task == NULL || task->run != run || task->worker == NULL
+      || strcmp (task->worker->id, worker_id) != 0)
+    return;
+  task->stop_open = false;
+  if (result == ORDER_MOVED)
+    cell_look_failed (cell, worker_id, result);
+  else if (task->state == RUN_STOPPING && result == ORDER_TAKEN)
+    {
+      task->stopped_ms = cell->now_ms;
+      cell_look_if_due (cell, task->worker);
+    }
+  else if (result == ORDER_UNKNOWN)
+    task->worker->ok = false;
+}
+
+static void
+retry_task (cell_t *cell, cell_task_t *task)
+{
+  const cell_worker_t *worker = task->worker;
+  int64_t gap_ms = worker->ok ? ORDER_REPEAT_MS : ORDER_REPEAT_SILENT_MS;
+  if (task->state == RUN_STOPPING && !task->stop_open && task->stopped_ms == 0
+      && cell->now_ms - task->stop_sent_ms >= gap_ms)
+    send_stop (task);
+  if (task->state != RUN_ORDERED || task->start_open
+      || cell->now_ms - task->ordered_ms < gap_ms)
+    return;
+  const queue_t *queue = task->group->job->queue;
+  /* Without a ticket the repeated order is useless; a stop makes sure that
+     the first one is not carried out later.  */
+  if (queue != NULL && queue->advised
+      && cell_ticket (task->group, worker) == NULL)
+    cell_want_stop (task);
+  else
+    send_start (task);
+}
+
+void
+cell_retry_orders (cell_t *cell)
+{
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    {
+      cell_worker_t *worker = cell->worker_list->pdata[i];
+      if (worker->address[0] == '\0')
+        continue;
+      for (guint j = 0; j < worker->tasks->len; j++)
+        retry_task (cell, worker->tasks->pdata[j]);
+    }
+}
