node: run cells on a site, with ownership in the store

Cause: cells need owners that replace each other, and callers need any entry.

httpc gets request headers, connections that are reused for calls that may be repeated, and tells whether libcurl has sent a request twice: a refusal of the second copy says nothing of the first.

--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -36,6 +36,7 @@
   struct curl_slist *headers;
   char *body;
   bool too_large;
+  uint32_t sent; /* times that the request was begun */
 };
 
 static void
@@ -277,6 +278,7 @@
   curl_easy_getinfo (call->transfer->easy, CURLINFO_RETRY_AFTER,
                      &retry_after_s);
   result.status = (uint16_t)status;
+  result.repeated = call->sent > 1;
   result.retry_after_s = (uint32_t)retry_after_s;
   result.body = call->answer->str;
   result.length = call->answer->len;
@@ -298,10 +300,18 @@
   return length;
 }
 
+static int
+on_request_begins (void *context, char *remote_ip, char *local_ip,
+                   int remote_port, int local_port)
+{
+  ((httpc_call_t *)context)->sent++;
+  return CURL_PREREQFUNC_OK;
+}
+
 httpc_call_t *
-httpc_call (httpc_t *client, const char *method, const char *url,
-            const char *body, int64_t limit_ms, httpc_done_t done,
-            void *context)
+httpc_call_headers (httpc_t *client, const char *method, const char *url,
+                    const char *const *headers, const char *body,
+                    int64_t limit_ms, httpc_done_t done, void *context)
 {
   httpc_call_t *call = g_new0 (httpc_call_t, 1);
   call->client = client;
@@ -311,33 +321,48 @@
   call->transfer = httpc_transfer_new (client, on_call_finished, call);
   CURL *easy = call->transfer->easy;
   curl_easy_setopt (easy, CURLOPT_URL, url);
+  for (; headers != NULL && *headers != NULL; headers++)
+    call->headers = curl_slist_append (call->headers, *headers);
   if (body != NULL)
     {
       call->body = g_strdup (body);
-      call->headers
-          = curl_slist_append (NULL, "Content-Type: application/json");
+      call->headers = curl_slist_append (call->headers,
+                                         "Content-Type: application/json");
       call->headers = curl_slist_append (call->headers, "Expect:");
-      curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
       curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
                         (curl_off_t)strlen (body));
       curl_easy_setopt (easy, CURLOPT_POSTFIELDS, call->body);
     }
+  if (call->headers != NULL)
+    curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
   if (strcmp (method, "HEAD") == 0)
     curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
   else
     curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_request_begins);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)limit_ms);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_call_bytes);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
   /* A state-changing call must not be repeated by libcurl on its own when a
      reused connection turns out to be dead.  */
-  if (strcmp (method, "GET") != 0 && strcmp (method, "HEAD") != 0)
+  if (!client->options.repeatable && strcmp (method, "GET") != 0
+      && strcmp (method, "HEAD") != 0)
     curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
   g_hash_table_add (client->calls, call);
   httpc_transfer_start (call->transfer);
   return call;
 }
 
+httpc_call_t *
+httpc_call (httpc_t *client, const char *method, const char *url,
+            const char *body, int64_t limit_ms, httpc_done_t done,
+            void *context)
+{
+  return httpc_call_headers (client, method, url, NULL, body, limit_ms, done,
+                             context);
+}
+
 void
 httpc_cancel (httpc_call_t *call)
 {
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -24,6 +24,9 @@
   uint32_t idle_limit_s; /* a connection idle for longer is not reused */
   uint32_t age_limit_s;  /* an older connection is not reused */
   uint32_t connect_limit_ms;
+  /* All calls of this client may be repeated by libcurl on a new connection
+     when a reused one turns out to be dead.  */
+  bool repeatable;
 } httpc_options_t;
 
 /* Result of a buffered call.  KIND is ERR_OK whenever an HTTP answer arrived
@@ -37,6 +40,7 @@
   uint32_t retry_after_s;
   const char *body;
   size_t length;
+  bool repeated; /* the request was sent more than once */
 } httpc_result_t;
 
 typedef void (*httpc_done_t) (void *context, const httpc_result_t *result);
@@ -52,6 +56,12 @@
 httpc_call_t *httpc_call (httpc_t *client, const char *method, const char *url,
                           const char *body, int64_t limit_ms,
                           httpc_done_t done, void *context);
+/* The same with HEADERS, lines "Name: value" that end with a NULL, or NULL;
+   copied.  */
+httpc_call_t *httpc_call_headers (httpc_t *client, const char *method,
+                                  const char *url, const char *const *headers,
+                                  const char *body, int64_t limit_ms,
+                                  httpc_done_t done, void *context);
 void httpc_cancel (httpc_call_t *call);
 
 #endif
--- /dev/null
+++ b/src/io/node_cell.c
@@ -0,0 +1,296 @@
+#include "node_int.h"
+
+#include "log.h"
+
+#include <string.h>
+
+/* NAME
+     node_cell - life of a cell on this node: load, run, stand down  */
+
+#define READ_LIMIT_MS 3000
+#define READ_RETRY_S 0.1
+#define INBOX_WAIT_MS 1000
+#define INBOX_SLACK_MS 1200
+
+enum
+{
+  REPLAY_JOBS,
+  REPLAY_CANCELS,
+  REPLAY_OVER /* changes are taken as they come */
+};
+
+typedef struct
+{
+  node_cell_t *cell;
+  uint32_t epoch;
+} load_call_t;
+
+static void load_records (node_cell_t *cell, const char *from);
+
+static void
+record_free (void *data)
+{
+  stored_record_t *record = data;
+  g_free (record->id);
+  g_free (record->text);
+  g_free (record);
+}
+
+static stored_record_t *
+record_new (const char *id, const char *text, size_t length)
+{
+  stored_record_t *record = g_new0 (stored_record_t, 1);
+  record->id = g_strdup (id);
+  record->length = length;
+  if (text != NULL)
+    {
+      record->text = g_malloc (length + 1);
+      memcpy (record->text, text, length);
+      record->text[length] = '\0';
+    }
+  return record;
+}
+
+node_cell_t *
+node_cell_new (node_t *node, const char *name)
+{
+  node_cell_t *cell = g_new0 (node_cell_t, 1);
+  cell->node = node;
+  cell->name = g_strdup (name);
+  cell->inbox_table = g_strconcat ("inbox.", name, NULL);
+  cell->beat_ms = node_now (node);
+  cell->pending
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  cell->records = g_ptr_array_new_with_free_func (record_free);
+  cell->unsaved = g_ptr_array_new_with_free_func (record_free);
+  ev_init (&cell->retry, node_commit_retry);
+  cell->retry.data = cell;
+  return cell;
+}
+
+/* Drops everything that belongs to the ownership.  */
+static void
+drop_ownership (node_cell_t *cell)
+{
+  cell->epoch++;
+  cell->state = CELL_IDLE;
+  cell->commit_open = false;
+  cell->commit_saves = false;
+  cell->save_wanted = false;
+  ev_timer_stop (cell->node->loop, &cell->retry);
+  g_ptr_array_set_size (cell->records, 0);
+  g_ptr_array_set_size (cell->unsaved, 0);
+  replica_free (cell->inbox);
+  cell->inbox = NULL;
+  cell_free (cell->cell);
+  cell->cell = NULL;
+}
+
+void
+node_cell_free (node_cell_t *cell)
+{
+  drop_ownership (cell);
+  g_hash_table_unref (cell->pending);
+  g_ptr_array_unref (cell->records);
+  g_ptr_array_unref (cell->unsaved);
+  g_free (cell->owner);
+  g_free (cell->owner_incarnation);
+  g_free (cell->name);
+  g_free (cell->inbox_table);
+  g_free (cell);
+}
+
+void
+node_cell_stand_down (node_cell_t *cell, const char *why)
+{
+  log_event (LOG_WARN, "cell_lost", "cell", cell->name, "why", why, NULL);
+  cell->beat_ms = node_now (cell->node);
+  drop_ownership (cell);
+}
+
+static void
+act_save (void *context, const cell_record_t *records, uint32_t count)
+{
+  node_cell_t *cell = context;
+  g_ptr_array_set_size (cell->unsaved, 0);
+  for (uint32_t i = 0; i < count; i++)
+    g_ptr_array_add (
+        cell->unsaved,
+        record_new (records[i].id, records[i].text,
+                    records[i].text != NULL ? strlen (records[i].text) : 0));
+  cell->save_wanted = true;
+  node_commit (cell);
+}
+
+static void
+act_note (void *context, const char *event, const char *subject,
+          const char *detail)
+{
+  const node_cell_t *cell = context;
+  log_event (LOG_INFO, event, "subject", subject, "cell", cell->name, "detail",
+             detail, NULL);
+}
+
+static void
+act_forget (void *context, const char *id)
+{
+}
+
+const cell_actions_t node_cell_actions
+    = { act_save,       node_start_task, node_stop_task, node_look,
+        node_pace_task, node_advise,     act_forget,     act_note };
+
+static void
+on_inbox_changed (void *context, const char *part, const char *key,
+                  const char *value, size_t length)
+{
+  node_cell_t *cell = context;
+  size_t id_length = strcspn (key, "/");
+  if (cell->cell == NULL || value == NULL || id_length != WORK_ID_LENGTH)
+    return;
+  bool cancels = key[id_length] != '\0';
+  if (cancels && cell->replay_pass != REPLAY_JOBS)
+    {
+      char *id = g_strndup (key, id_length);
+      cell_cancel_job (cell->cell, id);
+      g_free (id);
+    }
+  if (!cancels && cell->replay_pass != REPLAY_CANCELS)
+    {
+      GError *error = NULL;
+      work_job_t *job = work_job_decode (value, length, &error);
+      if (job != NULL)
+        cell_add_job (cell->cell, job);
+      else
+        log_event (LOG_ERROR, "job_unreadable", "id", key, "cell", cell->name,
+                   "message", error->message, NULL);
+      g_clear_error (&error);
+    }
+  cell->node->input = true;
+}
+
+static void
+load_job_records (node_cell_t *cell)
+{
+  for (guint i = 0; i < cell->records->len; i++)
+    {
+      const stored_record_t *record = cell->records->pdata[i];
+      if (!cell_load_record (cell->cell, record->id, record->text,
+                             record->length))
+        log_event (LOG_ERROR, "record_unreadable", "id", record->id, "cell",
+                   cell->name, NULL);
+    }
+  g_ptr_array_set_size (cell->records, 0);
+}
+
+/* Everything was read: the cell begins to decide.  */
+static void
+on_inbox_loaded (void *context)
+{
+  node_cell_t *cell = context;
+  node_t *node = cell->node;
+  if (cell->state != CELL_LOADING)
+    return;
+  cell->cell = cell_new (&node->site->settings.cells, node->clock,
+                         &node_cell_actions, cell);
+  if (node->queues != NULL)
+    cell_set_queues (cell->cell, node->queues);
+  cell->replay_pass = REPLAY_JOBS;
+  replica_replay (cell->inbox);
+  replica_replay (node->workers);
+  load_job_records (cell);
+  cell->replay_pass = REPLAY_CANCELS;
+  replica_replay (cell->inbox);
+  cell->replay_pass = REPLAY_OVER;
+  cell->state = CELL_OWNED;
+  cell_begin (cell->cell, cell->previous_over);
+  cell_totals_t totals;
+  cell_totals (cell->cell, &totals);
+  char jobs[16];
+  char token[24];
+  char took[24];
+  g_snprintf (jobs, sizeof jobs, "%u", totals.jobs);
+  g_snprintf (token, sizeof token, "%" G_GUINT64_FORMAT, cell->token);
+  g_snprintf (took, sizeof took, "%lld",
+              (long long)(node_now (node) - cell->claim_ms));
+  log_event (LOG_INFO, "cell_owned", "cell", cell->name, "token", token,
+             "jobs", jobs, "took_ms", took, NULL);
+  node->input = true;
+}
+
+static const replica_events_t inbox_events
+    = { on_inbox_changed, on_inbox_loaded, NULL };
+
+static void
+follow_inbox (node_cell_t *cell)
+{
+  static const char *const parts[] = { INBOX_PART, NULL };
+  replica_options_t options
+      = { cell->inbox_table, parts, INBOX_WAIT_MS, INBOX_SLACK_MS };
+  cell->inbox = replica_new (cell->node->site, cell->node->loop, &options,
+                             &inbox_events, cell);
+}
+
+static void
+on_records (void *context, const site_rows_t *reply)
+{
+  load_call_t *call = context;
+  node_cell_t *cell = call->cell;
+  bool current = call->epoch == cell->epoch && cell->state == CELL_LOADING;
+  g_free (call);
+  if (!current)
+    return;
+  if (reply->result != STORE_OK)
+    {
+      log_event (LOG_WARN, "records_unread", "cell", cell->name, NULL);
+      g_ptr_array_set_size (cell->records, 0);
+      load_records (cell, NULL);
+      return;
+    }
+  for (uint32_t i = 0; i < reply->count; i++)
+    g_ptr_array_add (cell->records,
+                     record_new (reply->rows[i].key, reply->rows[i].value,
+                                 reply->rows[i].length));
+  if (!reply->more || reply->count == 0)
+    {
+      follow_inbox (cell);
+      return;
+    }
+  char *from = g_strconcat (reply->rows[reply->count - 1].key, "\x01", NULL);
+  load_records (cell, from);
+  g_free (from);
+}
+
+static void
+load_records (node_cell_t *cell, const char *from)
+{
+  site_t *site = cell->node->site;
+  load_call_t *call = g_new (load_call_t, 1);
+  *call = (load_call_t){ cell, cell->epoch };
+  site->ops->read (site, RECORD_TABLE, cell->name, from, NULL, READ_LIMIT_MS,
+                   on_records, call);
+}
+
+void
+node_cell_claimed (node_cell_t *cell)
+{
+  cell->state = CELL_LOADING;
+  cell->last_beat_ms = node_now (cell->node);
+  node_count (cell->node, "magnoliadock_claims_total", NULL);
+  load_records (cell, NULL);
+}
+
+void
+node_cell_run (node_cell_t *cell, int64_t wall_ms)
+{
+  if (cell->state == CELL_OWNED)
+    {
+      cell_run (cell->cell, wall_ms);
+      if (cell_fenced (cell->cell))
+        {
+          node_cell_stand_down (cell, "fenced");
+          return;
+        }
+    }
+  node_commit (cell);
+}
--- /dev/null
+++ b/src/io/node_claim.c
@@ -0,0 +1,313 @@
+#include "node_int.h"
+
+#include "log.h"
+
+#include <jansson.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* NAME
+     node_claim - who owns a cell
+
+   An owner renews its beat.  A node that has followed the beats without a gap
+   and has seen no change for a while claims the cell: it writes the fence row
+   with the next token, which deposes the owner whatever it still believes.  */
+
+/* An owner whose beat has not changed for this long is taken for lost: two
+   beats of 350 ms and the time of a commit.  */
+#define BEAT_LOST_MS 950
+/* Wait between two ranks of claimants, so that they do not race.  */
+#define RANK_GAP_MS 60
+/* The same between a node that owns no cell and one that owns some.  */
+#define BUSY_GAP_MS 250
+#define CLAIM_LIMIT_MS 1500
+/* The answers about beats must be this fresh.  */
+#define FRESH_MS 400
+
+typedef struct
+{
+  node_cell_t *cell;
+  uint32_t epoch;
+} claim_call_t;
+
+static claim_call_t *
+claim_call_new (node_cell_t *cell)
+{
+  claim_call_t *call = g_new (claim_call_t, 1);
+  *call = (claim_call_t){ cell, cell->epoch };
+  return call;
+}
+
+static bool
+is_me (const node_cell_t *cell)
+{
+  const node_t *node = cell->node;
+  return g_strcmp0 (cell->owner, node->site->settings.name) == 0
+         && g_strcmp0 (cell->owner_incarnation, node->incarnation) == 0;
+}
+
+static void
+read_pending (node_cell_t *cell, json_t *pending)
+{
+  const char *queue;
+  json_t *count;
+  g_hash_table_remove_all (cell->pending);
+  json_object_foreach (pending, queue, count) g_hash_table_insert (
+      cell->pending, g_strdup (queue),
+      GUINT_TO_POINTER ((guint)json_integer_value (count)));
+}
+
+void
+node_beat_changed (node_cell_t *cell, const char *value, size_t length)
+{
+  cell->beat_ms = node_now (cell->node);
+  json_t *beat = value != NULL ? json_loadb (value, length, 0, NULL) : NULL;
+  const char *owner = json_string_value (json_object_get (beat, "owner"));
+  const char *incarnation
+      = json_string_value (json_object_get (beat, "incarnation"));
+  if (g_strcmp0 (owner, cell->owner) != 0)
+    log_event (LOG_INFO, "cell_owner", "cell", cell->name, "owner",
+               owner != NULL ? owner : "", NULL);
+  g_free (cell->owner);
+  g_free (cell->owner_incarnation);
+  cell->owner = g_strdup (owner != NULL ? owner : "");
+  cell->owner_incarnation = g_strdup (incarnation);
+  read_pending (cell, json_object_get (beat, "pending"));
+  json_decref (beat);
+}
+
+char *
+node_fence_text (const node_cell_t *cell, const char *owner)
+{
+  return g_strdup_printf (
+      "{\"owner\":\"%s\",\"incarnation\":\"%s\",\"token\":%" G_GUINT64_FORMAT
+      ",\"number\":%" G_GUINT64_FORMAT "}",
+      owner, cell->node->incarnation, cell->token, cell->save_number);
+}
+
+bool
+node_fence_is_mine (const node_cell_t *cell, const char *text, size_t length,
+                    uint64_t *number)
+{
+  json_t *fence = json_loadb (text, length, 0, NULL);
+  const char *owner = json_string_value (json_object_get (fence, "owner"));
+  const char *incarnation
+      = json_string_value (json_object_get (fence, "incarnation"));
+  /* The owner's last commit leaves the owner empty.  */
+  bool mine
+      = owner != NULL
+        && (owner[0] == '\0'
+            || strcmp (owner, cell->node->site->settings.name) == 0)
+        && g_strcmp0 (incarnation, cell->node->incarnation) == 0
+        && (uint64_t)json_integer_value (json_object_get (fence, "token"))
+               == cell->token;
+  *number = (uint64_t)json_integer_value (json_object_get (fence, "number"));
+  json_decref (fence);
+  return mine;
+}
+
+static void send_claim (node_cell_t *cell, uint64_t version);
+
+static void
+on_claimed (void *context, const site_rows_t *reply)
+{
+  claim_call_t *call = context;
+  node_cell_t *cell = call->cell;
+  bool current = call->epoch == cell->epoch && cell->state == CELL_CLAIMING;
+  g_free (call);
+  if (!current)
+    return;
+  if (reply->result == STORE_UNKNOWN)
+    {
+      /* Repeated as it is: only one of the two can be applied.  */
+      send_claim (cell, cell->fence_version);
+      return;
+    }
+  uint64_t version = reply->version;
+  bool won = reply->result == STORE_OK;
+  for (uint32_t i = 0; reply->result == STORE_CONFLICT && i < reply->count;
+       i++)
+    {
+      const site_row_t *row = &reply->rows[i];
+      if (strcmp (row->key, FENCE_KEY) != 0 || row->value == NULL)
+        continue;
+      uint64_t number;
+      won = node_fence_is_mine (cell, row->value, row->length, &number);
+      version = row->version;
+    }
+  if (!won)
+    {
+      cell->state = CELL_IDLE;
+      cell->beat_ms = node_now (cell->node);
+      return;
+    }
+  cell->fence_version = version;
+  node_cell_claimed (cell);
+}
+
+static void
+send_claim (node_cell_t *cell, uint64_t version)
+{
+  site_t *site = cell->node->site;
+  const char *name = site->settings.name;
+  char *fence = node_fence_text (cell, name);
+  char *beat = g_strdup_printf (
+      "{\"owner\":\"%s\",\"incarnation\":\"%s\",\"token\":%" G_GUINT64_FORMAT
+      "}",
+      name, cell->node->incarnation, cell->token);
+  site_row_t expect = { FENCE_TABLE, cell->name, FENCE_KEY, version, NULL, 0 };
+  site_row_t writes[]
+      = { { FENCE_TABLE, cell->name, FENCE_KEY, 0, fence, strlen (fence) },
+          { CLUSTER_TABLE, cell->name, BEAT_KEY, 0, beat, strlen (beat) } };
+  site->ops->commit (site, &expect, 1, writes, G_N_ELEMENTS (writes),
+                     CLAIM_LIMIT_MS, on_claimed, claim_call_new (cell));
+  g_free (fence);
+  g_free (beat);
+}
+
+/* Whether the owner in the fence row is a process that is known to be gone:
+   it gave the cell back, or its entry has started anew since.  */
+static bool
+owner_is_over (const node_cell_t *cell, const char *owner,
+               const char *incarnation)
+{
+  if (owner == NULL || owner[0] == '\0')
+    return true;
+  char *key = g_strconcat (ENTRY_PREFIX, owner, NULL);
+  size_t length;
+  const char *text = replica_get (cell->node->cluster, "", key, &length);
+  g_free (key);
+  if (text == NULL)
+    return false;
+  json_t *entry = json_loadb (text, length, 0, NULL);
+  const char *current
+      = json_string_value (json_object_get (entry, "incarnation"));
+  bool over = current != NULL && g_strcmp0 (current, incarnation) > 0;
+  json_decref (entry);
+  return over;
+}
+
+static void
+on_fence_read (void *context, const site_rows_t *reply)
+{
+  claim_call_t *call = context;
+  node_cell_t *cell = call->cell;
+  bool current = call->epoch == cell->epoch && cell->state == CELL_CLAIMING;
+  g_free (call);
+  if (!current)
+    return;
+  if (reply->result != STORE_OK || cell->node->stopping)
+    {
+      cell->state = CELL_IDLE;
+      return;
+    }
+  uint64_t token = 0;
+  cell->previous_over = true;
+  cell->fence_version = 0;
+  for (uint32_t i = 0; i < reply->count; i++)
+    {
+      const site_row_t *row = &reply->rows[i];
+      json_t *fence = json_loadb (row->value, row->length, 0, NULL);
+      token = (uint64_t)json_integer_value (json_object_get (fence, "token"));
+      cell->fence_version = row->version;
+      cell->previous_over = owner_is_over (
+          cell, json_string_value (json_object_get (fence, "owner")),
+          json_string_value (json_object_get (fence, "incarnation")));
+      json_decref (fence);
+    }
+  cell->token = token + 1;
+  cell->save_number = 0;
+  send_claim (cell, cell->fence_version);
+}
+
+static void
+begin_claim (node_cell_t *cell)
+{
+  node_t *node = cell->node;
+  log_event (LOG_INFO, "cell_claiming", "cell", cell->name, "owner",
+             cell->owner != NULL ? cell->owner : "", NULL);
+  cell->state = CELL_CLAIMING;
+  cell->epoch++;
+  cell->claim_ms = node_now (node);
+  node->site->ops->read (node->site, FENCE_TABLE, cell->name, FENCE_KEY, NULL,
+                         CLAIM_LIMIT_MS, on_fence_read, claim_call_new (cell));
+}
+
+static uint64_t
+weight (const char *cell, const char *node)
+{
+  char *text = g_strdup_printf ("%s %s", cell, node);
+  uint64_t hash = XXH64 (text, strlen (text), 0);
+  g_free (text);
+  return hash;
+}
+
+typedef struct
+{
+  const node_cell_t *cell;
+  uint64_t mine;
+  uint32_t rank;
+} rank_t;
+
+/* Rendezvous hashing: how many other nodes come before this one.  */
+static uint32_t
+my_rank (const node_cell_t *cell)
+{
+  const node_t *node = cell->node;
+  const char *me = node->site->settings.name;
+  uint64_t mine = weight (cell->name, me);
+  uint32_t rank = 0;
+  for (guint i = 0; i < node->advisers->len; i++)
+    {
+      const char *name = *(char **)node->advisers->pdata[i];
+      if (strcmp (name, me) != 0 && g_strcmp0 (name, cell->owner) != 0
+          && weight (cell->name, name) > mine)
+        rank++;
+    }
+  return rank;
+}
+
+static uint32_t
+cells_held (const node_t *node)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  uint32_t held = 0;
+  g_hash_table_iter_init (&iterator, node->cells);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    held += ((node_cell_t *)value)->state != CELL_IDLE;
+  return held;
+}
+
+static void
+check_cell (node_cell_t *cell)
+{
+  node_t *node = cell->node;
+  int64_t now_ms = node_now (node);
+  if (cell->state != CELL_IDLE)
+    return;
+  bool vacant = cell->owner == NULL || cell->owner[0] == '\0';
+  /* Its own earlier incarnation holds the cell no longer.  */
+  if (!vacant && !is_me (cell)
+      && g_strcmp0 (cell->owner, node->site->settings.name) == 0)
+    vacant = true;
+  int64_t patience_ms = vacant ? 0 : BEAT_LOST_MS;
+  patience_ms += (int64_t)my_rank (cell) * RANK_GAP_MS
+                 + (int64_t)cells_held (node) * BUSY_GAP_MS;
+  if (node->answered_ms - cell->beat_ms >= patience_ms
+      && now_ms - node->answered_ms < FRESH_MS)
+    begin_claim (cell);
+}
+
+void
+node_claim_check (node_t *node)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  if (node->stopping || !node->enrolled || !replica_is_loaded (node->cluster)
+      || !replica_is_loaded (node->workers))
+    return;
+  g_hash_table_iter_init (&iterator, node->cells);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    check_cell (value);
+}
--- /dev/null
+++ b/src/io/node_int.h
@@ -0,0 +1,153 @@
+#ifndef MAGNOLIADOCK_NODE_INT_H
+#define MAGNOLIADOCK_NODE_INT_H
+
+#include "counter.h"
+#include "httpc.h"
+#include "httpd.h"
+#include "node.h"
+#include "replica.h"
+
+/* NAME
+     node_int - structures shared by the node's source files only
+
+   Tables of the store:
+     cluster    part "" key "entry/NAME": a node's address and incarnation
+                part CELL key "beat": owner, token, counts; renewed by the
+   owner fence      part CELL key "owner": owner, token, number of its last
+   save record     part CELL key ID: state of a job and its runs inbox.CELL
+   part "in" key ID: a job; key ID/c: it is cancelled  */
+
+#define CLUSTER_TABLE "cluster"
+#define FENCE_TABLE "fence"
+#define RECORD_TABLE "record"
+#define INBOX_PART "in"
+#define BEAT_KEY "beat"
+#define FENCE_KEY "owner"
+#define ENTRY_PREFIX "entry/"
+#define CANCEL_SUFFIX "/c"
+
+typedef struct node node_t;
+typedef struct node_cell node_cell_t;
+typedef struct adviser adviser_t;
+
+typedef enum
+{
+  CELL_IDLE, /* owned by another node or by none */
+  CELL_CLAIMING,
+  CELL_LOADING,
+  CELL_OWNED,
+  CELL_RELEASING
+} node_cell_state_t;
+
+struct node_cell
+{
+  node_t *node;
+  char *name; /* of its service */
+  char *inbox_table;
+  node_cell_state_t state;
+  uint32_t epoch; /* of the ownership; answers to earlier ones are dropped */
+
+  /* What the store tells about the owner.  */
+  char *owner; /* "": none; NULL: no beat was ever seen */
+  char *owner_incarnation;
+  int64_t beat_ms;     /* when its beat was last seen to change */
+  int64_t unowned_ms;  /* since when a claim is possible, 0: not */
+  GHashTable *pending; /* queue -> count, from the beat */
+
+  /* While owned.  */
+  cell_t *cell;
+  replica_t *inbox;
+  uint64_t token, save_number, fence_version;
+  bool previous_over;
+  GPtrArray *records; /* loaded_record_t, until the cell begins */
+  GPtrArray *unsaved; /* stored_record_t of the save that was asked for */
+  bool save_wanted;
+  bool commit_open, commit_saves, commit_beats, commit_releases;
+  int64_t last_beat_ms;
+  int64_t claim_ms;
+  ev_timer retry;
+  uint8_t replay_pass;
+};
+
+typedef struct
+{
+  char *id;
+  char *text;
+  size_t length;
+} stored_record_t;
+
+struct node
+{
+  struct ev_loop *loop;
+  site_t *site;
+  const clk_t *clock;
+  char incarnation[24];
+  queue_table_t *queues;
+  replica_t *config, *workers, *cluster;
+  GHashTable *cells; /* name -> node_cell_t, owned */
+  httpd_t *internal;
+  httpc_t *peers;
+  GPtrArray *advisers; /* adviser_t, owned */
+  counter_registry_t *metrics;
+  ev_timer tick;
+  ev_timer claim_timer;
+  ev_prepare decide;
+  ev_signal terminate, interrupt, reload;
+  bool input; /* a cell has got input */
+  bool stopping, enrolled;
+  int64_t stop_ms;
+  int64_t answered_ms;    /* last answer about the cluster */
+  int64_t idle_ms;        /* while stopping: since when nothing is open */
+  int64_t wall_offset_ms; /* wall time less the clock's */
+};
+
+/* node.c */
+int64_t node_now (const node_t *node);
+node_cell_t *node_cell_of (node_t *node, const queue_t *queue);
+void node_count (node_t *node, const char *name, const char *labels);
+
+/* node_cell.c */
+node_cell_t *node_cell_new (node_t *node, const char *name);
+void node_cell_free (node_cell_t *cell);
+void node_cell_claimed (node_cell_t *cell);
+void node_cell_stand_down (node_cell_t *cell, const char *why);
+void node_cell_run (node_cell_t *cell, int64_t wall_ms);
+extern const cell_actions_t node_cell_actions;
+
+/* node_commit.c */
+void node_commit (node_cell_t *cell);
+void node_commit_retry (struct ev_loop *loop, ev_timer *watcher, int events);
+/* Gives the ownership back.  */
+void node_release (node_cell_t *cell);
+
+/* node_claim.c */
+void node_beat_changed (node_cell_t *cell, const char *value, size_t length);
+void node_claim_check (node_t *node);
+/* Whether TEXT is a fence row that this ownership wrote, and with which
+   number.  */
+bool node_fence_is_mine (const node_cell_t *cell, const char *text,
+                         size_t length, uint64_t *number);
+char *node_fence_text (const node_cell_t *cell, const char *owner);
+
+/* node_orders.c */
+void node_start_task (void *context, const cell_worker_ref_t *worker,
+                      const cell_order_t *order);
+void node_stop_task (void *context, const cell_worker_ref_t *worker,
+                     const char *task, uint32_t run);
+void node_pace_task (void *context, const cell_worker_ref_t *worker,
+                     const char *task, uint32_t run, uint32_t percent);
+void node_look (void *context, const cell_worker_ref_t *worker,
+                int64_t lease_until_ms, uint64_t seen, int64_t wait_ms);
+
+/* node_advice.c */
+bool node_advise (void *context, const char *step, const char *const *workers,
+                  uint32_t count, double expected_ms);
+void node_adviser_set (node_t *node, const char *name, const char *address);
+void node_adviser_remove (node_t *node, const char *name);
+void node_advice_serve (node_t *node);
+void node_adviser_free (void *adviser);
+
+/* node_front.c */
+extern const site_jobs_t node_jobs;
+
+#endif
--- /dev/null
+++ b/src/io/node_orders.c
@@ -0,0 +1,146 @@
+#include "node_int.h"
+
+#include <string.h>
+
+/* NAME
+     node_orders - calls to workers on behalf of an owned cell  */
+
+/* An order to a sound worker takes a few ms.  */
+#define ORDER_LIMIT_MS 500
+/* Beyond the time that the worker may wait for an end.  */
+#define LOOK_SLACK_MS 700
+
+/* A call in flight.  */
+typedef struct
+{
+  node_cell_t *cell;
+  uint32_t epoch;
+  char *worker;
+  char *task;
+  uint32_t run;
+  int64_t sent_ms;
+} order_call_t;
+
+static order_call_t *
+call_new (node_cell_t *cell, const char *worker, const char *task,
+          uint32_t run)
+{
+  order_call_t *call = g_new (order_call_t, 1);
+  *call = (order_call_t){
+    cell, cell->epoch,          g_strdup (worker), g_strdup (task),
+    run,  node_now (cell->node)
+  };
+  return call;
+}
+
+static void
+call_free (order_call_t *call)
+{
+  g_free (call->worker);
+  g_free (call->task);
+  g_free (call);
+}
+
+/* The cell that CALL was made for, NULL if it is no longer owned.  */
+static cell_t *
+cell_of (const order_call_t *call)
+{
+  if (call->epoch != call->cell->epoch)
+    return NULL;
+  call->cell->node->input = true;
+  return call->cell->cell;
+}
+
+static site_target_t
+target_of (const node_cell_t *cell, const cell_worker_ref_t *worker)
+{
+  return (site_target_t){ worker->id, worker->address, cell->token };
+}
+
+static void
+on_started (void *context, order_result_t result)
+{
+  order_call_t *call = context;
+  cell_t *cell = cell_of (call);
+  if (cell != NULL)
+    cell_started (cell, call->worker, call->task, call->run, result);
+  call_free (call);
+}
+
+void
+node_start_task (void *context, const cell_worker_ref_t *worker,
+                 const cell_order_t *order)
+{
+  node_cell_t *cell = context;
+  site_t *site = cell->node->site;
+  site_target_t target = target_of (cell, worker);
+  site->ops->start (site, &target, order, ORDER_LIMIT_MS, on_started,
+                    call_new (cell, worker->id, order->task, order->run));
+}
+
+static void
+on_stopped (void *context, order_result_t result)
+{
+  order_call_t *call = context;
+  cell_t *cell = cell_of (call);
+  if (cell != NULL)
+    cell_stopped (cell, call->worker, call->task, call->run, result);
+  call_free (call);
+}
+
+void
+node_stop_task (void *context, const cell_worker_ref_t *worker,
+                const char *task, uint32_t run)
+{
+  node_cell_t *cell = context;
+  site_t *site = cell->node->site;
+  site_target_t target = target_of (cell, worker);
+  site->ops->stop (site, &target, task, run, ORDER_LIMIT_MS, on_stopped,
+                   call_new (cell, worker->id, task, run));
+}
+
+static void
+on_paced (void *context, order_result_t result)
+{
+  order_call_t *call = context;
+  /* The next report decides again.  */
+  call_free (call);
+}
+
+void
+node_pace_task (void *context, const cell_worker_ref_t *worker,
+                const char *task, uint32_t run, uint32_t percent)
+{
+  node_cell_t *cell = context;
+  site_t *site = cell->node->site;
+  site_target_t target = target_of (cell, worker);
+  site->ops->pace (site, &target, task, run, percent, ORDER_LIMIT_MS, on_paced,
+                   call_new (cell, worker->id, task, run));
+}
+
+static void
+on_looked (void *context, order_result_t result, worker_report_t *report)
+{
+  order_call_t *call = context;
+  cell_t *cell = cell_of (call);
+  if (cell != NULL && report != NULL)
+    {
+      report->sent_ms = call->sent_ms;
+      cell_looked (cell, call->worker, report);
+    }
+  else if (cell != NULL)
+    cell_look_failed (cell, call->worker, result);
+  call_free (call);
+}
+
+void
+node_look (void *context, const cell_worker_ref_t *worker,
+           int64_t lease_until_ms, uint64_t seen, int64_t wait_ms)
+{
+  node_cell_t *cell = context;
+  site_t *site = cell->node->site;
+  site_target_t target = target_of (cell, worker);
+  site->ops->look (site, &target, lease_until_ms, seen, wait_ms,
+                   wait_ms + LOOK_SLACK_MS, on_looked,
+                   call_new (cell, worker->id, "", 0));
+}
--- /dev/null
+++ b/src/io/replica.h
@@ -0,0 +1,46 @@
+#ifndef MAGNOLIADOCK_REPLICA_H
+#define MAGNOLIADOCK_REPLICA_H
+
+#include "site.h"
+
+/* NAME
+     replica - local copy of a table of the store, kept up by following it
+
+   Reads the rows of its parts, then follows the changes.  When the store has
+   lost the history, reads all rows again and reports what differs.  */
+
+typedef struct replica replica_t;
+
+typedef struct
+{
+  /* VALUE is NULL for a removed row.  */
+  void (*changed) (void *context, const char *part, const char *key,
+                   const char *value, size_t length);
+  /* The rows were read for the first time; NULL allowed.  */
+  void (*loaded) (void *context);
+  /* The store has answered a call; NULL allowed.  */
+  void (*answered) (void *context);
+} replica_events_t;
+
+typedef struct
+{
+  const char *table;
+  const char *const *parts; /* ends with a NULL */
+  int64_t wait_ms;          /* longest wait of a call for changes */
+  int64_t slack_ms; /* beyond the wait, until the call counts as lost */
+} replica_options_t;
+
+replica_t *replica_new (site_t *site, struct ev_loop *loop,
+                        const replica_options_t *options,
+                        const replica_events_t *events, void *context);
+/* Calls in flight are dropped.  NULL is allowed.  */
+void replica_free (replica_t *replica);
+
+bool replica_is_loaded (const replica_t *replica);
+/* Calls the changed event for every row.  */
+void replica_replay (replica_t *replica);
+/* Value of a row, NULL if it is absent.  */
+const char *replica_get (const replica_t *replica, const char *part,
+                         const char *key, size_t *length);
+
+#endif
--- /dev/null
+++ b/src/io/site.h
@@ -0,0 +1,177 @@
+#ifndef MAGNOLIADOCK_SITE_H
+#define MAGNOLIADOCK_SITE_H
+
+#include "cell.h"
+#include "queues.h"
+#include "work.h"
+
+#include <ev.h>
+
+/* NAME
+     site - what a node needs from the platform it runs on
+
+   The calls go through a table of function pointers, so that a test or
+   another platform is one new implementation.  Every DONE is called once, from
+   the loop, never from inside the call; what it is given lives until it
+   returns.  Arguments are copied.  */
+
+typedef struct site site_t;
+
+/* A row of the store.  Keys are unique within TABLE and PART.  */
+typedef struct
+{
+  const char *table;
+  const char *part;
+  const char *key;
+  uint64_t version;  /* 0: absent */
+  const char *value; /* NULL: absent, or to be removed */
+  size_t length;
+} site_row_t;
+
+typedef enum
+{
+  STORE_OK,
+  STORE_CONFLICT, /* a row does not have the expected version */
+  STORE_REFUSED,  /* surely nothing was done */
+  STORE_BUSY,     /* the same, for a rate that was exceeded */
+  STORE_LOST,     /* the history asked for is gone */
+  STORE_UNKNOWN   /* no answer: may be done, also later */
+} store_result_t;
+
+typedef struct
+{
+  store_result_t result;
+  uint64_t version; /* of the transaction, or the newest one of the store */
+  const site_row_t *rows;
+  uint32_t count;
+  bool more;
+} site_rows_t;
+
+typedef void (*site_rows_done_t) (void *context, const site_rows_t *reply);
+
+typedef void (*site_order_done_t) (void *context, order_result_t result);
+
+/* REPORT is NULL unless RESULT is ORDER_TAKEN.  */
+typedef void (*site_look_done_t) (void *context, order_result_t result,
+                                  worker_report_t *report);
+
+typedef void (*site_advice_done_t) (void *context, bool ok,
+                                    const advice_row_t *rows, uint32_t count,
+                                    int64_t valid_ms);
+
+/* A worker that an order goes to.  */
+typedef struct
+{
+  const char *id;
+  const char *address;
+  uint64_t token; /* fencing token of the owner */
+} site_target_t;
+
+/* A request of a caller.  Answered exactly once by one of the answer calls. */
+typedef struct site_request site_request_t;
+
+/* Takes requests of callers.  ID points into the request.  */
+typedef struct
+{
+  /* NULL: no configuration yet.  */
+  const queue_table_t *(*queues) (void *context);
+  /* Takes JOB.  WAIT_MS: how long the caller waits, 0: not told.  */
+  void (*submit) (void *context, site_request_t *request, const queue_t *queue,
+                  work_job_t *job, int64_t wait_ms);
+  void (*state) (void *context, site_request_t *request, const queue_t *queue,
+                 const char *id);
+  void (*cancel) (void *context, site_request_t *request, const queue_t *queue,
+                  const char *id);
+  void (*pending) (void *context, site_request_t *request,
+                   const queue_t *queue);
+} site_jobs_t;
+
+typedef struct
+{
+  /* Store.  Rows of one transaction share one part.  */
+  void (*commit) (site_t *site, const site_row_t *expect,
+                  uint32_t expect_count, const site_row_t *writes,
+                  uint32_t write_count, int64_t limit_ms,
+                  site_rows_done_t done, void *context);
+  /* Rows with FROM <= key < TO in key order; NULL: open.  */
+  void (*read) (site_t *site, const char *table, const char *part,
+                const char *from, const char *to, int64_t limit_ms,
+                site_rows_done_t done, void *context);
+  /* Changes after version AFTER, waiting for one up to WAIT_MS.  */
+  void (*follow) (site_t *site, const char *table, uint64_t after,
+                  int64_t wait_ms, int64_t limit_ms, site_rows_done_t done,
+                  void *context);
+
+  /* Workers.  */
+  void (*start) (site_t *site, const site_target_t *target,
+                 const cell_order_t *order, int64_t limit_ms,
+                 site_order_done_t done, void *context);
+  void (*stop) (site_t *site, const site_target_t *target, const char *task,
+                uint32_t run, int64_t limit_ms, site_order_done_t done,
+                void *context);
+  void (*pace) (site_t *site, const site_target_t *target, const char *task,
+                uint32_t run, uint32_t percent, int64_t limit_ms,
+                site_order_done_t done, void *context);
+  void (*look) (site_t *site, const site_target_t *target,
+                int64_t lease_until_ms, uint64_t seen, int64_t wait_ms,
+                int64_t limit_ms, site_look_done_t done, void *context);
+
+  void (*advise) (site_t *site, const char *step, const char *const *workers,
+                  uint32_t count, int64_t limit_ms, site_advice_done_t done,
+                  void *context);
+
+  /* Table and part of the workers' list and of the operators' rows.  */
+  const char *(*workers_table) (site_t *site);
+  const char *(*operator_table) (site_t *site);
+  const char *(*config_key) (site_t *site);
+
+  /* Reads an operators' row.  NULL with ERROR if it cannot be read.  */
+  queue_table_t *(*decode_config) (site_t *site, const char *value,
+                                   size_t length, GError **error);
+  /* Calls EACH with a worker's entry.  Returns false if it names no worker to
+     use.  */
+  bool (*decode_worker) (site_t *site, const char *key, const char *value,
+                         size_t length,
+                         void (*each) (void *context, const worker_row_t *row),
+                         void *context);
+
+  /* Answers to callers.  */
+  void (*answer_accepted) (site_request_t *request);
+  void (*answer_state) (site_request_t *request, const char *state);
+  void (*answer_pending) (site_request_t *request, uint32_t pending);
+  void (*answer_cancelled) (site_request_t *request);
+  void (*answer_no_job) (site_request_t *request);
+  /* RETRY_MS: when the caller may come back; 0: not told.  */
+  void (*answer_error) (site_request_t *request, err_kind_t kind,
+                        int64_t retry_ms);
+
+  /* Serves callers and readiness.  */
+  bool (*serve) (site_t *site, const site_jobs_t *jobs, void *context,
+                 GError **error);
+  void (*set_ready) (site_t *site, bool ready);
+  /* Connections end with their next answer.  */
+  void (*end_connections) (site_t *site);
+  uint32_t (*open_requests) (const site_t *site);
+  /* Reads the settings again.  */
+  void (*reload) (site_t *site);
+} site_ops_t;
+
+/* Settings of this node.  */
+typedef struct
+{
+  char *name;
+  char *zone;
+  char *ip;
+  uint16_t peer_port;    /* for other nodes and for metrics */
+  int64_t stop_limit_ms; /* from the signal to the end of the process */
+  int64_t heartbeat_ms;  /* of the workers */
+  cell_options_t cells;
+} site_settings_t;
+
+struct site
+{
+  const site_ops_t *ops;
+  site_settings_t settings;
+};
+
+#endif
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -45,9 +45,11 @@
 static httpc_result_t
 result_of (const answer_t *answer)
 {
-  return (httpc_result_t){ answer->kind,   answer->outcome,
-                           answer->status, 0,
-                           answer->body,   strlen (answer->body) };
+  return (httpc_result_t){ .kind = answer->kind,
+                           .outcome = answer->outcome,
+                           .status = answer->status,
+                           .body = answer->body,
+                           .length = strlen (answer->body) };
 }
 
 /* Guards against telling "not committed" when the transaction may have been,
