--- a/src/main.c
+++ b/src/main.c
@@ -2,6 +2,7 @@
 #include "cli.h"
 #include "entry.h"
 #include "error.h"
+#include "platform.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -17,6 +18,7 @@
 
 static const command_t commands[] = {
   { "entry", entry_run, "run an entry process" },
+  { "node", platform_node, "run an entry on the users' platform" },
   { "submit", cli_submit, "submit jobs" },
   { "status", cli_status, "print the state of the system or of a job" },
   { "cancel", cli_cancel, "cancel jobs" },
