--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -12,7 +12,7 @@
 
 /* Gives the part of the store that takes the saves, 200 transactions a second,
    room for other writes, and collects the decisions of several events.  */
-#define SAVE_GAP_MS 15
+#define SAVE_GAP_MS 20
 /* A transaction holds 100 entries, two of them the owner's.  */
 #define SAVE_MAX_JOBS 90
 #define SAVE_MAX_BYTES (600 * 1024)
@@ -219,12 +219,10 @@
           cell_group_t *group = job->groups->pdata[i];
           for (uint32_t j = 0; j < group->spec->count; j++)
             if (group->tasks[j].state == RUN_ASSIGNED)
-              {
-                group->tasks[j].in_save = true;
-                if (job->state == JOB_STATE_QUEUED)
-                  job->state = JOB_STATE_RUNNING;
-              }
+              group->tasks[j].in_save = true;
         }
+      if (job->state == JOB_STATE_QUEUED && job->begun)
+        job->state = JOB_STATE_RUNNING;
       cell_record_t record = { job->id, encode_record (job) };
       bytes += strlen (record.text);
       g_array_append_val (records, record);
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -15,6 +15,11 @@
 #define CONFIG_WAIT_MS 700
 #define WORKERS_WAIT_MS 1000
 #define FOLLOW_SLACK_MS 900
+/* Every worker renews its row once a heartbeat; without a pause each of these
+   would be an answer of its own.  Draining workers get no work after 2 s.  */
+#define WORKERS_GAP_MS 300
+/* The beats of several cells come together.  */
+#define CLUSTER_GAP_MS 80
 /* Claims need fresh answers about the beats.  */
 #define CLUSTER_WAIT_MS 250
 #define CLUSTER_SLACK_MS 600
@@ -152,8 +157,33 @@
       cell_worker_unlisted (((node_cell_t *)cell)->cell, key);
 }
 
+static void
+on_workers_loaded (void *context)
+{
+  each_cell (context, node_cell_begin_if_loaded);
+}
+
 static const replica_events_t worker_events
-    = { on_worker_changed, NULL, NULL };
+    = { on_worker_changed, on_workers_loaded, NULL };
+
+void
+node_follow_workers (node_t *node)
+{
+  static const char *const parts[] = { "", NULL };
+  bool wanted = node_cells_held (node) > 0;
+  if (!wanted)
+    {
+      replica_free (node->workers);
+      node->workers = NULL;
+    }
+  if (!wanted || node->workers != NULL)
+    return;
+  replica_options_t options
+      = { node->site->ops->workers_table (node->site), parts, WORKERS_WAIT_MS,
+          FOLLOW_SLACK_MS, WORKERS_GAP_MS };
+  node->workers
+      = replica_new (node->site, node->loop, &options, &worker_events, node);
+}
 
 static void
 apply_queues (node_cell_t *cell)
@@ -241,8 +271,8 @@
   parts[0] = "";
   for (guint i = 0; i < table->services->len; i++)
     parts[i + 1] = table->services->pdata[i];
-  replica_options_t options
-      = { CLUSTER_TABLE, parts, CLUSTER_WAIT_MS, CLUSTER_SLACK_MS };
+  replica_options_t options = { CLUSTER_TABLE, parts, CLUSTER_WAIT_MS,
+                                CLUSTER_SLACK_MS, CLUSTER_GAP_MS };
   node->cluster
       = replica_new (node->site, node->loop, &options, &cluster_events, node);
   g_free (parts);
@@ -255,13 +285,9 @@
   static const char *const parts[] = { "", NULL };
   site_t *site = node->site;
   replica_options_t options = { site->ops->operator_table (site), parts,
-                                CONFIG_WAIT_MS, FOLLOW_SLACK_MS };
+                                CONFIG_WAIT_MS, FOLLOW_SLACK_MS, 0 };
   node->config
       = replica_new (site, node->loop, &options, &config_events, node);
-  options.table = site->ops->workers_table (site);
-  options.wait_ms = WORKERS_WAIT_MS;
-  node->workers
-      = replica_new (site, node->loop, &options, &worker_events, node);
 }
 
 static void
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -106,6 +106,7 @@
   log_event (LOG_WARN, "cell_lost", "cell", cell->name, "why", why, NULL);
   cell->beat_ms = node_now (cell->node);
   drop_ownership (cell);
+  node_follow_workers (cell->node);
 }
 
 static void
@@ -183,13 +184,13 @@
   g_ptr_array_set_size (cell->records, 0);
 }
 
-/* Everything was read: the cell begins to decide.  */
-static void
-on_inbox_loaded (void *context)
+void
+node_cell_begin_if_loaded (node_cell_t *cell)
 {
-  node_cell_t *cell = context;
   node_t *node = cell->node;
-  if (cell->state != CELL_LOADING)
+  if (cell->state != CELL_LOADING || cell->inbox == NULL
+      || !replica_is_loaded (cell->inbox) || node->workers == NULL
+      || !replica_is_loaded (node->workers))
     return;
   cell->cell = cell_new (&node->site->settings.cells, node->clock,
                          &node_cell_actions, cell);
@@ -218,6 +219,12 @@
   node->input = true;
 }
 
+static void
+on_inbox_loaded (void *context)
+{
+  node_cell_begin_if_loaded (context);
+}
+
 static const replica_events_t inbox_events
     = { on_inbox_changed, on_inbox_loaded, NULL };
 
@@ -226,7 +233,7 @@
 {
   static const char *const parts[] = { INBOX_PART, NULL };
   replica_options_t options
-      = { cell->inbox_table, parts, INBOX_WAIT_MS, INBOX_SLACK_MS };
+      = { cell->inbox_table, parts, INBOX_WAIT_MS, INBOX_SLACK_MS, 0 };
   cell->inbox = replica_new (cell->node->site, cell->node->loop, &options,
                              &inbox_events, cell);
 }
@@ -277,6 +284,7 @@
   cell->state = CELL_LOADING;
   cell->last_beat_ms = node_now (cell->node);
   node_count (cell->node, "magnoliadock_claims_total", NULL);
+  node_follow_workers (cell->node);
   load_records (cell, NULL);
 }
 
--- a/src/io/node_claim.c
+++ b/src/io/node_claim.c
@@ -3,6 +3,7 @@
 #include "log.h"
 
 #include <jansson.h>
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -151,10 +152,7 @@
   site_t *site = cell->node->site;
   const char *name = site->settings.name;
   char *fence = node_fence_text (cell, name);
-  char *beat = g_strdup_printf (
-      "{\"owner\":\"%s\",\"incarnation\":\"%s\",\"token\":%" G_GUINT64_FORMAT
-      "}",
-      name, cell->node->incarnation, cell->token);
+  char *beat = node_beat_text (cell, name);
   site_row_t expect = { FENCE_TABLE, cell->name, FENCE_KEY, version, NULL, 0 };
   site_row_t writes[]
       = { { FENCE_TABLE, cell->name, FENCE_KEY, 0, fence, strlen (fence) },
@@ -162,7 +160,7 @@
   site->ops->commit (site, &expect, 1, writes, G_N_ELEMENTS (writes),
                      CLAIM_LIMIT_MS, on_claimed, claim_call_new (cell));
   g_free (fence);
-  g_free (beat);
+  free (beat);
 }
 
 /* Whether the owner in the fence row is a process that is known to be gone:
@@ -267,8 +265,8 @@
   return rank;
 }
 
-static uint32_t
-cells_held (const node_t *node)
+uint32_t
+node_cells_held (const node_t *node)
 {
   GHashTableIter iterator;
   gpointer value;
@@ -293,7 +291,7 @@
     vacant = true;
   int64_t patience_ms = vacant ? 0 : BEAT_LOST_MS;
   patience_ms += (int64_t)my_rank (cell) * RANK_GAP_MS
-                 + (int64_t)cells_held (node) * BUSY_GAP_MS;
+                 + (int64_t)node_cells_held (node) * BUSY_GAP_MS;
   if (node->answered_ms - cell->beat_ms >= patience_ms
       && now_ms - node->answered_ms < FRESH_MS)
     begin_claim (cell);
@@ -304,8 +302,7 @@
 {
   GHashTableIter iterator;
   gpointer value;
-  if (node->stopping || !node->enrolled || !replica_is_loaded (node->cluster)
-      || !replica_is_loaded (node->workers))
+  if (node->stopping || !node->enrolled || !replica_is_loaded (node->cluster))
     return;
   g_hash_table_iter_init (&iterator, node->cells);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
--- a/src/io/node_commit.c
+++ b/src/io/node_commit.c
@@ -32,12 +32,21 @@
   json_object_set_new (context, queue, json_integer (pending));
 }
 
-static char *
-beat_text (const node_cell_t *cell, const char *owner)
+static void
+append_known (void *queue, void *count, void *pending)
+{
+  append_pending (pending, queue, GPOINTER_TO_UINT (count));
+}
+
+char *
+node_beat_text (const node_cell_t *cell, const char *owner)
 {
   json_t *pending = json_object ();
-  if (cell->cell != NULL)
+  /* Until the jobs are loaded, what the previous owner told holds.  */
+  if (cell->state == CELL_OWNED || cell->state == CELL_RELEASING)
     cell_each_pending (cell->cell, append_pending, pending);
+  else
+    g_hash_table_foreach (cell->pending, append_known, pending);
   json_t *object = json_pack (
       "{s:s, s:s, s:I, s:I, s:o}", "owner", owner, "incarnation",
       cell->node->incarnation, "token", (json_int_t)cell->token, "number",
@@ -132,7 +141,7 @@
   site_row_t writes[MOST_WRITES];
   uint32_t count = 0;
   char *fence = node_fence_text (cell, owner);
-  char *beat = cell->commit_beats ? beat_text (cell, owner) : NULL;
+  char *beat = cell->commit_beats ? node_beat_text (cell, owner) : NULL;
   writes[count++] = (site_row_t){ FENCE_TABLE, cell->name, FENCE_KEY,
                                   0,           fence,      strlen (fence) };
   if (beat != NULL)
@@ -185,8 +194,13 @@
 void
 node_release (node_cell_t *cell)
 {
-  if (cell->state != CELL_OWNED && cell->state != CELL_LOADING)
-    return;
+  /* A cell that is still loading is left to the claim of another node.  */
+  if (cell->state != CELL_OWNED)
+    {
+      if (cell->state != CELL_IDLE)
+        node_cell_stand_down (cell, "stopping");
+      return;
+    }
   log_event (LOG_INFO, "cell_releasing", "cell", cell->name, NULL);
   cell->state = CELL_RELEASING;
   node_commit (cell);
--- a/src/io/node_int.h
+++ b/src/io/node_int.h
@@ -83,8 +83,9 @@
   const clk_t *clock;
   char incarnation[24];
   queue_table_t *queues;
-  replica_t *config, *workers, *cluster;
-  GHashTable *cells; /* name -> node_cell_t, owned */
+  replica_t *config, *cluster;
+  replica_t *workers; /* NULL: this node owns no cell */
+  GHashTable *cells;  /* name -> node_cell_t, owned */
   httpd_t *internal;
   httpc_t *peers;
   GPtrArray *advisers; /* adviser_t, owned */
@@ -106,7 +107,13 @@
 node_cell_t *node_cell_of (node_t *node, const queue_t *queue);
 void node_count (node_t *node, const char *name, const char *labels);
 
+/* Follows the list of workers while this node owns a cell.  */
+void node_follow_workers (node_t *node);
+uint32_t node_cells_held (const node_t *node);
+
 /* node_cell.c */
+/* The cell begins to decide once everything was read.  */
+void node_cell_begin_if_loaded (node_cell_t *cell);
 node_cell_t *node_cell_new (node_t *node, const char *name);
 void node_cell_free (node_cell_t *cell);
 void node_cell_claimed (node_cell_t *cell);
@@ -117,6 +124,8 @@
 /* node_commit.c */
 void node_commit (node_cell_t *cell);
 void node_commit_retry (struct ev_loop *loop, ev_timer *watcher, int events);
+/* Text of the beat row (free).  */
+char *node_beat_text (const node_cell_t *cell, const char *owner);
 /* Gives the ownership back.  */
 void node_release (node_cell_t *cell);
 
--- a/src/io/replica.c
+++ b/src/io/replica.c
@@ -25,7 +25,7 @@
   struct ev_loop *loop;
   char *table;
   char **parts;
-  int64_t wait_ms, slack_ms;
+  int64_t wait_ms, slack_ms, gap_ms;
   replica_events_t events;
   void *context;
   GHashTable *rows; /* "PART\nKEY" -> copy_t, owned */
@@ -221,11 +221,12 @@
   replica->open = false;
   if (replica->dead)
     replica_destroy (replica);
-  else if (more)
+  else if (more && (replica->gap_ms == 0 || replica->reading))
     next_call (replica);
   else
     {
-      ev_timer_set (&replica->retry, RETRY_S, 0.0);
+      double pause_s = more ? (double)replica->gap_ms / 1000.0 : RETRY_S;
+      ev_timer_set (&replica->retry, pause_s, 0.0);
       ev_timer_start (replica->loop, &replica->retry);
     }
 }
@@ -256,6 +257,7 @@
   replica->parts = g_strdupv ((char **)options->parts);
   replica->wait_ms = options->wait_ms;
   replica->slack_ms = options->slack_ms;
+  replica->gap_ms = options->gap_ms;
   replica->events = *events;
   replica->context = context;
   replica->rows
--- a/src/io/replica.h
+++ b/src/io/replica.h
@@ -28,6 +28,8 @@
   const char *const *parts; /* ends with a NULL */
   int64_t wait_ms;          /* longest wait of a call for changes */
   int64_t slack_ms; /* beyond the wait, until the call counts as lost */
+  int64_t gap_ms;   /* between an answer and the next call, so that changes
+                       come together; 0: none */
 } replica_options_t;
 
 replica_t *replica_new (site_t *site, struct ev_loop *loop,
