node: survive a slow store and one that turns this node away

Change: 16 parts an inbox by the first digit of the id, read at the same time; limits that follow the store's answers; reads and submissions passed on by a peer; readiness and open connections follow the store.

Ruled out: the cells' commits, which collect up to 90 records.

--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -663,6 +663,12 @@
   server->ending = true;
 }
 
+void
+httpd_keep_connections (httpd_t *server)
+{
+  server->ending = false;
+}
+
 void
 httpd_stop_accepting (httpd_t *server)
 {
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -88,6 +88,8 @@
 /* Answers from now on end their connection, so that callers move to other
    entries while this one still serves.  */
 void httpd_end_connections (httpd_t *server);
+/* Answers leave their connection open again.  */
+void httpd_keep_connections (httpd_t *server);
 /* Stops accepting connections; answers from now on end their connection.  */
 void httpd_stop_accepting (httpd_t *server);
 /* Requests that have begun and are not yet answered in whole.  */
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -31,6 +31,10 @@
 /* Nothing has been open for this long before the process ends.  */
 #define IDLE_BEFORE_EXIT_MS 300
 #define EXIT_MARGIN_MS 700
+/* Waits for the store's answer to a transaction: a sound one takes 10 to 30
+   ms, a slow one 700 ms.  */
+#define STORE_LEAST_WAIT_MS 250
+#define STORE_MOST_WAIT_MS 2000
 /* A larger difference between two readings is a jump of the time of day.  */
 #define WALL_DRIFT_MS 100
 
@@ -192,6 +196,16 @@
     cell_set_queues (cell->cell, cell->node->queues);
 }
 
+/* Callers are sent to other nodes while the store does not answer this one. */
+static void
+check_readiness (node_t *node)
+{
+  const site_ops_t *ops = node->site->ops;
+  bool ready = !node->stopping && !node_store_lost (node);
+  ops->set_ready (node->site, ready);
+  ops->end_connections (node->site, !ready);
+}
+
 static void start_following (node_t *node);
 
 static void
@@ -228,7 +242,7 @@
   each_cell (node, apply_queues);
   if (node->cluster == NULL)
     start_following (node);
-  site->ops->set_ready (site, !node->stopping);
+  check_readiness (node);
   node->input = true;
 }
 
@@ -345,8 +359,10 @@
 on_claim_check (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   node_t *node = watcher->data;
-  if (node->cluster != NULL)
-    node_claim_check (node);
+  if (node->cluster == NULL)
+    return;
+  node_claim_check (node);
+  check_readiness (node);
 }
 
 static void
@@ -358,8 +374,7 @@
   log_event (LOG_INFO, "stopping", "node", node->site->settings.name, NULL);
   node->stopping = true;
   node->stop_ms = node_now (node);
-  node->site->ops->set_ready (node->site, false);
-  node->site->ops->end_connections (node->site);
+  check_readiness (node);
   each_cell (node, node_release);
 }
 
@@ -433,6 +448,7 @@
   node->cells = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                        (GDestroyNotify)node_cell_free);
   node->advisers = g_ptr_array_new_with_free_func (node_adviser_free);
+  patience_init (&node->patience, STORE_LEAST_WAIT_MS, STORE_MOST_WAIT_MS);
   g_snprintf (node->incarnation, sizeof node->incarnation, "%011llx-%08x",
               (long long)clk_wall_ms (node->clock), g_random_int ());
   if (!start_serving (node, &error))
--- a/src/io/node_advice.c
+++ b/src/io/node_advice.c
@@ -42,11 +42,6 @@
   char *adviser;
 } advice_call_t;
 
-typedef struct
-{
-  httpd_exchange_t *exchange;
-} served_call_t;
-
 void
 node_adviser_free (void *data)
 {
@@ -100,6 +95,31 @@
     g_ptr_array_remove (node->advisers, adviser);
 }
 
+void
+node_adviser_failed (node_t *node, const char *name, int64_t for_ms)
+{
+  adviser_t *adviser = find_adviser (node, name);
+  if (adviser != NULL)
+    adviser->bad_until_ms = node_now (node) + for_ms;
+}
+
+const char *
+node_adviser_pick (node_t *node, const char **address)
+{
+  int64_t now_ms = node_now (node);
+  for (guint i = 0; i < node->advisers->len; i++)
+    {
+      const adviser_t *adviser
+          = node->advisers->pdata[node->next_peer++ % node->advisers->len];
+      if (adviser->bad_until_ms > now_ms
+          || strcmp (adviser->name, node->site->settings.name) == 0)
+        continue;
+      *address = adviser->address;
+      return adviser->name;
+    }
+  return NULL;
+}
+
 static void
 finish_call (advice_call_t *call, bool ok, const advice_row_t *rows,
              uint32_t count, int64_t valid_ms)
@@ -111,7 +131,7 @@
     {
       adviser->calls -= adviser->calls > 0;
       if (!ok)
-        adviser->bad_until_ms = node_now (node) + BAD_MS;
+        node_adviser_failed (node, call->adviser, BAD_MS);
     }
   if (!ok)
     log_event (LOG_WARN, "advice_failed", "subject", call->step, "node",
@@ -300,6 +320,8 @@
 
 static const httpd_route_t peer_routes[] = {
   { "POST", "/peer/advice", serve_advice },
+  { "POST", "/peer/commit", node_store_serve_commit },
+  { "POST", "/peer/read", node_store_serve_read },
   { "GET", "/metrics", serve_metrics },
   { NULL, NULL, NULL },
 };
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -228,10 +228,23 @@
 static const replica_events_t inbox_events
     = { on_inbox_changed, on_inbox_loaded, NULL };
 
+void
+node_inbox_part (const char *id, char part[2])
+{
+  part[0] = g_ascii_tolower (id[0]);
+  part[1] = '\0';
+}
+
 static void
 follow_inbox (node_cell_t *cell)
 {
-  static const char *const parts[] = { INBOX_PART, NULL };
+  char texts[sizeof INBOX_PARTS][2] = { "" };
+  const char *parts[sizeof INBOX_PARTS] = { NULL };
+  for (size_t i = 0; i + 1 < sizeof INBOX_PARTS; i++)
+    {
+      texts[i][0] = INBOX_PARTS[i];
+      parts[i] = texts[i];
+    }
   replica_options_t options
       = { cell->inbox_table, parts, INBOX_WAIT_MS, INBOX_SLACK_MS, 0 };
   cell->inbox = replica_new (cell->node->site, cell->node->loop, &options,
--- a/src/io/node_claim.c
+++ b/src/io/node_claim.c
@@ -289,7 +289,10 @@
   if (!vacant && !is_me (cell)
       && g_strcmp0 (cell->owner, node->site->settings.name) == 0)
     vacant = true;
-  int64_t patience_ms = vacant ? 0 : BEAT_LOST_MS;
+  /* Beats of a slow store come late.  */
+  int64_t patience_ms = vacant ? 0
+                               : BEAT_LOST_MS + node->patience.limit_ms
+                                     - node->patience.least_ms;
   patience_ms += (int64_t)my_rank (cell) * RANK_GAP_MS
                  + (int64_t)node_cells_held (node) * BUSY_GAP_MS;
   if (node->answered_ms - cell->beat_ms >= patience_ms
--- a/src/io/node_commit.c
+++ b/src/io/node_commit.c
@@ -15,8 +15,6 @@
 /* Time between two beats.  Other nodes take an owner for lost after several.
  */
 #define BEAT_MS 350
-/* Until a commit counts as lost; a slow store takes about 700 ms.  */
-#define COMMIT_LIMIT_MS 1500
 #define COMMIT_RETRY_S 0.03
 #define MOST_WRITES 100
 
@@ -24,6 +22,8 @@
 {
   node_cell_t *cell;
   uint32_t epoch;
+  int64_t sent_ms;
+  int64_t limit_ms;
 } commit_call_t;
 
 static void
@@ -112,6 +112,11 @@
   commit_call_t *call = context;
   node_cell_t *cell = call->cell;
   bool current = call->epoch == cell->epoch && cell->commit_open;
+  patience_t *patience = &cell->node->patience;
+  if (reply->result == STORE_OK || reply->result == STORE_CONFLICT)
+    patience_answered (patience, node_now (cell->node) - call->sent_ms);
+  else if (reply->result == STORE_UNKNOWN)
+    patience_missed (patience, call->limit_ms);
   g_free (call);
   if (!current)
     return;
@@ -155,10 +160,11 @@
                           record->text, record->length };
     }
   commit_call_t *call = g_new (commit_call_t, 1);
-  *call = (commit_call_t){ cell, cell->epoch };
+  *call = (commit_call_t){ cell, cell->epoch, node_now (node),
+                           node->patience.limit_ms };
   cell->commit_open = true;
   node->site->ops->commit (node->site, &expect, 1, writes, count,
-                           COMMIT_LIMIT_MS, on_committed, call);
+                           call->limit_ms, on_committed, call);
   g_free (fence);
   free (beat);
 }
--- a/src/io/node_front.c
+++ b/src/io/node_front.c
@@ -11,15 +11,12 @@
    there.  A submission whose write has an unknown outcome is repeated until it
    is known, and never refused as not run.  */
 
-/* Until a write counts as unanswered; a slow store takes about 700 ms.  */
-#define WRITE_LIMIT_MS 900
-#define READ_LIMIT_MS 900
-#define REPEAT_S 0.04
+#define REPEAT_S 0.03
 /* Repeats of a write that was surely not done.  */
 #define REFUSED_REPEATS 3
 /* Callers wait for 3 s; the answer needs a part of it.  */
 #define CALLER_WAIT_MS 3000
-#define ANSWER_MARGIN_MS 300
+#define ANSWER_MARGIN_MS 250
 #define COME_BACK_MS 500
 
 typedef struct
@@ -32,8 +29,11 @@
   char *id;
   node_cell_t *cell;
   int64_t until_ms;
+  int64_t sent_ms;
+  int64_t limit_ms;
   uint32_t refusals;
-  bool unsure; /* a write went unanswered */
+  bool unsure;  /* a write went unanswered */
+  bool by_peer; /* the store does not take it from this node */
   bool cancels;
   ev_timer repeat;
 } write_t;
@@ -61,13 +61,27 @@
     ops->answer_accepted (write->request);
 }
 
+static void
+give_up (write_t *write)
+{
+  log_event (LOG_WARN, "write_failed", "id", write->id, "unsure",
+             write->unsure ? "1" : "0", NULL);
+  write->node->site->ops->answer_error (
+      write->request, write->unsure ? ERR_TIMEOUT : ERR_STORE_UNAVAILABLE,
+      COME_BACK_MS);
+  write_free (write);
+}
+
 static void
 on_written (void *context, const site_rows_t *reply)
 {
   write_t *write = context;
   node_t *node = write->node;
+  int64_t now_ms = node_now (node);
   if (reply->result == STORE_OK || reply->result == STORE_CONFLICT)
     {
+      if (!write->by_peer)
+        patience_answered (&node->patience, now_ms - write->sent_ms);
       log_event (LOG_INFO, write->cancels ? "cancel_stored" : "job_accepted",
                  "id", write->id, "cell", write->cell->name, "known",
                  reply->result == STORE_CONFLICT ? "1" : "0", NULL);
@@ -75,17 +89,19 @@
       write_free (write);
       return;
     }
-  write->unsure = write->unsure || reply->result == STORE_UNKNOWN;
+  if (reply->result == STORE_UNKNOWN)
+    {
+      write->unsure = true;
+      if (!write->by_peer)
+        patience_missed (&node->patience, write->limit_ms);
+    }
+  if (reply->result != STORE_BUSY)
+    write->by_peer = true;
   write->refusals++;
-  bool late = node_now (node) >= write->until_ms;
-  if (late || (!write->unsure && write->refusals > REFUSED_REPEATS))
+  if (now_ms >= write->until_ms
+      || (!write->unsure && write->refusals > REFUSED_REPEATS))
     {
-      log_event (LOG_WARN, "write_failed", "id", write->id, "unsure",
-                 write->unsure ? "1" : "0", NULL);
-      node->site->ops->answer_error (
-          write->request, write->unsure ? ERR_TIMEOUT : ERR_STORE_UNAVAILABLE,
-          COME_BACK_MS);
-      write_free (write);
+      give_up (write);
       return;
     }
   ev_timer_set (&write->repeat, REPEAT_S, 0.0);
@@ -101,12 +117,15 @@
 static void
 send_write (write_t *write)
 {
-  site_t *site = write->node->site;
-  site_row_t expect = { write->table, INBOX_PART, write->key, 0, NULL, 0 };
-  site_row_t row = { write->table, INBOX_PART,           write->key, 0,
-                     write->value, strlen (write->value) };
-  site->ops->commit (site, &expect, 1, &row, 1, WRITE_LIMIT_MS, on_written,
-                     write);
+  node_t *node = write->node;
+  char part[2];
+  node_inbox_part (write->id, part);
+  site_row_t expect = { write->table, part, write->key, 0, NULL, 0 };
+  site_row_t row = { write->table,         part, write->key, 0, write->value,
+                     strlen (write->value) };
+  write->sent_ms = node_now (node);
+  write->limit_ms = node->patience.limit_ms;
+  node_store_commit (node, write->by_peer, &expect, &row, on_written, write);
 }
 
 static write_t *
@@ -120,7 +139,8 @@
   write->table = g_strdup (cell->inbox_table);
   write->id = g_strdup (id);
   write->until_ms = node_now (node) + (wait_ms > 0 ? wait_ms : CALLER_WAIT_MS)
-                    - ANSWER_MARGIN_MS - WRITE_LIMIT_MS;
+                    - ANSWER_MARGIN_MS - node->patience.limit_ms;
+  write->by_peer = node_store_lost (node);
   ev_init (&write->repeat, on_repeat);
   write->repeat.data = write;
   return write;
@@ -156,6 +176,8 @@
   node_cell_t *cell;
   char *id;
   bool cancels;
+  bool by_peer;
+  bool asks_inbox; /* no record was found */
 } question_t;
 
 static question_t *
@@ -167,6 +189,7 @@
   question->request = request;
   question->cell = node_cell_of (node, queue);
   question->id = g_strdup (id);
+  question->by_peer = node_store_lost (node);
   return question;
 }
 
@@ -177,25 +200,25 @@
   g_free (question);
 }
 
+static void on_row_read (void *context, const site_rows_t *reply);
+
 static void
-read_row (question_t *question, const char *table, const char *part,
-          site_rows_done_t done)
+read_row (question_t *question)
 {
-  site_t *site = question->node->site;
+  char part[2];
   char *to = g_strconcat (question->id, "\x01", NULL);
-  site->ops->read (site, table, part, question->id, to, READ_LIMIT_MS, done,
-                   question);
+  node_inbox_part (question->id, part);
+  if (question->asks_inbox)
+    node_store_read (question->node, question->by_peer,
+                     question->cell->inbox_table, part, question->id, to,
+                     on_row_read, question);
+  else
+    node_store_read (question->node, question->by_peer, RECORD_TABLE,
+                     question->cell->name, question->id, to, on_row_read,
+                     question);
   g_free (to);
 }
 
-static void
-unanswerable (question_t *question)
-{
-  question->node->site->ops->answer_error (
-      question->request, ERR_STORE_UNAVAILABLE, COME_BACK_MS);
-  question_free (question);
-}
-
 static void
 store_cancel (node_t *node, site_request_t *request, node_cell_t *cell,
               const char *id)
@@ -208,16 +231,10 @@
 }
 
 static void
-on_inbox_read (void *context, const site_rows_t *reply)
+take_inbox_row (question_t *question, bool found)
 {
-  question_t *question = context;
   const site_ops_t *ops = question->node->site->ops;
-  if (reply->result != STORE_OK)
-    {
-      unanswerable (question);
-      return;
-    }
-  if (reply->count == 0)
+  if (!found)
     ops->answer_no_job (question->request);
   else if (question->cancels)
     store_cancel (question->node, question->request, question->cell,
@@ -228,24 +245,38 @@
 }
 
 static void
-on_record_read (void *context, const site_rows_t *reply)
+on_row_read (void *context, const site_rows_t *reply)
 {
   question_t *question = context;
+  const site_ops_t *ops = question->node->site->ops;
   const char *state = NULL;
+  if (reply->result != STORE_OK && !question->by_peer)
+    {
+      question->by_peer = true;
+      read_row (question);
+      return;
+    }
   if (reply->result != STORE_OK)
     {
-      unanswerable (question);
+      ops->answer_error (question->request, ERR_STORE_UNAVAILABLE,
+                         COME_BACK_MS);
+      question_free (question);
+      return;
+    }
+  if (question->asks_inbox)
+    {
+      take_inbox_row (question, reply->count > 0);
       return;
     }
   if (reply->count > 0)
     state = cell_record_state (reply->rows[0].value, reply->rows[0].length);
   if (state == NULL)
     {
-      read_row (question, question->cell->inbox_table, INBOX_PART,
-                on_inbox_read);
+      question->asks_inbox = true;
+      read_row (question);
       return;
     }
-  question->node->site->ops->answer_state (question->request, state);
+  ops->answer_state (question->request, state);
   question_free (question);
 }
 
@@ -263,8 +294,7 @@
       node->site->ops->answer_state (request, state);
       return;
     }
-  read_row (question_new (node, request, queue, id), RECORD_TABLE, cell->name,
-            on_record_read);
+  read_row (question_new (node, request, queue, id));
 }
 
 static void
@@ -274,7 +304,8 @@
   node_t *node = context;
   question_t *question = question_new (node, request, queue, id);
   question->cancels = true;
-  read_row (question, question->cell->inbox_table, INBOX_PART, on_inbox_read);
+  question->asks_inbox = true;
+  read_row (question);
 }
 
 typedef struct
--- a/src/io/node_int.h
+++ b/src/io/node_int.h
@@ -5,6 +5,7 @@
 #include "httpc.h"
 #include "httpd.h"
 #include "node.h"
+#include "patience.h"
 #include "replica.h"
 
 /* NAME
@@ -20,7 +21,9 @@
 #define CLUSTER_TABLE "cluster"
 #define FENCE_TABLE "fence"
 #define RECORD_TABLE "record"
-#define INBOX_PART "in"
+/* Jobs are divided by the first digit of their id: a part takes its writes one
+   after another, three a second while the store is slow.  */
+#define INBOX_PARTS "0123456789abcdef"
 #define BEAT_KEY "beat"
 #define FENCE_KEY "owner"
 #define ENTRY_PREFIX "entry/"
@@ -97,7 +100,9 @@
   bool input; /* a cell has got input */
   bool stopping, enrolled;
   int64_t stop_ms;
-  int64_t answered_ms;    /* last answer about the cluster */
+  int64_t answered_ms; /* last answer about the cluster */
+  patience_t patience; /* with the store's transactions */
+  uint32_t next_peer;
   int64_t idle_ms;        /* while stopping: since when nothing is open */
   int64_t wall_offset_ms; /* wall time less the clock's */
 };
@@ -156,6 +161,31 @@
 void node_advice_serve (node_t *node);
 void node_adviser_free (void *adviser);
 
+/* Leaves NAME out for a while.  */
+void node_adviser_failed (node_t *node, const char *name, int64_t for_ms);
+/* Returns another node that answers and sets *ADDRESS, NULL if there is none;
+   in turn.  */
+const char *node_adviser_pick (node_t *node, const char **address);
+
+/* node_store.c */
+/* Whether the store has not answered this node for a while.  */
+bool node_store_lost (const node_t *node);
+/* One write under one condition, and a read.  BY_PEER: through another node if
+   there is one.  */
+void node_store_commit (node_t *node, bool by_peer, const site_row_t *expect,
+                        const site_row_t *write, site_rows_done_t done,
+                        void *context);
+void node_store_read (node_t *node, bool by_peer, const char *table,
+                      const char *part, const char *from, const char *to,
+                      site_rows_done_t done, void *context);
+void node_store_serve_commit (void *context, httpd_exchange_t *exchange,
+                              const httpd_request_t *request);
+void node_store_serve_read (void *context, httpd_exchange_t *exchange,
+                            const httpd_request_t *request);
+
+/* Part of the inbox that holds ID.  */
+void node_inbox_part (const char *id, char part[2]);
+
 /* node_front.c */
 extern const site_jobs_t node_jobs;
 
--- /dev/null
+++ b/src/io/node_store.c
@@ -0,0 +1,233 @@
+#include "node_int.h"
+
+#include "log.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* NAME
+     node_store - calls to the store for callers, passed on by a peer where the
+     store turns this node away
+
+   A peer makes the call as it is and returns its result; it decides nothing
+   and passes nothing on itself.  */
+
+/* The store is taken for lost by this node after so long without an answer to
+   the calls that follow the cluster, which come three times a second.  */
+#define STORE_LOST_MS 900
+/* On top of the limit of the call that the peer makes.  */
+#define PEER_SLACK_MS 300
+/* A peer that did not answer is left out for this long.  */
+#define BAD_PEER_MS 1500
+
+typedef struct
+{
+  node_t *node;
+  char *peer;
+  site_rows_done_t done;
+  void *context;
+} passed_call_t;
+
+bool
+node_store_lost (const node_t *node)
+{
+  return node_now (node) - node->answered_ms > STORE_LOST_MS;
+}
+
+static json_t *
+row_to_json (const site_row_t *row)
+{
+  json_t *object = json_pack ("{s:s, s:s, s:s, s:I}", "table", row->table,
+                              "part", row->part, "key", row->key, "version",
+                              (json_int_t)row->version);
+  if (row->value != NULL)
+    json_object_set_new (object, "value",
+                         json_stringn (row->value, row->length));
+  return object;
+}
+
+static const char *
+text_or_empty (const json_t *object, const char *key)
+{
+  const char *text = json_string_value (json_object_get (object, key));
+  return text != NULL ? text : "";
+}
+
+static json_t *
+rows_to_json (const site_row_t *rows, uint32_t count)
+{
+  json_t *array = json_array ();
+  for (uint32_t i = 0; i < count; i++)
+    json_array_append_new (array, row_to_json (&rows[i]));
+  return array;
+}
+
+/* Returns an array (g_free) whose texts belong to ARRAY.  */
+static site_row_t *
+rows_from_json (const json_t *array, uint32_t *count)
+{
+  *count = (uint32_t)json_array_size (array);
+  site_row_t *rows = g_new0 (site_row_t, *count + 1);
+  for (uint32_t i = 0; i < *count; i++)
+    {
+      const json_t *object = json_array_get (array, i);
+      const json_t *value = json_object_get (object, "value");
+      rows[i] = (site_row_t){
+        .table = text_or_empty (object, "table"),
+        .part = text_or_empty (object, "part"),
+        .key = text_or_empty (object, "key"),
+        .version
+        = (uint64_t)json_integer_value (json_object_get (object, "version")),
+        .value = json_string_value (value),
+        .length = json_string_length (value),
+      };
+    }
+  return rows;
+}
+
+static void
+on_peer_answered (void *context, const httpc_result_t *reply)
+{
+  passed_call_t *call = context;
+  json_t *body = reply->kind == ERR_OK && reply->status == 200
+                     ? json_loadb (reply->body, reply->length, 0, NULL)
+                     : NULL;
+  site_rows_t result = { .result = STORE_UNKNOWN };
+  site_row_t *rows = NULL;
+  if (body != NULL)
+    {
+      rows = rows_from_json (json_object_get (body, "rows"), &result.count);
+      result.rows = rows;
+      result.result = (store_result_t)json_integer_value (
+          json_object_get (body, "result"));
+      result.version
+          = (uint64_t)json_integer_value (json_object_get (body, "version"));
+      result.more = json_is_true (json_object_get (body, "more"));
+    }
+  else
+    {
+      node_adviser_failed (call->node, call->peer, BAD_PEER_MS);
+      if (reply->kind != ERR_OK && reply->outcome == OUTCOME_NOT_RUN
+          && !reply->repeated)
+        result.result = STORE_REFUSED;
+    }
+  call->done (call->context, &result);
+  g_free (rows);
+  json_decref (body);
+  g_free (call->peer);
+  g_free (call);
+}
+
+/* Sends BODY, which it takes, to a peer.  Returns false if there is none.  */
+static bool
+pass_on (node_t *node, const char *path, json_t *body, int64_t limit_ms,
+         site_rows_done_t done, void *context)
+{
+  const char *address;
+  const char *name = node_adviser_pick (node, &address);
+  if (name == NULL)
+    {
+      json_decref (body);
+      return false;
+    }
+  passed_call_t *call = g_new (passed_call_t, 1);
+  *call = (passed_call_t){ node, g_strdup (name), done, context };
+  json_object_set_new (body, "limit_ms", json_integer (limit_ms));
+  char *text = json_dumps (body, JSON_COMPACT);
+  char *url = g_strdup_printf ("http://%s%s", address, path);
+  node_count (node, "magnoliadock_passed_calls_total", NULL);
+  httpc_call (node->peers, "POST", url, text, limit_ms + PEER_SLACK_MS,
+              on_peer_answered, call);
+  g_free (url);
+  free (text);
+  json_decref (body);
+  return true;
+}
+
+void
+node_store_commit (node_t *node, bool by_peer, const site_row_t *expect,
+                   const site_row_t *write, site_rows_done_t done,
+                   void *context)
+{
+  int64_t limit_ms = node->patience.limit_ms;
+  if (by_peer
+      && pass_on (node, "/peer/commit",
+                  json_pack ("{s:o, s:o}", "expect", rows_to_json (expect, 1),
+                             "writes", rows_to_json (write, 1)),
+                  limit_ms, done, context))
+    return;
+  node->site->ops->commit (node->site, expect, 1, write, 1, limit_ms, done,
+                           context);
+}
+
+void
+node_store_read (node_t *node, bool by_peer, const char *table,
+                 const char *part, const char *from, const char *to,
+                 site_rows_done_t done, void *context)
+{
+  int64_t limit_ms = node->patience.limit_ms;
+  if (by_peer
+      && pass_on (node, "/peer/read",
+                  json_pack ("{s:s, s:s, s:s, s:s}", "table", table, "part",
+                             part, "from", from, "to", to),
+                  limit_ms, done, context))
+    return;
+  node->site->ops->read (node->site, table, part, from, to, limit_ms, done,
+                         context);
+}
+
+static void
+on_passed_done (void *context, const site_rows_t *reply)
+{
+  httpd_exchange_t *exchange = context;
+  json_t *body = json_pack (
+      "{s:i, s:I, s:b, s:o}", "result", (int)reply->result, "version",
+      (json_int_t)reply->version, "more", (int)reply->more, "rows",
+      rows_to_json (reply->rows, reply->count));
+  char *text = json_dumps (body, JSON_COMPACT);
+  if (text == NULL)
+    httpd_answer_error (exchange, ERR_INTERNAL, "row is not a text");
+  else
+    httpd_answer (exchange, 200, "application/json", text, strlen (text));
+  free (text);
+  json_decref (body);
+}
+
+void
+node_store_serve_commit (void *context, httpd_exchange_t *exchange,
+                         const httpd_request_t *request)
+{
+  node_t *node = context;
+  json_t *body = json_loadb (request->body, request->length, 0, NULL);
+  uint32_t expect_count;
+  uint32_t write_count;
+  site_row_t *expect
+      = rows_from_json (json_object_get (body, "expect"), &expect_count);
+  site_row_t *writes
+      = rows_from_json (json_object_get (body, "writes"), &write_count);
+  if (write_count == 0)
+    httpd_answer_error (exchange, ERR_BAD_REQUEST, "expected writes");
+  else
+    node->site->ops->commit (
+        node->site, expect, expect_count, writes, write_count,
+        json_integer_value (json_object_get (body, "limit_ms")),
+        on_passed_done, exchange);
+  g_free (expect);
+  g_free (writes);
+  json_decref (body);
+}
+
+void
+node_store_serve_read (void *context, httpd_exchange_t *exchange,
+                       const httpd_request_t *request)
+{
+  node_t *node = context;
+  json_t *body = json_loadb (request->body, request->length, 0, NULL);
+  node->site->ops->read (
+      node->site, text_or_empty (body, "table"), text_or_empty (body, "part"),
+      text_or_empty (body, "from"), text_or_empty (body, "to"),
+      json_integer_value (json_object_get (body, "limit_ms")), on_passed_done,
+      exchange);
+  json_decref (body);
+}
--- a/src/io/replica.c
+++ b/src/io/replica.c
@@ -19,12 +19,23 @@
   uint32_t round; /* of the last reading that held it */
 } copy_t;
 
+/* Reads the rows of one part.  */
+typedef struct
+{
+  replica_t *replica;
+  char *part;
+  char *from; /* next key, NULL: the first */
+  bool open, done;
+} reader_t;
+
 struct replica
 {
   site_t *site;
   struct ev_loop *loop;
   char *table;
-  char **parts;
+  reader_t *readers;
+  uint32_t reader_count;
+  uint32_t unread; /* readers that are not done */
   int64_t wait_ms, slack_ms, gap_ms;
   replica_events_t events;
   void *context;
@@ -32,14 +43,11 @@
   ev_timer retry;
   uint64_t after;
   uint64_t read_version; /* smallest of the reading under way */
-  uint32_t part;         /* being read */
-  char *from;            /* next key of the part, NULL: its first */
   uint32_t round;
-  bool loaded, reading, open, dead, failing;
+  uint32_t open; /* calls in flight */
+  bool loaded, reading, dead, failing;
 };
 
-static void next_call (replica_t *replica);
-
 static void
 copy_free (void *data)
 {
@@ -133,116 +141,172 @@
     replica->events.loaded (replica->context);
 }
 
+static void follow (replica_t *replica);
+static void read_part (reader_t *reader);
+
 static void
 begin_reading (replica_t *replica)
 {
   replica->reading = true;
   replica->round++;
-  replica->part = 0;
   replica->read_version = G_MAXUINT64;
-  g_clear_pointer (&replica->from, g_free);
+  replica->unread = replica->reader_count;
+  for (uint32_t i = 0; i < replica->reader_count; i++)
+    {
+      g_clear_pointer (&replica->readers[i].from, g_free);
+      replica->readers[i].done = false;
+    }
 }
 
+/* Makes the calls that are due.  */
 static void
-take_page (replica_t *replica, const site_rows_t *reply)
+proceed (replica_t *replica)
 {
-  replica->read_version = MIN (replica->read_version, reply->version);
-  for (uint32_t i = 0; i < reply->count; i++)
-    take_row (replica, &reply->rows[i]);
-  g_clear_pointer (&replica->from, g_free);
-  if (reply->more && reply->count > 0)
-    /* The smallest key above the last one.  */
-    replica->from
-        = g_strconcat (reply->rows[reply->count - 1].key, "\x01", NULL);
-  else if (replica->parts[++replica->part] == NULL)
-    finish_reading (replica);
+  if (!replica->reading)
+    {
+      follow (replica);
+      return;
+    }
+  for (uint32_t i = 0; i < replica->reader_count; i++)
+    if (!replica->readers[i].done && !replica->readers[i].open)
+      read_part (&replica->readers[i]);
 }
 
 static void
 on_retry (struct ev_loop *loop, ev_timer *watcher, int events)
 {
-  next_call (watcher->data);
+  proceed (watcher->data);
 }
 
 static void
-note_failure (replica_t *replica, bool failing)
+pause_before_next (replica_t *replica, double pause_s)
 {
-  if (failing != replica->failing)
-    log_event (failing ? LOG_WARN : LOG_INFO,
-               failing ? "store_lost" : "store_back", "table", replica->table,
-               NULL);
-  replica->failing = failing;
+  if (ev_is_active (&replica->retry))
+    return;
+  ev_timer_set (&replica->retry, pause_s, 0.0);
+  ev_timer_start (replica->loop, &replica->retry);
+}
+
+static void
+note_result (replica_t *replica, bool ok)
+{
+  if (ok == replica->failing)
+    log_event (ok ? LOG_INFO : LOG_WARN, ok ? "store_back" : "store_lost",
+               "table", replica->table, NULL);
+  replica->failing = !ok;
+  if (ok && replica->events.answered != NULL)
+    replica->events.answered (replica->context);
 }
 
 static void
 replica_destroy (replica_t *replica)
 {
+  for (uint32_t i = 0; i < replica->reader_count; i++)
+    {
+      g_free (replica->readers[i].part);
+      g_free (replica->readers[i].from);
+    }
   g_hash_table_unref (replica->rows);
-  g_strfreev (replica->parts);
+  g_free (replica->readers);
   g_free (replica->table);
-  g_free (replica->from);
   g_free (replica);
 }
 
-/* Takes REPLY.  Returns whether the next call may be made at once.  */
-static bool
-take_reply (replica_t *replica, const site_rows_t *reply)
+static void
+take_page (reader_t *reader, const site_rows_t *reply)
 {
-  if (reply->result == STORE_OK && replica->reading)
-    take_page (replica, reply);
-  else if (reply->result == STORE_OK)
+  replica_t *replica = reader->replica;
+  replica->read_version = MIN (replica->read_version, reply->version);
+  for (uint32_t i = 0; i < reply->count; i++)
+    take_row (replica, &reply->rows[i]);
+  g_clear_pointer (&reader->from, g_free);
+  if (reply->more && reply->count > 0)
     {
-      for (uint32_t i = 0; i < reply->count; i++)
-        take_row (replica, &reply->rows[i]);
-      replica->after = MAX (replica->after, reply->version);
+      /* The smallest key above the last one.  */
+      reader->from
+          = g_strconcat (reply->rows[reply->count - 1].key, "\x01", NULL);
+      return;
     }
-  else if (reply->result == STORE_LOST && !replica->reading)
+  reader->done = true;
+  if (--replica->unread == 0)
+    finish_reading (replica);
+}
+
+/* A call has been dealt with; only now may the replica be freed.  */
+static void
+close_call (replica_t *replica, bool ok)
+{
+  replica->open--;
+  if (replica->dead)
     {
-      log_event (LOG_WARN, "history_lost", "table", replica->table, NULL);
-      begin_reading (replica);
+      if (replica->open == 0)
+        replica_destroy (replica);
+      return;
     }
+  if (!ok)
+    pause_before_next (replica, RETRY_S);
+  else if (replica->reading || replica->gap_ms == 0)
+    proceed (replica);
   else
+    pause_before_next (replica, (double)replica->gap_ms / 1000.0);
+}
+
+static void
+on_page (void *context, const site_rows_t *reply)
+{
+  reader_t *reader = context;
+  replica_t *replica = reader->replica;
+  bool ok = reply->result == STORE_OK;
+  reader->open = false;
+  if (!replica->dead)
     {
-      note_failure (replica, true);
-      return false;
+      if (ok)
+        take_page (reader, reply);
+      note_result (replica, ok);
     }
-  note_failure (replica, false);
-  if (replica->events.answered != NULL)
-    replica->events.answered (replica->context);
-  return true;
+  close_call (replica, ok);
 }
 
 static void
-on_reply (void *context, const site_rows_t *reply)
+read_part (reader_t *reader)
+{
+  replica_t *replica = reader->replica;
+  reader->open = true;
+  replica->open++;
+  replica->site->ops->read (replica->site, replica->table, reader->part,
+                            reader->from, NULL, READ_LIMIT_MS, on_page,
+                            reader);
+}
+
+static void
+on_changes (void *context, const site_rows_t *reply)
 {
   replica_t *replica = context;
-  /* Stays open meanwhile, so that an event may free the replica.  */
-  bool more = !replica->dead && take_reply (replica, reply);
-  replica->open = false;
-  if (replica->dead)
-    replica_destroy (replica);
-  else if (more && (replica->gap_ms == 0 || replica->reading))
-    next_call (replica);
-  else
+  bool ok = reply->result == STORE_OK;
+  if (!replica->dead && reply->result == STORE_LOST)
     {
-      double pause_s = more ? (double)replica->gap_ms / 1000.0 : RETRY_S;
-      ev_timer_set (&replica->retry, pause_s, 0.0);
-      ev_timer_start (replica->loop, &replica->retry);
+      log_event (LOG_WARN, "history_lost", "table", replica->table, NULL);
+      begin_reading (replica);
+      ok = true;
     }
+  else if (!replica->dead)
+    {
+      for (uint32_t i = 0; ok && i < reply->count; i++)
+        take_row (replica, &reply->rows[i]);
+      if (ok)
+        replica->after = MAX (replica->after, reply->version);
+      note_result (replica, ok);
+    }
+  close_call (replica, ok);
 }
 
 static void
-next_call (replica_t *replica)
+follow (replica_t *replica)
 {
-  site_t *site = replica->site;
-  replica->open = true;
-  if (replica->reading)
-    site->ops->read (site, replica->table, replica->parts[replica->part],
-                     replica->from, NULL, READ_LIMIT_MS, on_reply, replica);
-  else
-    site->ops->follow (site, replica->table, replica->after, replica->wait_ms,
-                       replica->wait_ms + replica->slack_ms, on_reply,
-                       replica);
+  replica->open++;
+  replica->site->ops->follow (
+      replica->site, replica->table, replica->after, replica->wait_ms,
+      replica->wait_ms + replica->slack_ms, on_changes, replica);
 }
 
 replica_t *
@@ -254,7 +318,12 @@
   replica->site = site;
   replica->loop = loop;
   replica->table = g_strdup (options->table);
-  replica->parts = g_strdupv ((char **)options->parts);
+  for (; options->parts[replica->reader_count] != NULL;)
+    replica->reader_count++;
+  replica->readers = g_new0 (reader_t, replica->reader_count);
+  for (uint32_t i = 0; i < replica->reader_count; i++)
+    replica->readers[i] = (reader_t){ replica, g_strdup (options->parts[i]),
+                                      NULL, false, false };
   replica->wait_ms = options->wait_ms;
   replica->slack_ms = options->slack_ms;
   replica->gap_ms = options->gap_ms;
@@ -265,7 +334,7 @@
   ev_init (&replica->retry, on_retry);
   replica->retry.data = replica;
   begin_reading (replica);
-  next_call (replica);
+  proceed (replica);
   return replica;
 }
 
@@ -276,7 +345,7 @@
     return;
   ev_timer_stop (replica->loop, &replica->retry);
   replica->dead = true;
-  if (!replica->open)
+  if (replica->open == 0)
     replica_destroy (replica);
 }
 
--- a/src/io/site.h
+++ b/src/io/site.h
@@ -149,8 +149,8 @@
   bool (*serve) (site_t *site, const site_jobs_t *jobs, void *context,
                  GError **error);
   void (*set_ready) (site_t *site, bool ready);
-  /* Connections end with their next answer.  */
-  void (*end_connections) (site_t *site);
+  /* Whether connections end with their next answer.  */
+  void (*end_connections) (site_t *site, bool end);
   uint32_t (*open_requests) (const site_t *site);
   /* Reads the settings again.  */
   void (*reload) (site_t *site);
