tests: play cells against fake workers, store and owners with faults

Found at once (everything): a start that a worker had not answered before it started anew was carried out by its new life beside the next run. Such a run is now stopped at the new life first.

--- a/src/cell_int.h
+++ b/src/cell_int.h
@@ -191,6 +191,8 @@
 void cell_assign (cell_task_t *task, cell_worker_t *worker);
 void cell_order (cell_task_t *task);
 void cell_want_stop (cell_task_t *task);
+/* The same for a run that may be stopping already.  */
+void cell_stop_again (cell_task_t *task);
 /* The task's run is over; HOW tells why and CHECKPOINT what it saved.  */
 void cell_run_ended (cell_task_t *task, end_kind_t how,
                      const char *checkpoint);
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -135,6 +135,15 @@
     }
 }
 
+void
+cell_stop_again (cell_task_t *task)
+{
+  if (task->state != RUN_DONE)
+    cell_set_task (task, RUN_STOPPING);
+  task->stopped_ms = 0;
+  send_stop (task);
+}
+
 static void
 keep_checkpoint (cell_task_t *task, const char *checkpoint)
 {
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -70,6 +70,32 @@
     }
 }
 
+/* The worker has started anew.  A start that was sent to it before and not
+   answered may still be carried out by its new life, so such a run is stopped
+   there first.  */
+static void
+end_runs_of_old_life (cell_worker_t *worker)
+{
+  GPtrArray *over = g_ptr_array_new ();
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      cell_task_t *task = worker->tasks->pdata[i];
+      if (task->state == RUN_ASSIGNED)
+        continue;
+      if (task->unsure || task->start_open)
+        cell_stop_again (task);
+      else
+        g_ptr_array_add (over, task);
+    }
+  for (guint i = 0; i < over->len; i++)
+    {
+      cell_task_t *task = over->pdata[i];
+      if (task->worker == worker && task->state != RUN_ASSIGNED)
+        cell_run_ended (task, END_LAPSED, NULL);
+    }
+  g_ptr_array_unref (over);
+}
+
 static void
 worker_reborn (cell_t *cell, cell_worker_t *worker, int64_t born_ms)
 {
@@ -83,7 +109,7 @@
   worker->fail_streak = 0;
   worker->avoid_until_ms = 0;
   worker->fenced = false;
-  end_all_runs (worker);
+  end_runs_of_old_life (worker);
 }
 
 static void
--- /dev/null
+++ b/tests/fake_cell.h
@@ -0,0 +1,63 @@
+#ifndef MAGNOLIADOCK_FAKE_CELL_H
+#define MAGNOLIADOCK_FAKE_CELL_H
+
+#include "cell.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* NAME
+     fake_cell - a store, workers and owners around a cell, with faults
+
+   Time is a fake clock that jumps from event to event.  What workers do is
+   checked against the promises while it happens; the first breach is kept as
+   text.  */
+
+typedef struct fake_cell fake_cell_t;
+
+/* Chances out of 1000 for each call, or for each 100 ms where so stated.  */
+typedef struct
+{
+  uint32_t answer_lost;   /* the order is carried out, its answer lost */
+  uint32_t order_late;    /* carried out 2 to 6 s later, no answer */
+  uint32_t order_dropped; /* neither delivered nor answered */
+  uint32_t run_fails;
+  uint32_t worker_crash;   /* each 100 ms: it starts anew at once */
+  uint32_t worker_cut;     /* each 100 ms: silent for 1 to 9 s */
+  uint32_t owner_lost;     /* each 100 ms: another owner takes over */
+  uint32_t store_away;     /* each 100 ms: saves hang for 1 to 4 s */
+  uint32_t ticket_life_ms; /* 0: queues without advice */
+} fake_faults_t;
+
+typedef enum
+{
+  BREAK_NOTHING,
+  BREAK_FENCING,     /* workers ignore tokens */
+  BREAK_EARLY_ACK,   /* ends are acknowledged before they are saved */
+  BREAK_START_FIRST, /* starts are sent before their record is saved */
+  BREAK_UNSURE       /* a refusal after a lost answer counts as not run */
+} fake_break_t;
+
+fake_cell_t *fake_cell_new (uint32_t seed, uint32_t workers,
+                            const fake_faults_t *faults, fake_break_t broken);
+void fake_cell_free (fake_cell_t *world);
+
+/* Takes JOB; it is found by the owner 5 ms later.  */
+void fake_cell_submit (fake_cell_t *world, work_job_t *job);
+void fake_cell_cancel (fake_cell_t *world, const char *id);
+/* Runs for FOR_MS.  */
+void fake_cell_run (fake_cell_t *world, int64_t for_ms);
+/* No further faults begin.  */
+void fake_cell_calm (fake_cell_t *world);
+
+/* First broken promise, NULL if none was.  */
+const char *fake_cell_breach (const fake_cell_t *world);
+/* State of a job in the saved records, "queued" if it has none.  */
+const char *fake_cell_saved_state (const fake_cell_t *world, const char *id);
+cell_t *fake_cell_owner (fake_cell_t *world);
+uint32_t fake_cell_starts (const fake_cell_t *world);
+/* Lets another owner take over now.  */
+void fake_cell_take_over (fake_cell_t *world);
+uint32_t fake_cell_running (const fake_cell_t *world);
+
+#endif
--- /dev/null
+++ b/tests/test_cell.c
@@ -0,0 +1,263 @@
+#include "fake_cell.h"
+#include "test.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define SEEDS 60
+#define JOBS 30
+
+static work_job_t *
+job_new (uint32_t number, uint32_t steps, uint32_t count, int64_t work_ms)
+{
+  char id[WORK_ID_LENGTH + 1];
+  g_snprintf (id, sizeof id, "%016x", number);
+  work_job_t *job = work_job_new (id, "queue", steps);
+  job->spec = g_strdup ("spec");
+  job->accepted_ms = 1000;
+  for (uint32_t i = 0; i < steps; i++)
+    {
+      work_step_t *step = &job->steps[i];
+      step->count = count;
+      step->need = (resource_t){ 2000, 1000, 0 };
+      step->estimate_ms = work_ms;
+      if (i > 0)
+        {
+          step->after = g_new (uint32_t, 1);
+          step->after[0] = i - 1;
+          step->after_count = 1;
+        }
+    }
+  return job;
+}
+
+static const fake_faults_t no_faults = { 0 };
+
+/* Guards against a job that is not run to its end on a calm day.  */
+static void
+test_calm_job (void)
+{
+  fake_cell_t *world = fake_cell_new (1, 4, &no_faults, BREAK_NOTHING);
+  fake_cell_submit (world, job_new (1, 3, 5, 400));
+  fake_cell_run (world, 3000);
+  CU_ASSERT_PTR_NULL (fake_cell_breach (world));
+  CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (world, "0000000000000001"),
+                          "completed");
+  CU_ASSERT_EQUAL (fake_cell_starts (world), 15);
+  fake_cell_free (world);
+}
+
+/* Guards against gangs that start in part or under several run numbers.  */
+static void
+test_gang (void)
+{
+  fake_cell_t *world = fake_cell_new (1, 4, &no_faults, BREAK_NOTHING);
+  work_job_t *job = job_new (1, 1, 4, 500);
+  job->steps[0].gang = true;
+  job->steps[0].need.accelerators = 8;
+  fake_cell_submit (world, job);
+  fake_cell_run (world, 2000);
+  CU_ASSERT_PTR_NULL (fake_cell_breach (world));
+  CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (world, "0000000000000001"),
+                          "completed");
+  CU_ASSERT_EQUAL (fake_cell_starts (world), 4);
+  fake_cell_free (world);
+}
+
+/* Guards against tasks of a cancelled job that run on.  */
+static void
+test_cancel (void)
+{
+  fake_cell_t *world = fake_cell_new (1, 4, &no_faults, BREAK_NOTHING);
+  work_job_t *job = job_new (1, 1, 6, 60000);
+  job->steps[0].lasting = true;
+  fake_cell_submit (world, job);
+  fake_cell_run (world, 500);
+  CU_ASSERT_EQUAL (fake_cell_running (world), 6);
+  fake_cell_cancel (world, "0000000000000001");
+  fake_cell_run (world, 500);
+  CU_ASSERT_EQUAL (fake_cell_running (world), 0);
+  CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (world, "0000000000000001"),
+                          "cancelled");
+  fake_cell_free (world);
+}
+
+/* Guards against a job that can never succeed being tried without end.  */
+static void
+test_attempts (void)
+{
+  fake_faults_t faults = { .run_fails = 1000 };
+  fake_cell_t *world = fake_cell_new (1, 12, &faults, BREAK_NOTHING);
+  fake_cell_submit (world, job_new (1, 1, 1, 100));
+  fake_cell_run (world, 20000);
+  CU_ASSERT_PTR_NULL (fake_cell_breach (world));
+  CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (world, "0000000000000001"),
+                          "failed");
+  CU_ASSERT_EQUAL (fake_cell_starts (world), 4);
+  fake_cell_free (world);
+}
+
+static void
+count_pending (void *context, const char *queue, uint32_t pending)
+{
+  *(uint32_t *)context += pending;
+}
+
+static uint32_t
+pending_of (fake_cell_t *world)
+{
+  uint32_t pending = 0;
+  cell_each_pending (fake_cell_owner (world), count_pending, &pending);
+  return pending;
+}
+
+/* Guards against jobs that count as begun once their start was recorded, and
+   are then missing from the pending ones after a takeover.  */
+static void
+test_pending_after_takeover (void)
+{
+  fake_faults_t faults = { .order_dropped = 1000 };
+  fake_cell_t *world = fake_cell_new (1, 4, &faults, BREAK_NOTHING);
+  fake_cell_submit (world, job_new (1, 1, 2, 500));
+  fake_cell_run (world, 200);
+  CU_ASSERT_EQUAL (pending_of (world), 1);
+  fake_cell_take_over (world);
+  CU_ASSERT_EQUAL (pending_of (world), 1);
+  fake_cell_free (world);
+}
+
+static work_job_t *
+random_job (GRand *random, uint32_t number)
+{
+  work_job_t *job = job_new (number, (uint32_t)g_rand_int_range (random, 1, 4),
+                             (uint32_t)g_rand_int_range (random, 1, 6),
+                             g_rand_int_range (random, 50, 3000));
+  for (uint32_t i = 0; i < job->step_count; i++)
+    {
+      work_step_t *step = &job->steps[i];
+      step->need.cpu_millis = g_rand_int_range (random, 500, 8000);
+      step->gang = g_rand_int_range (random, 0, 4) == 0;
+      if (step->gang)
+        step->need.accelerators = g_rand_int_range (random, 1, 5);
+      if (!step->gang && g_rand_int_range (random, 0, 4) == 0)
+        step->spread = 2;
+    }
+  return job;
+}
+
+/* Plays a random day.  Returns the breach (g_free), or the state of a job that
+   did not end, or NULL.  */
+static char *
+play_day (uint32_t seed, const fake_faults_t *faults, fake_break_t broken)
+{
+  GRand *random = g_rand_new_with_seed (seed);
+  fake_cell_t *world = fake_cell_new (seed, 6, faults, broken);
+  char *breach = NULL;
+  char id[WORK_ID_LENGTH + 1];
+  for (uint32_t i = 1; i <= JOBS; i++)
+    {
+      fake_cell_submit (world, random_job (random, i));
+      fake_cell_run (world, g_rand_int_range (random, 100, 900));
+    }
+  fake_cell_calm (world);
+  fake_cell_run (world, 60000);
+  breach = g_strdup (fake_cell_breach (world));
+  for (uint32_t i = 1; i <= JOBS && breach == NULL; i++)
+    {
+      g_snprintf (id, sizeof id, "%016x", i);
+      const char *state = fake_cell_saved_state (world, id);
+      if (strcmp (state, "completed") != 0 && strcmp (state, "failed") != 0)
+        breach = g_strdup_printf ("job %s is %s at the end", id, state);
+    }
+  fake_cell_free (world);
+  g_rand_free (random);
+  return breach;
+}
+
+static const struct
+{
+  const char *name;
+  fake_faults_t faults;
+} days[] = {
+  { "calm", { 0 } },
+  { "tickets", { .ticket_life_ms = 300 } },
+  { "lost answers", { .answer_lost = 60, .ticket_life_ms = 800 } },
+  { "late orders", { .order_late = 40 } },
+  { "late orders, tickets", { .order_late = 40, .ticket_life_ms = 600 } },
+  { "dropped orders", { .order_dropped = 50 } },
+  { "failing runs", { .run_fails = 150 } },
+  { "crashing workers", { .worker_crash = 30 } },
+  { "cut workers", { .worker_cut = 20 } },
+  { "lost owners", { .owner_lost = 40 } },
+  { "store away", { .store_away = 20, .owner_lost = 10 } },
+  { "everything",
+    { .answer_lost = 30,
+      .order_late = 20,
+      .order_dropped = 20,
+      .run_fails = 40,
+      .worker_crash = 10,
+      .worker_cut = 10,
+      .owner_lost = 15,
+      .store_away = 8,
+      .ticket_life_ms = 900 } },
+};
+
+/* Guards against doubled, lost, early and oversized runs under every kind of
+   fault; a seed that fails is printed and taken back by --seed.  */
+static void
+test_random_days (void)
+{
+  for (size_t day = 0; day < G_N_ELEMENTS (days); day++)
+    for (uint32_t i = 0; i < SEEDS; i++)
+      {
+        uint32_t seed = test_seed () + i;
+        char *breach = play_day (seed, &days[day].faults, BREAK_NOTHING);
+        if (breach != NULL)
+          printf ("\n  %s, seed %u: %s\n", days[day].name, seed, breach);
+        CU_ASSERT_PTR_NULL (breach);
+        g_free (breach);
+      }
+}
+
+/* Guards against a random test that would not notice: each broken variant has
+   to be caught within ten seeds.  */
+static void
+test_broken_variants (void)
+{
+  static const struct
+  {
+    fake_break_t broken;
+    fake_faults_t faults;
+  } variants[] = {
+    { BREAK_START_FIRST, { .owner_lost = 60 } },
+    { BREAK_FENCING, { .owner_lost = 60, .order_late = 60 } },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (variants); i++)
+    {
+      bool caught = false;
+      for (uint32_t seed = 1; seed <= 10 && !caught; seed++)
+        {
+          char *breach
+              = play_day (seed, &variants[i].faults, variants[i].broken);
+          caught = breach != NULL;
+          g_free (breach);
+        }
+      CU_ASSERT_TRUE (caught);
+    }
+}
+
+static CU_TestInfo cell_tests[] = {
+  { "a job of three steps on a calm day", test_calm_job },
+  { "a gang starts whole", test_gang },
+  { "a cancelled job's tasks end", test_cancel },
+  { "a hopeless job fails after its attempts", test_attempts },
+  { "pending jobs after a takeover", test_pending_after_takeover },
+  { "random days with faults", test_random_days },
+  { "broken variants are caught", test_broken_variants },
+  CU_TEST_INFO_NULL,
+};
+
+CU_SuiteInfo test_cell_suites[] = {
+  { "cell", NULL, NULL, NULL, NULL, cell_tests },
+  CU_SUITE_INFO_NULL,
+};
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -15,6 +15,7 @@
   test_base_suites,
   test_burn_suites,
   test_burnrow_suites,
+  test_cell_suites,
   test_conf_suites,
   test_confrev_suites,
   test_contract_suites,
