cell: wait for late orders to a worker's new life

Cause: after a worker had started anew, its lease counted from the takeover, long past, so that a run which was being stopped there ended at the first unanswered look (crashing workers: two runs of one task). Ruled out: the fake world, whose looks no longer reach a new life and whose ends count as acknowledged only if no lease expired between.

--- a/src/cell_int.h
+++ b/src/cell_int.h
@@ -129,8 +129,9 @@
   uint64_t sent_seen;
   int64_t ended_ms;                   /* when an end was last processed */
   int64_t anchor_ms, anchor_clock_ms; /* CLOCK was at least this at ANCHOR */
-  int64_t lease_until_ms; /* worker's clock; highest that was sent */
-  uint32_t fail_streak;   /* failed runs since the last done one */
+  int64_t lease_until_ms;     /* worker's clock; highest that was sent */
+  int64_t renewable_until_ms; /* a late order to its new life may renew */
+  uint32_t fail_streak;       /* failed runs since the last done one */
   int64_t avoid_until_ms;
   resource_t promised; /* kept for a group in the current pass */
 };
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -109,6 +109,7 @@
   worker->fail_streak = 0;
   worker->avoid_until_ms = 0;
   worker->fenced = false;
+  worker->renewable_until_ms = cell->now_ms + cell->options.evidence_ms;
   end_runs_of_old_life (worker);
 }
 
@@ -431,7 +432,7 @@
   double slow = 1.0 / (1.0 - CLOCK_SLOW_SHARE);
   if (!worker->fenced || worker->anchor_ms == 0)
     return cell->now_ms
-           > cell->previous_renews_until_ms
+           > MAX (cell->previous_renews_until_ms, worker->renewable_until_ms)
                  + (int64_t)((double)cell->options.lease_ms * slow)
                  + LAPSE_MARGIN_MS;
   double left_ms
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -494,9 +494,12 @@
         return;
       fake_truth_t *truth = truth_of (world, end->task);
       const work_step_t *step = step_of (world, end->task);
-      truth->done
-          = truth->done
-            || (end->how == END_DONE && step != NULL && !step->lasting);
+      bool done = end->how == END_DONE && step != NULL && !step->lasting
+                  && worker->lapsed_ms <= end->at_ms;
+      truth->done = truth->done || done;
+      if (done && truth->started_ms > end->at_ms)
+        breach (world, "%s: was started after the end that is acknowledged",
+                end->task);
       truth->failures += end->how == END_FAILED;
       g_ptr_array_remove_index (worker->ends, 0);
     }
