node: claim at once from an owner that has started anew

Change: the entry row tells that an owner has started anew; the node that held the cell goes first; jobs that are over are not decoded.

Ruled out: reading the inbox in parts, which happens at the same time.

--- a/src/cell.h
+++ b/src/cell.h
@@ -171,6 +171,11 @@
 
 /* A stored job; takes WORK.  Known ids are ignored.  */
 void cell_add_job (cell_t *cell, work_job_t *work);
+/* A job that an earlier owner recorded as over, and of which nothing can run
+   any more: TEXT is such a record.  Returns false, and does nothing, for any
+   other record.  */
+bool cell_add_over (cell_t *cell, const char *id, const char *text,
+                    size_t length);
 /* What an earlier owner recorded of a job, before cell_begin.  Returns whether
    TEXT could be read.  */
 bool cell_load_record (cell_t *cell, const char *id, const char *text,
--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -204,6 +204,31 @@
   return ok;
 }
 
+bool
+cell_add_over (cell_t *cell, const char *id, const char *text, size_t length)
+{
+  const char *letter = length >= 5 ? strchr (state_letters, text[2]) : NULL;
+  if (letter == NULL || *letter == '\0'
+      || letter - state_letters <= JOB_STATE_RUNNING
+      || g_hash_table_contains (cell->jobs, id))
+    return false;
+  /* A task that holds a worker's room may still run there.  */
+  for (const char *line = memchr (text, '\n', length); line != NULL;
+       line = memchr (line + 1, '\n', length - (size_t)(line + 1 - text)))
+    if (line[1] == 't' && g_strstr_len (line + 1, 16, " a ") != NULL)
+      return false;
+  cell_job_t *job = g_new0 (cell_job_t, 1);
+  job->cell = cell;
+  g_strlcpy (job->id, id, sizeof job->id);
+  job->state = (job_show_t)(letter - state_letters);
+  job->saved_state = job->state;
+  job->ended_ms = clk_now_ms (cell->clock);
+  job->groups = g_ptr_array_new ();
+  g_hash_table_insert (cell->jobs, job->id, job);
+  g_ptr_array_add (cell->expiring, job);
+  return true;
+}
+
 /* Takes the dirty jobs into the save that is about to begin.  */
 static void
 collect_records (cell_t *cell, GArray *records)
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -158,6 +158,8 @@
     }
   if (!cancels && cell->replay_pass != REPLAY_CANCELS)
     {
+      if (cell_state (cell->cell, key) != NULL)
+        return;
       GError *error = NULL;
       work_job_t *job = work_job_decode (value, length, &error);
       if (job != NULL)
@@ -170,6 +172,18 @@
   cell->node->input = true;
 }
 
+/* Jobs that are over need no description.  */
+static void
+load_over_jobs (node_cell_t *cell)
+{
+  for (guint i = cell->records->len; i > 0; i--)
+    {
+      const stored_record_t *record = cell->records->pdata[i - 1];
+      if (cell_add_over (cell->cell, record->id, record->text, record->length))
+        g_ptr_array_remove_index_fast (cell->records, i - 1);
+    }
+}
+
 static void
 load_job_records (node_cell_t *cell)
 {
@@ -196,6 +210,7 @@
                          &node_cell_actions, cell);
   if (node->queues != NULL)
     cell_set_queues (cell->cell, node->queues);
+  load_over_jobs (cell);
   cell->replay_pass = REPLAY_JOBS;
   replica_replay (cell->inbox);
   replica_replay (node->workers);
--- a/src/io/node_claim.c
+++ b/src/io/node_claim.c
@@ -285,9 +285,9 @@
   if (cell->state != CELL_IDLE)
     return;
   bool vacant = cell->owner == NULL || cell->owner[0] == '\0';
-  /* Its own earlier incarnation holds the cell no longer.  */
-  if (!vacant && !is_me (cell)
-      && g_strcmp0 (cell->owner, node->site->settings.name) == 0)
+  bool was_mine = !vacant && !is_me (cell)
+                  && g_strcmp0 (cell->owner, node->site->settings.name) == 0;
+  if (!vacant && owner_is_over (cell, cell->owner, cell->owner_incarnation))
     vacant = true;
   /* Beats of a slow store come late.  */
   int64_t patience_ms = vacant ? 0
@@ -295,6 +295,9 @@
                                      - node->patience.least_ms;
   patience_ms += (int64_t)my_rank (cell) * RANK_GAP_MS
                  + (int64_t)node_cells_held (node) * BUSY_GAP_MS;
+  /* The node that held the cell before it started anew goes first.  */
+  if (was_mine)
+    patience_ms = 0;
   if (node->answered_ms - cell->beat_ms >= patience_ms
       && now_ms - node->answered_ms < FRESH_MS)
     begin_claim (cell);
