node: refuse at once what no node can store, repeat lost orders sooner

The limits that misses had raised delayed claims.

Change: a peer whose store is lost refuses, an attempt ends with the caller's time, orders are repeated after 200 ms, and losses are judged by the time that answers usually take.

--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -4,9 +4,11 @@
 
 /* An order without an answer is sent again after this time; a sound worker
    answers within a few ms.  */
-#define ORDER_REPEAT_MS 300
+#define ORDER_REPEAT_MS 100
 /* The same while the worker answers nothing at all.  */
 #define ORDER_REPEAT_SILENT_MS 700
+/* A worker that refuses is left alone for a moment.  */
+#define AVOID_REFUSING_MS 300
 /* Failed runs in a row, of any jobs, after which a worker is avoided, and for
    how long at first and at most.  */
 #define FAIL_STREAK 3
@@ -275,7 +277,7 @@
     task->worker->ok = false;
   if (result == ORDER_REFUSED || result == ORDER_NO_ROOM)
     task->worker->avoid_until_ms
-        = task->group->job->cell->now_ms + ORDER_REPEAT_MS;
+        = task->group->job->cell->now_ms + AVOID_REFUSING_MS;
   /* An earlier copy of the order may still be carried out, and a run that has
      ended there is in the next report.  */
   if (task->unsure || result == ORDER_STALE)
@@ -299,8 +301,10 @@
   task->start_open = false;
   if (result == ORDER_UNKNOWN)
     {
+      /* One lost answer says little of the worker.  */
+      if (task->unsure)
+        worker->ok = false;
       task->unsure = true;
-      worker->ok = false;
       return;
     }
   if (result == ORDER_MOVED)
--- a/src/io/node_front.c
+++ b/src/io/node_front.c
@@ -18,6 +18,8 @@
 #define CALLER_WAIT_MS 3000
 #define ANSWER_MARGIN_MS 250
 #define COME_BACK_MS 500
+/* An attempt with less time left makes no sense.  */
+#define ATTEMPT_LEAST_MS 100
 
 typedef struct
 {
@@ -98,7 +100,7 @@
   if (reply->result != STORE_BUSY)
     write->by_peer = true;
   write->refusals++;
-  if (now_ms >= write->until_ms
+  if (now_ms >= write->until_ms - ATTEMPT_LEAST_MS
       || (!write->unsure && write->refusals > REFUSED_REPEATS))
     {
       give_up (write);
@@ -124,8 +126,10 @@
   site_row_t row = { write->table,         part, write->key, 0, write->value,
                      strlen (write->value) };
   write->sent_ms = node_now (node);
-  write->limit_ms = node->patience.limit_ms;
-  node_store_commit (node, write->by_peer, &expect, &row, on_written, write);
+  write->limit_ms = CLAMP (write->until_ms - write->sent_ms, ATTEMPT_LEAST_MS,
+                           node->patience.limit_ms);
+  node_store_commit (node, write->by_peer, &expect, &row, write->limit_ms,
+                     on_written, write);
 }
 
 static write_t *
@@ -139,7 +143,7 @@
   write->table = g_strdup (cell->inbox_table);
   write->id = g_strdup (id);
   write->until_ms = node_now (node) + (wait_ms > 0 ? wait_ms : CALLER_WAIT_MS)
-                    - ANSWER_MARGIN_MS - node->patience.limit_ms;
+                    - ANSWER_MARGIN_MS;
   write->by_peer = node_store_lost (node);
   ev_init (&write->repeat, on_repeat);
   write->repeat.data = write;
--- a/src/io/node_int.h
+++ b/src/io/node_int.h
@@ -173,8 +173,8 @@
 /* One write under one condition, and a read.  BY_PEER: through another node if
    there is one.  */
 void node_store_commit (node_t *node, bool by_peer, const site_row_t *expect,
-                        const site_row_t *write, site_rows_done_t done,
-                        void *context);
+                        const site_row_t *write, int64_t limit_ms,
+                        site_rows_done_t done, void *context);
 void node_store_read (node_t *node, bool by_peer, const char *table,
                       const char *part, const char *from, const char *to,
                       site_rows_done_t done, void *context);
--- a/src/io/node_orders.c
+++ b/src/io/node_orders.c
@@ -5,10 +5,11 @@
 /* NAME
      node_orders - calls to workers on behalf of an owned cell  */
 
-/* An order to a sound worker takes a few ms.  */
-#define ORDER_LIMIT_MS 500
+/* An order to a sound worker takes a few ms, and some more while this node is
+   busy; a repeated one does no harm.  */
+#define ORDER_LIMIT_MS 200
 /* Beyond the time that the worker may wait for an end.  */
-#define LOOK_SLACK_MS 700
+#define LOOK_SLACK_MS 400
 
 /* A call in flight.  */
 typedef struct
--- a/src/io/node_store.c
+++ b/src/io/node_store.c
@@ -15,7 +15,9 @@
 
 /* The store is taken for lost by this node after so long without an answer to
    the calls that follow the cluster, which come three times a second.  */
-#define STORE_LOST_MS 900
+#define STORE_LOST_MS 700
+/* The same for each millisecond that answers usually take.  */
+#define STORE_SLOW_FACTOR 3
 /* On top of the limit of the call that the peer makes.  */
 #define PEER_SLACK_MS 300
 /* A peer that did not answer is left out for this long.  */
@@ -32,7 +34,8 @@
 bool
 node_store_lost (const node_t *node)
 {
-  return node_now (node) - node->answered_ms > STORE_LOST_MS;
+  return node_now (node) - node->answered_ms
+         > STORE_LOST_MS + STORE_SLOW_FACTOR * node->patience.usual_ms;
 }
 
 static json_t *
@@ -147,10 +150,9 @@
 
 void
 node_store_commit (node_t *node, bool by_peer, const site_row_t *expect,
-                   const site_row_t *write, site_rows_done_t done,
-                   void *context)
+                   const site_row_t *write, int64_t limit_ms,
+                   site_rows_done_t done, void *context)
 {
-  int64_t limit_ms = node->patience.limit_ms;
   if (by_peer
       && pass_on (node, "/peer/commit",
                   json_pack ("{s:o, s:o}", "expect", rows_to_json (expect, 1),
@@ -194,6 +196,17 @@
   json_decref (body);
 }
 
+/* Answers a peer at once if the store does not answer this node either.  */
+static bool
+refuse_peer (node_t *node, httpd_exchange_t *exchange)
+{
+  site_rows_t refusal = { .result = STORE_REFUSED };
+  if (!node_store_lost (node))
+    return false;
+  on_passed_done (exchange, &refusal);
+  return true;
+}
+
 void
 node_store_serve_commit (void *context, httpd_exchange_t *exchange,
                          const httpd_request_t *request)
@@ -206,7 +219,9 @@
       = rows_from_json (json_object_get (body, "expect"), &expect_count);
   site_row_t *writes
       = rows_from_json (json_object_get (body, "writes"), &write_count);
-  if (write_count == 0)
+  if (refuse_peer (node, exchange))
+    ;
+  else if (write_count == 0)
     httpd_answer_error (exchange, ERR_BAD_REQUEST, "expected writes");
   else
     node->site->ops->commit (
@@ -224,10 +239,12 @@
 {
   node_t *node = context;
   json_t *body = json_loadb (request->body, request->length, 0, NULL);
-  node->site->ops->read (
-      node->site, text_or_empty (body, "table"), text_or_empty (body, "part"),
-      text_or_empty (body, "from"), text_or_empty (body, "to"),
-      json_integer_value (json_object_get (body, "limit_ms")), on_passed_done,
-      exchange);
+  if (!refuse_peer (node, exchange))
+    node->site->ops->read (
+        node->site, text_or_empty (body, "table"),
+        text_or_empty (body, "part"), text_or_empty (body, "from"),
+        text_or_empty (body, "to"),
+        json_integer_value (json_object_get (body, "limit_ms")),
+        on_passed_done, exchange);
   json_decref (body);
 }
--- a/src/patience.h
+++ b/src/patience.h
@@ -15,6 +15,7 @@
   int64_t least_ms;
   int64_t most_ms;
   int64_t limit_ms;
+  int64_t usual_ms; /* what answers took lately; misses do not raise it */
 } patience_t;
 
 void patience_init (patience_t *patience, int64_t least_ms, int64_t most_ms);
