--- a/src/cell.c
+++ b/src/cell.c
@@ -185,6 +185,7 @@
     {
       cell->next_scan_ms = cell->now_ms + CELL_TICK_MS;
       cell_check_workers (cell);
+      cell_forget_old (cell);
       cell_retry_orders (cell);
       cell->place_wanted = true;
     }
--- a/src/cell.h
+++ b/src/cell.h
@@ -36,6 +36,7 @@
   int64_t pace_delay_ms; /* until a pace is in force */
   double remote_factor;  /* slowdown away from the data or the rack */
   int64_t restore_ms;    /* start from a checkpoint */
+  int64_t keep_ms;       /* how long the state of an ended job is told */
 } cell_options_t;
 
 typedef struct
--- a/src/cell_int.h
+++ b/src/cell_int.h
@@ -181,6 +181,8 @@
 /* The same for a job that an earlier owner recorded as over.  */
 void cell_job_loaded_over (cell_job_t *job, job_show_t state);
 void cell_open_occurrences (cell_t *cell);
+/* Forgets the jobs that ended long enough ago.  */
+void cell_forget_old (cell_t *cell);
 cell_group_t *cell_job_group (cell_job_t *job, uint32_t occurrence,
                               uint32_t step);
 void cell_job_add_groups (cell_job_t *job, uint32_t occurrence);
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -8,6 +8,11 @@
 /* Age of a job at most, as told by clocks that may differ or jump.  */
 #define MAX_AGE_MS 60000
 
+/* Beyond the time for which the state of a job has to be told; a repeated
+   submission may arrive seconds after the first.  */
+#define KEEP_MARGIN_MS 30000
+#define FORGET_AT_ONCE 16
+
 static void
 permit_free (void *data)
 {
@@ -242,6 +247,38 @@
   cell_job_over (job, JOB_STATE_CANCELLED);
 }
 
+static bool
+can_be_forgotten (const cell_t *cell, const cell_job_t *job)
+{
+  if (job->dirty || job->saved_state != job->state
+      || g_ptr_array_find (cell->saving, job, NULL))
+    return false;
+  for (guint i = 0; i < job->groups->len; i++)
+    {
+      const cell_group_t *group = job->groups->pdata[i];
+      for (uint32_t j = 0; j < group->spec->count; j++)
+        if (group->tasks[j].worker != NULL)
+          return false;
+    }
+  return true;
+}
+
+void
+cell_forget_old (cell_t *cell)
+{
+  for (guint i = 0; i < FORGET_AT_ONCE && cell->expiring->len > 0; i++)
+    {
+      cell_job_t *job = cell->expiring->pdata[0];
+      if (cell->now_ms - job->ended_ms < cell->options.keep_ms + KEEP_MARGIN_MS
+          || !can_be_forgotten (cell, job))
+        return;
+      g_ptr_array_remove_index (cell->expiring, 0);
+      g_ptr_array_remove_fast (cell->timed, job);
+      cell->actions->forget (cell->context, job->id);
+      g_hash_table_remove (cell->jobs, job->id);
+    }
+}
+
 void
 cell_open_occurrences (cell_t *cell)
 {
--- a/src/io/log.c
+++ b/src/io/log.c
@@ -1,6 +1,8 @@
 #include "log.h"
 
+#include <fcntl.h>
 #include <glib.h>
+#include <limits.h>
 #include <stdarg.h>
 #include <stdint.h>
 #include <string.h>
@@ -24,8 +26,19 @@
 static struct
 {
   log_level_t threshold;
+  int fd;
+  uint64_t dropped; /* lines that the reader did not take */
   event_rate_t rates[EVENT_SLOTS];
-} state = { .threshold = LOG_INFO };
+} state = { .threshold = LOG_INFO, .fd = STDERR_FILENO };
+
+void
+log_set_output (int fd)
+{
+  int flags = fcntl (fd, F_GETFL);
+  if (flags >= 0)
+    fcntl (fd, F_SETFL, flags | O_NONBLOCK);
+  state.fd = fd;
+}
 
 void
 log_set_level (log_level_t level)
@@ -103,6 +116,9 @@
                           now.tv_nsec / 1000000, level_names[level], event);
   if (suppressed > 0)
     g_string_append_printf (line, " suppressed=%u", suppressed);
+  if (state.dropped > 0)
+    g_string_append_printf (line, " dropped=%" G_GUINT64_FORMAT,
+                            state.dropped);
 
   va_list args;
   va_start (args, event);
@@ -114,7 +130,15 @@
     }
   va_end (args);
   g_string_append_c (line, '\n');
-  ssize_t ignored = write (STDERR_FILENO, line->str, line->len);
-  (void)ignored;
+  /* Longer lines might be written in part.  */
+  if (line->len > PIPE_BUF)
+    {
+      g_string_truncate (line, PIPE_BUF - 1);
+      g_string_append_c (line, '\n');
+    }
+  if (write (state.fd, line->str, line->len) == (ssize_t)line->len)
+    state.dropped = 0;
+  else
+    state.dropped++;
   g_string_free (line, TRUE);
 }
--- a/src/io/log.h
+++ b/src/io/log.h
@@ -4,7 +4,8 @@
 #include <stdbool.h>
 
 /* NAME
-     log - one key=value line on standard error for each event
+     log - one key=value line for each event, on standard error unless told
+     otherwise
 
    Example:
      time=2026-12-04T07:00:00.123Z level=info event=peer_up entry=e2 zone=t2
@@ -23,6 +24,11 @@
 /* Lines below LEVEL are dropped.  Default: LOG_INFO.  */
 void log_set_level (log_level_t level);
 
+/* Writes to FD from now on, and never waits for its reader: a line that cannot
+   be written at once is dropped, and the next one states their number as
+   dropped=N.  */
+void log_set_output (int fd);
+
 /* Reads "debug", "info", "warn" or "error" into *LEVEL.  Returns whether NAME
    is one of them.  */
 bool log_level_parse (const char *name, log_level_t *level);
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -62,6 +62,7 @@
   cell->pending
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   cell->records = g_ptr_array_new_with_free_func (record_free);
+  cell->forgotten = g_ptr_array_new_with_free_func (g_free);
   cell->unsaved = g_ptr_array_new_with_free_func (record_free);
   ev_init (&cell->retry, node_commit_retry);
   cell->retry.data = cell;
@@ -80,6 +81,8 @@
   ev_timer_stop (cell->node->loop, &cell->retry);
   g_ptr_array_set_size (cell->records, 0);
   g_ptr_array_set_size (cell->unsaved, 0);
+  g_ptr_array_set_size (cell->forgotten, 0);
+  cell->commit_removes = 0;
   replica_free (cell->inbox);
   cell->inbox = NULL;
   cell_free (cell->cell);
@@ -93,6 +96,7 @@
   g_hash_table_unref (cell->pending);
   g_ptr_array_unref (cell->records);
   g_ptr_array_unref (cell->unsaved);
+  g_ptr_array_unref (cell->forgotten);
   g_free (cell->owner);
   g_free (cell->owner_incarnation);
   g_free (cell->name);
@@ -132,14 +136,9 @@
              detail, NULL);
 }
 
-static void
-act_forget (void *context, const char *id)
-{
-}
-
 const cell_actions_t node_cell_actions
     = { act_save,       node_start_task, node_stop_task, node_look,
-        node_pace_task, node_advise,     act_forget,     act_note };
+        node_pace_task, node_advise,     node_forget,    act_note };
 
 static void
 on_inbox_changed (void *context, const char *part, const char *key,
--- a/src/io/node_commit.c
+++ b/src/io/node_commit.c
@@ -17,6 +17,8 @@
 #define BEAT_MS 350
 #define COMMIT_RETRY_S 0.03
 #define MOST_WRITES 100
+/* Records of forgotten jobs that a commit removes beside up to 90 others.  */
+#define MOST_REMOVALS 7
 
 typedef struct
 {
@@ -70,6 +72,9 @@
     }
   if (cell->cell != NULL)
     cell_confirmed (cell->cell, node_now (node));
+  if (cell->commit_removes > 0)
+    g_ptr_array_remove_range (cell->forgotten, 0, cell->commit_removes);
+  cell->commit_removes = 0;
   if (cell->commit_saves)
     {
       cell->commit_saves = false;
@@ -152,6 +157,10 @@
   if (beat != NULL)
     writes[count++] = (site_row_t){ CLUSTER_TABLE, cell->name,   BEAT_KEY, 0,
                                     beat,          strlen (beat) };
+  for (guint i = 0; i < cell->commit_removes; i++)
+    writes[count++]
+        = (site_row_t){ RECORD_TABLE, cell->name, cell->forgotten->pdata[i], 0,
+                        NULL,         0 };
   for (guint i = 0; cell->commit_saves && i < cell->unsaved->len; i++)
     {
       const stored_record_t *record = cell->unsaved->pdata[i];
@@ -190,6 +199,7 @@
   /* A commit is repeated as it is until its outcome is known.  */
   cell->commit_saves = cell->save_wanted;
   cell->commit_beats = beat_due;
+  cell->commit_removes = MIN (cell->forgotten->len, MOST_REMOVALS);
   cell->commit_releases = cell->state == CELL_RELEASING && !cell->save_wanted;
   if (beat_due)
     cell->last_beat_ms = now_ms;
--- /dev/null
+++ b/src/io/node_forget.c
@@ -0,0 +1,49 @@
+#include "node_int.h"
+
+#include "log.h"
+
+/* NAME
+     node_forget - removes the rows of jobs that ended long ago
+
+   The rows of the inbox go first and the record with a later commit: a job
+   without a record would be run again.  What is not removed now is found and
+   forgotten by the next owner.  */
+
+#define FORGET_LIMIT_MS 2000
+
+typedef struct
+{
+  node_cell_t *cell;
+  uint32_t epoch;
+  char *id;
+} forget_call_t;
+
+static void
+on_removed (void *context, const site_rows_t *reply)
+{
+  forget_call_t *call = context;
+  if (reply->result != STORE_OK)
+    log_event (LOG_WARN, "forget_failed", "id", call->id, "cell",
+               call->cell->name, NULL);
+  else if (call->epoch == call->cell->epoch)
+    g_ptr_array_add (call->cell->forgotten, g_steal_pointer (&call->id));
+  g_free (call->id);
+  g_free (call);
+}
+
+void
+node_forget (void *context, const char *id)
+{
+  node_cell_t *cell = context;
+  site_t *site = cell->node->site;
+  char part[2];
+  char *cancel = g_strconcat (id, CANCEL_SUFFIX, NULL);
+  node_inbox_part (id, part);
+  site_row_t writes[] = { { cell->inbox_table, part, id, 0, NULL, 0 },
+                          { cell->inbox_table, part, cancel, 0, NULL, 0 } };
+  forget_call_t *call = g_new (forget_call_t, 1);
+  *call = (forget_call_t){ cell, cell->epoch, g_strdup (id) };
+  site->ops->commit (site, NULL, 0, writes, G_N_ELEMENTS (writes),
+                     FORGET_LIMIT_MS, on_removed, call);
+  g_free (cancel);
+}
--- a/src/io/node_int.h
+++ b/src/io/node_int.h
@@ -62,10 +62,12 @@
   replica_t *inbox;
   uint64_t token, save_number, fence_version;
   bool previous_over;
-  GPtrArray *records; /* loaded_record_t, until the cell begins */
-  GPtrArray *unsaved; /* stored_record_t of the save that was asked for */
+  GPtrArray *records;   /* loaded_record_t, until the cell begins */
+  GPtrArray *forgotten; /* char *, ids whose record is to be removed */
+  GPtrArray *unsaved;   /* stored_record_t of the save that was asked for */
   bool save_wanted;
   bool commit_open, commit_saves, commit_beats, commit_releases;
+  uint32_t commit_removes; /* forgotten records in the commit in flight */
   int64_t last_beat_ms;
   int64_t claim_ms;
   ev_timer retry;
@@ -143,6 +145,10 @@
                          size_t length, uint64_t *number);
 char *node_fence_text (const node_cell_t *cell, const char *owner);
 
+/* node_forget.c */
+/* Removes what is stored of a job, soon.  */
+void node_forget (void *context, const char *id);
+
 /* node_orders.c */
 void node_start_task (void *context, const cell_worker_ref_t *worker,
                       const cell_order_t *order);
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -761,6 +761,9 @@
 static void
 act_forget (void *context, const char *id)
 {
+  fake_cell_t *world = context;
+  g_hash_table_remove (world->records, id);
+  g_hash_table_remove (world->jobs, id);
 }
 
 static void
@@ -1006,7 +1009,8 @@
                                      .evidence_ms = 10000,
                                      .pace_delay_ms = 100,
                                      .remote_factor = 2.0,
-                                     .restore_ms = 250 };
+                                     .restore_ms = 250,
+                                     .keep_ms = 120000 };
   world->workers = g_ptr_array_new_with_free_func (worker_free);
   for (uint32_t i = 0; i < workers; i++)
     g_ptr_array_add (world->workers, worker_new (i));
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -207,6 +207,7 @@
       "heartbeat_ms=1500\nbounds.grace_s=6\nbounds.max_hold_ms=6000\n"
       "bounds.stop_timeout_ms=400\nbounds.gang_timeout_ms=3000\n"
       "bounds.restore_ms=250\nbounds.pace_ms=100\nbounds.remote_factor=1.5\n"
+      "bounds.status_s=120\n"
       "something.new=1\n";
 
 /* Guards against settings taken in the wrong unit or without a check.  */
@@ -231,7 +232,8 @@
       char *path = NULL;
       GError *error = NULL;
       platform_t platform = { 0 };
-      char **parts = g_strsplit (settings_text, cases[i].from, 2);
+      char **parts = g_strsplit (
+          settings_text, cases[i].from[0] != '\0' ? cases[i].from : "\a", 2);
       char *text = cases[i].from[0] == '\0' ? g_strdup (settings_text)
                                             : g_strjoinv (cases[i].to, parts);
       int fd = g_file_open_tmp ("settings-XXXXXX", &path, NULL);
