node: own cells on the strong nodes first

Change: a node's row tells its processor time; claims rank by it first.

Ruled out: several cells a service; a node of 0.5 cores uses 0.16 in its busiest window and serves all.

--- a/src/io/node.c
+++ b/src/io/node.c
@@ -106,7 +106,9 @@
   json_t *entry = value != NULL ? json_loadb (value, length, 0, NULL) : NULL;
   const char *address = json_string_value (json_object_get (entry, "address"));
   if (address != NULL)
-    node_adviser_set (node, name, address);
+    node_adviser_set (
+        node, name, address,
+        json_integer_value (json_object_get (entry, "cpu_millis")));
   else if (strcmp (name, node->site->settings.name) != 0)
     node_adviser_remove (node, name);
   json_decref (entry);
@@ -258,8 +260,10 @@
   const site_settings_t *settings = &node->site->settings;
   char *key = g_strconcat (ENTRY_PREFIX, settings->name, NULL);
   char *value = g_strdup_printf (
-      "{\"address\":\"%s:%u\",\"zone\":\"%s\",\"incarnation\":\"%s\"}",
-      settings->ip, settings->peer_port, settings->zone, node->incarnation);
+      "{\"address\":\"%s:%u\",\"zone\":\"%s\",\"incarnation\":\"%s\","
+      "\"cpu_millis\":%lld}",
+      settings->ip, settings->peer_port, settings->zone, node->incarnation,
+      (long long)settings->cpu_millis);
   site_row_t row = { CLUSTER_TABLE, "", key, 0, value, strlen (value) };
   node->site->ops->commit (node->site, NULL, 0, &row, 1, ENROLL_LIMIT_MS,
                            enroll_done, node);
--- a/src/io/node_advice.c
+++ b/src/io/node_advice.c
@@ -26,14 +26,6 @@
 #define LIMIT_FACTOR 3.0
 #define LIMIT_SLACK_MS 500
 
-struct adviser
-{
-  char *name;    /* first: node_claim.c reads it */
-  char *address; /* "IP:PORT" of its peer port */
-  uint32_t calls;
-  int64_t bad_until_ms;
-};
-
 typedef struct
 {
   node_cell_t *cell;
@@ -72,7 +64,8 @@
 }
 
 void
-node_adviser_set (node_t *node, const char *name, const char *address)
+node_adviser_set (node_t *node, const char *name, const char *address,
+                  int64_t cpu_millis)
 {
   adviser_t *adviser = find_adviser (node, name);
   if (adviser == NULL)
@@ -84,6 +77,7 @@
     }
   g_free (adviser->address);
   adviser->address = g_strdup (address);
+  adviser->cpu_millis = cpu_millis;
   adviser->bad_until_ms = 0;
 }
 
--- a/src/io/node_claim.c
+++ b/src/io/node_claim.c
@@ -242,26 +242,24 @@
   return hash;
 }
 
-typedef struct
-{
-  const node_cell_t *cell;
-  uint64_t mine;
-  uint32_t rank;
-} rank_t;
-
-/* Rendezvous hashing: how many other nodes come before this one.  */
+/* How many other nodes come before this one: those with more processor time,
+   and among equal ones by rendezvous hashing.  */
 static uint32_t
 my_rank (const node_cell_t *cell)
 {
   const node_t *node = cell->node;
-  const char *me = node->site->settings.name;
-  uint64_t mine = weight (cell->name, me);
+  const site_settings_t *me = &node->site->settings;
+  uint64_t mine = weight (cell->name, me->name);
   uint32_t rank = 0;
   for (guint i = 0; i < node->advisers->len; i++)
     {
-      const char *name = *(char **)node->advisers->pdata[i];
-      if (strcmp (name, me) != 0 && g_strcmp0 (name, cell->owner) != 0
-          && weight (cell->name, name) > mine)
+      const adviser_t *other = node->advisers->pdata[i];
+      if (strcmp (other->name, me->name) == 0
+          || g_strcmp0 (other->name, cell->owner) == 0)
+        continue;
+      if (other->cpu_millis > me->cpu_millis
+          || (other->cpu_millis == me->cpu_millis
+              && weight (cell->name, other->name) > mine))
         rank++;
     }
   return rank;
--- a/src/io/node_int.h
+++ b/src/io/node_int.h
@@ -31,7 +31,16 @@
 
 typedef struct node node_t;
 typedef struct node_cell node_cell_t;
-typedef struct adviser adviser_t;
+
+/* Another node, or this one, as its row in the cluster table tells.  */
+typedef struct
+{
+  char *name;
+  char *address; /* "IP:PORT" of its peer port */
+  int64_t cpu_millis;
+  uint32_t calls; /* for advice, in flight */
+  int64_t bad_until_ms;
+} adviser_t;
 
 typedef enum
 {
@@ -162,7 +171,8 @@
 /* node_advice.c */
 bool node_advise (void *context, const char *step, const char *const *workers,
                   uint32_t count, double expected_ms);
-void node_adviser_set (node_t *node, const char *name, const char *address);
+void node_adviser_set (node_t *node, const char *name, const char *address,
+                       int64_t cpu_millis);
 void node_adviser_remove (node_t *node, const char *name);
 void node_advice_serve (node_t *node);
 void node_adviser_free (void *adviser);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -207,7 +207,7 @@
       "heartbeat_ms=1500\nbounds.grace_s=6\nbounds.max_hold_ms=6000\n"
       "bounds.stop_timeout_ms=400\nbounds.gang_timeout_ms=3000\n"
       "bounds.restore_ms=250\nbounds.pace_ms=100\nbounds.remote_factor=1.5\n"
-      "bounds.status_s=120\n"
+      "bounds.status_s=120\nlimits.cpu_share=0.25\nlimits.cores=2\n"
       "something.new=1\n";
 
 /* Guards against settings taken in the wrong unit or without a check.  */
@@ -248,6 +248,7 @@
           const site_settings_t *settings = &platform.site.settings;
           CU_ASSERT_EQUAL (settings->stop_limit_ms, 6000);
           CU_ASSERT_EQUAL (settings->peer_port, 7380);
+          CU_ASSERT_EQUAL (settings->cpu_millis, 500);
           CU_ASSERT_EQUAL (settings->cells.lease_ms, 6000);
           CU_ASSERT_DOUBLE_EQUAL (settings->cells.remote_factor, 1.5, 0.01);
           CU_ASSERT_STRING_EQUAL (platform.store_url,
