--- a/Makefile
+++ b/Makefile
@@ -24,16 +24,18 @@
   $(PROTO_SRCS))
 MAIN_OBJS := $(BUILD)/src/main.o
 # tests/test_*.c hold CUnit suites, tests/standin*.c the stand-in program and
-# tests/fake_*.c shared fakes.
+# tests/fake_*.c shared fakes, tests/site_*.c the stand-in of the platform.
 TEST_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/test_*.c \
   tests/fake_*.c))
 STANDIN_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/standin*.c))
+SITE_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/site_*.c))
 FORMAT_SRCS := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] \
   src/io/*.[ch] platform/*.[ch] tests/*.[ch]))
 
 magnoliadock: $(BUILD)/magnoliadock
 
-all: $(BUILD)/magnoliadock $(BUILD)/standin $(BUILD)/unit-tests
+all: $(BUILD)/magnoliadock $(BUILD)/standin $(BUILD)/site-standin \
+  $(BUILD)/unit-tests
 
 $(BUILD)/magnoliadock: $(MAIN_OBJS) $(LIB_OBJS)
 	$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS)
@@ -41,6 +43,9 @@
 $(BUILD)/standin: $(STANDIN_OBJS) $(LIB_OBJS)
 	$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS)
 
+$(BUILD)/site-standin: $(SITE_OBJS) $(LIB_OBJS)
+	$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS)
+
 $(BUILD)/unit-tests: $(TEST_OBJS) $(LIB_OBJS)
 	$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS) -lcunit
 
@@ -84,6 +89,6 @@
 	rm -rf build
 
 -include $(LIB_OBJS:.o=.d) $(MAIN_OBJS:.o=.d) $(TEST_OBJS:.o=.d) \
-  $(STANDIN_OBJS:.o=.d)
+  $(STANDIN_OBJS:.o=.d) $(SITE_OBJS:.o=.d)
 
 .PHONY: all magnoliadock proto format format-check lint deps check demo clean
--- a/src/cell_int.h
+++ b/src/cell_int.h
@@ -72,6 +72,7 @@
   bool asking;      /* a call for advice is in flight */
   GPtrArray *asked; /* char *, owned: workers named in that call */
   int64_t ask_after_ms;
+  int64_t explain_ms;  /* when its wait may be explained again */
   GHashTable *permits; /* worker id -> permit_t; answers of the adviser */
 };
 
@@ -96,6 +97,10 @@
   uint32_t finished_below;  /* occurrences below this are over */
   int64_t added_ms;
   int64_t ended_ms;
+  int64_t first_start_ms; /* 0: none was confirmed yet */
+  uint32_t runs;          /* starts ordered by this owner */
+  uint32_t failed_runs;
+  uint32_t lost_runs; /* ended with their lease or their worker */
   job_show_t state;
   job_show_t saved_state;
   bool begun; /* a task has started */
@@ -210,6 +215,8 @@
 void cell_worker_free (cell_worker_t *worker);
 
 /* cell_place.c */
+/* What a job may take from its acceptance, 0: no limit.  */
+int64_t cell_objective_ms (const cell_job_t *job);
 void cell_place (cell_t *cell);
 resource_t cell_need (const work_step_t *step);
 
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -167,8 +167,29 @@
   cell_job_settle (group->job);
 }
 
-static const char *const show_words[]
-    = { "queued", "running", "completed", "failed", "cancelled" };
+/* Events of their own, so that a flood of good ends hides no other.  */
+static void
+note_end (cell_job_t *job)
+{
+  cell_t *cell = job->cell;
+  int64_t age_ms = cell->now_ms - job->added_ms;
+  int64_t objective_ms = cell_objective_ms (job);
+  const char *event = "job_completed";
+  if (job->state == JOB_STATE_FAILED)
+    event = "job_failed";
+  else if (job->state == JOB_STATE_CANCELLED)
+    event = "job_cancelled";
+  else if (objective_ms > 0 && age_ms > objective_ms)
+    event = "job_late";
+  cell_note (cell, event, job->id,
+             "queue=%s age_ms=%lld objective_ms=%lld first_start_ms=%lld "
+             "runs=%u failed=%u lost=%u",
+             job->work->queue, (long long)age_ms, (long long)objective_ms,
+             (long long)(job->first_start_ms == 0
+                             ? -1
+                             : job->first_start_ms - job->added_ms),
+             job->runs, job->failed_runs, job->lost_runs);
+}
 
 /* Ends the runs of a job that is over.  */
 static void
@@ -189,13 +210,11 @@
 void
 cell_job_over (cell_job_t *job, job_show_t state)
 {
-  cell_t *cell = job->cell;
   if (job->state > JOB_STATE_RUNNING)
     return;
   job->state = state;
   cell_mark_dirty (job);
-  cell_note (cell, "job_over", job->id, "state=%s age_ms=%lld",
-             show_words[state], (long long)(cell->now_ms - job->added_ms));
+  note_end (job);
   close_groups (job);
 }
 
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -4,6 +4,9 @@
 
 /* A job that takes up to this many objectives still earns a part.  */
 #define LATE_OBJECTIVES 3
+/* A step that waits for longer is explained in the log, and how often.  */
+#define EXPLAIN_AFTER_MS 1000
+#define EXPLAIN_AGAIN_MS 2000
 
 /* How urgent a group is; lower tiers go first.  */
 enum
@@ -39,6 +42,16 @@
   return tail_ms[step];
 }
 
+int64_t
+cell_objective_ms (const cell_job_t *job)
+{
+  const queue_t *queue = job->queue;
+  if (queue == NULL || work_job_lasts (job->work))
+    return 0;
+  return (int64_t)(queue->stretch * (double)work_job_chain_ms (job->work))
+         + queue->target_ms;
+}
+
 static void
 rank_group (const cell_t *cell, cell_group_t *group)
 {
@@ -53,8 +66,7 @@
       group->rank_ms = since_ms - cell->now_ms;
       return;
     }
-  double objective_ms = queue->stretch * (double)work_job_chain_ms (job->work)
-                        + (double)queue->target_ms;
+  double objective_ms = (double)cell_objective_ms (job);
   int64_t left_ms = since_ms + (int64_t)objective_ms - cell->now_ms
                     - chain_from (job->work, group->step);
   group->rank_ms = left_ms;
@@ -283,6 +295,44 @@
     }
 }
 
+/* Tells why tasks of GROUP still wait: how many workers are out for which
+   reason.  */
+static void
+explain_wait (cell_t *cell, cell_group_t *group)
+{
+  uint32_t silent = 0;
+  uint32_t unfit = 0;
+  uint32_t denied = 0;
+  uint32_t full = 0;
+  uint32_t ticketless = 0;
+  char name[WORK_NAME_BYTES];
+  if (cell->now_ms < group->explain_ms
+      || cell->now_ms - group->open_ms < EXPLAIN_AFTER_MS)
+    return;
+  group->explain_ms = cell->now_ms + EXPLAIN_AGAIN_MS;
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    {
+      const cell_worker_t *worker = cell->worker_list->pdata[i];
+      if (!worker->ok || !worker->listed)
+        silent++;
+      else if (!eligible (cell, group, worker))
+        unfit++;
+      else if (cell_denied (group, worker))
+        denied++;
+      else if (!resource_fits (cell_need (group->spec), free_room (worker)))
+        full++;
+      else
+        ticketless++;
+    }
+  work_step_name_format (name, group->job->id, group->occurrence, group->step);
+  cell_note (cell, "step_waits", name,
+             "tasks=%u waited_ms=%lld slack_ms=%lld silent=%u unfit=%u "
+             "denied=%u full=%u no_ticket=%u asking=%d",
+             group->waiting, (long long)(cell->now_ms - group->open_ms),
+             (long long)group->rank_ms, silent, unfit, denied, full,
+             ticketless, group->asking);
+}
+
 static void
 place_group (cell_t *cell, cell_group_t *group, bool *promised)
 {
@@ -298,6 +348,8 @@
   if (group->waiting > 0 && group->job->queue != NULL
       && group->job->queue->advised)
     cell_ask_advice (cell, group);
+  if (group->waiting > 0)
+    explain_wait (cell, group);
 }
 
 void
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -96,6 +96,7 @@
       return;
     }
   cell_set_task (task, RUN_ORDERED);
+  group->job->runs++;
   send_start (task);
 }
 
@@ -236,6 +237,8 @@
       cell_note (cell, "run_ended", name, "run=%u how=%s worker=%s", task->run,
                  end_names[how], worker != NULL ? worker->id : "-");
     }
+  job->failed_runs += how == END_FAILED;
+  job->lost_runs += how == END_LAPSED;
   if (worker != NULL)
     judge_worker (cell, worker, how);
   cell_release (task);
@@ -329,6 +332,8 @@
   task->confirmed_ms = cell->now_ms;
   task->progress_ms = cell->now_ms;
   task->group->job->begun = true;
+  if (task->group->job->first_start_ms == 0)
+    task->group->job->first_start_ms = cell->now_ms;
   cell_look_if_due (cell, worker);
 }
 
--- /dev/null
+++ b/tests/site_standin.c
@@ -0,0 +1,516 @@
+#include "site_standin.h"
+
+#include "options.h"
+
+#include <ev.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define TICKET_LIFE_MS 1500
+#define ADVICE_MS 10
+#define FOLLOW_CHECK_S 0.05
+#define HISTORY_ROWS 4000
+
+typedef enum
+{
+  STORE_SERVES,
+  STORE_SAYS_BUSY,
+  STORE_SILENT
+} store_mode_t;
+
+typedef struct
+{
+  char *table, *part, *key;
+  char *value; /* base64; NULL: removed */
+  uint64_t version;
+} row_t;
+
+typedef struct
+{
+  httpd_exchange_t *exchange;
+  char *table;
+  uint64_t after;
+  int64_t until_ms;
+} follower_t;
+
+static struct
+{
+  struct ev_loop *loop;
+  httpd_t *server;
+  GHashTable *rows;   /* "TABLE\nPART\nKEY" -> row_t, owned */
+  GPtrArray *history; /* row_t, owned copies */
+  GPtrArray *followers;
+  uint64_t version;
+  store_mode_t mode;
+  int64_t mode_until_ms;
+  uint32_t lost_commits; /* of 1000: done and not answered */
+  uint32_t lost_answers;
+  uint32_t violations;
+  GRand *random;
+} site;
+
+typedef struct
+{
+  int64_t port, workers, seed;
+} settings_t;
+
+static const option_t options[] = {
+  { "port", OPTION_INTEGER, offsetof (settings_t, port), "25000", false, 1024,
+    60000, NULL, "Port of the store; workers take those behind it" },
+  { "workers", OPTION_INTEGER, offsetof (settings_t, workers), "8", false, 1,
+    200, NULL, "Number of workers" },
+  { "seed", OPTION_INTEGER, offsetof (settings_t, seed), "1", false, 0,
+    G_MAXUINT32, NULL, "Seed of the faults" },
+  { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
+};
+
+struct ev_loop *
+site_loop (void)
+{
+  return site.loop;
+}
+
+int64_t
+site_now_ms (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return now.tv_sec * INT64_C (1000) + now.tv_nsec / 1000000;
+}
+
+void
+site_violation (const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  fprintf (stderr, "violation: ");
+  vfprintf (stderr, format, args);
+  fprintf (stderr, "\n");
+  va_end (args);
+  site.violations++;
+}
+
+uint32_t
+site_lost_answers (void)
+{
+  return site.lost_answers;
+}
+
+void
+site_answer_json (httpd_exchange_t *exchange, uint16_t status, json_t *body)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+  httpd_answer (exchange, status, "application/json", text, strlen (text));
+  free (text);
+  json_decref (body);
+}
+
+static void
+row_free (void *data)
+{
+  row_t *row = data;
+  g_free (row->table);
+  g_free (row->part);
+  g_free (row->key);
+  g_free (row->value);
+  g_free (row);
+}
+
+static row_t *
+row_new (const char *table, const char *part, const char *key,
+         const char *value)
+{
+  row_t *row = g_new0 (row_t, 1);
+  *row = (row_t){ g_strdup (table), g_strdup (part), g_strdup (key),
+                  g_strdup (value), site.version };
+  return row;
+}
+
+static json_t *
+row_to_json (const row_t *row)
+{
+  json_t *object = json_pack ("{s:s, s:s, s:s, s:I}", "table", row->table,
+                              "part", row->part, "key", row->key,
+                              "schema_version", (json_int_t)row->version);
+  if (row->value != NULL)
+    json_object_set_new (object, "value", json_string (row->value));
+  else
+    json_object_set_new (object, "deleted", json_true ());
+  return object;
+}
+
+static json_t *
+reply_new (json_t *rows)
+{
+  return json_pack ("{s:o, s:b, s:I, s:I}", "rows", rows, "has_more", 0,
+                    "schema_version", (json_int_t)site.version, "now_ms",
+                    (json_int_t)site_now_ms ());
+}
+
+static char *
+name_of (const char *table, const char *part, const char *key)
+{
+  return g_strdup_printf ("%s\n%s\n%s", table, part, key);
+}
+
+static void
+set_row (const char *table, const char *part, const char *key,
+         const char *value)
+{
+  char *name = name_of (table, part, key);
+  if (value != NULL)
+    g_hash_table_replace (site.rows, name, row_new (table, part, key, value));
+  else
+    {
+      g_hash_table_remove (site.rows, name);
+      g_free (name);
+    }
+  g_ptr_array_add (site.history, row_new (table, part, key, value));
+  if (site.history->len > HISTORY_ROWS)
+    g_ptr_array_remove_range (site.history, 0, HISTORY_ROWS / 4);
+}
+
+/* Answers FOLLOWER if something has changed or its time is over.  */
+static bool
+serve_follower (const follower_t *follower)
+{
+  json_t *rows = json_array ();
+  const row_t *oldest = site.history->len > 0 ? site.history->pdata[0] : NULL;
+  if (oldest != NULL && follower->after + 1 < oldest->version
+      && site.history->len >= HISTORY_ROWS / 2)
+    {
+      json_decref (rows);
+      site_answer_json (follower->exchange, 410, json_object ());
+      return true;
+    }
+  for (guint i = 0; i < site.history->len; i++)
+    {
+      const row_t *row = site.history->pdata[i];
+      if (row->version > follower->after
+          && strcmp (row->table, follower->table) == 0)
+        json_array_append_new (rows, row_to_json (row));
+    }
+  if (json_array_size (rows) == 0 && site_now_ms () < follower->until_ms)
+    {
+      json_decref (rows);
+      return false;
+    }
+  site_answer_json (follower->exchange, 200, reply_new (rows));
+  return true;
+}
+
+static void
+serve_followers (void)
+{
+  for (guint i = site.followers->len; i > 0; i--)
+    {
+      follower_t *follower = site.followers->pdata[i - 1];
+      if (!serve_follower (follower))
+        continue;
+      g_free (follower->table);
+      g_free (follower);
+      g_ptr_array_remove_index_fast (site.followers, i - 1);
+    }
+}
+
+static store_mode_t
+mode_now (void)
+{
+  return site_now_ms () < site.mode_until_ms ? site.mode : STORE_SERVES;
+}
+
+static bool
+chance (uint32_t of_1000)
+{
+  return (uint32_t)g_rand_int_range (site.random, 0, 1000) < of_1000;
+}
+
+/* Whether the store serves EXCHANGE; refuses or forgets it if not.  */
+static bool
+admits (httpd_exchange_t *exchange)
+{
+  if (mode_now () == STORE_SAYS_BUSY)
+    site_answer_json (exchange, 503, json_object ());
+  return mode_now () == STORE_SERVES;
+}
+
+static const char *
+text_of (const json_t *object, const char *key)
+{
+  const char *text = json_string_value (json_object_get (object, key));
+  return text != NULL ? text : "";
+}
+
+static const row_t *
+row_named (const json_t *object)
+{
+  char *name = name_of (text_of (object, "table"), text_of (object, "part"),
+                        text_of (object, "key"));
+  const row_t *row = g_hash_table_lookup (site.rows, name);
+  g_free (name);
+  return row;
+}
+
+static void
+apply_entries (const json_t *entries, bool removes)
+{
+  for (size_t i = 0; i < json_array_size (entries); i++)
+    {
+      const json_t *entry = json_array_get (entries, i);
+      set_row (text_of (entry, "table"), text_of (entry, "part"),
+               text_of (entry, "key"),
+               removes ? NULL : text_of (entry, "value"));
+    }
+}
+
+static void
+on_commit (void *context, httpd_exchange_t *exchange,
+           const httpd_request_t *request)
+{
+  if (!admits (exchange))
+    return;
+  json_t *body = json_loadb (request->body, request->length, 0, NULL);
+  const json_t *expects = json_object_get (body, "expect");
+  json_t *current = json_array ();
+  bool met = true;
+  for (size_t i = 0; i < json_array_size (expects); i++)
+    {
+      const json_t *expect = json_array_get (expects, i);
+      const row_t *row = row_named (expect);
+      json_int_t wanted
+          = json_integer_value (json_object_get (expect, "schema_version"));
+      met = met && (json_int_t)(row != NULL ? row->version : 0) == wanted;
+      if (row != NULL)
+        json_array_append_new (current, row_to_json (row));
+    }
+  if (met)
+    {
+      site.version++;
+      apply_entries (json_object_get (body, "writes"), false);
+      apply_entries (json_object_get (body, "remove"), true);
+      json_array_clear (current);
+    }
+  json_decref (body);
+  if (chance (site.lost_commits))
+    json_decref (current); /* done, and never answered */
+  else
+    site_answer_json (exchange, met ? 200 : 412, reply_new (current));
+  if (met)
+    serve_followers ();
+}
+
+static gint
+compare_rows (gconstpointer a, gconstpointer b)
+{
+  return strcmp ((*(row_t *const *)a)->key, (*(row_t *const *)b)->key);
+}
+
+static void
+on_read (void *context, httpd_exchange_t *exchange,
+         const httpd_request_t *request)
+{
+  if (!admits (exchange))
+    return;
+  const char *table = httpd_query (exchange, "table");
+  const char *part = httpd_query (exchange, "part");
+  const char *from = httpd_query (exchange, "from");
+  const char *to = httpd_query (exchange, "target");
+  GPtrArray *found = g_ptr_array_new ();
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init (&iterator, site.rows);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const row_t *row = value;
+      if (g_strcmp0 (row->table, table) == 0
+          && strcmp (row->part, part != NULL ? part : "") == 0
+          && (from == NULL || strcmp (row->key, from) >= 0)
+          && (to == NULL || strcmp (row->key, to) < 0))
+        g_ptr_array_add (found, value);
+    }
+  g_ptr_array_sort (found, compare_rows);
+  json_t *rows = json_array ();
+  for (guint i = 0; i < found->len; i++)
+    json_array_append_new (rows, row_to_json (found->pdata[i]));
+  site_answer_json (exchange, 200, reply_new (rows));
+  g_ptr_array_unref (found);
+}
+
+static void
+on_follow (void *context, httpd_exchange_t *exchange,
+           const httpd_request_t *request)
+{
+  if (!admits (exchange))
+    return;
+  const char *after = httpd_query (exchange, "after");
+  const char *wait = httpd_query (exchange, "wait_ms");
+  follower_t *follower = g_new0 (follower_t, 1);
+  *follower
+      = (follower_t){ exchange, g_strdup (httpd_query (exchange, "table")),
+                      g_ascii_strtoull (after, NULL, 10),
+                      site_now_ms () + atoll (wait) };
+  g_ptr_array_add (site.followers, follower);
+  serve_followers ();
+}
+
+static void
+on_advise (void *context, httpd_exchange_t *exchange,
+           const httpd_request_t *request)
+{
+  json_t *body = json_loadb (request->body, request->length, 0, NULL);
+  site_answer_json (exchange, 200,
+                    json_pack ("{s:o, s:i}", "good",
+                               site_advice (json_object_get (body, "workers")),
+                               "validity_ms", TICKET_LIFE_MS));
+  json_decref (body);
+}
+
+void
+site_put_row (const char *table, const char *key, json_t *value)
+{
+  char *text = json_dumps (value, JSON_COMPACT);
+  char *encoded = g_base64_encode ((const guchar *)text, strlen (text));
+  site.version++;
+  set_row (table, "", key, encoded);
+  g_free (encoded);
+  free (text);
+  json_decref (value);
+  serve_followers ();
+}
+
+void
+site_remove_row (const char *table, const char *key)
+{
+  site.version++;
+  set_row (table, "", key, NULL);
+  serve_followers ();
+}
+
+static void
+on_check (void *context, httpd_exchange_t *exchange,
+          const httpd_request_t *request)
+{
+  site_answer_json (exchange, 200,
+                    json_pack ("{s:i, s:i, s:i}", "violations",
+                               (int)site.violations, "starts",
+                               (int)site_starts (), "running",
+                               (int)site_running ()));
+}
+
+static int64_t
+argument (httpd_exchange_t *exchange, const char *name)
+{
+  const char *text = httpd_query (exchange, name);
+  return text != NULL ? atoll (text) : 0;
+}
+
+/* POST /control/store?mode=busy|silent&for_ms=N, /control/lose?commits=N&
+   answers=N (of 1000), /control/crash?worker=N, /control/mute?worker=N&
+   for_ms=N.  */
+static void
+on_control (void *context, httpd_exchange_t *exchange,
+            const httpd_request_t *request)
+{
+  const char *what = request->rest;
+  if (strcmp (what, "store") == 0)
+    {
+      const char *mode = httpd_query (exchange, "mode");
+      site.mode
+          = g_strcmp0 (mode, "busy") == 0 ? STORE_SAYS_BUSY : STORE_SILENT;
+      site.mode_until_ms = site_now_ms () + argument (exchange, "for_ms");
+    }
+  else if (strcmp (what, "lose") == 0)
+    {
+      site.lost_commits = (uint32_t)argument (exchange, "commits");
+      site.lost_answers = (uint32_t)argument (exchange, "answers");
+    }
+  else if (strcmp (what, "crash") == 0)
+    site_worker_crash ((uint32_t)argument (exchange, "worker"));
+  else if (strcmp (what, "mute") == 0)
+    site_worker_mute ((uint32_t)argument (exchange, "worker"),
+                      argument (exchange, "for_ms"));
+  site_answer_json (exchange, 200, json_object ());
+}
+
+static const httpd_route_t routes[] = {
+  { "POST", "/api/rows-tx", on_commit },
+  { "GET", "/api/rows-get", on_read },
+  { "GET", "/api/rows-feed", on_follow },
+  { "POST", "/api/advise", on_advise },
+  { "GET", "/control/check", on_check },
+  { "POST", "/control/", on_control },
+  { NULL, NULL, NULL },
+};
+
+static void
+put_config (void)
+{
+  json_t *advice
+      = json_pack ("{s:i, s:f, s:i}", "decision_ms", ADVICE_MS,
+                   "per_worker_ms", 0.1, "validity_ms", TICKET_LIFE_MS);
+  json_t *route
+      = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:f, s:o}", "name",
+                   "queue", "host", "host", "path_prefix", "/queue/",
+                   "service", "pool", "priority", 0, "max_attempts", 3,
+                   "target_latency_ms", 500, "stretch", 2.0, "advice", advice);
+  site_put_row ("op", "config",
+                json_pack ("{s:i, s:[o], s:[{s:s}]}", "version", 1, "routes",
+                           route, "services", "name", "pool"));
+}
+
+static void
+on_follow_check (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  serve_followers ();
+}
+
+static void
+on_signal (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  ev_break (loop, EVBREAK_ALL);
+}
+
+int
+main (int argc, char **argv)
+{
+  settings_t settings = { 0 };
+  GError *error = NULL;
+  char address[32];
+  ev_timer check;
+  ev_signal terminate;
+  if (!options_parse (options, &settings, "plays the users' platform", argc,
+                      argv, NULL))
+    return 2;
+  site.loop = ev_default_loop (0);
+  site.random = g_rand_new_with_seed ((guint32)settings.seed);
+  site.rows
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
+  site.history = g_ptr_array_new_with_free_func (row_free);
+  site.followers = g_ptr_array_new ();
+  g_snprintf (address, sizeof address, "127.0.0.1:%d", (int)settings.port);
+  httpd_options_t server = { .listen = address,
+                             .connection_limit = 2000,
+                             .header_limit = 8192,
+                             .body_limit = 2 * 1024 * 1024 };
+  site.server = httpd_new (site.loop, &server, &error);
+  if (site.server == NULL
+      || !site_workers_start ((uint32_t)settings.workers,
+                              (uint16_t)(settings.port + 1), &error))
+    {
+      fprintf (stderr, "site-standin: %s\n", error->message);
+      return 1;
+    }
+  httpd_add_routes (site.server, routes, NULL);
+  put_config ();
+  ev_timer_init (&check, on_follow_check, FOLLOW_CHECK_S, FOLLOW_CHECK_S);
+  ev_timer_start (site.loop, &check);
+  ev_signal_init (&terminate, on_signal, SIGTERM);
+  ev_signal_start (site.loop, &terminate);
+  ev_run (site.loop, 0);
+  fprintf (stderr, "site-standin: violations=%u starts=%u\n", site.violations,
+           site_starts ());
+  return site.violations > 0 ? 1 : 0;
+}
--- /dev/null
+++ b/tests/site_standin.h
@@ -0,0 +1,42 @@
+#ifndef MAGNOLIADOCK_SITE_STANDIN_H
+#define MAGNOLIADOCK_SITE_STANDIN_H
+
+#include "httpd.h"
+
+#include <jansson.h>
+
+/* NAME
+     site_standin - plays the users' platform for nodes on one machine
+
+   One process serves the store and the advice service on --port and each
+   worker on a port of its own behind it.  It checks what the workers are told
+   and counts what breaks a promise.  */
+
+typedef struct standin_site standin_site_t;
+
+struct ev_loop *site_loop (void);
+int64_t site_now_ms (void);
+/* Counts and prints a broken promise.  */
+void site_violation (const char *format, ...) G_GNUC_PRINTF (1, 2);
+/* Writes a row of the store with an empty part.  */
+void site_put_row (const char *table, const char *key, json_t *value);
+void site_remove_row (const char *table, const char *key);
+/* Chance in 1000 that the answer of a worker's call is lost.  */
+uint32_t site_lost_answers (void);
+
+void site_answer_json (httpd_exchange_t *exchange, uint16_t status,
+                       json_t *body);
+
+/* Starts WORKERS workers on ports from FIRST_PORT.  */
+bool site_workers_start (uint32_t workers, uint16_t first_port,
+                         GError **error);
+/* Ends all that a worker runs and lets it start anew under its id.  */
+void site_worker_crash (uint32_t at);
+/* A worker answers nothing for FOR_MS.  */
+void site_worker_mute (uint32_t at, int64_t for_ms);
+uint32_t site_starts (void);
+uint32_t site_running (void);
+/* Rows [id, ticket] for the workers named.  */
+json_t *site_advice (const json_t *workers);
+
+#endif
--- /dev/null
+++ b/tests/site_worker.c
@@ -0,0 +1,472 @@
+#include "site_standin.h"
+
+#include "cell.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+/* Workers of the stand-in.  Their clocks count from their start.  */
+
+#define LEASE_MS 6000
+#define STOP_MS 50
+#define BEAT_S 1.0
+#define TICK_S 0.01
+#define CPU_MILLIS 16000
+#define MEMORY_MB 32000
+
+typedef struct
+{
+  char *task;
+  uint32_t run;
+  int64_t cpu_millis;
+  int64_t end_ms;  /* 0: runs on */
+  int64_t stop_ms; /* 0: is not being stopped */
+} run_t;
+
+typedef struct
+{
+  uint64_t number;
+  char *task;
+  uint32_t run;
+  const char *how;
+  int64_t at_ms;
+} end_t;
+
+typedef struct
+{
+  httpd_exchange_t *exchange; /* of a look that waits; NULL: none */
+  int64_t until_ms;
+} waiting_t;
+
+typedef struct
+{
+  char id[16];
+  char address[32];
+  httpd_t *server;
+  uint32_t beat;
+  int64_t started_ms; /* steady clock */
+  int64_t born_ms;    /* wall time */
+  int64_t lease_ms, lapsed_ms, mute_until_ms;
+  uint64_t token, last_number;
+  GPtrArray *runs, *ends;
+  GHashTable *barred; /* task -> highest run stopped or ended */
+  GArray *waiting;    /* waiting_t */
+} worker_t;
+
+static struct
+{
+  GPtrArray *workers;
+  GHashTable *done; /* set of tasks whose end as done was acknowledged */
+  uint32_t starts;
+  ev_timer tick, beat;
+} all;
+
+static void
+run_free (void *data)
+{
+  run_t *run = data;
+  g_free (run->task);
+  g_free (run);
+}
+
+static void
+end_free (void *data)
+{
+  end_t *end = data;
+  g_free (end->task);
+  g_free (end);
+}
+
+static int64_t
+clock_of (const worker_t *worker)
+{
+  return site_now_ms () - worker->started_ms;
+}
+
+static void
+end_run (worker_t *worker, guint at, const char *how)
+{
+  const run_t *run = worker->runs->pdata[at];
+  end_t *end = g_new0 (end_t, 1);
+  *end = (end_t){ ++worker->last_number, g_strdup (run->task), run->run, how,
+                  site_now_ms () };
+  g_ptr_array_add (worker->ends, end);
+  g_hash_table_insert (worker->barred, g_strdup (run->task),
+                       GUINT_TO_POINTER (run->run));
+  g_ptr_array_remove_index (worker->runs, at);
+}
+
+static json_t *
+lists_of (const worker_t *worker)
+{
+  json_t *running = json_array ();
+  json_t *ended = json_array ();
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const run_t *run = worker->runs->pdata[i];
+      json_array_append_new (running, json_pack ("[s, i, s, i, i]", run->task,
+                                                 (int)run->run, "", 50, 100));
+    }
+  for (guint i = 0; i < worker->ends->len; i++)
+    {
+      const end_t *end = worker->ends->pdata[i];
+      json_array_append_new (
+          ended, json_pack ("[I, s, i, s, s]", (json_int_t)end->number,
+                            end->task, (int)end->run, end->how, ""));
+    }
+  return json_pack (
+      "{s:I, s:I, s:o, s:o}", "clock_ms", (json_int_t)clock_of (worker),
+      "born", (json_int_t)worker->born_ms, "running", running, "ended", ended);
+}
+
+/* Answers the looks whose time is over or that have an end to tell.  */
+static void
+answer_waiting (worker_t *worker)
+{
+  for (guint i = worker->waiting->len; i > 0; i--)
+    {
+      waiting_t waiting = g_array_index (worker->waiting, waiting_t, i - 1);
+      if (worker->ends->len == 0 && site_now_ms () < waiting.until_ms)
+        continue;
+      g_array_remove_index_fast (worker->waiting, i - 1);
+      site_answer_json (waiting.exchange, 200, lists_of (worker));
+    }
+}
+
+static void
+advance (worker_t *worker)
+{
+  int64_t now_ms = site_now_ms ();
+  bool lapsed = now_ms >= worker->lease_ms;
+  if (lapsed && worker->runs->len > 0)
+    worker->lapsed_ms = now_ms;
+  for (guint i = worker->runs->len; i > 0; i--)
+    {
+      const run_t *run = worker->runs->pdata[i - 1];
+      if (lapsed)
+        end_run (worker, i - 1, "lapsed");
+      else if (run->stop_ms != 0 && now_ms >= run->stop_ms)
+        end_run (worker, i - 1, "stopped");
+      else if (run->end_ms != 0 && now_ms >= run->end_ms)
+        end_run (worker, i - 1, "done");
+    }
+}
+
+static void
+refuse (httpd_exchange_t *exchange, const worker_t *worker, const char *reason)
+{
+  site_answer_json (exchange, 409,
+                    json_pack ("{s:I, s:s}", "clock_ms",
+                               (json_int_t)clock_of (worker), "reason",
+                               reason));
+}
+
+static void
+accept_order (httpd_exchange_t *exchange, const worker_t *worker)
+{
+  if ((uint32_t)g_random_int_range (0, 1000) < site_lost_answers ())
+    return;
+  site_answer_json (
+      exchange, 200,
+      json_pack ("{s:I}", "clock_ms", (json_int_t)clock_of (worker)));
+}
+
+/* Reads the token of BODY.  Returns whether WORKER obeys it.  */
+static bool
+obeys (worker_t *worker, httpd_exchange_t *exchange, const json_t *body)
+{
+  uint64_t token
+      = (uint64_t)json_integer_value (json_object_get (body, "fencing_token"));
+  if (token < worker->token)
+    {
+      refuse (exchange, worker, "fence");
+      return false;
+    }
+  worker->token = token;
+  return true;
+}
+
+static run_t *
+find_run (const worker_t *worker, const char *task)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    if (strcmp (((run_t *)worker->runs->pdata[i])->task, task) == 0)
+      return worker->runs->pdata[i];
+  return NULL;
+}
+
+static void
+extend (worker_t *worker, const json_t *body)
+{
+  const json_t *deadline = json_object_get (body, "deadline_ms");
+  if (!json_is_integer (deadline))
+    return;
+  int64_t until_ms = json_integer_value (deadline) + worker->started_ms;
+  worker->lease_ms
+      = MAX (worker->lease_ms, MIN (until_ms, site_now_ms () + LEASE_MS));
+}
+
+/* SPEC is "CPU_MILLIS WORK_MS"; WORK_MS 0 runs until it is stopped.  */
+static void
+start_run (worker_t *worker, const char *task, uint32_t number,
+           const char *spec)
+{
+  int64_t used = 0;
+  char *rest = NULL;
+  run_t *run = g_new0 (run_t, 1);
+  *run = (run_t){ g_strdup (task), number, strtoll (spec, &rest, 10), 0, 0 };
+  int64_t work_ms = strtoll (rest, NULL, 10);
+  run->end_ms = work_ms > 0 ? site_now_ms () + work_ms : 0;
+  for (guint i = 0; i < all.workers->len; i++)
+    {
+      const worker_t *other = all.workers->pdata[i];
+      if (find_run (other, task) != NULL)
+        site_violation ("%s run %u on %s: runs on %s too", task, number,
+                        worker->id, other->id);
+    }
+  if (g_hash_table_contains (all.done, task))
+    site_violation ("%s run %u: starts after it was done", task, number);
+  for (guint i = 0; i < worker->runs->len; i++)
+    used += ((run_t *)worker->runs->pdata[i])->cpu_millis;
+  if (used + run->cpu_millis > CPU_MILLIS)
+    site_violation ("%s run %u: over the capacity of %s", task, number,
+                    worker->id);
+  g_ptr_array_add (worker->runs, run);
+  all.starts++;
+}
+
+static bool
+is_mute (const worker_t *worker)
+{
+  return site_now_ms () < worker->mute_until_ms;
+}
+
+static void
+on_start (void *context, httpd_exchange_t *exchange,
+          const httpd_request_t *request)
+{
+  worker_t *worker = context;
+  json_t *body = json_loadb (request->body, request->length, 0, NULL);
+  const char *task = json_string_value (json_object_get (body, "task"));
+  const char *spec = json_string_value (json_object_get (body, "spec"));
+  const char *ticket = json_string_value (json_object_get (body, "ticket"));
+  uint32_t number
+      = (uint32_t)json_integer_value (json_object_get (body, "run"));
+  advance (worker);
+  if (is_mute (worker) || task == NULL || spec == NULL)
+    goto out;
+  if (!obeys (worker, exchange, body))
+    goto out;
+  const run_t *running = find_run (worker, task);
+  if (running != NULL && running->run == number)
+    accept_order (exchange, worker);
+  else if (number
+           <= GPOINTER_TO_UINT (g_hash_table_lookup (worker->barred, task)))
+    refuse (exchange, worker, "old");
+  else if (json_integer_value (json_object_get (body, "deadline_ms"))
+           <= clock_of (worker))
+    refuse (exchange, worker, "late");
+  else if (ticket == NULL || atoll (ticket) < site_now_ms ())
+    refuse (exchange, worker, "ticket");
+  else
+    {
+      extend (worker, body);
+      start_run (worker, task, number, spec);
+      accept_order (exchange, worker);
+    }
+out:
+  json_decref (body);
+}
+
+static void
+on_stop (void *context, httpd_exchange_t *exchange,
+         const httpd_request_t *request)
+{
+  worker_t *worker = context;
+  json_t *body = json_loadb (request->body, request->length, 0, NULL);
+  const char *task = json_string_value (json_object_get (body, "task"));
+  uint32_t number
+      = (uint32_t)json_integer_value (json_object_get (body, "run"));
+  advance (worker);
+  if (!is_mute (worker) && task != NULL && obeys (worker, exchange, body))
+    {
+      run_t *run = find_run (worker, task);
+      if (run != NULL && run->run == number && run->stop_ms == 0)
+        run->stop_ms = site_now_ms () + STOP_MS;
+      else if (number
+               > GPOINTER_TO_UINT (g_hash_table_lookup (worker->barred, task)))
+        g_hash_table_insert (worker->barred, g_strdup (task),
+                             GUINT_TO_POINTER (number));
+      accept_order (exchange, worker);
+    }
+  json_decref (body);
+}
+
+static void
+acknowledge (worker_t *worker, uint64_t seen)
+{
+  while (worker->ends->len > 0)
+    {
+      const end_t *end = worker->ends->pdata[0];
+      if (end->number > seen)
+        return;
+      if (strcmp (end->how, "done") == 0 && worker->lapsed_ms <= end->at_ms)
+        g_hash_table_add (all.done, g_strdup (end->task));
+      g_ptr_array_remove_index (worker->ends, 0);
+    }
+}
+
+static void
+on_look (void *context, httpd_exchange_t *exchange,
+         const httpd_request_t *request)
+{
+  worker_t *worker = context;
+  json_t *body = json_loadb (request->body, request->length, 0, NULL);
+  advance (worker);
+  if (!is_mute (worker) && obeys (worker, exchange, body))
+    {
+      extend (worker, body);
+      acknowledge (worker, (uint64_t)json_integer_value (
+                               json_object_get (body, "last_seen")));
+      waiting_t waiting
+          = { exchange,
+              site_now_ms ()
+                  + json_integer_value (json_object_get (body, "wait_ms")) };
+      g_array_append_val (worker->waiting, waiting);
+      answer_waiting (worker);
+    }
+  json_decref (body);
+}
+
+static const httpd_route_t routes[] = {
+  { "POST", "/api/run-start", on_start },
+  { "POST", "/api/run-stop", on_stop },
+  { "POST", "/api/hold", on_look },
+  { NULL, NULL, NULL },
+};
+
+static void
+write_row (worker_t *worker)
+{
+  json_t *row = json_pack (
+      "{s:s, s:s, s:s, s:{s:i, s:i, s:i}, s:[s, s], s:s, s:I, s:i}", "service",
+      "pool", "address", worker->address, "state", "ready", "capacity", "cpu",
+      CPU_MILLIS, "mem_mb", MEMORY_MB, "gpu", 0, "labels", "a", "r1-1",
+      "machine", worker->id, "born", (json_int_t)worker->born_ms, "sequence",
+      (int)++worker->beat);
+  site_put_row ("servers", worker->id, row);
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  for (guint i = 0; i < all.workers->len; i++)
+    {
+      worker_t *worker = all.workers->pdata[i];
+      advance (worker);
+      if (!is_mute (worker))
+        answer_waiting (worker);
+    }
+}
+
+static void
+on_beat (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  for (guint i = 0; i < all.workers->len; i++)
+    write_row (all.workers->pdata[i]);
+}
+
+static void
+begin_life (worker_t *worker)
+{
+  struct timespec wall;
+  clock_gettime (CLOCK_REALTIME, &wall);
+  worker->started_ms = site_now_ms ();
+  worker->born_ms = wall.tv_sec * INT64_C (1000) + wall.tv_nsec / 1000000;
+  worker->lease_ms = worker->lapsed_ms = 0;
+  worker->token = worker->last_number = 0;
+  g_ptr_array_set_size (worker->runs, 0);
+  g_ptr_array_set_size (worker->ends, 0);
+  g_hash_table_remove_all (worker->barred);
+}
+
+bool
+site_workers_start (uint32_t workers, uint16_t first_port, GError **error)
+{
+  all.workers = g_ptr_array_new ();
+  all.done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (uint32_t i = 0; i < workers; i++)
+    {
+      worker_t *worker = g_new0 (worker_t, 1);
+      g_snprintf (worker->id, sizeof worker->id, "i-%u", i);
+      g_snprintf (worker->address, sizeof worker->address, "127.0.0.1:%u",
+                  first_port + i);
+      worker->runs = g_ptr_array_new_with_free_func (run_free);
+      worker->ends = g_ptr_array_new_with_free_func (end_free);
+      worker->waiting = g_array_new (FALSE, FALSE, sizeof (waiting_t));
+      worker->barred
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      httpd_options_t options = { .listen = worker->address,
+                                  .connection_limit = 200,
+                                  .header_limit = 8192,
+                                  .body_limit = 65536 };
+      worker->server = httpd_new (site_loop (), &options, error);
+      if (worker->server == NULL)
+        return false;
+      httpd_add_routes (worker->server, routes, worker);
+      begin_life (worker);
+      write_row (worker);
+      g_ptr_array_add (all.workers, worker);
+    }
+  ev_timer_init (&all.tick, on_tick, TICK_S, TICK_S);
+  ev_timer_init (&all.beat, on_beat, BEAT_S, BEAT_S);
+  ev_timer_start (site_loop (), &all.tick);
+  ev_timer_start (site_loop (), &all.beat);
+  return true;
+}
+
+void
+site_worker_crash (uint32_t at)
+{
+  worker_t *worker = all.workers->pdata[at % all.workers->len];
+  begin_life (worker);
+  write_row (worker);
+}
+
+void
+site_worker_mute (uint32_t at, int64_t for_ms)
+{
+  worker_t *worker = all.workers->pdata[at % all.workers->len];
+  worker->mute_until_ms = site_now_ms () + for_ms;
+}
+
+uint32_t
+site_starts (void)
+{
+  return all.starts;
+}
+
+uint32_t
+site_running (void)
+{
+  uint32_t running = 0;
+  for (guint i = 0; i < all.workers->len; i++)
+    running += ((worker_t *)all.workers->pdata[i])->runs->len;
+  return running;
+}
+
+json_t *
+site_advice (const json_t *workers)
+{
+  char ticket[24];
+  json_t *good = json_array ();
+  g_snprintf (ticket, sizeof ticket, "%lld",
+              (long long)(site_now_ms () + 1500));
+  for (size_t i = 0; i < json_array_size (workers); i++)
+    json_array_append_new (
+        good,
+        json_pack ("[s, s]", json_string_value (json_array_get (workers, i)),
+                   ticket));
+  return good;
+}
--- /dev/null
+++ b/tests/soak_node.sh
@@ -0,0 +1,171 @@
+#!/bin/sh
+# Randomised soak of real nodes against the stand-in of the platform.
+#   tests/soak_node.sh [SEED [SECONDS [NODES]]]
+# Nodes are killed, stopped, paused and restarted by signals, workers crash and
+# fall silent, the store is away, says busy or loses answers, while jobs are
+# submitted and asked for.  Every job has to be shown as completed in the end,
+# and the stand-in must not have seen a broken promise.
+set -u
+cd "$(dirname "$0")/.."
+SEED=${1:-1}
+SECONDS_TO_PLAY=${2:-20}
+NODES=${3:-3}
+PORT=${PORT:-25000}
+WORKERS=8
+BUILD=${BUILD:-build/release}
+WORK=$(mktemp -d "${TMPDIR:-/tmp}/magnoliadock.XXXXXX")
+CONTROL=http://127.0.0.1:$PORT/control
+HOST_HEADER='Host: host'
+
+fail () {
+  echo "FAILED: seed $SEED: $* (logs in $WORK)"
+  exit 1
+}
+
+pid_of () { cat "$WORK/$1.pid" 2>/dev/null; }
+
+# Ends only what this script has started.
+cleanup () {
+  for name in $(seq 1 "$NODES") standin; do
+    pid=$(pid_of "$name") && kill -CONT "$pid" 2>/dev/null
+    [ -n "${pid:-}" ] && kill -KILL "$pid" 2>/dev/null
+  done
+  [ "${KEEP:-}" ] || [ "${failed:-1}" = 1 ] || rm -rf "$WORK"
+}
+trap cleanup EXIT
+
+# Seeded sequence of numbers below $1, in $RANDOM_NUMBER.
+STATE=$SEED
+draw () {
+  STATE=$(((STATE * 1103515245 + 12345) % 2147483648))
+  RANDOM_NUMBER=$((STATE / 65536 % $1))
+}
+
+write_settings () {
+  cat >"$WORK/$1.conf" <<END
+node=edge-$1
+zone=z
+ip=127.0.0.$((10 + $1))
+internal_ports=$((PORT + 400)),$((PORT + 410))
+listen_addresses.front=127.0.0.$((10 + $1)):$((PORT + 401))
+listen_addresses.readiness=127.0.0.$((10 + $1)):$((PORT + 402))
+platform.address=127.0.0.1:$PORT
+advice=127.0.0.1:$PORT
+heartbeat_ms=1000
+limits.cpu_share=1
+limits.cores=1
+bounds.grace_s=6
+bounds.max_hold_ms=6000
+bounds.stop_timeout_ms=400
+bounds.gang_timeout_ms=3000
+bounds.restore_ms=250
+bounds.pace_ms=100
+bounds.remote_factor=1.5
+bounds.status_s=120
+END
+}
+
+start_node () {
+  MAGNOLIADOCK_SETTINGS=$WORK/$1.conf "$BUILD/magnoliadock" node \
+    >>"$WORK/$1.log" 2>&1 &
+  echo $! >"$WORK/$1.pid"
+}
+
+front () { echo "http://127.0.0.$((10 + $1)):$((PORT + 401))/queue/$2"; }
+
+control () { curl -s -m 3 -X POST "$CONTROL/$1" >/dev/null; }
+
+submit () { # NODE ID; the answer's status
+  curl -s -m 3 -o /dev/null -w '%{http_code}' -H "$HOST_HEADER" \
+    -H 'Content-Type: application/json' -X POST "$(front "$1" "$2")" \
+    -d "{\"spec\":\"$3 $4\",\"steps\":[{\"count\":3,\"cpu\":$3,\"mem_mb\":10,\"estimated_ms\":$4},{\"count\":2,\"cpu\":$3,\"mem_mb\":10,\"estimated_ms\":$4,\"after\":[0]}]}"
+}
+
+state () { curl -s -m 3 -H "$HOST_HEADER" "$(front "$1" "$2")"; }
+
+# One fault on a node or on the platform.
+inject () {
+  draw "$NODES"
+  victim=$((RANDOM_NUMBER + 1))
+  draw 9
+  case $RANDOM_NUMBER in
+    0 | 1) kill -KILL "$(pid_of "$victim")" 2>/dev/null ;;
+    2) kill -TERM "$(pid_of "$victim")" 2>/dev/null ;;
+    3) kill -STOP "$(pid_of "$victim")" 2>/dev/null ;;
+    4) draw $WORKERS; control "crash?worker=$RANDOM_NUMBER" ;;
+    5) draw $WORKERS; control "mute?worker=$RANDOM_NUMBER&for_ms=3000" ;;
+    6) control "store?mode=busy&for_ms=2000" ;;
+    7) control "store?mode=silent&for_ms=2000" ;;
+    8) control "lose?commits=200&answers=50" ;;
+  esac
+}
+
+# Wakes what is paused and restarts what has ended.
+revive () {
+  for node in $(seq 1 "$NODES"); do
+    kill -CONT "$(pid_of "$node")" 2>/dev/null || start_node "$node"
+  done
+}
+
+"$BUILD/site-standin" --port "$PORT" --workers $WORKERS --seed "$SEED" \
+  2>"$WORK/standin.log" &
+echo $! >"$WORK/standin.pid"
+for node in $(seq 1 "$NODES"); do
+  write_settings "$node"
+  start_node "$node"
+done
+ready=0
+for _ in $(seq 1 100); do
+  [ "$(curl -s -m 1 -o /dev/null -w '%{http_code}' \
+    "http://127.0.0.11:$((PORT + 402))/api/readiness")" = 200 ] && ready=1 && break
+  sleep 0.1
+done
+[ $ready = 1 ] || fail "no node is ready"
+
+end=$(($(date +%s) + SECONDS_TO_PLAY))
+number=0
+: >"$WORK/accepted"
+while [ "$(date +%s)" -lt "$end" ]; do
+  number=$((number + 1))
+  id=$(printf '%016x' $number)
+  draw "$NODES"
+  node=$((RANDOM_NUMBER + 1))
+  draw 6
+  cpu=$((1000 + RANDOM_NUMBER * 1000))
+  draw 10
+  work_ms=$((100 + RANDOM_NUMBER * 100))
+  status=$(submit "$node" "$id" $cpu $work_ms)
+  [ "$status" = 200 ] && echo "$id" >>"$WORK/accepted"
+  draw 4
+  [ "$RANDOM_NUMBER" = 0 ] && inject
+  draw 6
+  [ "$RANDOM_NUMBER" = 0 ] && revive
+  sleep 0.1
+done
+control "lose?commits=0&answers=0"
+revive
+
+# Calm: everything accepted has to end within a lease, its evidence, and the
+# work that is left.
+unfinished=1
+for _ in $(seq 1 80); do
+  revive
+  unfinished=0
+  while read -r id; do
+    case $(state 1 "$id") in
+      *completed*) ;;
+      *) unfinished=$((unfinished + 1)); last=$id; break ;;
+    esac
+  done <"$WORK/accepted"
+  [ $unfinished = 0 ] && break
+  sleep 0.5
+done
+check=$(curl -s -m 5 "$CONTROL/check")
+accepted=$(wc -l <"$WORK/accepted")
+[ $unfinished = 0 ] || fail "job $last is not completed: $(state 1 "$last")"
+case $check in
+  *'"violations":0'*) ;;
+  *) fail "$check: $(grep violation "$WORK/standin.log" | head -n 3)" ;;
+esac
+failed=0
+echo "passed: seed $SEED, $accepted jobs, $check"
