node: count an adviser's failures of one moment once

Change: failures that come together count once, and where no node has answered lately each is tried.

Ruled out: the limit of a call alone; it goes back to 350 ms on top, since a short call may stand behind a long one of another owner.

--- a/src/io/node_advice.c
+++ b/src/io/node_advice.c
@@ -26,7 +26,7 @@
 #define BAD_MOST_MS 8000
 /* Limit of a call: this many times its duration, and more for the way.  */
 #define LIMIT_FACTOR 3.0
-#define LIMIT_SLACK_MS 150
+#define LIMIT_SLACK_MS 350
 
 typedef struct
 {
@@ -129,7 +129,8 @@
       adviser->calls -= adviser->calls > 0;
       if (ok)
         adviser->failures = 0;
-      else
+      else if (adviser->bad_until_ms <= node_now (node))
+        /* Several calls that fail together count once.  */
         node_adviser_failed (
             node, call->adviser,
             MIN (BAD_MS << MIN (adviser->failures++, 3u), BAD_MOST_MS));
@@ -178,41 +179,48 @@
   json_decref (reply);
 }
 
-/* Chooses the node for a call, NULL if all are busy.  */
+/* Returns the least busy node of those from BEGIN to END, NULL if all are
+   busy.  ANY: also one that has failed lately.  */
 static adviser_t *
-choose_adviser (const node_t *node, bool is_short)
+least_busy (const node_t *node, guint begin, guint end, uint32_t limit,
+            bool any)
 {
-  guint count = node->advisers->len;
-  guint short_count = MAX (1u, count / SHORT_NODE_SHARE);
-  guint begin = is_short || count == 1 ? 0 : short_count;
-  guint end = is_short ? short_count : count;
-  uint32_t limit = is_short ? SHORT_CALLS : LONG_CALLS;
   int64_t now_ms = node_now (node);
   adviser_t *best = NULL;
-  bool any_sound = false;
   for (guint i = begin; i < end; i++)
     {
       adviser_t *adviser = node->advisers->pdata[i];
-      if (adviser->bad_until_ms > now_ms)
-        continue;
-      any_sound = true;
-      if (adviser->calls < limit
-          && (best == NULL || adviser->calls < best->calls))
-        best = adviser;
-    }
-  if (any_sound)
-    return best;
-  /* None of its own answers: take the least busy of all.  */
-  for (guint i = 0; i < count; i++)
-    {
-      adviser_t *adviser = node->advisers->pdata[i];
-      if (adviser->bad_until_ms <= now_ms && adviser->calls < limit
+      if ((any || adviser->bad_until_ms <= now_ms) && adviser->calls < limit
           && (best == NULL || adviser->calls < best->calls))
         best = adviser;
     }
   return best;
 }
 
+static bool
+any_sound (const node_t *node, guint begin, guint end)
+{
+  for (guint i = begin; i < end; i++)
+    if (((adviser_t *)node->advisers->pdata[i])->bad_until_ms
+        <= node_now (node))
+      return true;
+  return false;
+}
+
+adviser_t *
+node_adviser_choose (const node_t *node, bool is_short)
+{
+  guint count = node->advisers->len;
+  guint short_count = MAX (1u, count / SHORT_NODE_SHARE);
+  guint begin = is_short || count == 1 ? 0 : short_count;
+  guint end = is_short ? MIN (short_count, count) : count;
+  uint32_t limit = is_short ? SHORT_CALLS : LONG_CALLS;
+  if (any_sound (node, begin, end))
+    return least_busy (node, begin, end, limit, false);
+  /* None of its own answers: any other, and if none does, each is tried.  */
+  return least_busy (node, 0, count, limit, !any_sound (node, 0, count));
+}
+
 static char *
 call_text (const char *step, const char *const *workers, uint32_t count,
            int64_t limit_ms)
@@ -233,7 +241,7 @@
 {
   node_cell_t *cell = context;
   node_t *node = cell->node;
-  adviser_t *adviser = choose_adviser (node, expected_ms < SHORT_CALL_MS);
+  adviser_t *adviser = node_adviser_choose (node, expected_ms < SHORT_CALL_MS);
   if (adviser == NULL)
     return false;
   int64_t limit_ms = (int64_t)(expected_ms * LIMIT_FACTOR) + LIMIT_SLACK_MS;
--- a/src/io/node_int.h
+++ b/src/io/node_int.h
@@ -180,6 +180,9 @@
 void node_advice_serve (node_t *node);
 void node_adviser_free (void *adviser);
 
+/* Chooses the node for a call for advice, NULL if all are busy.  Short calls
+   and long ones have nodes of their own while these answer.  */
+adviser_t *node_adviser_choose (const node_t *node, bool is_short);
 /* Leaves NAME out for a while.  */
 void node_adviser_failed (node_t *node, const char *name, int64_t for_ms);
 /* Returns another node that answers and sets *ADDRESS, NULL if there is none;
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -85,10 +85,43 @@
   g_free (cell);
 }
 
+/* Guards against steps that wait for advice although nodes could ask, because
+   each of them has failed lately, and against short calls behind long ones. */
+static void
+test_advisers (void)
+{
+  node_t node = { 0 };
+  clk_fake_t clock;
+  clk_fake_init (&clock, 1000);
+  node.clock = &clock.base;
+  node.advisers = g_ptr_array_new_with_free_func (node_adviser_free);
+  for (int i = 0; i < 6; i++)
+    {
+      char name[8];
+      g_snprintf (name, sizeof name, "n%d", i);
+      node_adviser_set (&node, name, "127.0.0.1:1", 250);
+    }
+  CU_ASSERT_STRING_EQUAL (node_adviser_choose (&node, true)->name, "n0");
+  CU_ASSERT_STRING_EQUAL (node_adviser_choose (&node, false)->name, "n2");
+  node_adviser_failed (&node, "n0", 5000);
+  CU_ASSERT_STRING_EQUAL (node_adviser_choose (&node, true)->name, "n1");
+  node_adviser_failed (&node, "n1", 5000);
+  CU_ASSERT_STRING_EQUAL (node_adviser_choose (&node, true)->name, "n2");
+  for (int i = 2; i < 6; i++)
+    ((adviser_t *)node.advisers->pdata[i])->calls = 1;
+  CU_ASSERT_PTR_NULL (node_adviser_choose (&node, false));
+  for (int i = 2; i < 6; i++)
+    node_adviser_failed (&node, ((adviser_t *)node.advisers->pdata[i])->name,
+                         5000);
+  CU_ASSERT_PTR_NOT_NULL (node_adviser_choose (&node, true));
+  g_ptr_array_unref (node.advisers);
+}
+
 static CU_TestInfo node_tests[] = {
   { "waits follow the answers", test_patience },
   { "whose fence row it is", test_fence_row },
   { "pending jobs in the beat of a claim", test_beat_of_claim },
+  { "which node asks for advice", test_advisers },
   CU_TEST_INFO_NULL,
 };
 
