cell: keep an owner's processor free when the queue is long

Change: a pass that found no node for a step of a queue does not try for the others; steps without a ticket are not matched with workers; passes are further apart with a long queue, up to 100 ms.

Test: 200 waiting steps and no node: below 100 tries in a second.

--- a/src/cell_advice.c
+++ b/src/cell_advice.c
@@ -31,6 +31,13 @@
   return permit->ticket;
 }
 
+bool
+cell_has_tickets (const cell_group_t *group)
+{
+  return group->tickets_until_ms
+         >= group->job->cell->now_ms + TICKET_MARGIN_MS;
+}
+
 bool
 cell_denied (const cell_group_t *group, const cell_worker_t *worker)
 {
@@ -118,6 +125,8 @@
 {
   const queue_t *queue = group->job->queue;
   char step[WORK_NAME_BYTES];
+  if (g_hash_table_contains (cell->unadvised, queue->name))
+    return;
   work_step_name_format (step, group->job->id, group->occurrence, group->step);
   while (group->calls_open < calls_wanted (group)
          && cell->now_ms >= group->ask_after_ms)
@@ -129,11 +138,16 @@
       for (guint i = 0; i < count; i++)
         names[i] = g_array_index (candidates, candidate_t, i).worker->id;
       g_array_unref (candidates);
-      if (count == 0
-          || !cell->actions->advise (
+      if (count == 0)
+        return;
+      if (!cell->actions->advise (
               cell->context, step, group->last_call + 1, names, count,
               queue->advice_ms + queue->advice_each_ms * (double)count))
-        return;
+        {
+          /* Other steps of the queue would find no node either.  */
+          g_hash_table_add (cell->unadvised, g_strdup (queue->name));
+          return;
+        }
       group->last_call++;
       group->calls_open++;
       for (guint i = 0; i < count; i++)
@@ -196,7 +210,10 @@
   for (uint32_t i = 0; i < count; i++)
     {
       permit_t *permit = g_hash_table_lookup (group->permits, rows[i].worker);
-      if (permit != NULL && permit->known && permit->ticket == NULL)
-        permit->ticket = g_strdup (rows[i].ticket);
+      if (permit == NULL || !permit->known || permit->ticket != NULL)
+        continue;
+      permit->ticket = g_strdup (rows[i].ticket);
+      group->tickets_until_ms
+          = MAX (group->tickets_until_ms, permit->valid_until_ms);
     }
 }
--- a/src/cell_int.h
+++ b/src/cell_int.h
@@ -74,8 +74,9 @@
   uint32_t calls_open; /* calls for advice in flight */
   uint32_t last_call;
   int64_t ask_after_ms;
-  int64_t explain_ms;  /* when its wait may be explained again */
-  GHashTable *permits; /* worker id -> permit_t; answers of the adviser */
+  int64_t tickets_until_ms; /* when the last ticket expires */
+  int64_t explain_ms;       /* when its wait may be explained again */
+  GHashTable *permits;      /* worker id -> permit_t; answers of the adviser */
 };
 
 typedef enum
@@ -162,6 +163,9 @@
   GArray *saving_states; /* job_show_t of these */
   bool begun, save_open, fenced, seen_dirty;
   bool place_wanted;
+  int64_t next_place_ms;
+  GHashTable *unadvised; /* names of the queues for which no node could ask for
+                            advice in the current pass */
   int64_t begun_ms;
   int64_t previous_renews_until_ms;
   int64_t next_save_ms;
@@ -228,6 +232,8 @@
 const char *cell_ticket (const cell_group_t *group,
                          const cell_worker_t *worker);
 bool cell_denied (const cell_group_t *group, const cell_worker_t *worker);
+/* Whether GROUP may hold a valid ticket for some worker.  */
+bool cell_has_tickets (const cell_group_t *group);
 
 /* cell_pace.c */
 void cell_adjust_pace (cell_t *cell, cell_worker_t *worker);
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -4,6 +4,11 @@
 
 /* A job that takes up to this many objectives still earns a part.  */
 #define LATE_OBJECTIVES 3
+/* A pass looks at every waiting step and worker.  With a long queue passes are
+   further apart, so that they leave processor time for calls: a ms for so many
+   steps, up to the most.  */
+#define GROUPS_A_MS 4u
+#define PLACE_MOST_GAP_MS 100u
 /* A step that waits for longer is explained in the log, and how often.  */
 #define EXPLAIN_AFTER_MS 1000
 #define EXPLAIN_AGAIN_MS 2000
@@ -337,16 +342,17 @@
 place_group (cell_t *cell, cell_group_t *group, bool *promised)
 {
   bool whole = group->waiting == group->spec->count;
-  if (group->spec->gang && whole && !place_gang (cell, group) && !*promised
-      && group->tier != TIER_TOO_LATE)
+  bool advised = group->job->queue != NULL && group->job->queue->advised;
+  bool can_start = !advised || cell_has_tickets (group);
+  if (group->spec->gang && whole && (!can_start || !place_gang (cell, group))
+      && !*promised && group->tier != TIER_TOO_LATE)
     {
       promise_room (cell, group);
       *promised = true;
     }
-  if (!group->spec->gang)
+  if (!group->spec->gang && can_start)
     place_tasks (cell, group);
-  if (group->waiting > 0 && group->job->queue != NULL
-      && group->job->queue->advised)
+  if (group->waiting > 0 && advised)
     cell_ask_advice (cell, group);
   if (group->waiting > 0)
     explain_wait (cell, group);
@@ -368,6 +374,9 @@
       g_ptr_array_add (ranked, group);
     }
   g_ptr_array_sort (ranked, compare_groups);
+  g_hash_table_remove_all (cell->unadvised);
+  cell->next_place_ms
+      = cell->now_ms + MIN (ranked->len / GROUPS_A_MS, PLACE_MOST_GAP_MS);
   bool promised = false;
   for (guint i = 0; i < ranked->len; i++)
     place_group (cell, ranked->pdata[i], &promised);
--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -285,7 +285,7 @@
 {
   if (cell->save_open || cell->now_ms < cell->next_save_ms)
     return;
-  if (cell->place_wanted)
+  if (cell->place_wanted && cell->now_ms >= cell->next_place_ms)
     {
       cell->place_wanted = false;
       cell_place (cell);
--- a/src/io/node_advice.c
+++ b/src/io/node_advice.c
@@ -131,9 +131,11 @@
         adviser->failures = 0;
       else if (adviser->bad_until_ms <= node_now (node))
         /* Several calls that fail together count once.  */
-        node_adviser_failed (
-            node, call->adviser,
-            MIN (BAD_MS << MIN (adviser->failures++, 3u), BAD_MOST_MS));
+        {
+          int64_t bad_ms = BAD_MS << MIN (adviser->failures, 3u);
+          adviser->failures++;
+          node_adviser_failed (node, call->adviser, MIN (bad_ms, BAD_MOST_MS));
+        }
     }
   if (!ok)
     log_event (LOG_WARN, "advice_failed", "subject", call->step, "node",
--- a/src/work.h
+++ b/src/work.h
@@ -14,9 +14,9 @@
    All strings are owned by the structure that holds them.  */
 
 #define WORK_ID_LENGTH 16
-#define WORK_MAX_STEPS 64
-#define WORK_MAX_TASKS 2000 /* of a step; the row of a job holds 64 KB */
-#define WORK_MAX_SPEC 4000  /* bytes */
+#define WORK_MAX_STEPS 64u
+#define WORK_MAX_TASKS 2000u /* of a step; the row of a job holds 64 KB */
+#define WORK_MAX_SPEC 4000u  /* bytes */
 /* "ID.OCCURRENCE.STEP.INDEX" with its NUL.  */
 #define WORK_NAME_BYTES 56
 
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -109,6 +109,7 @@
   int64_t store_away_until_ms;
   char *breach;
   uint32_t starts;
+  uint32_t asks;
   bool calm;
 };
 
@@ -382,7 +383,7 @@
 static bool
 take_call (fake_cell_t *world, const fake_event_t *event)
 {
-  return g_hash_table_remove (world->calls, &event->call);
+  return g_hash_table_remove (world->calls, GSIZE_TO_POINTER (event->call));
 }
 
 static void
@@ -617,15 +618,14 @@
       answers = false;
     }
   fake_event_t *order = event_new (world, delay_ms, deliver);
-  uint64_t *call = g_new (uint64_t, 1);
-  *call = ++world->last_call;
-  g_hash_table_add (world->calls, call);
+  uint64_t number = ++world->last_call;
+  g_hash_table_add (world->calls, GSIZE_TO_POINTER (number));
   order->worker = worker_named (world, worker_id);
   order->task = g_strdup (task);
   order->run = run;
   order->token = world->token;
   order->born_ms = order->worker->born_ms;
-  order->call = *call;
+  order->call = number;
   order->answers = answers;
   if (chance (world, world->faults.order_dropped))
     order->fire = never_delivered;
@@ -633,7 +633,7 @@
   limit->worker = worker_named (world, worker_id);
   limit->task = g_strdup (task);
   limit->run = run;
-  limit->call = *call;
+  limit->call = number;
   limit->result = ORDER_UNKNOWN;
   order->owner = 0;
   order->sender = world->owner;
@@ -685,7 +685,7 @@
   GArray *rows = g_array_new (FALSE, FALSE, sizeof (advice_row_t));
   char ticket[24];
   g_snprintf (ticket, sizeof ticket, "%lld",
-              (long long)(now_of (world) + world->faults.ticket_life_ms));
+              (long long)now_of (world) + world->faults.ticket_life_ms);
   for (guint i = 0; i < event->texts->len; i++)
     {
       advice_row_t row = { event->texts->pdata[i], ticket };
@@ -704,6 +704,9 @@
             const char *const *workers, uint32_t count, double expected_ms)
 {
   fake_cell_t *world = context;
+  world->asks++;
+  if (world->faults.no_adviser)
+    return false;
   fake_event_t *event = event_new (world, ADVICE_MS, answer_advice);
   event->task = g_strdup (step);
   event->run = call;
@@ -1025,8 +1028,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   world->truths
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  world->calls
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  world->calls = g_hash_table_new (NULL, NULL);
   world->queues = queues_new (faults);
   fake_cell_take_over (world);
   event_new (world, 0, on_tick)->owner = 0;
@@ -1077,6 +1079,12 @@
   return world->starts;
 }
 
+uint32_t
+fake_cell_asks (const fake_cell_t *world)
+{
+  return world->asks;
+}
+
 uint32_t
 fake_cell_running (const fake_cell_t *world)
 {
--- a/tests/fake_cell.h
+++ b/tests/fake_cell.h
@@ -27,6 +27,7 @@
   uint32_t owner_lost;     /* each 100 ms: another owner takes over */
   uint32_t store_away;     /* each 100 ms: saves hang for 1 to 4 s */
   uint32_t ticket_life_ms; /* 0: queues without advice */
+  bool no_adviser;         /* every node is busy */
 } fake_faults_t;
 
 typedef enum
@@ -56,6 +57,8 @@
 const char *fake_cell_saved_state (const fake_cell_t *world, const char *id);
 cell_t *fake_cell_owner (fake_cell_t *world);
 uint32_t fake_cell_starts (const fake_cell_t *world);
+/* Tries to ask for advice.  */
+uint32_t fake_cell_asks (const fake_cell_t *world);
 /* Lets another owner take over now.  */
 void fake_cell_take_over (fake_cell_t *world);
 uint32_t fake_cell_running (const fake_cell_t *world);
--- a/tests/site_worker.c
+++ b/tests/site_worker.c
@@ -10,6 +10,7 @@
 
 #define LEASE_MS 6000
 #define STOP_MS 50
+#define TICKET_LIFE_MS 1500
 #define BEAT_S 1.0
 #define TICK_S 0.01
 #define CPU_MILLIS 16000
@@ -462,7 +463,7 @@
   char ticket[24];
   json_t *good = json_array ();
   g_snprintf (ticket, sizeof ticket, "%lld",
-              (long long)(site_now_ms () + 1500));
+              (long long)site_now_ms () + TICKET_LIFE_MS);
   for (size_t i = 0; i < json_array_size (workers); i++)
     json_array_append_new (
         good,
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -126,6 +126,21 @@
   fake_cell_free (world);
 }
 
+/* Guards against an owner that spends its time on steps for which no node can
+   ask: with 200 of them each pass has to try once only.  */
+static void
+test_busy_advisers (void)
+{
+  fake_faults_t faults = { .ticket_life_ms = 1000, .no_adviser = true };
+  fake_cell_t *world = fake_cell_new (1, 12, &faults, BREAK_NOTHING);
+  for (uint32_t i = 1; i <= 200; i++)
+    fake_cell_submit (world, job_new (i, 1, 4, 500));
+  fake_cell_run (world, 1000);
+  CU_ASSERT_TRUE (fake_cell_asks (world) > 5);
+  CU_ASSERT_TRUE (fake_cell_asks (world) < 100);
+  fake_cell_free (world);
+}
+
 static work_job_t *
 random_job (GRand *random, uint32_t number)
 {
@@ -252,6 +267,7 @@
   { "a cancelled job's tasks end", test_cancel },
   { "a hopeless job fails after its attempts", test_attempts },
   { "pending jobs after a takeover", test_pending_after_takeover },
+  { "no node can ask for advice", test_busy_advisers },
   { "random days with faults", test_random_days },
   { "broken variants are caught", test_broken_variants },
   CU_TEST_INFO_NULL,
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -23,12 +23,16 @@
   queue_table_t *table
       = platform_decode_config (NULL, config_text, strlen (config_text), NULL);
   CU_ASSERT_PTR_NOT_NULL_FATAL (table);
+  if (table == NULL)
+    return;
   CU_ASSERT_EQUAL (table->version, 7);
   CU_ASSERT_EQUAL (table->services->len, 2);
   const char *rest;
   const queue_t *queue = queue_table_match (table, "ficu95.example:8149",
                                             "/cufi504/fi50/abc", &rest);
   CU_ASSERT_PTR_NOT_NULL_FATAL (queue);
+  if (queue == NULL)
+    return;
   CU_ASSERT_STRING_EQUAL (queue->name, "r-1");
   CU_ASSERT_STRING_EQUAL (rest, "abc");
   CU_ASSERT_STRING_EQUAL (queue->service, "wuno96b");
@@ -254,7 +258,7 @@
           CU_ASSERT_STRING_EQUAL (platform.store_url,
                                   "http://10.200.1.7:8142");
         }
-      else
+      else if (cases[i].message != NULL)
         CU_ASSERT_PTR_NOT_NULL (strstr (error->message, cases[i].message));
       remove (path);
       g_clear_error (&error);
