--- a/src/io/node.c
+++ b/src/io/node.c
@@ -25,6 +25,9 @@
 #define CLUSTER_SLACK_MS 600
 /* Beats are watched anew after a longer time without an answer about them.  */
 #define BEAT_GAP_MS 700
+/* Share by which the lateness of the store's answers is forgotten with each
+   answer.  */
+#define LATE_FALL_DIVISOR 8
 #define TICK_S (CELL_TICK_MS / 1000.0)
 #define CLAIM_CHECK_S 0.05
 #define ENROLL_LIMIT_MS 1500
@@ -123,9 +126,11 @@
 }
 
 static void
-on_cluster_answered (void *context)
+on_cluster_answered (void *context, int64_t late_ms)
 {
   node_t *node = context;
+  node->late_ms -= node->late_ms / LATE_FALL_DIVISOR;
+  node->late_ms = MAX (node->late_ms, late_ms);
   int64_t now_ms = node_now (node);
   /* What happened to the beats meanwhile is not known.  */
   if (now_ms - node->answered_ms > BEAT_GAP_MS)
--- a/src/io/node_claim.c
+++ b/src/io/node_claim.c
@@ -17,8 +17,10 @@
 /* An owner whose beat has not changed for this long is taken for lost: two
    beats of 350 ms and the time of a commit.  */
 #define BEAT_LOST_MS 950
-/* The same for each millisecond that commits usually take.  */
-#define BEAT_SLOW_FACTOR 3
+/* The same for each millisecond that commits usually take, or that answers
+   about the beats come late: the beat of a slow store takes a commit and two
+   answers longer.  */
+#define BEAT_SLOW_FACTOR 4
 /* Wait between two ranks of claimants, so that they do not race.  */
 #define RANK_GAP_MS 100
 /* The same between a node that owns no cell and one that owns some.  */
@@ -302,7 +304,10 @@
     vacant = true;
   /* Beats of a slow store come late.  */
   int64_t patience_ms
-      = vacant ? 0 : BEAT_LOST_MS + BEAT_SLOW_FACTOR * node->patience.usual_ms;
+      = vacant ? 0
+               : BEAT_LOST_MS
+                     + BEAT_SLOW_FACTOR
+                           * MAX (node->patience.usual_ms, node->late_ms);
   patience_ms += (int64_t)my_rank (cell) * RANK_GAP_MS
                  + (int64_t)node_cells_held (node) * BUSY_GAP_MS;
   /* The node that held the cell before it started anew goes first.  */
--- a/src/io/node_int.h
+++ b/src/io/node_int.h
@@ -113,6 +113,7 @@
   bool input; /* a cell has got input */
   bool stopping, enrolled;
   int64_t stop_ms;
+  int64_t late_ms;     /* how late answers about the cluster come, lately */
   int64_t answered_ms; /* last answer about the cluster */
   patience_t patience; /* with the store's transactions */
   uint32_t next_peer;
--- a/src/io/replica.c
+++ b/src/io/replica.c
@@ -1,6 +1,7 @@
 #include "replica.h"
 
 #include "log.h"
+#include "loop.h"
 
 #include <string.h>
 
@@ -42,6 +43,7 @@
   GHashTable *rows; /* "PART\nKEY" -> copy_t, owned */
   ev_timer retry;
   uint64_t after;
+  int64_t sent_ms;       /* when the call for changes was made */
   uint64_t read_version; /* smallest of the reading under way */
   uint32_t round;
   uint32_t open; /* calls in flight */
@@ -188,7 +190,7 @@
 }
 
 static void
-note_result (replica_t *replica, bool ok)
+note_result (replica_t *replica, bool ok, int64_t late_ms)
 {
   if (ok == replica->failing)
     log_event (ok ? LOG_INFO : LOG_WARN, ok ? "store_back" : "store_lost",
@@ -196,7 +198,7 @@
   replica->failing = !ok;
   /* A reading of several parts answers only once all of them are known.  */
   if (ok && !replica->reading && replica->events.answered != NULL)
-    replica->events.answered (replica->context);
+    replica->events.answered (replica->context, late_ms);
 }
 
 static void
@@ -263,7 +265,7 @@
     {
       if (ok)
         take_page (reader, reply);
-      note_result (replica, ok);
+      note_result (replica, ok, -1);
     }
   close_call (replica, ok);
 }
@@ -296,7 +298,10 @@
         take_row (replica, &reply->rows[i]);
       if (ok)
         replica->after = MAX (replica->after, reply->version);
-      note_result (replica, ok);
+      int64_t took_ms = clk_now_ms (loop_clock ()) - replica->sent_ms;
+      note_result (replica, ok,
+                   reply->count == 0 ? MAX (took_ms - replica->wait_ms, 0)
+                                     : -1);
     }
   close_call (replica, ok);
 }
@@ -305,6 +310,7 @@
 follow (replica_t *replica)
 {
   replica->open++;
+  replica->sent_ms = clk_now_ms (loop_clock ());
   replica->site->ops->follow (
       replica->site, replica->table, replica->after, replica->wait_ms,
       replica->wait_ms + replica->slack_ms, on_changes, replica);
--- a/src/io/replica.h
+++ b/src/io/replica.h
@@ -18,8 +18,9 @@
                    const char *value, size_t length);
   /* The rows were read for the first time; NULL allowed.  */
   void (*loaded) (void *context);
-  /* The store has answered a call; NULL allowed.  */
-  void (*answered) (void *context);
+  /* The store has answered a call; NULL allowed.  LATE_MS: how long after the
+     wait an answer without changes came; -1: not known.  */
+  void (*answered) (void *context, int64_t late_ms);
 } replica_events_t;
 
 typedef struct
