--- a/src/cell.h
+++ b/src/cell.h
@@ -28,15 +28,10 @@
 
 typedef struct
 {
-  int64_t lease_ms;      /* longest lease that workers grant */
-  int64_t stop_limit_ms; /* longest stop of a task */
-  int64_t gang_limit_ms; /* how long members wait for the others */
-  int64_t evidence_ms;   /* after a takeover, age of the last renewal that
-                            the previous owner may still send */
-  int64_t pace_delay_ms; /* until a pace is in force */
-  double remote_factor;  /* slowdown away from the data or the rack */
-  int64_t restore_ms;    /* start from a checkpoint */
-  int64_t keep_ms;       /* how long the state of an ended job is told */
+  int64_t lease_ms;    /* longest lease that workers grant */
+  int64_t evidence_ms; /* after a takeover, age of the last renewal that
+                          the previous owner may still send */
+  int64_t keep_ms;     /* how long the state of an ended job is told */
 } cell_options_t;
 
 typedef struct
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -2,9 +2,6 @@
 
 #include <string.h>
 
-/* An occurrence is laid out this long before it is due.  */
-#define OCCURRENCE_LEAD_MS 0
-
 /* Age of a job at most, as told by clocks that may differ or jump.  */
 #define MAX_AGE_MS 60000
 
@@ -306,7 +303,7 @@
              && job->next_occurrence < job->work->times
              && job->work->first_due_ms
                         + job->next_occurrence * job->work->interval_ms
-                    <= cell->wall_ms + OCCURRENCE_LEAD_MS)
+                    <= cell->wall_ms)
         {
           cell_job_add_groups (job, job->next_occurrence);
           open_ready_groups (job);
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -14,8 +14,6 @@
 #define FAIL_STREAK 3
 #define AVOID_FIRST_MS 2000
 #define AVOID_MOST_MS 16000
-/* A ticket that expires sooner may do so on its way to the worker.  */
-#define TICKET_MARGIN_MS 30
 
 static cell_worker_ref_t
 worker_ref (const cell_worker_t *worker)
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -141,15 +141,10 @@
 static const replica_events_t cluster_events
     = { on_cluster_changed, NULL, on_cluster_answered };
 
-typedef struct
-{
-  node_t *node;
-} listed_t;
-
 static void
 worker_listed (void *context, const worker_row_t *row)
 {
-  node_t *node = ((listed_t *)context)->node;
+  node_t *node = context;
   node_cell_t *cell = g_hash_table_lookup (node->cells, row->service);
   if (cell != NULL && cell->cell != NULL)
     cell_worker_listed (cell->cell, row);
@@ -161,14 +156,13 @@
 {
   node_t *node = context;
   site_t *site = node->site;
-  listed_t listed = { node };
   node->input = true;
   /* A row that cannot be read names no worker to use; the one that it named
      before holds until its next row or its removal.  */
   if (value != NULL)
     {
       if (!site->ops->decode_worker (site, key, value, length, worker_listed,
-                                     &listed))
+                                     node))
         log_event (LOG_WARN, "worker_row_unreadable", "id", key, NULL);
       return;
     }
@@ -477,8 +471,11 @@
       log_event (LOG_ERROR, "start_failed", "message", error->message, NULL);
       goto out;
     }
+  char port[8];
+  g_snprintf (port, sizeof port, "%u", site->settings.peer_port);
   log_event (LOG_INFO, "started", "node", site->settings.name, "zone",
-             site->settings.zone, "incarnation", node->incarnation, NULL);
+             site->settings.zone, "incarnation", node->incarnation, "port",
+             port, NULL);
   watch_signals (node);
   follow_operator (node);
   start_timers (node);
--- a/src/io/node_int.h
+++ b/src/io/node_int.h
@@ -65,7 +65,6 @@
   char *owner_incarnation;
   uint64_t seen_token; /* highest token that a beat has told */
   int64_t beat_ms;     /* when its beat was last seen to change */
-  int64_t unowned_ms;  /* since when a claim is possible, 0: not */
   GHashTable *pending; /* queue -> count, from the beat */
 
   /* While owned.  */
--- a/src/io/site.h
+++ b/src/io/site.h
@@ -164,7 +164,6 @@
   char *ip;
   uint16_t peer_port;    /* for other nodes and for metrics */
   int64_t stop_limit_ms; /* from the signal to the end of the process */
-  int64_t heartbeat_ms;  /* of the workers */
   int64_t cpu_millis;    /* processor time that this node may use */
   cell_options_t cells;
 } site_settings_t;
--- a/src/queues.c
+++ b/src/queues.c
@@ -75,15 +75,3 @@
     *rest = path + best_length;
   return best;
 }
-
-const queue_t *
-queue_table_find (const queue_table_t *table, const char *name)
-{
-  for (guint i = 0; i < table->queues->len; i++)
-    {
-      const queue_t *queue = table->queues->pdata[i];
-      if (strcmp (queue->name, name) == 0)
-        return queue;
-    }
-  return NULL;
-}
--- a/src/queues.h
+++ b/src/queues.h
@@ -46,6 +46,5 @@
    PATH and sets *REST to what follows the prefix; NULL if there is none.  */
 const queue_t *queue_table_match (const queue_table_t *table, const char *host,
                                   const char *path, const char **rest);
-const queue_t *queue_table_find (const queue_table_t *table, const char *name);
 
 #endif
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -1008,12 +1008,7 @@
   world->faults = *faults;
   world->broken = broken;
   world->options = (cell_options_t){ .lease_ms = LEASE_MS,
-                                     .stop_limit_ms = 400,
-                                     .gang_limit_ms = 3000,
                                      .evidence_ms = 10000,
-                                     .pace_delay_ms = 100,
-                                     .remote_factor = 2.0,
-                                     .restore_ms = 250,
                                      .keep_ms = 120000 };
   world->workers = g_ptr_array_new_with_free_func (worker_free);
   for (uint32_t i = 0; i < workers; i++)
--- a/tests/soak_node.sh
+++ b/tests/soak_node.sh
@@ -51,16 +51,10 @@
 listen_addresses.readiness=127.0.0.$((10 + $1)):$((PORT + 402))
 platform.address=127.0.0.1:$PORT
 advice=127.0.0.1:$PORT
-heartbeat_ms=1000
 limits.cpu_share=1
 limits.cores=1
 bounds.grace_s=6
 bounds.max_hold_ms=6000
-bounds.stop_timeout_ms=400
-bounds.gang_timeout_ms=3000
-bounds.restore_ms=250
-bounds.pace_ms=100
-bounds.remote_factor=1.5
 bounds.status_s=120
 END
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -254,7 +254,7 @@
           CU_ASSERT_EQUAL (settings->peer_port, 7380);
           CU_ASSERT_EQUAL (settings->cpu_millis, 500);
           CU_ASSERT_EQUAL (settings->cells.lease_ms, 6000);
-          CU_ASSERT_DOUBLE_EQUAL (settings->cells.remote_factor, 1.5, 0.01);
+          CU_ASSERT_EQUAL (settings->cells.keep_ms, 120000);
           CU_ASSERT_STRING_EQUAL (platform.store_url,
                                   "http://10.200.1.7:8142");
         }
