--- a/src/io/node.c
+++ b/src/io/node.c
@@ -67,6 +67,14 @@
   counter_add (counter_get (node->metrics, name, labels), 1);
 }
 
+void
+node_observe (node_t *node, const char *name, int64_t took_ms)
+{
+  const int64_t us_per_ms = 1000;
+  histogram_add (counter_histogram (node->metrics, name, NULL),
+                 (uint64_t)(MAX (took_ms, 0) * us_per_ms));
+}
+
 static node_cell_t *
 cell_named (node_t *node, const char *name)
 {
@@ -450,8 +458,26 @@
   return node->site->ops->serve (node->site, &node_jobs, node, error);
 }
 
+static bool
+start_metrics (node_t *node, uint16_t port, GError **error)
+{
+  if (port == 0)
+    return true;
+  char *address = g_strdup_printf ("%s:%u", node->site->settings.ip, port);
+  httpd_options_t options = { .listen = address,
+                              .connection_limit = 16,
+                              .header_limit = 8192,
+                              .body_limit = 8192 };
+  node->metrics_server = httpd_new (node->loop, &options, error);
+  g_free (address);
+  if (node->metrics_server == NULL)
+    return false;
+  node_metrics_serve (node);
+  return true;
+}
+
 int
-node_run (struct ev_loop *loop, site_t *site)
+node_run (struct ev_loop *loop, site_t *site, uint16_t metrics_port)
 {
   GError *error = NULL;
   int status = 1;
@@ -466,7 +492,8 @@
   patience_init (&node->patience, STORE_LEAST_WAIT_MS, STORE_MOST_WAIT_MS);
   g_snprintf (node->incarnation, sizeof node->incarnation, "%011llx-%08x",
               (long long)clk_wall_ms (node->clock), g_random_int ());
-  if (!start_serving (node, &error))
+  if (!start_serving (node, &error)
+      || !start_metrics (node, metrics_port, &error))
     {
       log_event (LOG_ERROR, "start_failed", "message", error->message, NULL);
       goto out;
--- a/src/io/node.h
+++ b/src/io/node.h
@@ -10,7 +10,9 @@
    service of the configuration.  Nodes meet only through the store, and call
    each other for advice.  */
 
-/* Runs a node on SITE until it is told to stop.  Returns the exit code.  */
-int node_run (struct ev_loop *loop, site_t *site);
+/* Runs a node on SITE until it is told to stop.  METRICS_PORT: where its
+   metrics are served beside the peer port, 0: nowhere else.  Returns the exit
+   code.  */
+int node_run (struct ev_loop *loop, site_t *site, uint16_t metrics_port);
 
 #endif
--- a/src/io/node_advice.c
+++ b/src/io/node_advice.c
@@ -343,3 +343,12 @@
 {
   httpd_add_routes (node->internal, peer_routes, node);
 }
+
+static const httpd_route_t metrics_routes[]
+    = { { "GET", "/metrics", serve_metrics }, { NULL, NULL, NULL } };
+
+void
+node_metrics_serve (node_t *node)
+{
+  httpd_add_routes (node->metrics_server, metrics_routes, node);
+}
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -132,6 +132,9 @@
           const char *detail)
 {
   const node_cell_t *cell = context;
+  char labels[64];
+  g_snprintf (labels, sizeof labels, "event=\"%s\"", event);
+  node_count (cell->node, "magnoliadock_cell_events_total", labels);
   log_event (LOG_INFO, event, "subject", subject, "cell", cell->name, "detail",
              detail, NULL);
 }
@@ -218,6 +221,8 @@
   replica_replay (cell->inbox);
   cell->replay_pass = REPLAY_OVER;
   cell->state = CELL_OWNED;
+  node_observe (node, "magnoliadock_takeover_seconds",
+                node_now (node) - cell->claim_ms);
   cell_begin (cell->cell, cell->previous_over);
   cell_totals_t totals;
   cell_totals (cell->cell, &totals);
--- a/src/io/node_commit.c
+++ b/src/io/node_commit.c
@@ -120,8 +120,10 @@
   node_cell_t *cell = call->cell;
   bool current = call->epoch == cell->epoch && cell->commit_open;
   patience_t *patience = &cell->node->patience;
+  int64_t took_ms = node_now (cell->node) - call->sent_ms;
+  node_observe (cell->node, "magnoliadock_commit_seconds", took_ms);
   if (reply->result == STORE_OK || reply->result == STORE_CONFLICT)
-    patience_answered (patience, node_now (cell->node) - call->sent_ms);
+    patience_answered (patience, took_ms);
   else if (reply->result == STORE_UNKNOWN)
     patience_missed (patience, call->limit_ms);
   g_free (call);
--- a/src/io/node_front.c
+++ b/src/io/node_front.c
@@ -31,6 +31,7 @@
   char *id;
   node_cell_t *cell;
   int64_t until_ms;
+  int64_t begun_ms;
   int64_t sent_ms;
   int64_t limit_ms;
   uint32_t refusals;
@@ -66,6 +67,9 @@
 static void
 give_up (write_t *write)
 {
+  node_count (write->node, "magnoliadock_refused_total",
+              write->unsure ? "reason=\"unanswered\""
+                            : "reason=\"store_unavailable\"");
   log_event (LOG_WARN, "write_failed", "id", write->id, "unsure",
              write->unsure ? "1" : "0", NULL);
   write->node->site->ops->answer_error (
@@ -87,6 +91,12 @@
       log_event (LOG_INFO, write->cancels ? "cancel_stored" : "job_accepted",
                  "id", write->id, "cell", write->cell->name, "known",
                  reply->result == STORE_CONFLICT ? "1" : "0", NULL);
+      node_count (node,
+                  write->cancels ? "magnoliadock_cancels_total"
+                                 : "magnoliadock_accepted_total",
+                  NULL);
+      node_observe (node, "magnoliadock_write_seconds",
+                    now_ms - write->begun_ms);
       answer_written (write);
       write_free (write);
       return;
@@ -142,6 +152,7 @@
   write->cell = cell;
   write->table = g_strdup (cell->inbox_table);
   write->id = g_strdup (id);
+  write->begun_ms = node_now (node);
   write->until_ms = node_now (node) + (wait_ms > 0 ? wait_ms : CALLER_WAIT_MS)
                     - ANSWER_MARGIN_MS;
   write->by_peer = node_store_lost (node);
--- a/src/io/node_int.h
+++ b/src/io/node_int.h
@@ -102,6 +102,7 @@
   replica_t *workers; /* NULL: this node owns no cell */
   GHashTable *cells;  /* name -> node_cell_t, owned */
   httpd_t *internal;
+  httpd_t *metrics_server; /* NULL: none of its own */
   httpc_t *peers;
   GPtrArray *advisers; /* adviser_t, owned */
   counter_registry_t *metrics;
@@ -124,6 +125,8 @@
 int64_t node_now (const node_t *node);
 node_cell_t *node_cell_of (node_t *node, const queue_t *queue);
 void node_count (node_t *node, const char *name, const char *labels);
+/* Adds a time to the histogram NAME.  */
+void node_observe (node_t *node, const char *name, int64_t took_ms);
 
 /* Follows the list of workers while this node owns a cell.  */
 void node_follow_workers (node_t *node);
@@ -178,6 +181,7 @@
                        int64_t cpu_millis);
 void node_adviser_remove (node_t *node, const char *name);
 void node_advice_serve (node_t *node);
+void node_metrics_serve (node_t *node);
 void node_adviser_free (void *adviser);
 
 /* Chooses the node for a call for advice, NULL if all are busy.  Short calls
