--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -221,7 +221,7 @@
   replica_replay (cell->inbox);
   cell->replay_pass = REPLAY_OVER;
   cell->state = CELL_OWNED;
-  node_observe (node, "magnoliadock_takeover_seconds",
+  node_observe (node, "magnoliadock_takeover_us",
                 node_now (node) - cell->claim_ms);
   cell_begin (cell->cell, cell->previous_over);
   cell_totals_t totals;
--- a/src/io/node_commit.c
+++ b/src/io/node_commit.c
@@ -121,7 +121,7 @@
   bool current = call->epoch == cell->epoch && cell->commit_open;
   patience_t *patience = &cell->node->patience;
   int64_t took_ms = node_now (cell->node) - call->sent_ms;
-  node_observe (cell->node, "magnoliadock_commit_seconds", took_ms);
+  node_observe (cell->node, "magnoliadock_commit_us", took_ms);
   if (reply->result == STORE_OK || reply->result == STORE_CONFLICT)
     patience_answered (patience, took_ms);
   else if (reply->result == STORE_UNKNOWN)
--- a/src/io/node_front.c
+++ b/src/io/node_front.c
@@ -95,8 +95,7 @@
                   write->cancels ? "magnoliadock_cancels_total"
                                  : "magnoliadock_accepted_total",
                   NULL);
-      node_observe (node, "magnoliadock_write_seconds",
-                    now_ms - write->begun_ms);
+      node_observe (node, "magnoliadock_write_us", now_ms - write->begun_ms);
       answer_written (write);
       write_free (write);
       return;
