cell: notice a worker's new life by its clock, and doubt its runs

Change: the clock in the answer to an order tells of a new life; runs that were confirmed are over only if a report of the new life does not list them.

--- a/src/cell.h
+++ b/src/cell.h
@@ -191,8 +191,9 @@
 /* The store has confirmed the ownership at AT_MS.  */
 void cell_confirmed (cell_t *cell, int64_t at_ms);
 
+/* CLOCK_MS: the worker's clock in its answer, 0: not told.  */
 void cell_started (cell_t *cell, const char *worker, const char *task,
-                   uint32_t run, order_result_t result);
+                   uint32_t run, order_result_t result, int64_t clock_ms);
 void cell_stopped (cell_t *cell, const char *worker, const char *task,
                    uint32_t run, order_result_t result);
 void cell_looked (cell_t *cell, const char *worker,
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -289,12 +289,14 @@
 
 void
 cell_started (cell_t *cell, const char *worker_id, const char *name,
-              uint32_t run, order_result_t result)
+              uint32_t run, order_result_t result, int64_t clock_ms)
 {
   cell->now_ms = clk_now_ms (cell->clock);
   cell_task_t *task = cell_find_task (cell, name);
   if (result == ORDER_FENCED)
     cell->fenced = true;
+  if (clock_ms > 0)
+    cell_worker_clock (cell, worker_id, clock_ms);
   if (task == NULL || task->run != run || task->worker == NULL
       || strcmp (task->worker->id, worker_id) != 0)
     return;
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -72,28 +72,17 @@
 
 /* The worker has started anew.  A start that was sent to it before and not
    answered may still be carried out by its new life, so such a run is stopped
-   there first.  */
+   there first.  Of the others the next report tells: one that was confirmed
+   lately may run in the new life.  */
 static void
-end_runs_of_old_life (cell_worker_t *worker)
+doubt_runs_of_old_life (cell_worker_t *worker)
 {
-  GPtrArray *over = g_ptr_array_new ();
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       cell_task_t *task = worker->tasks->pdata[i];
-      if (task->state == RUN_ASSIGNED)
-        continue;
-      if (task->unsure || task->start_open)
+      if (task->state != RUN_ASSIGNED && (task->unsure || task->start_open))
         cell_stop_again (task);
-      else
-        g_ptr_array_add (over, task);
-    }
-  for (guint i = 0; i < over->len; i++)
-    {
-      cell_task_t *task = over->pdata[i];
-      if (task->worker == worker && task->state != RUN_ASSIGNED)
-        cell_run_ended (task, END_LAPSED, NULL);
     }
-  g_ptr_array_unref (over);
 }
 
 static void
@@ -110,7 +99,18 @@
   worker->avoid_until_ms = 0;
   worker->fenced = false;
   worker->renewable_until_ms = cell->now_ms + cell->options.evidence_ms;
-  end_runs_of_old_life (worker);
+  doubt_runs_of_old_life (worker);
+}
+
+void
+cell_worker_clock (cell_t *cell, const char *id, int64_t clock_ms)
+{
+  cell_worker_t *worker = cell_worker_find (cell, id);
+  /* Its ends are numbered anew: the next look must not acknowledge them by the
+     numbers of the life before.  */
+  if (worker != NULL && worker->anchor_ms != 0
+      && clock_ms < worker->anchor_clock_ms)
+    worker_reborn (cell, worker, worker->born_ms);
 }
 
 static void
--- a/src/io/node_orders.c
+++ b/src/io/node_orders.c
@@ -59,12 +59,12 @@
 }
 
 static void
-on_started (void *context, order_result_t result)
+on_started (void *context, order_result_t result, int64_t clock_ms)
 {
   order_call_t *call = context;
   cell_t *cell = cell_of (call);
   if (cell != NULL)
-    cell_started (cell, call->worker, call->task, call->run, result);
+    cell_started (cell, call->worker, call->task, call->run, result, clock_ms);
   call_free (call);
 }
 
@@ -80,7 +80,7 @@
 }
 
 static void
-on_stopped (void *context, order_result_t result)
+on_stopped (void *context, order_result_t result, int64_t clock_ms)
 {
   order_call_t *call = context;
   cell_t *cell = cell_of (call);
@@ -101,7 +101,7 @@
 }
 
 static void
-on_paced (void *context, order_result_t result)
+on_paced (void *context, order_result_t result, int64_t clock_ms)
 {
   order_call_t *call = context;
   /* The next report decides again.  */
--- a/src/io/site.h
+++ b/src/io/site.h
@@ -49,7 +49,9 @@
 
 typedef void (*site_rows_done_t) (void *context, const site_rows_t *reply);
 
-typedef void (*site_order_done_t) (void *context, order_result_t result);
+/* CLOCK_MS: the worker's clock, 0: not told.  */
+typedef void (*site_order_done_t) (void *context, order_result_t result,
+                                   int64_t clock_ms);
 
 /* REPORT is NULL unless RESULT is ORDER_TAKEN.  */
 typedef void (*site_look_done_t) (void *context, order_result_t result,
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -392,7 +392,10 @@
   if (!take_call (world, event))
     return;
   cell_started (world->cell, event->worker->id, event->task, event->run,
-                event->result);
+                event->result,
+                event->result == ORDER_UNKNOWN
+                    ? 0
+                    : now_of (world) - event->worker->born_ms);
 }
 
 static void
@@ -849,6 +852,12 @@
   cell_begin (world->cell, true);
 }
 
+static void
+on_relisted (fake_cell_t *world, fake_event_t *event)
+{
+  list_workers (world);
+}
+
 static void
 crash_worker (fake_cell_t *world)
 {
@@ -861,7 +870,10 @@
   g_ptr_array_set_size (worker->runs, 0);
   g_ptr_array_set_size (worker->ends, 0);
   g_hash_table_remove_all (worker->barred);
-  list_workers (world);
+  /* Its row tells of the new life later, and orders may reach it before.  */
+  event_new (world, g_rand_int_range (world->random, 1, 1500), on_relisted)
+      ->owner
+      = 0;
 }
 
 static void
