cell: judge workers by failures of different jobs, order only to known lives

Change: only failures of different jobs count, and a worker is avoided for 2 s. Also: a start that was saved before its worker began anew is given up, since the clock of the new life is not known, and a lease by the old one would never expire.

Test: a hopeless job beside a good one; fails before.

--- a/src/cell_int.h
+++ b/src/cell_int.h
@@ -139,7 +139,8 @@
   int64_t anchor_ms, anchor_clock_ms; /* CLOCK was at least this at ANCHOR */
   int64_t lease_until_ms;     /* worker's clock; highest that was sent */
   int64_t renewable_until_ms; /* a late order to its new life may renew */
-  uint32_t fail_streak;       /* failed runs since the last done one */
+  uint32_t fail_streak; /* failed runs of jobs in turn, since the last done */
+  char failed_job[WORK_ID_LENGTH + 1]; /* of the last failed run */
   int64_t avoid_until_ms;
   resource_t promised; /* kept for a group in the current pass */
 };
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -9,11 +9,11 @@
 #define ORDER_REPEAT_SILENT_MS 700
 /* A worker that refuses is left alone for a moment.  */
 #define AVOID_REFUSING_MS 300
-/* Failed runs in a row, of any jobs, after which a worker is avoided, and for
-   how long at first and at most.  */
+/* Failed runs in a row, each of another job, after which a worker is avoided,
+   and for how long: a task that lasts has to run again within 3 s where there
+   is room.  */
 #define FAIL_STREAK 3
-#define AVOID_FIRST_MS 2000
-#define AVOID_MOST_MS 16000
+#define AVOID_MS 2000
 
 static cell_worker_ref_t
 worker_ref (const cell_worker_t *worker)
@@ -88,7 +88,9 @@
 {
   cell_group_t *group = task->group;
   bool advised = group->job->queue != NULL && group->job->queue->advised;
-  if (advised && cell_ticket (group, task->worker) == NULL)
+  /* The clock of a worker that has started anew is not known yet.  */
+  if (!task->worker->fenced
+      || (advised && cell_ticket (group, task->worker) == NULL))
     {
       unassign (task);
       return;
@@ -203,18 +205,21 @@
     cell_job_over (job, JOB_STATE_FAILED);
 }
 
+/* Several failures of one job tell of the job, not of the worker.  */
 static void
-judge_worker (cell_t *cell, cell_worker_t *worker, end_kind_t how)
+judge_worker (cell_t *cell, cell_worker_t *worker, const char *job,
+              end_kind_t how)
 {
   if (how == END_DONE)
     worker->fail_streak = 0;
-  if (how != END_FAILED || ++worker->fail_streak < FAIL_STREAK)
+  if (how != END_FAILED || strcmp (worker->failed_job, job) == 0)
     return;
-  int64_t avoid_ms = AVOID_FIRST_MS
-                     << MIN (worker->fail_streak - FAIL_STREAK, 4u);
-  worker->avoid_until_ms = cell->now_ms + MIN (avoid_ms, AVOID_MOST_MS);
-  cell_note (cell, "worker_avoided", worker->id, "failed_runs=%u for_ms=%lld",
-             worker->fail_streak, (long long)avoid_ms);
+  g_strlcpy (worker->failed_job, job, sizeof worker->failed_job);
+  if (++worker->fail_streak < FAIL_STREAK)
+    return;
+  worker->avoid_until_ms = cell->now_ms + AVOID_MS;
+  cell_note (cell, "worker_avoided", worker->id, "failed_jobs=%u for_ms=%d",
+             worker->fail_streak, AVOID_MS);
 }
 
 static const char *const end_names[]
@@ -238,7 +243,7 @@
   job->failed_runs += how == END_FAILED;
   job->lost_runs += how == END_LAPSED;
   if (worker != NULL)
-    judge_worker (cell, worker, how);
+    judge_worker (cell, worker, job->id, how);
   cell_release (task);
   cell_mark_dirty (job);
   if (state == RUN_DONE)
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -371,6 +371,9 @@
   run->lasting = step->lasting;
   run->work_ms = step->estimate_ms;
   run->fails = !step->gang && chance (world, world->faults.run_fails);
+  if (world->faults.hopeless_job != NULL
+      && g_str_has_prefix (event->task, world->faults.hopeless_job))
+    run->fails = true;
   run->end_ms
       = step->gang || step->lasting ? 0 : now_of (world) + step->estimate_ms;
   g_ptr_array_add (worker->runs, run);
--- a/tests/fake_cell.h
+++ b/tests/fake_cell.h
@@ -22,12 +22,13 @@
   uint32_t order_late;    /* carried out 2 to 6 s later, no answer */
   uint32_t order_dropped; /* neither delivered nor answered */
   uint32_t run_fails;
-  uint32_t worker_crash;   /* each 100 ms: it starts anew at once */
-  uint32_t worker_cut;     /* each 100 ms: silent for 1 to 9 s */
-  uint32_t owner_lost;     /* each 100 ms: another owner takes over */
-  uint32_t store_away;     /* each 100 ms: saves hang for 1 to 4 s */
-  uint32_t ticket_life_ms; /* 0: queues without advice */
-  bool no_adviser;         /* every node is busy */
+  const char *hopeless_job; /* all runs of this id fail */
+  uint32_t worker_crash;    /* each 100 ms: it starts anew at once */
+  uint32_t worker_cut;      /* each 100 ms: silent for 1 to 9 s */
+  uint32_t owner_lost;      /* each 100 ms: another owner takes over */
+  uint32_t store_away;      /* each 100 ms: saves hang for 1 to 4 s */
+  uint32_t ticket_life_ms;  /* 0: queues without advice */
+  bool no_adviser;          /* every node is busy */
 } fake_faults_t;
 
 typedef enum
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -97,6 +97,23 @@
   fake_cell_free (world);
 }
 
+/* Guards against workers that are avoided because one job fails on them.  */
+static void
+test_hopeless_job (void)
+{
+  fake_faults_t faults = { .hopeless_job = "0000000000000001" };
+  fake_cell_t *world = fake_cell_new (1, 2, &faults, BREAK_NOTHING);
+  fake_cell_submit (world, job_new (1, 1, 8, 100));
+  fake_cell_run (world, 600);
+  fake_cell_submit (world, job_new (2, 1, 2, 100));
+  fake_cell_run (world, 900);
+  CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (world, "0000000000000001"),
+                          "failed");
+  CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (world, "0000000000000002"),
+                          "completed");
+  fake_cell_free (world);
+}
+
 static void
 count_pending (void *context, const char *queue, uint32_t pending)
 {
@@ -266,6 +283,7 @@
   { "a gang starts whole", test_gang },
   { "a cancelled job's tasks end", test_cancel },
   { "a hopeless job fails after its attempts", test_attempts },
+  { "a hopeless job beside a good one", test_hopeless_job },
   { "pending jobs after a takeover", test_pending_after_takeover },
   { "no node can ask for advice", test_busy_advisers },
   { "random days with faults", test_random_days },
