--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -304,8 +304,10 @@
       || strcmp (task->worker->id, worker_id) != 0)
     return;
   cell_worker_t *worker = task->worker;
-  task->start_open = false;
+  /* Before the start counts as answered: a run in a new life is doubtful,
+     since a look with the numbers of the old one may hide its end.  */
   cell_worker_clock (cell, worker, task->ordered_ms, clock_ms);
+  task->start_open = false;
   if (result == ORDER_UNKNOWN)
     {
       /* One lost answer says little of the worker.  */
