cell: let the leases of silent workers expire, and count those of the owner before

Cause: two faults of the same rule.

Change: looks and repeated starts to a silent worker extend no lease; the first answer counts what the owner before may have granted; an end "done" that arrives after its run was given up, and before another one, is taken.

--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -176,6 +176,10 @@
 int64_t
 cell_lease_until (cell_worker_t *worker, const cell_t *cell)
 {
+  /* Every order that goes unanswered may be carried out: a silent worker's
+     lease would never be known to have expired.  */
+  if (!worker->ok && worker->lease_until_ms > 0)
+    return worker->lease_until_ms;
   int64_t until_ms = worker->anchor_clock_ms
                      + (cell->now_ms - worker->anchor_ms)
                      + cell->options.lease_ms;
@@ -217,16 +221,28 @@
   return cell->now_ms - cell->confirmed_ms < cell->options.evidence_ms;
 }
 
+/* Ends up to this number are acknowledged.  A worker that has not answered
+   lately, or to which nothing new is told, may have started anew meanwhile and
+   number its ends from 1: it is told 0, which acknowledges none of them.  */
+static uint64_t
+seen_to_tell (const cell_worker_t *worker)
+{
+  return worker->ok && worker->saved_seen > worker->told_seen
+             ? worker->saved_seen
+             : 0;
+}
+
 static void
 send_look (cell_t *cell, cell_worker_t *worker, int64_t wait_ms)
 {
   cell_worker_ref_t ref = { worker->id, worker->address };
   int64_t until_ms = 0;
-  if (worker->fenced && worker->anchor_ms != 0 && may_extend (cell))
+  if (worker->fenced && worker->ok && worker->anchor_ms != 0
+      && may_extend (cell))
     until_ms = cell_lease_until (worker, cell);
   worker->look_open = true;
-  worker->sent_seen = worker->saved_seen;
-  cell->actions->look (cell->context, &ref, until_ms, worker->saved_seen,
+  worker->sent_seen = seen_to_tell (worker);
+  cell->actions->look (cell->context, &ref, until_ms, worker->sent_seen,
                        wait_ms);
 }
 
@@ -273,6 +289,18 @@
   return task;
 }
 
+/* Returns the task whose run RUN was taken for lost and that has no other run
+   yet: its work is done all the same.  */
+static cell_task_t *
+given_up (cell_t *cell, const char *name, uint32_t run)
+{
+  cell_task_t *task = cell_find_task (cell, name);
+  if (task == NULL || task->state != RUN_WAITING || task->run != run
+      || task->worker != NULL || task->group->spec->gang)
+    return NULL;
+  return task;
+}
+
 static void
 read_ends (cell_t *cell, cell_worker_t *worker, const worker_report_t *report)
 {
@@ -285,6 +313,8 @@
       worker->ended_ms = cell->now_ms;
       cell->seen_dirty = true;
       cell_task_t *task = task_here (cell, worker, end->task, end->run);
+      if (task == NULL && end->how == END_DONE)
+        task = given_up (cell, end->task, end->run);
       if (task != NULL)
         cell_run_ended (task, end->how, end->checkpoint);
     }
@@ -396,6 +426,10 @@
         worker_reborn (cell, worker, report->born_ms);
       worker->born_ms = report->born_ms;
     }
+  /* An earlier owner may have extended the lease until now.  */
+  if (!worker->fenced)
+    worker->lease_until_ms = MAX (worker->lease_until_ms,
+                                  report->clock_ms + cell->options.lease_ms);
   worker->ok = true;
   worker->fenced = true;
   worker->anchor_ms = cell->now_ms;
@@ -478,8 +512,12 @@
       cell_worker_t *worker = cell->worker_list->pdata[i];
       if (!worker->ok && worker->tasks->len > 0 && lease_lapsed (cell, worker))
         {
-          cell_note (cell, "lease_expired", worker->id, "tasks=%u",
-                     worker->tasks->len);
+          cell_note (
+              cell, "lease_expired", worker->id,
+              "tasks=%u fenced=%d answered_ago_ms=%lld left_ms=%lld",
+              worker->tasks->len, worker->fenced,
+              (long long)(cell->now_ms - worker->anchor_ms),
+              (long long)(worker->lease_until_ms - worker->anchor_clock_ms));
           end_all_runs (worker);
         }
       if (worker->draining)
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -216,6 +216,17 @@
   g_ptr_array_remove_index (worker->runs, at);
 }
 
+/* Tells what a worker did, for whoever follows a seed that fails.  */
+static void
+trace (const fake_cell_t *world, const fake_worker_t *worker,
+       const char *event, const char *task, uint32_t run)
+{
+  if (g_getenv ("FAKE_CELL_LOG") != NULL)
+    g_print ("%lld %s %s run=%u worker=%s born=%lld\n",
+             (long long)now_of (world), event, task, run, worker->id,
+             (long long)worker->born_ms);
+}
+
 static fake_run_t *
 find_run (const fake_worker_t *worker, const char *task, uint32_t run,
           guint *at)
@@ -420,7 +431,11 @@
               void (*fire) (fake_cell_t *world, fake_event_t *event),
               order_result_t result)
 {
-  fake_event_t *event = event_new (world, ANSWER_MS, fire);
+  int64_t delay_ms = ANSWER_MS;
+  if (world->faults.answer_ms > 0)
+    delay_ms
+        += g_rand_int_range (world->random, 0, (gint)world->faults.answer_ms);
+  fake_event_t *event = event_new (world, delay_ms, fire);
   event->clock_ms = now_of (world) - order->worker->born_ms;
   event->owner = order->sender;
   event->worker = order->worker;
@@ -445,6 +460,9 @@
   advance_all (world);
   order_result_t result
       = fenced (world, event) ? ORDER_FENCED : carry_out_start (world, event);
+  trace (world, event->worker,
+         result == ORDER_TAKEN ? "start_taken" : "start_refused", event->task,
+         event->run);
   if (event->answers)
     answer_later (world, event, answer_start, result);
 }
@@ -507,6 +525,9 @@
         breach (world, "%s: was started after the end that is acknowledged",
                 end->task);
       truth->failures += end->how == END_FAILED;
+      trace (world, worker, done ? "acknowledged_done" : "acknowledged",
+             end->task, end->run);
+
       g_ptr_array_remove_index (worker->ends, 0);
     }
 }
@@ -823,6 +844,17 @@
          && strcmp (state, "running") != 0;
 }
 
+void
+fake_cell_cut_busy (fake_cell_t *world, int64_t for_ms)
+{
+  for (guint i = 0; i < world->workers->len; i++)
+    {
+      fake_worker_t *worker = world->workers->pdata[i];
+      if (worker->runs->len > 0)
+        worker->cut_until_ms = now_of (world) + for_ms;
+    }
+}
+
 void
 fake_cell_take_over (fake_cell_t *world)
 {
--- a/tests/fake_cell.h
+++ b/tests/fake_cell.h
@@ -29,6 +29,7 @@
   uint32_t store_away;      /* each 100 ms: saves hang for 1 to 4 s */
   uint32_t ticket_life_ms;  /* 0: queues without advice */
   bool no_adviser;          /* every node is busy */
+  uint32_t answer_ms; /* answers take up to so much longer, each its own */
 } fake_faults_t;
 
 typedef enum
@@ -62,6 +63,8 @@
 uint32_t fake_cell_asks (const fake_cell_t *world);
 /* Lets another owner take over now.  */
 void fake_cell_take_over (fake_cell_t *world);
+/* Cuts the workers that run something off for FOR_MS; they run on.  */
+void fake_cell_cut_busy (fake_cell_t *world, int64_t for_ms);
 uint32_t fake_cell_running (const fake_cell_t *world);
 
 #endif
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -143,6 +143,62 @@
   fake_cell_free (world);
 }
 
+/* Guards against an owner that takes the leases of the owner before it for
+   expired: the worker has answered its first look, which extends none, and is
+   cut off before the next one.  */
+static void
+test_lease_of_owner_before (void)
+{
+  for (int64_t cut_after_ms = 1; cut_after_ms < 60; cut_after_ms++)
+    {
+      fake_cell_t *world = fake_cell_new (1, 4, &no_faults, BREAK_NOTHING);
+      fake_cell_submit (world, job_new (1, 1, 1, 3500));
+      fake_cell_run (world, 1000);
+      fake_cell_take_over (world);
+      fake_cell_run (world, cut_after_ms);
+      fake_cell_cut_busy (world, 4000);
+      fake_cell_run (world, 20000);
+      CU_ASSERT_EQUAL (fake_cell_starts (world), 1);
+      CU_ASSERT_PTR_NULL (fake_cell_breach (world));
+      CU_ASSERT_STRING_EQUAL (
+          fake_cell_saved_state (world, "0000000000000001"), "completed");
+      fake_cell_free (world);
+    }
+}
+
+/* Guards against tasks that stay for good with a worker that is lost: looks
+   that go unanswered must not extend what its lease may be.  */
+static void
+test_worker_lost (void)
+{
+  fake_cell_t *world = fake_cell_new (1, 4, &no_faults, BREAK_NOTHING);
+  fake_cell_submit (world, job_new (1, 1, 1, 1000));
+  fake_cell_run (world, 500);
+  fake_cell_cut_busy (world, 1000000);
+  fake_cell_run (world, 12000);
+  CU_ASSERT_EQUAL (fake_cell_starts (world), 2);
+  CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (world, "0000000000000001"),
+                          "completed");
+  fake_cell_free (world);
+}
+
+/* Guards against work that is done twice although its end is known: the worker
+   was silent until its lease had expired, and lists the end when it answers
+   again, before the task has another run.  */
+static void
+test_end_after_lapse (void)
+{
+  fake_cell_t *world = fake_cell_new (1, 1, &no_faults, BREAK_NOTHING);
+  fake_cell_submit (world, job_new (1, 1, 1, 1000));
+  fake_cell_run (world, 500);
+  fake_cell_cut_busy (world, 9000);
+  fake_cell_run (world, 20000);
+  CU_ASSERT_EQUAL (fake_cell_starts (world), 1);
+  CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (world, "0000000000000001"),
+                          "completed");
+  fake_cell_free (world);
+}
+
 /* Guards against an owner that spends its time on steps for which no node can
    ask: with 200 of them each pass has to try once only.  */
 static void
@@ -219,6 +275,8 @@
   { "dropped orders", { .order_dropped = 50 } },
   { "failing runs", { .run_fails = 150 } },
   { "crashing workers", { .worker_crash = 30 } },
+  { "crashing workers, slow answers",
+    { .worker_crash = 30, .answer_ms = 100 } },
   { "cut workers", { .worker_cut = 20 } },
   { "lost owners", { .owner_lost = 40 } },
   { "store away", { .store_away = 20, .owner_lost = 10 } },
@@ -251,6 +309,35 @@
       }
 }
 
+/* Days that failed once, with their cause.  */
+static const struct
+{
+  const char *day;
+  uint32_t seed;
+} past_days[] = {
+  /* The lease of a worker that had answered one look of a new owner counted
+     as expired: what the owner before had granted was not counted.  */
+  { "everything", 823 },
+  /* A look that had nothing to acknowledge carried the numbers of the worker's
+     life before, and hid an end of the new one.  */
+  { "crashing workers, slow answers", 228 },
+};
+
+static void
+test_past_days (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (past_days); i++)
+    for (size_t day = 0; day < G_N_ELEMENTS (days); day++)
+      {
+        if (strcmp (days[day].name, past_days[i].day) != 0)
+          continue;
+        char *breach
+            = play_day (past_days[i].seed, &days[day].faults, BREAK_NOTHING);
+        CU_ASSERT_PTR_NULL (breach);
+        g_free (breach);
+      }
+}
+
 /* Guards against a random test that would not notice: each broken variant has
    to be caught within ten seeds.  */
 static void
@@ -285,7 +372,11 @@
   { "a hopeless job fails after its attempts", test_attempts },
   { "a hopeless job beside a good one", test_hopeless_job },
   { "pending jobs after a takeover", test_pending_after_takeover },
+  { "leases of the owner before", test_lease_of_owner_before },
+  { "a worker lost for good", test_worker_lost },
+  { "an end told after its lease", test_end_after_lapse },
   { "no node can ask for advice", test_busy_advisers },
+  { "days that failed once", test_past_days },
   { "random days with faults", test_random_days },
   { "broken variants are caught", test_broken_variants },
   CU_TEST_INFO_NULL,
