node: give cells to strong nodes, beat faster, follow by rank

Change: a cell that never had an owner is claimed 600 ms after the start at the earliest; an owner offers its cell each second to a node with twice its processor time and releases it once that one agrees (node_yield). Beats come every 200 ms and are missed after 700 (350 and 950 before); only the first four ranks follow them closely, so that the calls do not grow. The peer port and the metrics get a file of their own (node_peer).

--- a/src/io/node.c
+++ b/src/io/node.c
@@ -18,8 +18,6 @@
 /* Every worker renews its row once a heartbeat; without a pause each of these
    would be an answer of its own.  Draining workers get no work after 2 s.  */
 #define WORKERS_GAP_MS 300
-/* The beats of several cells come together.  */
-#define CLUSTER_GAP_MS 80
 /* Claims need fresh answers about the beats.  */
 #define CLUSTER_WAIT_MS 250
 #define CLUSTER_SLACK_MS 600
@@ -309,7 +307,7 @@
   for (guint i = 0; i < table->services->len; i++)
     parts[i + 1] = table->services->pdata[i];
   replica_options_t options = { CLUSTER_TABLE, parts, CLUSTER_WAIT_MS,
-                                CLUSTER_SLACK_MS, CLUSTER_GAP_MS };
+                                CLUSTER_SLACK_MS, NODE_CLOSE_GAP_MS };
   node->cluster
       = replica_new (node->site, node->loop, &options, &cluster_events, node);
   g_free (parts);
@@ -448,7 +446,7 @@
   g_free (address);
   if (node->internal == NULL)
     return false;
-  node_advice_serve (node);
+  node_peer_serve (node);
   httpc_options_t client = { .max_connections_per_host = 4,
                              .idle_limit_s = 60,
                              .age_limit_s = 600,
--- a/src/io/node_advice.c
+++ b/src/io/node_advice.c
@@ -46,8 +46,8 @@
   g_free (adviser);
 }
 
-static adviser_t *
-find_adviser (const node_t *node, const char *name)
+adviser_t *
+node_adviser_find (const node_t *node, const char *name)
 {
   for (guint i = 0; i < node->advisers->len; i++)
     {
@@ -70,7 +70,7 @@
 node_adviser_set (node_t *node, const char *name, const char *address,
                   int64_t cpu_millis)
 {
-  adviser_t *adviser = find_adviser (node, name);
+  adviser_t *adviser = node_adviser_find (node, name);
   if (adviser == NULL)
     {
       adviser = g_new0 (adviser_t, 1);
@@ -87,7 +87,7 @@
 void
 node_adviser_remove (node_t *node, const char *name)
 {
-  adviser_t *adviser = find_adviser (node, name);
+  adviser_t *adviser = node_adviser_find (node, name);
   if (adviser != NULL)
     g_ptr_array_remove (node->advisers, adviser);
 }
@@ -95,7 +95,7 @@
 void
 node_adviser_failed (node_t *node, const char *name, int64_t for_ms)
 {
-  adviser_t *adviser = find_adviser (node, name);
+  adviser_t *adviser = node_adviser_find (node, name);
   if (adviser != NULL)
     adviser->bad_until_ms = node_now (node) + for_ms;
 }
@@ -123,7 +123,7 @@
 {
   node_cell_t *cell = call->cell;
   node_t *node = cell->node;
-  adviser_t *adviser = find_adviser (node, call->adviser);
+  adviser_t *adviser = node_adviser_find (node, call->adviser);
   if (adviser != NULL)
     {
       adviser->calls -= adviser->calls > 0;
@@ -288,9 +288,9 @@
   json_decref (reply);
 }
 
-static void
-serve_advice (void *context, httpd_exchange_t *exchange,
-              const httpd_request_t *request)
+void
+node_advice_serve (void *context, httpd_exchange_t *exchange,
+                   const httpd_request_t *request)
 {
   node_t *node = context;
   json_t *body = json_loadb (request->body, request->length, 0, NULL);
@@ -317,38 +317,3 @@
   g_free (workers);
   json_decref (body);
 }
-
-static void
-serve_metrics (void *context, httpd_exchange_t *exchange,
-               const httpd_request_t *request)
-{
-  const node_t *node = context;
-  GString *text = g_string_new (NULL);
-  counter_print (node->metrics, text);
-  httpd_answer (exchange, 200, "text/plain; version=0.0.4", text->str,
-                text->len);
-  g_string_free (text, TRUE);
-}
-
-static const httpd_route_t peer_routes[] = {
-  { "POST", "/peer/advice", serve_advice },
-  { "POST", "/peer/commit", node_store_serve_commit },
-  { "POST", "/peer/read", node_store_serve_read },
-  { "GET", "/metrics", serve_metrics },
-  { NULL, NULL, NULL },
-};
-
-void
-node_advice_serve (node_t *node)
-{
-  httpd_add_routes (node->internal, peer_routes, node);
-}
-
-static const httpd_route_t metrics_routes[]
-    = { { "GET", "/metrics", serve_metrics }, { NULL, NULL, NULL } };
-
-void
-node_metrics_serve (node_t *node)
-{
-  httpd_add_routes (node->metrics_server, metrics_routes, node);
-}
--- a/src/io/node_claim.c
+++ b/src/io/node_claim.c
@@ -14,9 +14,9 @@
    and has seen no change for a while claims the cell: it writes the fence row
    with the next token, which deposes the owner whatever it still believes.  */
 
-/* An owner whose beat has not changed for this long is taken for lost: two
-   beats of 350 ms and the time of a commit.  */
-#define BEAT_LOST_MS 950
+/* An owner whose beat has not changed for this long is taken for lost: three
+   beats of 200 ms and the time of a commit.  */
+#define BEAT_LOST_MS 700
 /* The same for each millisecond that commits usually take, or that answers
    about the beats come late: the beat of a slow store takes a commit and two
    answers longer.  */
@@ -26,6 +26,11 @@
 /* The same between a node that owns no cell and one that owns some.  */
 #define BUSY_GAP_MS 250
 #define CLAIM_LIMIT_MS 1500
+/* A cell that never had an owner is claimed only after this time: all nodes
+   start within 300 ms, and the strong ones have to be known.  */
+#define FIRST_CLAIM_MS 600
+/* Nodes of a lower rank for every cell follow the beats at longer gaps.  */
+#define CLOSE_RANKS 4u
 /* The answers about beats must be this fresh.  */
 #define FRESH_MS 400
 
@@ -291,7 +296,7 @@
 }
 
 static void
-check_cell (node_cell_t *cell)
+check_cell (node_cell_t *cell, uint32_t rank)
 {
   node_t *node = cell->node;
   int64_t now_ms = node_now (node);
@@ -303,15 +308,18 @@
   if (!vacant && owner_is_over (cell, cell->owner, cell->owner_incarnation))
     vacant = true;
   /* Beats of a slow store come late.  */
-  int64_t patience_ms
-      = vacant ? 0
-               : BEAT_LOST_MS
-                     + BEAT_SLOW_FACTOR
-                           * MAX (node->patience.usual_ms, node->late_ms);
-  patience_ms += (int64_t)my_rank (cell) * RANK_GAP_MS
+  int64_t patience_ms = 0;
+  if (!vacant)
+    patience_ms
+        = BEAT_LOST_MS
+          + BEAT_SLOW_FACTOR * MAX (node->patience.usual_ms, node->late_ms);
+  else if (cell->owner == NULL)
+    patience_ms = FIRST_CLAIM_MS;
+  patience_ms += (int64_t)rank * RANK_GAP_MS
                  + (int64_t)node_cells_held (node) * BUSY_GAP_MS;
-  /* The node that held the cell before it started anew goes first.  */
-  if (was_mine)
+  /* The node that held the cell before it started anew goes first, and the one
+     that the owner has given it to.  */
+  if (was_mine || (vacant && now_ms < cell->agreed_until_ms))
     patience_ms = 0;
   if (node->answered_ms - cell->beat_ms >= patience_ms
       && now_ms - node->answered_ms < FRESH_MS)
@@ -325,7 +333,15 @@
   gpointer value;
   if (node->stopping || !node->enrolled || !replica_is_loaded (node->cluster))
     return;
+  uint32_t best_rank = G_MAXUINT32;
   g_hash_table_iter_init (&iterator, node->cells);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
-    check_cell (value);
+    {
+      uint32_t rank = my_rank (value);
+      best_rank = MIN (best_rank, rank);
+      check_cell (value, rank);
+      node_yield_check (value);
+    }
+  replica_set_gap (node->cluster, best_rank < CLOSE_RANKS ? NODE_CLOSE_GAP_MS
+                                                          : NODE_FAR_GAP_MS);
 }
--- a/src/io/node_commit.c
+++ b/src/io/node_commit.c
@@ -14,7 +14,7 @@
 
 /* Time between two beats.  Other nodes take an owner for lost after several.
  */
-#define BEAT_MS 350
+#define BEAT_MS 200
 #define COMMIT_RETRY_S 0.03
 /* A longer wait for a lost answer would let other nodes miss the beat.  */
 #define COMMIT_MOST_MS 1000
--- a/src/io/node_int.h
+++ b/src/io/node_int.h
@@ -29,6 +29,12 @@
 #define ENTRY_PREFIX "entry/"
 #define CANCEL_SUFFIX "/c"
 
+/* Pause between two answers about the cluster, so that the beats of several
+   cells come together: for the nodes that would claim a cell first, and for
+   the others.  */
+#define NODE_CLOSE_GAP_MS 80
+#define NODE_FAR_GAP_MS 350
+
 typedef struct node node_t;
 typedef struct node_cell node_cell_t;
 
@@ -40,7 +46,8 @@
   int64_t cpu_millis;
   uint32_t calls; /* for advice, in flight */
   int64_t bad_until_ms;
-  uint32_t failures; /* of calls, since the last one that was answered */
+  int64_t offer_after_ms; /* has declined a cell; not asked before */
+  uint32_t failures;      /* of calls, since the last one that was answered */
 } adviser_t;
 
 typedef enum
@@ -63,9 +70,10 @@
   /* What the store tells about the owner.  */
   char *owner; /* "": none; NULL: no beat was ever seen */
   char *owner_incarnation;
-  uint64_t seen_token; /* highest token that a beat has told */
-  int64_t beat_ms;     /* when its beat was last seen to change */
-  GHashTable *pending; /* queue -> count, from the beat */
+  uint64_t seen_token;     /* highest token that a beat has told */
+  int64_t beat_ms;         /* when its beat was last seen to change */
+  int64_t agreed_until_ms; /* this node has agreed to take it till then */
+  GHashTable *pending;     /* queue -> count, from the beat */
 
   /* While owned.  */
   cell_t *cell;
@@ -79,6 +87,7 @@
   bool commit_open, commit_saves, commit_beats, commit_releases;
   uint32_t commit_removes; /* forgotten records in the commit in flight */
   int64_t last_beat_ms;
+  int64_t offer_after_ms; /* to a stronger node */
   int64_t claim_ms;
   ev_timer retry;
   uint8_t replay_pass;
@@ -180,8 +189,10 @@
 void node_adviser_set (node_t *node, const char *name, const char *address,
                        int64_t cpu_millis);
 void node_adviser_remove (node_t *node, const char *name);
-void node_advice_serve (node_t *node);
-void node_metrics_serve (node_t *node);
+void node_advice_serve (void *context, httpd_exchange_t *exchange,
+                        const httpd_request_t *request);
+/* NULL if there is no such node.  */
+adviser_t *node_adviser_find (const node_t *node, const char *name);
 void node_adviser_free (void *adviser);
 
 /* Chooses the node for a call for advice, NULL if all are busy.  Short calls
@@ -193,6 +204,18 @@
    in turn.  */
 const char *node_adviser_pick (node_t *node, const char **address);
 
+/* node_peer.c */
+void node_peer_serve (node_t *node);
+void node_metrics_serve (node_t *node);
+
+/* node_yield.c */
+/* Offers an owned cell to a stronger node from time to time.  */
+void node_yield_check (node_cell_t *cell);
+/* The node to offer a cell to, NULL if none is that much stronger.  */
+adviser_t *node_yield_choose (const node_t *node);
+void node_yield_serve (void *context, httpd_exchange_t *exchange,
+                       const httpd_request_t *request);
+
 /* node_store.c */
 /* Whether the store has not answered this node for a while.  */
 bool node_store_lost (const node_t *node);
--- a/src/io/replica.c
+++ b/src/io/replica.c
@@ -356,6 +356,12 @@
     replica_destroy (replica);
 }
 
+void
+replica_set_gap (replica_t *replica, int64_t gap_ms)
+{
+  replica->gap_ms = gap_ms;
+}
+
 bool
 replica_is_loaded (const replica_t *replica)
 {
--- a/src/io/replica.h
+++ b/src/io/replica.h
@@ -39,6 +39,8 @@
 /* Calls in flight are dropped.  NULL is allowed.  */
 void replica_free (replica_t *replica);
 
+/* Takes another gap between an answer and the next call.  */
+void replica_set_gap (replica_t *replica, int64_t gap_ms);
 bool replica_is_loaded (const replica_t *replica);
 /* Calls the changed event for every row.  */
 void replica_replay (replica_t *replica);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -117,11 +117,37 @@
   g_ptr_array_unref (node.advisers);
 }
 
+/* Guards against a cell that stays on a weak node beside strong ones, and
+   against offers to equal nodes or to one that has just declined.  */
+static void
+test_yield_choice (void)
+{
+  node_t node = { 0 };
+  site_t site = { 0 };
+  clk_fake_t clock;
+  clk_fake_init (&clock, 1000);
+  node.clock = &clock.base;
+  node.site = &site;
+  site.settings.cpu_millis = 120;
+  node.advisers = g_ptr_array_new_with_free_func (node_adviser_free);
+  node_adviser_set (&node, "equal", "127.0.0.1:1", 120);
+  CU_ASSERT_PTR_NULL (node_yield_choose (&node));
+  node_adviser_set (&node, "strong-1", "127.0.0.1:1", 500);
+  node_adviser_set (&node, "strong-2", "127.0.0.1:1", 500);
+  CU_ASSERT_STRING_EQUAL (node_yield_choose (&node)->name, "strong-1");
+  node_adviser_find (&node, "strong-1")->offer_after_ms = 3000;
+  CU_ASSERT_STRING_EQUAL (node_yield_choose (&node)->name, "strong-2");
+  site.settings.cpu_millis = 500;
+  CU_ASSERT_PTR_NULL (node_yield_choose (&node));
+  g_ptr_array_unref (node.advisers);
+}
+
 static CU_TestInfo node_tests[] = {
   { "waits follow the answers", test_patience },
   { "whose fence row it is", test_fence_row },
   { "pending jobs in the beat of a claim", test_beat_of_claim },
   { "which node asks for advice", test_advisers },
+  { "whom a weak owner offers its cell", test_yield_choice },
   CU_TEST_INFO_NULL,
 };
 
