node: settle a commit by the answer to its last sending only

The owner had stood still for 0.5 to 1 s; its commit went unanswered and the timer of the repeat had expired in the same turn of the loop. An expired timer is pending and no longer active, so that another event began a new commit first, and then the repeat sent that one a second time. With two sendings under way the later answer was taken for that of the next commit, which counted as applied.

Found by: a dump of the owner's tasks as it stood down (the job was complete and saved in its memory, running in the store). Ruled out: ends lost by looks that timed out (numbers have no gaps), records left dirty (none in the dump).

Change: a pending repeat holds new commits back, and an answer counts only for the last sending.

--- a/src/io/node_commit.c
+++ b/src/io/node_commit.c
@@ -26,6 +26,7 @@
 {
   node_cell_t *cell;
   uint32_t epoch;
+  uint32_t attempt;
   int64_t sent_ms;
   int64_t limit_ms;
 } commit_call_t;
@@ -118,7 +119,9 @@
 {
   commit_call_t *call = context;
   node_cell_t *cell = call->cell;
-  bool current = call->epoch == cell->epoch && cell->commit_open;
+  /* An answer to an earlier sending says nothing of a later commit.  */
+  bool current = call->epoch == cell->epoch && cell->commit_open
+                 && call->attempt == cell->commit_attempt;
   patience_t *patience = &cell->node->patience;
   int64_t took_ms = node_now (cell->node) - call->sent_ms;
   node_observe (cell->node, "magnoliadock_commit_us", took_ms);
@@ -173,7 +176,8 @@
                           record->text, record->length };
     }
   commit_call_t *call = g_new (commit_call_t, 1);
-  *call = (commit_call_t){ cell, cell->epoch, node_now (node),
+  *call = (commit_call_t){ cell, cell->epoch, ++cell->commit_attempt,
+                           node_now (node),
                            MIN (node->patience.limit_ms, COMMIT_MOST_MS) };
   cell->commit_open = true;
   node->site->ops->commit (node->site, &expect, 1, writes, count,
@@ -191,7 +195,10 @@
 void
 node_commit (node_cell_t *cell)
 {
+  /* A timer that has just expired is pending, and no longer active, until it
+     is its turn.  */
   if (cell->commit_open || ev_is_active (&cell->retry)
+      || ev_is_pending (&cell->retry)
       || (cell->state != CELL_LOADING && cell->state != CELL_OWNED
           && cell->state != CELL_RELEASING))
     return;
--- a/src/io/node_int.h
+++ b/src/io/node_int.h
@@ -21,9 +21,11 @@
 #define CLUSTER_TABLE "cluster"
 #define FENCE_TABLE "fence"
 #define RECORD_TABLE "record"
-/* Jobs are divided by the first digit of their id: a part takes its writes one
-   after another, three a second while the store is slow.  */
-#define INBOX_PARTS "0123456789abcdef"
+/* Jobs are divided by the first bits of their id: a part takes its writes one
+   after another, three a second while the store is 60 times slower, and a
+   burst of the grown deployments brings 100 a second.  */
+#define INBOX_PARTS 64u
+#define INBOX_PART_BYTES 3
 #define BEAT_KEY "beat"
 #define FENCE_KEY "owner"
 #define ENTRY_PREFIX "entry/"
@@ -86,6 +88,7 @@
   bool save_wanted;
   bool commit_open, commit_saves, commit_beats, commit_releases;
   uint32_t commit_removes; /* forgotten records in the commit in flight */
+  uint32_t commit_attempt; /* sendings so far; only the last one counts */
   int64_t last_beat_ms;
   int64_t offer_after_ms; /* to a stronger node */
   int64_t claim_ms;
@@ -233,7 +236,7 @@
                             const httpd_request_t *request);
 
 /* Part of the inbox that holds ID.  */
-void node_inbox_part (const char *id, char part[2]);
+void node_inbox_part (const char *id, char part[INBOX_PART_BYTES]);
 
 /* node_front.c */
 extern const site_jobs_t node_jobs;
