cell: ask for advice only where room is expected, let steps with time wait

Change: a call names only workers with room now or within 1.5 s, beside what steps of higher rank expect to take; a gang without enough room asks for all workers once and renews tickets only when enough allowed ones have room; workers are kept free for up to ten gangs, only such as are known to be allowed; a step with more than 0.15 of its objective left waits while a more urgent queue has waiting steps. Nodes for short calls are taken by stride, so that a cut zone does not take all. Looks wait 1 s (1.5 before), so that a lost one hides ends for less long. Ends that count for nothing are logged (end_ignored).

--- a/src/cell.c
+++ b/src/cell.c
@@ -22,6 +22,8 @@
   cell->worker_list = g_ptr_array_new ();
   cell->unadvised
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  cell->advice_shares
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   cell->open = g_ptr_array_new ();
   cell->timed = g_ptr_array_new ();
   cell->dirty = g_ptr_array_new ();
@@ -40,6 +42,7 @@
   g_hash_table_unref (cell->workers);
   g_hash_table_unref (cell->queues);
   g_hash_table_unref (cell->unadvised);
+  g_hash_table_unref (cell->advice_shares);
   g_ptr_array_unref (cell->worker_list);
   g_ptr_array_unref (cell->open);
   g_ptr_array_unref (cell->timed);
--- a/src/cell_advice.c
+++ b/src/cell_advice.c
@@ -1,7 +1,20 @@
 #include "cell_int.h"
 
-/* Most workers named in one call; the objective of a job counts on 30.  */
-#define ASK_MOST_WORKERS 30
+#include <math.h>
+
+/* NAME
+     cell_advice - which workers may run a step, and its tickets
+
+   A call takes up to a second of a node that asks for one step at a time, and
+   its tickets last two seconds.  So calls name only workers that have room
+   soon, beside what steps of higher rank expect to place there.  A gang that
+   finds too little room asks for all workers once, and for tickets only when
+   enough of the allowed ones have room.  */
+
+/* Workers named in one call; the objective of a job counts on 30.  */
+#define ASK_WORKERS 30u
+/* The most that the advice service takes.  */
+#define ASK_MOST_WORKERS 100u
 /* A ticket is renewed this long before it expires, on top of the duration of
    the call.  */
 #define RENEW_BEFORE_MS 150
@@ -10,9 +23,14 @@
 #define TICKET_MARGIN_MS 60
 /* Pause after a call without an answer.  */
 #define ASK_AGAIN_MS 20
-/* Calls at the same time for a gang: one, and one more for so many tasks.  */
-#define GANG_CALLS 3u
-#define GANG_TASKS_A_CALL 3u
+/* Share of allowed workers that is assumed of a queue, with the weight of so
+   many answers; the deployments have 0.3 to 0.7.  */
+#define FIRST_ALLOWED_SHARE 0.5
+#define FIRST_WEIGHT 20.0
+/* Workers where a task fits now are named first, then those known to be
+   allowed, then those with more room.  */
+#define FITS_BONUS 1.0
+#define ALLOWED_BONUS 0.5
 
 static permit_t *
 permit_of (const cell_group_t *group, const cell_worker_t *worker)
@@ -38,6 +56,13 @@
          >= group->job->cell->now_ms + TICKET_MARGIN_MS;
 }
 
+bool
+cell_allowed (const cell_group_t *group, const cell_worker_t *worker)
+{
+  const permit_t *permit = permit_of (group, worker);
+  return permit != NULL && permit->known && permit->ticket != NULL;
+}
+
 bool
 cell_denied (const cell_group_t *group, const cell_worker_t *worker)
 {
@@ -45,10 +70,21 @@
   return permit != NULL && permit->known && permit->ticket == NULL;
 }
 
+/* What is expected of the workers that a group may use, in one pass.  */
+typedef struct
+{
+  cell_t *cell;
+  cell_group_t *group;
+  double expected; /* places that tickets and calls will bring */
+  GArray *asked;   /* candidate_t to name in a call */
+} search_t;
+
 typedef struct
 {
   cell_worker_t *worker;
-  double room; /* free share, higher first */
+  uint32_t slots; /* tasks of the group that fit there soon */
+  double chance;  /* of being allowed */
+  double score;   /* higher is better */
 } candidate_t;
 
 static gint
@@ -56,7 +92,7 @@
 {
   const candidate_t *left = a;
   const candidate_t *right = b;
-  return left->room > right->room ? -1 : left->room < right->room;
+  return left->score > right->score ? -1 : left->score < right->score;
 }
 
 static bool
@@ -64,38 +100,151 @@
 {
   const work_step_t *step = group->spec;
   return worker->listed && !worker->draining && worker->ok
-         && !cell_denied (group, worker)
          && (step->label == NULL
              || g_hash_table_contains (worker->labels, step->label))
          && resource_fits (cell_need (step), worker->capacity);
 }
 
-/* Fills CANDIDATES with the workers to name.  */
+/* Share of the workers asked for that were allowed to the queue so far.  */
+static double
+allowed_share (const cell_t *cell, const char *queue)
+{
+  const advice_share_t *share
+      = g_hash_table_lookup (cell->advice_shares, queue);
+  return share == NULL ? FIRST_ALLOWED_SHARE
+                       : (share->allowed + FIRST_ALLOWED_SHARE * FIRST_WEIGHT)
+                             / (share->named + FIRST_WEIGHT);
+}
+
+/* Tasks of GROUP that fit on WORKER soon, beside what groups of higher rank
+   expect to place there.  */
+static uint32_t
+slots_soon (const cell_group_t *group, const cell_worker_t *worker)
+{
+  resource_t need = cell_need (group->spec);
+  resource_t room = resource_sub (
+      worker->soon, resource_add (worker->promised, worker->expected));
+  uint32_t most = group->waiting;
+  if (group->spec->spread > 0)
+    most = MIN (most, group->spec->spread);
+  uint32_t slots = 0;
+  while (slots < most && resource_fits (need, room))
+    {
+      room = resource_sub (room, need);
+      slots++;
+    }
+  return slots;
+}
+
+/* Counts on SLOTS places on WORKER with a chance of CHANCE.  */
 static void
-collect_candidates (cell_t *cell, cell_group_t *group, GArray *candidates)
+expect_places (search_t *search, cell_worker_t *worker, uint32_t slots,
+               double chance)
 {
-  const queue_t *queue = group->job->queue;
-  int64_t soon_ms = cell->now_ms + (int64_t)queue->advice_ms + RENEW_BEFORE_MS;
+  resource_t need = cell_need (search->group->spec);
+  for (uint32_t i = 0;
+       i < slots && search->expected < (double)search->group->waiting; i++)
+    {
+      search->expected += chance;
+      worker->expected.cpu_millis
+          += (int64_t)((double)need.cpu_millis * chance);
+      worker->expected.memory_mib
+          += (int64_t)((double)need.memory_mib * chance);
+      worker->expected.accelerators
+          += (int64_t)ceil ((double)need.accelerators * chance);
+    }
+}
+
+static double
+score_of (const cell_group_t *group, const cell_worker_t *worker, bool allowed)
+{
+  resource_t room = resource_sub (worker->capacity, worker->used);
+  double score = resource_dominant_share (room, worker->capacity);
+  if (resource_fits (cell_need (group->spec), room))
+    score += FITS_BONUS;
+  return allowed ? score + ALLOWED_BONUS : score;
+}
+
+/* Whether PERMIT brings a place, or its call in flight may.  */
+static bool
+brings_place (const cell_group_t *group, const cell_worker_t *worker,
+              const permit_t *permit)
+{
+  int64_t soon_ms = group->job->cell->now_ms
+                    + (int64_t)group->job->queue->advice_ms + RENEW_BEFORE_MS;
+  return permit != NULL
+         && (permit->call != 0
+             || (permit->valid_until_ms > soon_ms
+                 && permit->born_ms == worker->born_ms));
+}
+
+/* Counts what tickets and calls in flight will bring, and collects the other
+   workers that are worth asking for.  */
+static void
+collect_candidates (search_t *search)
+{
+  cell_t *cell = search->cell;
+  cell_group_t *group = search->group;
+  double share = allowed_share (cell, group->job->queue->name);
   for (guint i = 0; i < cell->worker_list->len; i++)
     {
       cell_worker_t *worker = cell->worker_list->pdata[i];
+      uint32_t slots = slots_soon (group, worker);
+      if (slots == 0 && !group->spec->gang)
+        continue;
       const permit_t *permit = permit_of (group, worker);
-      if (!usable (group, worker) || (permit != NULL && permit->call != 0)
-          || (permit != NULL && permit->valid_until_ms > soon_ms
-              && permit->born_ms == worker->born_ms))
+      bool known = permit != NULL && permit->known;
+      bool allowed = known && permit->ticket != NULL;
+      if ((known && (!allowed || slots == 0)) || !usable (group, worker))
         continue;
-      resource_t left = resource_sub (worker->capacity, worker->used);
+      double chance = allowed ? 1.0 : share;
+      if (brings_place (group, worker, permit))
+        {
+          expect_places (search, worker, slots, chance);
+          continue;
+        }
       candidate_t candidate
-          = { worker, resource_dominant_share (left, worker->capacity) };
-      if (resource_fits (cell_need (group->spec), left))
-        candidate.room += 1.0;
-      if (permit != NULL && permit->known)
-        candidate.room += 0.5; /* known to be allowed */
-      g_array_append_val (candidates, candidate);
+          = { worker, slots, chance, score_of (group, worker, allowed) };
+      g_array_append_val (search->asked, candidate);
     }
-  g_array_sort (candidates, compare_candidates);
-  if (candidates->len > ASK_MOST_WORKERS)
-    g_array_set_size (candidates, ASK_MOST_WORKERS);
+  g_array_sort (search->asked, compare_candidates);
+}
+
+/* Returns how many workers a gang without enough room names: all that it knows
+   nothing of, none if it knows them all.  */
+static guint
+gang_names (const search_t *search)
+{
+  guint unknown = 0;
+  for (guint i = 0; i < search->asked->len; i++)
+    {
+      const candidate_t *candidate
+          = &g_array_index (search->asked, candidate_t, i);
+      unknown += !cell_allowed (search->group, candidate->worker);
+    }
+  return unknown > 0 ? MIN (search->asked->len, ASK_MOST_WORKERS) : 0;
+}
+
+/* Keeps the candidates for one call.  */
+static void
+choose_candidates (search_t *search)
+{
+  uint32_t waiting = search->group->waiting;
+  uint32_t most = ASK_WORKERS;
+  guint count = 0;
+  if (search->expected >= (double)waiting)
+    most = 0;
+  for (; count < MIN (search->asked->len, most); count++)
+    {
+      const candidate_t *candidate
+          = &g_array_index (search->asked, candidate_t, count);
+      expect_places (search, candidate->worker, candidate->slots,
+                     candidate->chance);
+    }
+  if (search->group->spec->gang && count > 0
+      && search->expected < (double)waiting)
+    count = gang_names (search);
+  g_array_set_size (search->asked, count);
 }
 
 static permit_t *
@@ -110,49 +259,46 @@
   return permit;
 }
 
-/* The members of a gang need many workers at once; others are asked for in
-   turn.  */
-static uint32_t
-calls_wanted (const cell_group_t *group)
+/* Sends the call that names the workers of SEARCH.  Returns whether a node can
+   ask.  */
+static bool
+send_call (const search_t *search)
 {
-  return group->spec->gang
-             ? MIN (GANG_CALLS, 1 + group->spec->count / GANG_TASKS_A_CALL)
-             : 1;
+  cell_t *cell = search->cell;
+  cell_group_t *group = search->group;
+  const queue_t *queue = group->job->queue;
+  const char *names[ASK_MOST_WORKERS];
+  char step[WORK_NAME_BYTES];
+  guint count = search->asked->len;
+  work_step_name_format (step, group->job->id, group->occurrence, group->step);
+  for (guint i = 0; i < count; i++)
+    names[i] = g_array_index (search->asked, candidate_t, i).worker->id;
+  if (!cell->actions->advise (
+          cell->context, step, group->last_call + 1, names, count,
+          queue->advice_ms + queue->advice_each_ms * (double)count))
+    return false;
+  group->last_call++;
+  group->calls_open++;
+  for (guint i = 0; i < count; i++)
+    permit_for (group, names[i])->call = group->last_call;
+  return true;
 }
 
 void
 cell_ask_advice (cell_t *cell, cell_group_t *group)
 {
-  const queue_t *queue = group->job->queue;
-  char step[WORK_NAME_BYTES];
-  if (g_hash_table_contains (cell->unadvised, queue->name))
+  const char *queue = group->job->queue->name;
+  if (group->calls_open > 0 || cell->now_ms < group->ask_after_ms
+      || g_hash_table_contains (cell->unadvised, queue))
     return;
-  work_step_name_format (step, group->job->id, group->occurrence, group->step);
-  while (group->calls_open < calls_wanted (group)
-         && cell->now_ms >= group->ask_after_ms)
-    {
-      GArray *candidates = g_array_new (FALSE, FALSE, sizeof (candidate_t));
-      collect_candidates (cell, group, candidates);
-      const char *names[ASK_MOST_WORKERS];
-      guint count = candidates->len;
-      for (guint i = 0; i < count; i++)
-        names[i] = g_array_index (candidates, candidate_t, i).worker->id;
-      g_array_unref (candidates);
-      if (count == 0)
-        return;
-      if (!cell->actions->advise (
-              cell->context, step, group->last_call + 1, names, count,
-              queue->advice_ms + queue->advice_each_ms * (double)count))
-        {
-          /* Other steps of the queue would find no node either.  */
-          g_hash_table_add (cell->unadvised, g_strdup (queue->name));
-          return;
-        }
-      group->last_call++;
-      group->calls_open++;
-      for (guint i = 0; i < count; i++)
-        permit_for (group, names[i])->call = group->last_call;
-    }
+  search_t search
+      = { cell, group, 0.0, g_array_new (FALSE, FALSE, sizeof (candidate_t)) };
+  collect_candidates (&search);
+  choose_candidates (&search);
+  /* Other steps of the queue would find no node either.  */
+  if (search.asked->len > 0 && !send_call (&search))
+    g_hash_table_add (cell->unadvised, g_strdup (queue));
+  g_array_unref (search.asked);
 }
 
 static cell_group_t *
@@ -169,14 +315,16 @@
   return cell_job_group (job, parts.occurrence, parts.step);
 }
 
-/* Takes the answer of CALL for all workers that it named.  */
-static void
+/* Takes the answer of CALL for all workers that it named.  Returns how many
+   these were.  */
+static uint32_t
 settle_call (const cell_t *cell, cell_group_t *group, uint32_t call, bool ok,
              int64_t valid_ms)
 {
   GHashTableIter iterator;
   gpointer id;
   gpointer value;
+  uint32_t named = 0;
   g_hash_table_iter_init (&iterator, group->permits);
   while (g_hash_table_iter_next (&iterator, &id, &value))
     {
@@ -184,6 +332,7 @@
       if (permit->call != call)
         continue;
       permit->call = 0;
+      named++;
       if (!ok)
         continue;
       const cell_worker_t *worker = cell_worker_find (cell, id);
@@ -192,6 +341,20 @@
       permit->born_ms = worker != NULL ? worker->born_ms : 0;
       g_clear_pointer (&permit->ticket, g_free);
     }
+  return named;
+}
+
+static void
+count_share (cell_t *cell, const char *queue, uint32_t named, uint32_t allowed)
+{
+  advice_share_t *share = g_hash_table_lookup (cell->advice_shares, queue);
+  if (share == NULL)
+    {
+      share = g_new0 (advice_share_t, 1);
+      g_hash_table_insert (cell->advice_shares, g_strdup (queue), share);
+    }
+  share->named += named;
+  share->allowed += allowed;
 }
 
 void
@@ -204,9 +367,11 @@
   if (group == NULL)
     return;
   group->calls_open -= group->calls_open > 0;
-  settle_call (cell, group, call, ok, valid_ms);
+  uint32_t named = settle_call (cell, group, call, ok, valid_ms);
   if (!ok)
     group->ask_after_ms = cell->now_ms + ASK_AGAIN_MS;
+  else if (group->job->queue != NULL)
+    count_share (cell, group->job->queue->name, named, count);
   for (uint32_t i = 0; i < count; i++)
     {
       permit_t *permit = g_hash_table_lookup (group->permits, rows[i].worker);
--- a/src/cell_int.h
+++ b/src/cell_int.h
@@ -142,9 +142,18 @@
   uint32_t fail_streak; /* failed runs of jobs in turn, since the last done */
   char failed_job[WORK_ID_LENGTH + 1]; /* of the last failed run */
   int64_t avoid_until_ms;
-  resource_t promised; /* kept for a group in the current pass */
+  resource_t promised; /* kept for gangs in the current pass */
+  resource_t soon;     /* room now and in a moment, of the current pass */
+  resource_t expected; /* of it, what steps of higher rank may take */
 };
 
+/* What calls for advice of a queue brought.  */
+typedef struct
+{
+  double named;
+  double allowed;
+} advice_share_t;
+
 struct cell
 {
   cell_options_t options;
@@ -167,6 +176,7 @@
   int64_t next_place_ms;
   GHashTable *unadvised; /* names of the queues for which no node could ask for
                             advice in the current pass */
+  GHashTable *advice_shares; /* name of a queue -> advice_share_t, owned */
   int64_t begun_ms;
   int64_t previous_renews_until_ms;
   int64_t next_save_ms;
@@ -232,7 +242,10 @@
 resource_t cell_need (const work_step_t *step);
 
 /* cell_advice.c */
+/* Calls for advice as far as GROUP needs it.  */
 void cell_ask_advice (cell_t *cell, cell_group_t *group);
+/* Whether GROUP is known to be allowed on WORKER.  */
+bool cell_allowed (const cell_group_t *group, const cell_worker_t *worker);
 /* Returns the ticket of GROUP for WORKER, NULL if there is no valid one.  */
 const char *cell_ticket (const cell_group_t *group,
                          const cell_worker_t *worker);
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -9,6 +9,16 @@
    steps, up to the most.  */
 #define GROUPS_A_MS 4u
 #define PLACE_MOST_GAP_MS 100u
+/* Tasks that are expected to end within this time count as room to ask advice
+   for: a call takes up to 1 s, its tickets last about 2 s.  */
+#define SOON_MS 1500
+/* A run's reported progress tells more than the job's estimate from here on.
+ */
+#define PROGRESS_LEAST_PERCENT 10u
+/* Gangs for which workers are kept free at the same time.  */
+#define PLANNED_GANGS 10u
+/* A step can wait while it has more than this share of its objective left.  */
+#define CAN_WAIT_SHARE 0.15
 /* A step that waits for longer is explained in the log, and how often.  */
 #define EXPLAIN_AFTER_MS 1000
 #define EXPLAIN_AGAIN_MS 2000
@@ -18,6 +28,7 @@
 {
   TIER_IN_TIME,
   TIER_LATE,
+  TIER_CAN_WAIT, /* in time, and will be later; others are more urgent */
   TIER_TOO_LATE
 };
 
@@ -89,6 +100,18 @@
   return group->job->queue != NULL ? group->job->queue->priority : 0;
 }
 
+/* Lets a step wait that has much time left while steps of a more urgent queue
+   wait.  */
+static void
+defer_group (cell_group_t *group, uint32_t most_urgent)
+{
+  if (group->tier == TIER_IN_TIME && !group->spec->lasting
+      && priority_of (group) > most_urgent
+      && (double)group->rank_ms
+             > CAN_WAIT_SHARE * (double)cell_objective_ms (group->job))
+    group->tier = TIER_CAN_WAIT;
+}
+
 static gint
 compare_groups (gconstpointer a, gconstpointer b)
 {
@@ -269,12 +292,40 @@
   return placed || place_gang_on (cell, group, NULL);
 }
 
+static bool
+ends_soon (const cell_t *cell, const cell_task_t *task)
+{
+  const work_step_t *step = task->group->spec;
+  if (task->state == RUN_STOPPING || task->state == RUN_DONE)
+    return true;
+  if (task->state != RUN_LIVE || step->lasting)
+    return false;
+  int64_t total_ms = step->estimate_ms;
+  if (task->percent >= PROGRESS_LEAST_PERCENT)
+    total_ms = (task->progress_ms - task->confirmed_ms) * 100 / task->percent;
+  return task->confirmed_ms + total_ms <= cell->now_ms + SOON_MS;
+}
+
+static resource_t
+room_soon (const cell_t *cell, const cell_worker_t *worker)
+{
+  resource_t room = resource_sub (worker->capacity, worker->used);
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const cell_task_t *task = worker->tasks->pdata[i];
+      if (ends_soon (cell, task))
+        room = resource_add (room, cell_need (task->group->spec));
+    }
+  return room;
+}
+
 /* Keeps the room that a gang waits for from groups of lower rank: the workers
-   with most of it free already.  */
+   that are known to be allowed, and those with most of it free soon.  */
 static void
 promise_room (cell_t *cell, cell_group_t *group)
 {
   resource_t need = cell_need (group->spec);
+  bool advised = group->job->queue != NULL && group->job->queue->advised;
   for (uint32_t left = group->spec->count; left > 0; left--)
     {
       cell_worker_t *best = NULL;
@@ -282,12 +333,13 @@
       for (guint i = 0; i < cell->worker_list->len; i++)
         {
           cell_worker_t *worker = cell->worker_list->pdata[i];
-          if (!eligible (cell, group, worker) || cell_denied (group, worker)
+          if (!eligible (cell, group, worker)
+              || (advised && !cell_allowed (group, worker))
               || !resource_fits (resource_add (worker->promised, need),
                                  worker->capacity))
             continue;
-          double share
-              = resource_dominant_share (free_room (worker), worker->capacity);
+          double share = resource_dominant_share (
+              resource_sub (worker->soon, worker->promised), worker->capacity);
           if (share > best_share)
             {
               best = worker;
@@ -339,21 +391,23 @@
 }
 
 static void
-place_group (cell_t *cell, cell_group_t *group, bool *promised)
+place_group (cell_t *cell, cell_group_t *group, uint32_t *planned)
 {
   bool whole = group->waiting == group->spec->count;
   bool advised = group->job->queue != NULL && group->job->queue->advised;
   bool can_start = !advised || cell_has_tickets (group);
-  if (group->spec->gang && whole && (!can_start || !place_gang (cell, group))
-      && !*promised && group->tier != TIER_TOO_LATE)
-    {
-      promise_room (cell, group);
-      *promised = true;
-    }
+  bool plan = group->spec->gang && whole
+              && (!can_start || !place_gang (cell, group))
+              && *planned < PLANNED_GANGS && group->tier != TIER_TOO_LATE;
   if (!group->spec->gang && can_start)
     place_tasks (cell, group);
   if (group->waiting > 0 && advised)
     cell_ask_advice (cell, group);
+  if (plan)
+    {
+      promise_room (cell, group);
+      ++*planned;
+    }
   if (group->waiting > 0)
     explain_wait (cell, group);
 }
@@ -362,23 +416,30 @@
 cell_place (cell_t *cell)
 {
   GPtrArray *ranked = g_ptr_array_new ();
+  uint32_t most_urgent = G_MAXUINT32;
   for (guint i = 0; i < cell->worker_list->len; i++)
-    ((cell_worker_t *)cell->worker_list->pdata[i])->promised
-        = (resource_t){ 0 };
+    {
+      cell_worker_t *worker = cell->worker_list->pdata[i];
+      worker->promised = worker->expected = (resource_t){ 0 };
+      worker->soon = room_soon (cell, worker);
+    }
   for (guint i = 0; i < cell->open->len; i++)
     {
       cell_group_t *group = cell->open->pdata[i];
       if (group->waiting == 0)
         continue;
       rank_group (cell, group);
+      most_urgent = MIN (most_urgent, priority_of (group));
       g_ptr_array_add (ranked, group);
     }
+  for (guint i = 0; i < ranked->len; i++)
+    defer_group (ranked->pdata[i], most_urgent);
   g_ptr_array_sort (ranked, compare_groups);
   g_hash_table_remove_all (cell->unadvised);
   cell->next_place_ms
       = cell->now_ms + MIN (ranked->len / GROUPS_A_MS, PLACE_MOST_GAP_MS);
-  bool promised = false;
+  uint32_t planned = 0;
   for (guint i = 0; i < ranked->len; i++)
-    place_group (cell, ranked->pdata[i], &promised);
+    place_group (cell, ranked->pdata[i], &planned);
   g_ptr_array_unref (ranked);
 }
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -4,7 +4,7 @@
 
 /* How long a worker may wait with the answer of a look for an end; also the
    longest time between two renewals.  */
-#define LOOK_WAIT_MS 1500
+#define LOOK_WAIT_MS 1000
 /* The same while tasks that serve share the worker with fillers, so that their
    pace follows the reported tail.  */
 #define LOOK_WAIT_PACED_MS 300
@@ -301,6 +301,20 @@
   return task;
 }
 
+/* The end of a run that counts for nothing: its task has another one.  */
+static void
+note_ignored (cell_t *cell, const cell_worker_t *worker,
+              const report_end_t *end)
+{
+  const cell_task_t *task = cell_find_task (cell, end->task);
+  if (task == NULL || task->state == RUN_DONE || task->state == RUN_OVER)
+    return;
+  cell_note (cell, "end_ignored", end->task,
+             "run=%u worker=%s state=%d has_run=%u has_worker=%s", end->run,
+             worker->id, task->state, task->run,
+             task->worker != NULL ? task->worker->id : "-");
+}
+
 static void
 read_ends (cell_t *cell, cell_worker_t *worker, const worker_report_t *report)
 {
@@ -317,6 +331,8 @@
         task = given_up (cell, end->task, end->run);
       if (task != NULL)
         cell_run_ended (task, end->how, end->checkpoint);
+      else if (end->how == END_DONE)
+        note_ignored (cell, worker, end);
     }
 }
 
--- a/src/io/node_advice.c
+++ b/src/io/node_advice.c
@@ -181,46 +181,62 @@
   json_decref (reply);
 }
 
-/* Returns the least busy node of those from BEGIN to END, NULL if all are
-   busy.  ANY: also one that has failed lately.  */
+/* Whether the node at AT is one of those kept for short calls.  Names are
+   sorted, and those of a zone stand together: a stride takes some of each.  */
+static bool
+takes_short (guint at)
+{
+  return at % SHORT_NODE_SHARE == 0;
+}
+
+/* What a search for a node looks at.  */
+typedef enum
+{
+  OF_ITS_KIND, /* that answer, and are kept for calls of this length */
+  SOUND,       /* that answer */
+  ANY
+} adviser_set_t;
+
+static bool
+in_set (const node_t *node, guint at, bool is_short, adviser_set_t set)
+{
+  const adviser_t *adviser = node->advisers->pdata[at];
+  if (set != ANY && adviser->bad_until_ms > node_now (node))
+    return false;
+  return set != OF_ITS_KIND || node->advisers->len == 1
+         || takes_short (at) == is_short;
+}
+
 static adviser_t *
-least_busy (const node_t *node, guint begin, guint end, uint32_t limit,
-            bool any)
+least_busy (const node_t *node, bool is_short, adviser_set_t set, bool *empty)
 {
-  int64_t now_ms = node_now (node);
+  uint32_t limit = is_short ? SHORT_CALLS : LONG_CALLS;
   adviser_t *best = NULL;
-  for (guint i = begin; i < end; i++)
+  *empty = true;
+  for (guint i = 0; i < node->advisers->len; i++)
     {
       adviser_t *adviser = node->advisers->pdata[i];
-      if ((any || adviser->bad_until_ms <= now_ms) && adviser->calls < limit
+      if (!in_set (node, i, is_short, set))
+        continue;
+      *empty = false;
+      if (adviser->calls < limit
           && (best == NULL || adviser->calls < best->calls))
         best = adviser;
     }
   return best;
 }
 
-static bool
-any_sound (const node_t *node, guint begin, guint end)
-{
-  for (guint i = begin; i < end; i++)
-    if (((adviser_t *)node->advisers->pdata[i])->bad_until_ms
-        <= node_now (node))
-      return true;
-  return false;
-}
-
 adviser_t *
 node_adviser_choose (const node_t *node, bool is_short)
 {
-  guint count = node->advisers->len;
-  guint short_count = MAX (1u, count / SHORT_NODE_SHARE);
-  guint begin = is_short || count == 1 ? 0 : short_count;
-  guint end = is_short ? MIN (short_count, count) : count;
-  uint32_t limit = is_short ? SHORT_CALLS : LONG_CALLS;
-  if (any_sound (node, begin, end))
-    return least_busy (node, begin, end, limit, false);
+  bool empty;
+  adviser_t *best = least_busy (node, is_short, OF_ITS_KIND, &empty);
   /* None of its own answers: any other, and if none does, each is tried.  */
-  return least_busy (node, 0, count, limit, !any_sound (node, 0, count));
+  if (empty)
+    best = least_busy (node, is_short, SOUND, &empty);
+  if (empty)
+    best = least_busy (node, is_short, ANY, &empty);
+  return best;
 }
 
 static char *
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -248,20 +248,23 @@
     = { on_inbox_changed, on_inbox_loaded, NULL };
 
 void
-node_inbox_part (const char *id, char part[2])
+node_inbox_part (const char *id, char part[INBOX_PART_BYTES])
 {
-  part[0] = g_ascii_tolower (id[0]);
-  part[1] = '\0';
+  const int bits_a_digit = 4;
+  int first = MAX (g_ascii_xdigit_value (id[0]), 0);
+  int second = MAX (g_ascii_xdigit_value (id[1]), 0);
+  g_snprintf (part, INBOX_PART_BYTES, "%02x",
+              (unsigned)(first << bits_a_digit | second) % INBOX_PARTS);
 }
 
 static void
 follow_inbox (node_cell_t *cell)
 {
-  char texts[sizeof INBOX_PARTS][2] = { "" };
-  const char *parts[sizeof INBOX_PARTS] = { NULL };
-  for (size_t i = 0; i + 1 < sizeof INBOX_PARTS; i++)
+  char texts[INBOX_PARTS][INBOX_PART_BYTES];
+  const char *parts[INBOX_PARTS + 1] = { NULL };
+  for (uint32_t i = 0; i < INBOX_PARTS; i++)
     {
-      texts[i][0] = INBOX_PARTS[i];
+      g_snprintf (texts[i], INBOX_PART_BYTES, "%02x", i);
       parts[i] = texts[i];
     }
   replica_options_t options
--- a/src/io/node_forget.c
+++ b/src/io/node_forget.c
@@ -36,7 +36,7 @@
 {
   node_cell_t *cell = context;
   site_t *site = cell->node->site;
-  char part[2];
+  char part[INBOX_PART_BYTES];
   char *cancel = g_strconcat (id, CANCEL_SUFFIX, NULL);
   node_inbox_part (id, part);
   site_row_t writes[] = { { cell->inbox_table, part, id, 0, NULL, 0 },
--- a/src/io/node_front.c
+++ b/src/io/node_front.c
@@ -129,7 +129,7 @@
 send_write (write_t *write)
 {
   node_t *node = write->node;
-  char part[2];
+  char part[INBOX_PART_BYTES];
   node_inbox_part (write->id, part);
   site_row_t expect = { write->table, part, write->key, 0, NULL, 0 };
   site_row_t row = { write->table,         part, write->key, 0, write->value,
@@ -219,7 +219,7 @@
 static void
 read_row (question_t *question)
 {
-  char part[2];
+  char part[INBOX_PART_BYTES];
   char *to = g_strconcat (question->id, "\x01", NULL);
   node_inbox_part (question->id, part);
   if (question->asks_inbox)
--- a/src/io/node_orders.c
+++ b/src/io/node_orders.c
@@ -9,7 +9,7 @@
    busy; a repeated one does no harm.  */
 #define ORDER_LIMIT_MS 200
 /* Beyond the time that the worker may wait for an end.  */
-#define LOOK_SLACK_MS 400
+#define LOOK_SLACK_MS 300
 
 /* A call in flight.  */
 typedef struct
