node: tell a slow store by every call that waits; save what callers wait for first

Beats of two cells leave no answer about the cluster without rows, and only such an answer tells how late the store is.

Change: answers about the configuration tell the lateness too, answers that tell none leave it as it is; a save takes the jobs with starts to send and the jobs that are over first.

--- a/src/cell_int.h
+++ b/src/cell_int.h
@@ -106,8 +106,9 @@
   uint32_t lost_runs; /* ended with their lease or their worker */
   job_show_t state;
   job_show_t saved_state;
-  bool begun; /* a task has started */
-  bool dirty; /* the record differs from what was saved */
+  bool begun;       /* a task has started */
+  bool dirty;       /* the record differs from what was saved */
+  bool starts_wait; /* for the next save */
 };
 
 struct cell_worker
--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -229,16 +229,41 @@
   return true;
 }
 
+/* Callers wait for the start of a step and for the end of a job, not for the
+   ends of single tasks.  */
+static bool
+is_awaited (const cell_job_t *job)
+{
+  return job->starts_wait || job->state > JOB_STATE_RUNNING;
+}
+
+/* Puts the jobs that callers wait for first: while the store is slow a save
+   holds a part of the dirty jobs only.  */
+static void
+order_dirty (cell_t *cell)
+{
+  GPtrArray *ordered = g_ptr_array_sized_new (cell->dirty->len);
+  for (int awaited = 1; awaited >= 0; awaited--)
+    for (guint i = 0; i < cell->dirty->len; i++)
+      if (is_awaited (cell->dirty->pdata[i]) == (awaited == 1))
+        g_ptr_array_add (ordered, cell->dirty->pdata[i]);
+  g_ptr_array_unref (cell->dirty);
+  cell->dirty = ordered;
+}
+
 /* Takes the dirty jobs into the save that is about to begin.  */
 static void
 collect_records (cell_t *cell, GArray *records)
 {
   size_t bytes = 0;
+  if (cell->dirty->len > SAVE_MAX_JOBS)
+    order_dirty (cell);
   while (cell->dirty->len > 0 && records->len < SAVE_MAX_JOBS
          && bytes < SAVE_MAX_BYTES)
     {
       cell_job_t *job = g_ptr_array_steal_index (cell->dirty, 0);
       job->dirty = false;
+      job->starts_wait = false;
       for (guint i = 0; i < job->groups->len; i++)
         {
           cell_group_t *group = job->groups->pdata[i];
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -45,6 +45,7 @@
   task->percent = 0;
   task->pace = 100;
   cell_set_task (task, RUN_ASSIGNED);
+  group->job->starts_wait = true;
   cell_mark_dirty (group->job);
 }
 
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -24,8 +24,9 @@
 /* Beats are watched anew after a longer time without an answer about them.  */
 #define BEAT_GAP_MS 700
 /* Share by which the lateness of the store's answers is forgotten with each
-   answer.  */
-#define LATE_FALL_DIVISOR 8
+   answer that tells one.  The beats of several cells leave few of these: the
+   answers about the configuration tell it too.  */
+#define LATE_FALL_DIVISOR 3
 #define TICK_S (CELL_TICK_MS / 1000.0)
 #define CLAIM_CHECK_S 0.05
 #define ENROLL_LIMIT_MS 1500
@@ -132,12 +133,21 @@
 }
 
 static void
-on_cluster_answered (void *context, int64_t late_ms)
+on_store_answered (void *context, int64_t late_ms)
 {
   node_t *node = context;
+  if (late_ms < 0)
+    return;
   node->late_ms -= node->late_ms / LATE_FALL_DIVISOR;
   node->late_ms = MAX (node->late_ms, late_ms);
+}
+
+static void
+on_cluster_answered (void *context, int64_t late_ms)
+{
+  node_t *node = context;
   int64_t now_ms = node_now (node);
+  on_store_answered (node, late_ms);
   /* What happened to the beats meanwhile is not known.  */
   if (now_ms - node->answered_ms > BEAT_GAP_MS)
     each_cell (node, watch_anew);
@@ -266,7 +276,7 @@
 }
 
 static const replica_events_t config_events
-    = { on_config_changed, NULL, NULL };
+    = { on_config_changed, NULL, on_store_answered };
 
 static void enroll_done (void *context, const site_rows_t *reply);
 
