cell: let the foremost gangs keep their tickets fresh

Room for whole workers comes and goes within the second that a call takes.

Change: the ten foremost gangs, for which workers are kept free, ask for up to three times 30 workers at once whether these have room or not, and renew; the others ask only if there is room for all their tasks.

--- a/src/cell_advice.c
+++ b/src/cell_advice.c
@@ -7,14 +7,16 @@
 
    A call takes up to a second of a node that asks for one step at a time, and
    its tickets last two seconds.  So calls name only workers that have room
-   soon, beside what steps of higher rank expect to place there.  A gang that
-   finds too little room asks for all workers once, and for tickets only when
-   enough of the allowed ones have room.  */
+   soon, beside what steps of higher rank expect to place there.  The foremost
+   gangs, for which workers are kept free, ask for all and keep their tickets
+   fresh; other gangs ask only if there is room for all their tasks.  */
 
 /* Workers named in one call; the objective of a job counts on 30.  */
 #define ASK_WORKERS 30u
-/* The most that the advice service takes.  */
-#define ASK_MOST_WORKERS 100u
+/* Calls at the same time for a planned gang: one, and one more for so many
+   tasks.  */
+#define GANG_CALLS 3u
+#define GANG_TASKS_A_CALL 3u
 /* A ticket is renewed this long before it expires, on top of the duration of
    the call.  */
 #define RENEW_BEFORE_MS 150
@@ -77,6 +79,7 @@
   cell_group_t *group;
   double expected; /* places that tickets and calls will bring */
   GArray *asked;   /* candidate_t to name in a call */
+  bool planned;    /* see cell_ask_advice */
 } search_t;
 
 typedef struct
@@ -190,12 +193,12 @@
     {
       cell_worker_t *worker = cell->worker_list->pdata[i];
       uint32_t slots = slots_soon (group, worker);
-      if (slots == 0 && !group->spec->gang)
+      if (slots == 0 && !search->planned)
         continue;
       const permit_t *permit = permit_of (group, worker);
       bool known = permit != NULL && permit->known;
       bool allowed = known && permit->ticket != NULL;
-      if ((known && (!allowed || slots == 0)) || !usable (group, worker))
+      if ((known && !allowed) || !usable (group, worker))
         continue;
       double chance = allowed ? 1.0 : share;
       if (brings_place (group, worker, permit))
@@ -210,40 +213,25 @@
   g_array_sort (search->asked, compare_candidates);
 }
 
-/* Returns how many workers a gang without enough room names: all that it knows
-   nothing of, none if it knows them all.  */
-static guint
-gang_names (const search_t *search)
-{
-  guint unknown = 0;
-  for (guint i = 0; i < search->asked->len; i++)
-    {
-      const candidate_t *candidate
-          = &g_array_index (search->asked, candidate_t, i);
-      unknown += !cell_allowed (search->group, candidate->worker);
-    }
-  return unknown > 0 ? MIN (search->asked->len, ASK_MOST_WORKERS) : 0;
-}
-
-/* Keeps the candidates for one call.  */
+/* Keeps the candidates for one call, if it is worth one.  */
 static void
 choose_candidates (search_t *search)
 {
-  uint32_t waiting = search->group->waiting;
-  uint32_t most = ASK_WORKERS;
+  double waiting = (double)search->group->waiting;
   guint count = 0;
-  if (search->expected >= (double)waiting)
-    most = 0;
-  for (; count < MIN (search->asked->len, most); count++)
+  if (search->expected < waiting || search->planned)
+    count = MIN (search->asked->len, ASK_WORKERS);
+  for (guint i = 0; i < count; i++)
     {
       const candidate_t *candidate
-          = &g_array_index (search->asked, candidate_t, count);
+          = &g_array_index (search->asked, candidate_t, i);
       expect_places (search, candidate->worker, candidate->slots,
                      candidate->chance);
     }
-  if (search->group->spec->gang && count > 0
-      && search->expected < (double)waiting)
-    count = gang_names (search);
+  /* A gang that lacks room would let its tickets expire unused.  */
+  if (search->group->spec->gang && !search->planned
+      && search->expected < waiting)
+    count = 0;
   g_array_set_size (search->asked, count);
 }
 
@@ -267,7 +255,7 @@
   cell_t *cell = search->cell;
   cell_group_t *group = search->group;
   const queue_t *queue = group->job->queue;
-  const char *names[ASK_MOST_WORKERS];
+  const char *names[ASK_WORKERS];
   char step[WORK_NAME_BYTES];
   guint count = search->asked->len;
   work_step_name_format (step, group->job->id, group->occurrence, group->step);
@@ -284,21 +272,36 @@
   return true;
 }
 
-void
-cell_ask_advice (cell_t *cell, cell_group_t *group)
+/* Makes one call.  Returns whether another one may follow.  */
+static bool
+ask_once (cell_t *cell, cell_group_t *group, bool planned)
 {
   const char *queue = group->job->queue->name;
-  if (group->calls_open > 0 || cell->now_ms < group->ask_after_ms
-      || g_hash_table_contains (cell->unadvised, queue))
-    return;
+  if (g_hash_table_contains (cell->unadvised, queue))
+    return false;
   search_t search
-      = { cell, group, 0.0, g_array_new (FALSE, FALSE, sizeof (candidate_t)) };
+      = { cell, group, 0.0, g_array_new (FALSE, FALSE, sizeof (candidate_t)),
+          planned };
   collect_candidates (&search);
   choose_candidates (&search);
+  bool sent = search.asked->len > 0 && send_call (&search);
   /* Other steps of the queue would find no node either.  */
-  if (search.asked->len > 0 && !send_call (&search))
+  if (search.asked->len > 0 && !sent)
     g_hash_table_add (cell->unadvised, g_strdup (queue));
   g_array_unref (search.asked);
+  return sent;
+}
+
+void
+cell_ask_advice (cell_t *cell, cell_group_t *group, bool planned)
+{
+  uint32_t most_calls = 1;
+  if (planned)
+    most_calls = MIN (GANG_CALLS, 1 + group->spec->count / GANG_TASKS_A_CALL);
+  if (cell->now_ms < group->ask_after_ms)
+    return;
+  while (group->calls_open < most_calls && ask_once (cell, group, planned))
+    ;
 }
 
 static cell_group_t *
--- a/src/cell_int.h
+++ b/src/cell_int.h
@@ -243,8 +243,9 @@
 resource_t cell_need (const work_step_t *step);
 
 /* cell_advice.c */
-/* Calls for advice as far as GROUP needs it.  */
-void cell_ask_advice (cell_t *cell, cell_group_t *group);
+/* Calls for advice as far as GROUP needs it.  PLANNED: it is a gang for which
+   workers are kept free.  */
+void cell_ask_advice (cell_t *cell, cell_group_t *group, bool planned);
 /* Whether GROUP is known to be allowed on WORKER.  */
 bool cell_allowed (const cell_group_t *group, const cell_worker_t *worker);
 /* Returns the ticket of GROUP for WORKER, NULL if there is no valid one.  */
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -402,7 +402,7 @@
   if (!group->spec->gang && can_start)
     place_tasks (cell, group);
   if (group->waiting > 0 && advised)
-    cell_ask_advice (cell, group);
+    cell_ask_advice (cell, group, plan);
   if (plan)
     {
       promise_room (cell, group);
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -214,6 +214,23 @@
   fake_cell_free (world);
 }
 
+/* Guards against calls for advice that bring nothing: while no worker has
+   room, the steps that wait must leave the nodes to those that can start.  */
+static void
+test_no_advice_without_room (void)
+{
+  fake_faults_t faults = { .ticket_life_ms = 500 };
+  fake_cell_t *world = fake_cell_new (1, 2, &faults, BREAK_NOTHING);
+  fake_cell_submit (world, job_new (1, 1, 64, 60000));
+  fake_cell_run (world, 1000);
+  uint32_t before = fake_cell_asks (world);
+  for (uint32_t i = 2; i <= 41; i++)
+    fake_cell_submit (world, job_new (i, 1, 2, 500));
+  fake_cell_run (world, 3000);
+  CU_ASSERT_TRUE (fake_cell_asks (world) - before <= 41);
+  fake_cell_free (world);
+}
+
 static work_job_t *
 random_job (GRand *random, uint32_t number)
 {
@@ -372,6 +389,7 @@
   { "a hopeless job fails after its attempts", test_attempts },
   { "a hopeless job beside a good one", test_hopeless_job },
   { "pending jobs after a takeover", test_pending_after_takeover },
+  { "no advice without room", test_no_advice_without_room },
   { "leases of the owner before", test_lease_of_owner_before },
   { "a worker lost for good", test_worker_lost },
   { "an end told after its lease", test_end_after_lapse },
