--- a/src/cell_advice.c
+++ b/src/cell_advice.c
@@ -7,7 +7,8 @@
 
    A call takes up to a second of a node that asks for one step at a time, and
    its tickets last two seconds.  So calls name only workers that have room
-   soon, beside what steps of higher rank expect to place there.  The foremost
+   soon, beside what the steps that have asked before it in the pass expect to
+   place there.  The foremost
    gangs, for which workers are kept free, ask for all and keep their tickets
    fresh; other gangs ask only if there is room for all their tasks.  */
 
@@ -119,8 +120,8 @@
                              / (share->named + FIRST_WEIGHT);
 }
 
-/* Tasks of GROUP that fit on WORKER soon, beside what groups of higher rank
-   expect to place there.  */
+/* Tasks of GROUP that fit on WORKER soon, beside what groups that have asked
+   before in the pass expect to place there.  */
 static uint32_t
 slots_soon (const cell_group_t *group, const cell_worker_t *worker)
 {
--- a/src/cell_int.h
+++ b/src/cell_int.h
@@ -145,7 +145,7 @@
   int64_t avoid_until_ms;
   resource_t promised; /* kept for gangs in the current pass */
   resource_t soon;     /* room now and in a moment, of the current pass */
-  resource_t expected; /* of it, what steps of higher rank may take */
+  resource_t expected; /* of it, what steps that have asked may take */
 };
 
 /* What calls for advice of a queue brought.  */
--- a/src/io/node_int.h
+++ b/src/io/node_int.h
@@ -21,9 +21,9 @@
 #define CLUSTER_TABLE "cluster"
 #define FENCE_TABLE "fence"
 #define RECORD_TABLE "record"
-/* Jobs are divided by the first bits of their id: a part takes its writes one
-   after another, three a second while the store is 60 times slower, and a
-   burst of the grown deployments brings 100 a second.  */
+/* Jobs are divided by the first two digits of their id: a part takes its
+   writes one after another, three a second while the store is 60 times slower,
+   and a burst of the grown deployments brings 100 a second.  */
 #define INBOX_PARTS 64u
 #define INBOX_PART_BYTES 3
 #define BEAT_KEY "beat"
--- a/src/io/node_yield.c
+++ b/src/io/node_yield.c
@@ -17,7 +17,7 @@
 /* A node that has this many times the processor time is offered the cell: a
    transfer costs about half a second without starts.  */
 #define STRONGER_FACTOR 2
-/* Time between two offers, and between taking a cell and the first one.  */
+/* Time between two offers; the first one follows as the cell is owned.  */
 #define OFFER_GAP_MS 1000
 #define OFFER_LIMIT_MS 500
 /* A node that does not answer or does not agree is left out for this long.  */
