cell: log crashed workers apart from silent ones

Callers saw jobs that never ended while their task crashed one worker after the other. The log said how=lapsed for each of its runs, as for a worker that is only silent, and named no worker that crashed, so it could not tell the hypotheses of docs/incidents/deadly-task.md apart.

Change: the event worker_crashed (and its counter in magnoliadock_cell_events_total) names the evidence, for how long the worker had been silent, its rack and its newest runs with their numbers; runs that end so say how=crashed. No decision changes. worker_restarted becomes worker_crashed evidence=restarted.

--- a/src/cell.h
+++ b/src/cell.h
@@ -118,7 +118,9 @@
   END_LAPSED, /* the lease expired, or the worker is gone */
   /* Kinds that only workers report; handled like END_STOPPED.  */
   END_BROKEN,
-  END_ALONE
+  END_ALONE,
+  /* The worker has crashed; no worker reports this.  */
+  END_CRASHED
 } end_kind_t;
 
 typedef struct
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -151,7 +151,8 @@
   bool has_fencing_token; /* it has answered a poll of this owner since its
                              start, so it refuses the orders of earlier owners;
                              also set when it is gone and can carry out none */
-  bool responsive; /* cleared when a call fails, set by the next report */
+  bool responsive;   /* cleared when a call fails, set by the next report */
+  int64_t silent_ms; /* when RESPONSIVE was last cleared */
   bool poll_in_flight;
   uint32_t failed_polls;
   int64_t next_poll_ms;
@@ -288,6 +289,8 @@
 
 /* cell_workers.c */
 cell_worker_t *cell_find_worker (const cell_t *cell, const char *id);
+/* Notes that a call to WORKER has failed.  */
+void cell_worker_is_silent (cell_worker_t *worker, int64_t now_ms);
 /* Returns the lease end to send to WORKER, in its clock, and remembers the
    highest.  */
 int64_t cell_extend_lease (cell_worker_t *worker, const cell_t *cell);
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -229,7 +229,7 @@
 
 /* By end_kind_t.  */
 static const char *const end_names[]
-    = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+    = { "done", "failed", "stopped", "lapsed", "broken", "alone", "crashed" };
 
 void
 cell_run_ended (cell_task_t *task, end_kind_t how, const char *checkpoint)
@@ -249,7 +249,7 @@
   if (how == END_DONE || how == END_FAILED)
     cell_note_run_duration (task, how == END_FAILED);
   job->failed_runs += how == END_FAILED;
-  job->lost_runs += how == END_LAPSED;
+  job->lost_runs += how == END_LAPSED || how == END_CRASHED;
   if (worker != NULL)
     update_fail_streak (cell, worker, job->id, how);
   cell_release_task (task);
@@ -289,7 +289,7 @@
   if (result == ORDER_NO_TICKET)
     g_hash_table_remove (task->group->advice, task->worker->id);
   if (result == ORDER_NOT_DELIVERED)
-    task->worker->responsive = false;
+    cell_worker_is_silent (task->worker, task->group->job->cell->now_ms);
   if (result == ORDER_UNAVAILABLE || result == ORDER_NO_CAPACITY)
     task->worker->avoid_until_ms
         = task->group->job->cell->now_ms + AVOID_AFTER_REFUSAL_MS;
@@ -323,7 +323,7 @@
     {
       /* A single lost answer doesn't make the worker unresponsive.  */
       if (task->start_unanswered)
-        worker->responsive = false;
+        cell_worker_is_silent (worker, cell->now_ms);
       task->start_unanswered = true;
       return;
     }
@@ -375,7 +375,7 @@
       cell_poll_if_due (cell, task->worker);
     }
   else if (result == ORDER_UNKNOWN)
-    task->worker->responsive = false;
+    cell_worker_is_silent (task->worker, cell->now_ms);
 }
 
 static void
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -63,15 +63,42 @@
   return worker;
 }
 
-/* Treats every run on WORKER as ended, and undoes its assignments.  */
+/* Runs that a line about a crashed worker names.  */
+#define LOGGED_RUNS_MAX 8u
+
+/* Logs that WORKER has crashed, for how long it had not answered, and its runs
+   with their numbers, newest first.  */
+static void
+log_crash (cell_t *cell, const cell_worker_t *worker, const char *evidence)
+{
+  GString *runs = g_string_new (NULL);
+  for (guint i = worker->tasks->len; i > 0; i--)
+    {
+      const cell_task_t *task = worker->tasks->pdata[i - 1];
+      char name[WORK_NAME_BYTES];
+      if (worker->tasks->len - i >= LOGGED_RUNS_MAX)
+        break;
+      cell_task_name (task, name);
+      g_string_append_printf (runs, "%s%s:%u", runs->len > 0 ? "," : "", name,
+                              task->run);
+    }
+  cell_log (
+      cell, "worker_crashed", worker->id,
+      "evidence=%s silent_ms=%lld rack=%s tasks=%u runs=%s", evidence,
+      (long long)(worker->responsive ? 0 : cell->now_ms - worker->silent_ms),
+      worker->rack, worker->tasks->len, runs->str);
+  g_string_free (runs, TRUE);
+}
+
+/* Treats every run on WORKER as ended, HOW, and undoes its assignments.  */
 static void
-end_all_runs (cell_worker_t *worker)
+end_all_runs (cell_worker_t *worker, end_kind_t how)
 {
   while (worker->tasks->len > 0)
     {
       cell_task_t *task = worker->tasks->pdata[worker->tasks->len - 1];
       if (task->state != RUN_ASSIGNED)
-        cell_run_ended (task, END_LAPSED, NULL);
+        cell_run_ended (task, how, NULL);
       else if (task->group->spec->gang)
         cell_stop_gang (task->group);
       else
@@ -98,8 +125,7 @@
 static void
 worker_restarted (cell_t *cell, cell_worker_t *worker, int64_t start_ms)
 {
-  cell_log (cell, "worker_restarted", worker->id, "tasks=%u",
-            worker->tasks->len);
+  log_crash (cell, worker, "restarted");
   worker->start_ms = start_ms;
   worker->processed_end = worker->saved_end = worker->end_in_save = 0;
   worker->acknowledged_end = worker->acknowledging_end = 0;
@@ -182,6 +208,14 @@
             worker->tasks->len, worker->draining);
 }
 
+void
+cell_worker_is_silent (cell_worker_t *worker, int64_t now_ms)
+{
+  if (worker->responsive)
+    worker->silent_ms = now_ms;
+  worker->responsive = false;
+}
+
 int64_t
 cell_extend_lease (cell_worker_t *worker, const cell_t *cell)
 {
@@ -508,13 +542,15 @@
   if (worker->responsive)
     cell_log (cell, "worker_silent", id, "tasks=%u result=%d",
               worker->tasks->len, result);
-  worker->responsive = false;
+  cell_worker_is_silent (worker, cell->now_ms);
   /* Another worker answers at its address, so this one has ended.  */
   if (result == ORDER_OTHER_WORKER)
     {
       worker->listed = false;
       worker->has_fencing_token = true;
-      end_all_runs (worker);
+      if (!worker->draining)
+        log_crash (cell, worker, "replaced");
+      end_all_runs (worker, worker->draining ? END_LAPSED : END_CRASHED);
     }
 }
 
@@ -573,7 +609,7 @@
               worker->tasks->len, worker->has_fencing_token,
               (long long)(cell->now_ms - worker->sampled_ms),
               (long long)(worker->lease_until_ms - worker->sampled_clock_ms));
-          end_all_runs (worker);
+          end_all_runs (worker, END_LAPSED);
         }
       if (worker->draining)
         evacuate (cell, worker);
