cell: give up a task that crashes the workers that start it

Cause: a run that ended with its worker counted as nobody's fault. It was started again without a count, and nothing asked which run was to blame.

Change: src/blame.c decides who may be to blame for a crash: runs that were apart, else the youngest ones. A suspected task runs apart next time, on a worker without recent starts of other jobs, and keeps them off until it has run for a while; a second crash then is its own, and its job is failed. Losses of several workers at once, or of silent workers, are never certain. Whatever the verdicts, five lost runs end a task: three crashes and two more starts are what the platform accepts. Counts are saved with the task before its next start, and with the start time of its worker, so that a successor sees a restart too. A silent worker that lists the run's end later has not crashed; that count is withdrawn. A start is no longer repeated to a worker that does not answer: its next life would carry it out. Before a start is sent after a save, the worker has to still answer, stay, and have room for all it was given.

--- /dev/null
+++ b/src/blame.c
@@ -0,0 +1,128 @@
+#include "blame.h"
+
+#include <string.h>
+
+/* A task whose runs were lost this often runs apart, although another run may
+   always have been the more likely cause.  */
+#define APART_AFTER_LOSSES 2u
+/* Crashes after which a culprit is given up.  */
+#define MAX_CRASHES 2u
+/* Losses this far apart may have a common cause: within a rack, whose workers
+   lose power together but are found out one after the other, and anywhere.  */
+#define COMMON_RACK_MS 300
+#define COMMON_ANYWHERE_MS 50
+
+int64_t
+blame_isolation_ms (const blame_history_t *history)
+{
+  if (history->crashes >= MAX_CRASHES || history->losses >= APART_AFTER_LOSSES)
+    return BLAME_LONG_SETTLE_MS;
+  return history->crashes > 0 ? BLAME_SETTLE_MS : 0;
+}
+
+/* Whether RUN had run well for so long that its start did no harm.  Only tasks
+   without an end are cleared by that: others would never reach a limit.  */
+static bool
+is_cleared (const blame_run_t *run)
+{
+  return run->lasting && run->age_ms >= BLAME_LONG_SETTLE_MS;
+}
+
+static int64_t
+age_of (const blame_run_t *run)
+{
+  return run->age_ms < 0 ? 0 : run->age_ms;
+}
+
+static bool
+is_apart (const blame_run_t *run)
+{
+  return age_of (run) < blame_isolation_ms (&run->history);
+}
+
+/* Whether RUN may be to blame.  A run that was still apart goes before all
+   others, then the youngest ones.  */
+static bool
+is_suspect (const blame_run_t *run, bool any_apart, int64_t youngest_ms)
+{
+  if (is_cleared (run))
+    return false;
+  return any_apart ? is_apart (run)
+                   : age_of (run) <= youngest_ms + BLAME_SETTLE_MS;
+}
+
+void
+blame_judge (const blame_run_t *runs, uint32_t count, bool common_cause,
+             blame_verdict_t *verdicts)
+{
+  bool any_apart = false;
+  bool one_job = true;
+  int64_t youngest_ms = INT64_MAX - BLAME_SETTLE_MS;
+  const char *job = NULL;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (is_cleared (&runs[i]))
+        continue;
+      any_apart = any_apart || is_apart (&runs[i]);
+      if (age_of (&runs[i]) < youngest_ms)
+        youngest_ms = age_of (&runs[i]);
+    }
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (!is_suspect (&runs[i], any_apart, youngest_ms))
+        continue;
+      one_job = one_job && (job == NULL || strcmp (job, runs[i].job) == 0);
+      job = runs[i].job;
+    }
+  for (uint32_t i = 0; i < count; i++)
+    if (is_cleared (&runs[i]))
+      verdicts[i] = BLAME_NONE;
+    else if (!is_suspect (&runs[i], any_apart, youngest_ms))
+      verdicts[i] = BLAME_BYSTANDER;
+    else
+      verdicts[i] = any_apart && one_job && !common_cause ? BLAME_CULPRIT
+                                                          : BLAME_SUSPECT;
+}
+
+blame_verdict_t
+blame_judge_silent (const blame_run_t *run)
+{
+  return is_cleared (run) ? BLAME_NONE : BLAME_BYSTANDER;
+}
+
+bool
+blame_add (blame_history_t *history, blame_verdict_t verdict)
+{
+  if (verdict == BLAME_NONE)
+    {
+      *history = (blame_history_t){ 0 };
+      return false;
+    }
+  history->losses++;
+  history->crashes += verdict >= BLAME_SUSPECT;
+  return history->losses >= BLAME_MAX_LOSSES
+         || (verdict == BLAME_CULPRIT && history->crashes >= MAX_CRASHES);
+}
+
+static int64_t
+distance_ms (const blame_loss_t *left, const blame_loss_t *right)
+{
+  return left->at_ms < right->at_ms ? right->at_ms - left->at_ms
+                                    : left->at_ms - right->at_ms;
+}
+
+bool
+blame_common_cause (const blame_loss_t *losses, uint32_t count,
+                    const blame_loss_t *one)
+{
+  uint32_t in_rack = 0;
+  uint32_t anywhere = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      int64_t apart_ms = distance_ms (&losses[i], one);
+      in_rack += losses[i].rack == one->rack && apart_ms <= COMMON_RACK_MS;
+      anywhere += apart_ms <= COMMON_ANYWHERE_MS;
+    }
+  /* ONE is counted too.  */
+  return in_rack >= 2 || anywhere >= 3;
+}
--- /dev/null
+++ b/src/blame.h
@@ -0,0 +1,82 @@
+#ifndef MAGNOLIADOCK_BLAME_H
+#define MAGNOLIADOCK_BLAME_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* NAME
+     blame - which task is to blame for the crash of its worker
+
+   A task may crash each worker that starts it; all runs beside it are lost
+   too.  Nothing tells which run it was, so blame is narrowed down in steps:
+   a task that may be to blame runs apart next time, on a worker where no run
+   of another job starts shortly before or after it.  If that worker crashes
+   too, the task is given up.  Tasks that only ran beside go on.
+
+   A task starts at most BLAME_MAX_LOSSES times on workers that are lost.
+   Decisions only; no clock, input or output.  */
+
+/* A run that has survived this long has probably not crashed its worker by
+   being started.  */
+#define BLAME_SETTLE_MS 500
+/* The same for a task whose crashes may come later after the start.  */
+#define BLAME_LONG_SETTLE_MS 10000
+/* A task whose runs were lost with that many workers is given up even if it
+   never ran apart: three crashes and two more starts are the most that the
+   platform accepts.  */
+#define BLAME_MAX_LOSSES 5u
+
+/* What is known of a task; saved with it.  */
+typedef struct
+{
+  uint32_t crashes; /* crashed workers for which it may be to blame */
+  uint32_t losses;  /* runs lost with their worker, including these; a worker
+                       that stayed silent until its lease expired counts too */
+} blame_history_t;
+
+/* A run on a worker that is lost.  */
+typedef struct
+{
+  const char *job; /* id */
+  blame_history_t history;
+  int64_t age_ms; /* from the start to the loss; -1: unknown */
+  bool lasting;
+} blame_run_t;
+
+typedef enum
+{
+  BLAME_NONE,      /* not lost, or lost after it had run well for long */
+  BLAME_BYSTANDER, /* ran beside */
+  BLAME_SUSPECT,   /* may be to blame */
+  BLAME_CULPRIT    /* the only job that may be to blame, while it ran apart */
+} blame_verdict_t;
+
+/* How long the next run of a task has to be apart from starts of other jobs,
+   0 if it need not.  */
+int64_t blame_isolation_ms (const blame_history_t *history);
+
+/* Sets VERDICTS[i] for each of the COUNT runs on a worker that has crashed.
+   COMMON_CAUSE: other workers were lost at the same time, so that no run is
+   blamed for certain.  */
+void blame_judge (const blame_run_t *runs, uint32_t count, bool common_cause,
+                  blame_verdict_t *verdicts);
+/* The verdict on one run of a worker that stayed silent until its lease
+   expired, and has perhaps not crashed.  */
+blame_verdict_t blame_judge_silent (const blame_run_t *run);
+
+/* Adds VERDICT to HISTORY.  Returns whether the task is to be given up.  */
+bool blame_add (blame_history_t *history, blame_verdict_t verdict);
+
+/* The loss of a worker.  */
+typedef struct
+{
+  int64_t at_ms;
+  uint32_t rack; /* hash of its name */
+} blame_loss_t;
+
+/* Whether the loss ONE of COUNT LOSSES has a cause in common with others: one
+   other in its rack or two anywhere at about the same time.  */
+bool blame_common_cause (const blame_loss_t *losses, uint32_t count,
+                         const blame_loss_t *one);
+
+#endif
--- a/src/cell.c
+++ b/src/cell.c
@@ -31,6 +31,7 @@
   cell->dirty_jobs = g_ptr_array_new ();
   cell->ended_jobs = g_ptr_array_new ();
   cell->jobs_in_save = g_ptr_array_new ();
+  cell->losses = g_array_new (FALSE, FALSE, sizeof (blame_loss_t));
   cell->states_in_save = g_array_new (FALSE, FALSE, sizeof (cell_job_state_t));
   return cell;
 }
@@ -53,6 +54,7 @@
   g_ptr_array_unref (cell->ended_jobs);
   g_ptr_array_unref (cell->jobs_in_save);
   g_array_unref (cell->states_in_save);
+  g_array_unref (cell->losses);
   g_free (cell);
 }
 
@@ -161,6 +163,20 @@
   cell->place_pending = true;
 }
 
+/* Whether a record names a run on an earlier life of WORKER.  */
+static bool
+has_restarted_since_record (const cell_worker_t *worker)
+{
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const cell_task_t *task = worker->tasks->pdata[i];
+      if (task->worker_start_ms != 0
+          && task->worker_start_ms < worker->start_ms)
+        return true;
+    }
+  return false;
+}
+
 void
 cell_begin (cell_t *cell, bool previous_owner_gone)
 {
@@ -171,6 +187,9 @@
   cell->previous_renews_until_ms
       = cell->now_ms
         + (previous_owner_gone ? 0 : cell->options.renewal_grace_ms);
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    if (has_restarted_since_record (cell->worker_list->pdata[i]))
+      cell_worker_crashed (cell, cell->worker_list->pdata[i], "recorded");
 }
 
 void
--- /dev/null
+++ b/src/cell_crash.c
@@ -0,0 +1,285 @@
+#include "cell_internal.h"
+
+#include <string.h>
+
+/* NAME
+     cell_crash - workers that crash, and the tasks that may be to blame
+
+   See blame.h.  A verdict is kept with the task until its run is known to be
+   over, since a run that was ordered around the crash may go on in the next
+   life of the worker.  */
+
+/* Losses of workers are compared with others of this age at most.  */
+#define LOSSES_KEPT_MS 30000
+/* Runs that a line about a crashed worker names.  */
+#define LOGGED_RUNS_MAX 8u
+/* A worker is kept free of new starts for a suspected task for this long.  */
+#define HOLD_MS (2 * BLAME_SETTLE_MS)
+/* Workers that are kept free for one gang.  */
+#define GANG_HOLDS_MAX 4u
+
+/* Age of the run of TASK at AT_MS, -1 if it is not known to have started.  */
+static int64_t
+run_age_ms (const cell_task_t *task, int64_t at_ms)
+{
+  return task->seen_running_ms == 0 ? -1
+                                    : MAX (at_ms - task->seen_running_ms, 0);
+}
+
+static blame_run_t
+blame_run_of (const cell_task_t *task, int64_t at_ms)
+{
+  return (blame_run_t){ task->group->job->id, task->blame,
+                        run_age_ms (task, at_ms), task->group->spec->lasting };
+}
+
+static int64_t
+lost_at_ms (const cell_t *cell, const cell_worker_t *worker)
+{
+  return worker->responsive ? cell->now_ms : worker->silent_ms;
+}
+
+/* Notes the loss of WORKER, and returns whether others were lost with it.  */
+static bool
+has_common_cause (cell_t *cell, const cell_worker_t *worker)
+{
+  blame_loss_t loss = { lost_at_ms (cell, worker), g_str_hash (worker->rack) };
+  GArray *losses = g_array_new (FALSE, FALSE, sizeof (blame_loss_t));
+  /* Those that are not known to have crashed yet.  */
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    {
+      const cell_worker_t *other = cell->worker_list->pdata[i];
+      blame_loss_t silent = { other->silent_ms, g_str_hash (other->rack) };
+      if (other != worker && !other->responsive && other->silent_ms > 0)
+        g_array_append_val (losses, silent);
+    }
+  while (cell->losses->len > 0
+         && g_array_index (cell->losses, blame_loss_t, 0).at_ms
+                < cell->now_ms - LOSSES_KEPT_MS)
+    g_array_remove_index (cell->losses, 0);
+  g_array_append_val (cell->losses, loss);
+  g_array_append_vals (losses, cell->losses->data, cell->losses->len);
+  bool common = blame_common_cause (
+      (const blame_loss_t *)(const void *)losses->data, losses->len, &loss);
+  g_array_unref (losses);
+  return common;
+}
+
+static bool
+is_lost_with_worker (const cell_task_t *task)
+{
+  return task->state != RUN_ASSIGNED && task->state != RUN_DONE
+         && task->verdict_pending == false && task->group->job->work != NULL
+         && task->group->job->state <= JOB_STATE_RUNNING;
+}
+
+static void
+set_verdict (cell_task_t *task, blame_verdict_t verdict)
+{
+  task->verdict = (uint8_t)verdict;
+  task->verdict_pending = true;
+}
+
+/* Logs that WORKER has crashed, for how long it had not answered, and its runs
+   with their numbers, newest first.  */
+static void
+log_crash (cell_t *cell, const cell_worker_t *worker, const char *evidence,
+           bool common_cause)
+{
+  GString *runs = g_string_new (NULL);
+  for (guint i = worker->tasks->len; i > 0; i--)
+    {
+      const cell_task_t *task = worker->tasks->pdata[i - 1];
+      char name[WORK_NAME_BYTES];
+      if (worker->tasks->len - i >= LOGGED_RUNS_MAX)
+        break;
+      cell_task_name (task, name);
+      g_string_append_printf (runs, "%s%s:%u", runs->len > 0 ? "," : "", name,
+                              task->run);
+    }
+  cell_log (cell, "worker_crashed", worker->id,
+            "evidence=%s silent_ms=%lld rack=%s common_cause=%d tasks=%u "
+            "runs=%s",
+            evidence, (long long)(cell->now_ms - lost_at_ms (cell, worker)),
+            worker->rack, common_cause, worker->tasks->len, runs->str);
+  g_string_free (runs, TRUE);
+}
+
+void
+cell_worker_crashed (cell_t *cell, const cell_worker_t *worker,
+                     const char *evidence)
+{
+  bool common_cause = has_common_cause (cell, worker);
+  log_crash (cell, worker, evidence, common_cause);
+  int64_t at_ms = lost_at_ms (cell, worker);
+  GPtrArray *lost = g_ptr_array_new ();
+  for (guint i = 0; i < worker->tasks->len; i++)
+    if (is_lost_with_worker (worker->tasks->pdata[i]))
+      g_ptr_array_add (lost, worker->tasks->pdata[i]);
+  blame_run_t *runs = g_new0 (blame_run_t, lost->len + 1);
+  blame_verdict_t *verdicts = g_new0 (blame_verdict_t, lost->len + 1);
+  for (guint i = 0; i < lost->len; i++)
+    runs[i] = blame_run_of (lost->pdata[i], at_ms);
+  blame_judge (runs, lost->len, common_cause, verdicts);
+  for (guint i = 0; i < lost->len; i++)
+    set_verdict (lost->pdata[i], verdicts[i]);
+  g_free (verdicts);
+  g_free (runs);
+  g_ptr_array_unref (lost);
+}
+
+void
+cell_worker_stayed_silent (cell_t *cell, const cell_worker_t *worker)
+{
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      cell_task_t *task = worker->tasks->pdata[i];
+      if (!is_lost_with_worker (task))
+        continue;
+      blame_run_t run = blame_run_of (task, lost_at_ms (cell, worker));
+      blame_verdict_t verdict = blame_judge_silent (&run);
+      set_verdict (task, verdict);
+      if (verdict != BLAME_NONE && task->lapsed_count < BLAME_MAX_LOSSES)
+        task->lapsed_runs[task->lapsed_count++] = task->run;
+    }
+}
+
+void
+cell_run_outlived_lease (cell_t *cell, const char *name, uint32_t run)
+{
+  cell_task_t *task = cell_find_task (cell, name);
+  for (uint32_t i = 0; task != NULL && i < task->lapsed_count; i++)
+    {
+      if (task->lapsed_runs[i] != run)
+        continue;
+      task->lapsed_runs[i] = task->lapsed_runs[--task->lapsed_count];
+      task->blame.losses -= task->blame.losses > 0;
+      cell_mark_dirty (task->group->job);
+      return;
+    }
+}
+
+void
+cell_count_lost_run (cell_task_t *task)
+{
+  static const char *const verdict_names[]
+      = { "none", "bystander", "suspect", "culprit" };
+  cell_job_t *job = task->group->job;
+  blame_verdict_t verdict = (blame_verdict_t)task->verdict;
+  char name[WORK_NAME_BYTES];
+  task->verdict_pending = false;
+  bool give_up = blame_add (&task->blame, verdict);
+  if (verdict < BLAME_SUSPECT && !give_up)
+    return;
+  cell_task_name (task, name);
+  cell_log (job->cell, give_up ? "task_given_up" : "task_suspected", name,
+            "run=%u verdict=%s crashes=%u losses=%u", task->run,
+            verdict_names[verdict], task->blame.crashes, task->blame.losses);
+  if (give_up)
+    cell_job_end (job, JOB_STATE_FAILED);
+}
+
+bool
+cell_task_suspected (const cell_task_t *task)
+{
+  return blame_isolation_ms (&task->blame) > 0;
+}
+
+/* Adds a run of TASK, begun AGE_MS ago, to what keeps other jobs off WORKER.
+ */
+static void
+note_recent_run (cell_worker_t *worker, const cell_task_t *task,
+                 int64_t age_ms)
+{
+  const cell_job_t *job = task->group->job;
+  if (age_ms < blame_isolation_ms (&task->blame))
+    worker->isolated_for = job;
+  if (age_ms >= BLAME_SETTLE_MS)
+    return;
+  worker->several_recent_jobs
+      = worker->several_recent_jobs
+        || (worker->recent_job != NULL && worker->recent_job != job);
+  worker->recent_job = job;
+}
+
+void
+cell_find_isolation (const cell_t *cell, cell_worker_t *worker)
+{
+  worker->isolated_for
+      = cell->now_ms < worker->held_until_ms ? worker->held_for : NULL;
+  worker->recent_job = NULL;
+  worker->several_recent_jobs = false;
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const cell_task_t *task = worker->tasks->pdata[i];
+      if (task->state != RUN_DONE)
+        note_recent_run (worker, task,
+                         MAX (run_age_ms (task, cell->now_ms), 0));
+    }
+}
+
+void
+cell_note_isolation (cell_task_t *task)
+{
+  note_recent_run (task->worker, task, 0);
+}
+
+bool
+cell_worker_open_to (const cell_worker_t *worker, const cell_job_t *job)
+{
+  return worker->isolated_for == NULL || worker->isolated_for == job;
+}
+
+bool
+cell_worker_settled_for (const cell_worker_t *worker, const cell_job_t *job)
+{
+  return cell_worker_open_to (worker, job) && !worker->several_recent_jobs
+         && (worker->recent_job == NULL || worker->recent_job == job);
+}
+
+/* Returns the one of WORKERS with most free capacity that can be kept free for
+   a task of GROUP, NULL if there is none.  */
+static cell_worker_t *
+worker_to_hold (const cell_group_t *group, const GPtrArray *workers)
+{
+  cell_worker_t *best = NULL;
+  double best_share = -1.0;
+  for (guint i = 0; i < workers->len; i++)
+    {
+      cell_worker_t *worker = workers->pdata[i];
+      resource_t free = resource_sub (worker->capacity, worker->used);
+      double share = resource_dominant_share (free, worker->capacity);
+      if (worker->isolated_for != NULL || share <= best_share
+          || !resource_fits (cell_task_need (group->spec), free)
+          || cell_spread_left (group, worker) == 0)
+        continue;
+      best = worker;
+      best_share = share;
+    }
+  return best;
+}
+
+void
+cell_hold_workers (cell_t *cell, const cell_group_t *group,
+                   const GPtrArray *workers)
+{
+  uint32_t wanted = 0;
+  for (uint32_t i = 0; i < group->spec->count; i++)
+    wanted += group->tasks[i].state == RUN_WAITING
+              && cell_task_suspected (&group->tasks[i]);
+  wanted = MIN (wanted, group->spec->gang ? GANG_HOLDS_MAX : 1u);
+  for (guint i = 0; wanted > 0 && i < cell->worker_list->len; i++)
+    {
+      const cell_worker_t *worker = cell->worker_list->pdata[i];
+      wanted -= cell->now_ms < worker->held_until_ms
+                && worker->held_for == group->job;
+    }
+  for (; wanted > 0; wanted--)
+    {
+      cell_worker_t *worker = worker_to_hold (group, workers);
+      if (worker == NULL)
+        return;
+      worker->held_for = worker->isolated_for = group->job;
+      worker->held_until_ms = cell->now_ms + HOLD_MS;
+    }
+}
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIADOCK_CELL_INTERNAL_H
 #define MAGNOLIADOCK_CELL_INTERNAL_H
 
+#include "blame.h"
 #include "cell.h"
 #include "rank.h"
 
@@ -40,6 +41,10 @@
   int64_t start_confirmed_ms; /* by the worker */
   int64_t stop_sent_ms;
   int64_t stop_confirmed_ms; /* by the worker; 0: not yet */
+  int64_t seen_running_ms;   /* when this owner first knew that the run had
+                                started; 0: not yet */
+  int64_t worker_start_ms;   /* wall time of the start of the worker on which
+                                the run was ordered; 0: unknown */
   int64_t progress_ms;       /* when PERCENT last rose */
   int64_t failed_runs_ms;    /* total duration of its failed runs */
   uint32_t index;
@@ -49,6 +54,14 @@
   int64_t measure;      /* of the last report, see report_run_t */
   uint8_t pace_percent; /* fillers: speed set last */
   uint8_t state;        /* run_state_t */
+  blame_history_t blame;
+  uint32_t lapsed_runs[BLAME_MAX_LOSSES]; /* counted in BLAME because their
+                                             lease expired; withdrawn if the
+                                             worker still lists their end */
+  uint8_t lapsed_count;
+  uint8_t verdict;      /* blame_verdict_t, if VERDICT_PENDING */
+  bool verdict_pending; /* the worker was lost; VERDICT counts if the run turns
+                           out to be over */
   bool in_save;         /* its assignment is in the save in flight */
   bool start_in_flight;
   bool stop_in_flight;
@@ -148,9 +161,11 @@
   int64_t may_leave_ms; /* while draining: earliest time at which it may leave;
                            0: unknown */
   int64_t start_ms;     /* wall time of its start, 0: unknown */
-  bool has_fencing_token; /* it has answered a poll of this owner since its
-                             start, so it refuses the orders of earlier owners;
-                             also set when it is gone and can carry out none */
+  int64_t listed_start_ms; /* of the start to which CAPACITY and LABELS belong;
+                              0: unknown */
+  bool has_fencing_token;  /* it has answered a poll of this owner since its
+                              start, so it refuses the orders of earlier owners;
+                              also set when it is gone and can carry out none */
   bool responsive;   /* cleared when a call fails, set by the next report */
   int64_t silent_ms; /* when RESPONSIVE was last cleared */
   bool poll_in_flight;
@@ -175,7 +190,15 @@
                            failures of one job count once */
   char last_failed_job[WORK_ID_LENGTH + 1]; /* id */
   int64_t avoid_until_ms;
-  resource_t reserved;  /* for gangs, in the current pass */
+  const cell_job_t *held_for; /* other jobs start nothing here until
+                                 HELD_UNTIL_MS */
+  int64_t held_until_ms;
+  /* In the current pass, see cell_crash.c.  */
+  const cell_job_t *isolated_for; /* other jobs start nothing here; NULL: all
+                                     may */
+  const cell_job_t *recent_job;   /* a job with a recent start; NULL: none */
+  bool several_recent_jobs;       /* there are others */
+  resource_t reserved;            /* for gangs, in the current pass */
   resource_t free_soon; /* free now or within SOON_MS, in the current pass */
   resource_t expected_use; /* part of FREE_SOON that the steps that asked for
                               advice so far are expected to take */
@@ -215,6 +238,7 @@
                                            current pass */
   GHashTable *advice_counts; /* name of a queue -> advice_counts_t, owned */
   GHashTable *durations;     /* name of a queue -> rank_durations_t, owned */
+  GArray *losses;            /* blame_loss_t of workers that crashed lately */
   resource_t room; /* capacity of all listed workers, in the last pass */
   int64_t begun_ms;
   int64_t previous_renews_until_ms; /* the previous owner may renew leases
@@ -287,6 +311,36 @@
 /* Sends unanswered starts and stops again.  */
 void cell_retry_orders (cell_t *cell);
 
+/* cell_crash.c */
+/* WORKER has crashed, which EVIDENCE (a word) shows: logs it and gives each of
+   its runs a verdict, which counts once the run is known to be over.  */
+void cell_worker_crashed (cell_t *cell, const cell_worker_t *worker,
+                          const char *evidence);
+/* The same for a worker that was silent until its lease expired.  */
+void cell_worker_stayed_silent (cell_t *cell, const cell_worker_t *worker);
+/* A worker lists the end of the run RUN of the task NAME, so it has not
+   crashed: withdraws what cell_worker_stayed_silent has counted.  */
+void cell_run_outlived_lease (cell_t *cell, const char *name, uint32_t run);
+/* Counts the run of TASK, which was lost with its worker; ends the job if the
+   task is to be given up.  */
+void cell_count_lost_run (cell_task_t *task);
+/* Whether TASK has to run apart from starts of other jobs.  */
+bool cell_task_suspected (const cell_task_t *task);
+/* Finds out, for a pass, which jobs may start runs on WORKER.  */
+void cell_find_isolation (const cell_t *cell, cell_worker_t *worker);
+/* The same after TASK was assigned to its worker.  */
+void cell_note_isolation (cell_task_t *task);
+/* Whether JOB may start runs on WORKER.  */
+bool cell_worker_open_to (const cell_worker_t *worker, const cell_job_t *job);
+/* Whether also a suspected task of JOB may: no other job has a recent start
+   there.  */
+bool cell_worker_settled_for (const cell_worker_t *worker,
+                              const cell_job_t *job);
+/* Keeps some of WORKERS free of new starts, so that the waiting suspected
+   tasks of GROUP find a settled one.  */
+void cell_hold_workers (cell_t *cell, const cell_group_t *group,
+                        const GPtrArray *workers);
+
 /* cell_workers.c */
 cell_worker_t *cell_find_worker (const cell_t *cell, const char *id);
 /* Notes that a call to WORKER has failed.  */
@@ -303,6 +357,10 @@
    that leave, removes unlisted workers, and polls.  */
 void cell_check_workers (cell_t *cell);
 void cell_worker_free (cell_worker_t *worker);
+/* Whether a start may be sent to WORKER: it answers, obeys this owner, stays,
+   and its capacity is known and not exceeded by the runs it has been given.
+   */
+bool cell_worker_takes_starts (const cell_worker_t *worker);
 
 /* cell_rank.c: the objective and rank of jobs, see rank.h */
 /* Time from its acceptance in which a job should end, 0: no limit.  The runs
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -35,9 +35,9 @@
           const cell_worker_t *worker)
 {
   const work_step_t *step = group->spec;
-  return worker->listed && !worker->draining && worker->has_fencing_token
-         && worker->responsive && worker->stray_runs == 0
-         && cell->now_ms >= worker->avoid_until_ms
+  return worker->listed && cell_worker_takes_starts (worker)
+         && worker->stray_runs == 0 && cell->now_ms >= worker->avoid_until_ms
+         && cell_worker_open_to (worker, group->job)
          && (step->label == NULL
              || g_hash_table_contains (worker->labels, step->label))
          && resource_fits (cell_task_need (step), worker->capacity);
@@ -89,14 +89,17 @@
 
 /* Lower is better.  Prefers a tight fit, which keeps capacity for large tasks
    elsewhere, but above all the rack of the data, then the separation of
-   fillers and serving tasks, then workers without recent failures.  */
+   fillers and serving tasks, then workers without recent failures.  A
+   suspected task goes where it would do least harm.  */
 static double
-score (const cell_group_t *group, const cell_worker_t *worker)
+score (const cell_group_t *group, const cell_worker_t *worker, bool suspected)
 {
   const work_step_t *step = group->spec;
   resource_t left
       = resource_sub (free_capacity (worker), cell_task_need (step));
   double value = resource_dominant_share (left, worker->capacity);
+  if (suspected)
+    value = 1.0 - value;
   if (step->data_rack != NULL && g_strcmp0 (step->data_rack, worker->rack))
     value += 10.0;
   if (step->filler && has_serving (worker))
@@ -133,12 +136,14 @@
   return found;
 }
 
-/* Returns the best of WORKERS for one more task of GROUP, NULL if it fits on
-   none.  RACK: only workers of this rack; NULL: any.  */
+/* Returns the best of WORKERS for TASK, NULL if it fits on none.  RACK: only
+   workers of this rack; NULL: any.  */
 static cell_worker_t *
-best_worker (const cell_group_t *group, const GPtrArray *workers,
+best_worker (const cell_task_t *task, const GPtrArray *workers,
              const char *rack)
 {
+  const cell_group_t *group = task->group;
+  bool suspected = cell_task_suspected (task);
   cell_worker_t *best = NULL;
   double best_score = INFINITY;
   resource_t need = cell_task_need (group->spec);
@@ -147,9 +152,10 @@
       cell_worker_t *worker = workers->pdata[i];
       if ((rack != NULL && g_strcmp0 (rack, worker->rack) != 0)
           || !resource_fits (need, free_capacity (worker))
-          || cell_spread_left (group, worker) == 0)
+          || cell_spread_left (group, worker) == 0
+          || (suspected && !cell_worker_settled_for (worker, group->job)))
         continue;
-      double value = score (group, worker);
+      double value = score (group, worker, suspected);
       if (value < best_score)
         {
           best = worker;
@@ -167,10 +173,12 @@
       cell_task_t *task = &group->tasks[i];
       if (task->state != RUN_WAITING || task->worker != NULL)
         continue;
-      cell_worker_t *worker = best_worker (group, workers, NULL);
-      if (worker == NULL)
+      cell_worker_t *worker = best_worker (task, workers, NULL);
+      /* A suspected task leaves out workers that others may still use.  */
+      if (worker == NULL && !cell_task_suspected (task))
         return;
-      cell_assign_task (task, worker);
+      if (worker != NULL)
+        cell_assign_task (task, worker);
     }
 }
 
@@ -188,7 +196,7 @@
   resource_t need = cell_task_need (group->spec);
   for (; placed < count; placed++)
     {
-      chosen[placed] = best_worker (group, workers, rack);
+      chosen[placed] = best_worker (&group->tasks[placed], workers, rack);
       if (chosen[placed] == NULL)
         break;
       chosen[placed]->used = resource_add (chosen[placed]->used, need);
@@ -340,6 +348,8 @@
     place_gang (group, workers);
   else
     place_tasks (group, workers);
+  if (group->waiting > 0)
+    cell_hold_workers (cell, group, workers);
   g_ptr_array_unref (workers);
 }
 
@@ -389,6 +399,7 @@
       cell_worker_t *worker = cell->worker_list->pdata[i];
       worker->reserved = worker->expected_use = (resource_t){ 0 };
       worker->free_soon = free_soon (cell, worker);
+      cell_find_isolation (cell, worker);
       if (worker->listed)
         cell->room = resource_add (cell->room, worker->capacity);
     }
--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -7,10 +7,13 @@
    a task that has had a run
      g OCCURRENCE STEP GANG_FAILURES CHECKPOINT
    followed by a line for each such task
-     t INDEX STATE RUN FAILURES WORKER CHECKPOINT
+     t INDEX STATE RUN FAILURES WORKER CHECKPOINT [START CRASHES LOSSES LAPSED]
    with STATE d (done), a (holds capacity of WORKER) or w (waits) and "-" for
-   an empty text.  A group all of whose tasks are done has the single line
-   "f OCCURRENCE STEP".  */
+   an empty text.  START is the wall time at which WORKER had started, 0 if it
+   is unknown; CRASHES and LOSSES are those of blame_history_t, LAPSED the
+   numbers of lapsed runs among the lost ones, joined by commas.  Records of
+   earlier versions lack these four.  A group all of whose tasks are done has
+   the single line "f OCCURRENCE STEP".  */
 
 /* Least time between the starts of two saves.  The store's partition that
    takes them serves 200 transactions a second; this leaves some for other
@@ -40,6 +43,28 @@
   return task->worker != NULL ? 'a' : 'w';
 }
 
+static void
+append_task (GString *text, const cell_task_t *task)
+{
+  g_string_append_printf (text, "t %u %c %u %u %s %s", task->index,
+                          task_letter (task), task->run, task->failures,
+                          task->worker != NULL ? task->worker->id : "-",
+                          or_dash (task->checkpoint));
+  if (task->worker != NULL || task->blame.losses > 0)
+    {
+      g_string_append_printf (
+          text, " %lld %u %u ",
+          (long long)(task->worker != NULL ? task->worker_start_ms : 0),
+          task->blame.crashes, task->blame.losses);
+      for (uint32_t i = 0; i < task->lapsed_count; i++)
+        g_string_append_printf (text, "%s%u", i > 0 ? "," : "",
+                                task->lapsed_runs[i]);
+      if (task->lapsed_count == 0)
+        g_string_append_c (text, '-');
+    }
+  g_string_append_c (text, '\n');
+}
+
 static void
 append_group (GString *text, const cell_group_t *group)
 {
@@ -66,10 +91,7 @@
       const cell_task_t *task = &group->tasks[i];
       if (task->run == 0)
         continue;
-      g_string_append_printf (text, "t %u %c %u %u %s %s\n", task->index,
-                              task_letter (task), task->run, task->failures,
-                              task->worker != NULL ? task->worker->id : "-",
-                              or_dash (task->checkpoint));
+      append_task (text, task);
     }
 }
 
@@ -84,6 +106,21 @@
   return g_string_free (text, FALSE);
 }
 
+/* Reads the fields that records of earlier versions lack.  */
+static void
+load_blame (cell_task_t *task, char **fields)
+{
+  task->worker_start_ms = g_ascii_strtoll (fields[0], NULL, 10);
+  task->blame.crashes = (uint32_t)g_ascii_strtoull (fields[1], NULL, 10);
+  task->blame.losses = (uint32_t)g_ascii_strtoull (fields[2], NULL, 10);
+  char **runs = g_strsplit (fields[3], ",", (gint)BLAME_MAX_LOSSES + 1);
+  for (uint32_t i = 0; runs[i] != NULL && i < BLAME_MAX_LOSSES; i++)
+    if (g_ascii_isdigit (runs[i][0]))
+      task->lapsed_runs[task->lapsed_count++]
+          = (uint32_t)g_ascii_strtoull (runs[i], NULL, 10);
+  g_strfreev (runs);
+}
+
 /* Reads a task line, split into FIELDS, of GROUP.  */
 static bool
 load_task (cell_group_t *group, char **fields)
@@ -100,6 +137,8 @@
   task->failures = (uint32_t)g_ascii_strtoull (fields[4], NULL, 10);
   if (strcmp (fields[6], "-") != 0)
     task->checkpoint = g_strdup (fields[6]);
+  if (g_strv_length (fields) >= 11)
+    load_blame (task, fields + 7);
   if (fields[2][0] == 'd')
     cell_set_task_state (task, RUN_DONE);
   if (strcmp (fields[5], "-") != 0)
@@ -113,6 +152,8 @@
           cell_worker_unlisted (cell, fields[5]);
           worker = cell_find_worker (cell, fields[5]);
         }
+      if (!worker->listed)
+        worker->start_ms = MAX (worker->start_ms, task->worker_start_ms);
       worker->used = resource_add (worker->used, cell_task_need (group->spec));
       g_ptr_array_add (worker->tasks, task);
       group->waiting -= task->state == RUN_WAITING;
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -43,9 +43,13 @@
   task->stop_confirmed_ms = 0;
   task->stop_sent_ms = 0;
   task->start_confirmed_ms = 0;
+  task->seen_running_ms = 0;
+  task->worker_start_ms = worker->start_ms;
+  task->verdict_pending = false;
   task->percent = 0;
   task->pace_percent = 100;
   cell_set_task_state (task, RUN_ASSIGNED);
+  cell_note_isolation (task);
   group->job->start_awaits_save = true;
   cell_mark_dirty (group->job);
 }
@@ -91,8 +95,9 @@
 {
   cell_group_t *group = task->group;
   bool advised = group->job->queue != NULL && group->job->queue->advised;
-  /* The clock of a restarted worker is unknown until it answers a poll.  */
-  if (!task->worker->has_fencing_token
+  /* Much may have changed during a slow save.  */
+  if (!cell_worker_takes_starts (task->worker)
+      || task->worker_start_ms != task->worker->start_ms
       || (advised && cell_ticket (group, task->worker) == NULL))
     {
       unassign_task (task);
@@ -239,6 +244,10 @@
   cell_t *cell = job->cell;
   run_state_t state = (run_state_t)task->state;
   cell_worker_t *worker = task->worker;
+  bool lost = task->verdict_pending && how != END_DONE && how != END_FAILED;
+  task->verdict_pending = lost;
+  if (lost && how == END_STOPPED)
+    how = END_CRASHED; /* absent after a restart of its worker */
   if (how != END_DONE)
     {
       char name[WORK_NAME_BYTES];
@@ -274,6 +283,8 @@
     return;
   if (how == END_FAILED)
     count_failure (task);
+  else if (lost)
+    cell_count_lost_run (task);
   if (group->spec->gang && !job_has_ended (task))
     cell_stop_gang (group);
 }
@@ -347,6 +358,7 @@
     }
   cell_set_task_state (task, RUN_LIVE);
   task->start_confirmed_ms = cell->now_ms;
+  task->seen_running_ms = cell->now_ms;
   task->progress_ms = cell->now_ms;
   task->group->last_start_ms = cell->now_ms;
   task->group->job->started = true;
@@ -391,11 +403,15 @@
   if (task->state != RUN_ORDERED || task->start_in_flight
       || cell->now_ms - task->start_sent_ms < gap_ms)
     return;
+  /* A worker that has crashed would carry out the order in its next life.  */
+  if (!worker->responsive)
+    return;
   const queue_t *queue = task->group->job->queue;
-  /* Without a valid ticket the repeated order would be refused; a stop makes
-     sure that the first one is not carried out later.  */
-  if (queue != NULL && queue->advised
-      && cell_ticket (task->group, worker) == NULL)
+  /* Where the order may no longer be repeated, a stop makes sure that the
+     first one is not carried out later.  */
+  if (!cell_worker_takes_starts (worker)
+      || (queue != NULL && queue->advised
+          && cell_ticket (task->group, worker) == NULL))
     cell_stop_task (task);
   else
     send_start (task);
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -63,33 +63,6 @@
   return worker;
 }
 
-/* Runs that a line about a crashed worker names.  */
-#define LOGGED_RUNS_MAX 8u
-
-/* Logs that WORKER has crashed, for how long it had not answered, and its runs
-   with their numbers, newest first.  */
-static void
-log_crash (cell_t *cell, const cell_worker_t *worker, const char *evidence)
-{
-  GString *runs = g_string_new (NULL);
-  for (guint i = worker->tasks->len; i > 0; i--)
-    {
-      const cell_task_t *task = worker->tasks->pdata[i - 1];
-      char name[WORK_NAME_BYTES];
-      if (worker->tasks->len - i >= LOGGED_RUNS_MAX)
-        break;
-      cell_task_name (task, name);
-      g_string_append_printf (runs, "%s%s:%u", runs->len > 0 ? "," : "", name,
-                              task->run);
-    }
-  cell_log (
-      cell, "worker_crashed", worker->id,
-      "evidence=%s silent_ms=%lld rack=%s tasks=%u runs=%s", evidence,
-      (long long)(worker->responsive ? 0 : cell->now_ms - worker->silent_ms),
-      worker->rack, worker->tasks->len, runs->str);
-  g_string_free (runs, TRUE);
-}
-
 /* Treats every run on WORKER as ended, HOW, and undoes its assignments.  */
 static void
 end_all_runs (cell_worker_t *worker, end_kind_t how)
@@ -125,7 +98,7 @@
 static void
 worker_restarted (cell_t *cell, cell_worker_t *worker, int64_t start_ms)
 {
-  log_crash (cell, worker, "restarted");
+  cell_worker_crashed (cell, worker, "restarted");
   worker->start_ms = start_ms;
   worker->processed_end = worker->saved_end = worker->end_in_save = 0;
   worker->acknowledged_end = worker->acknowledging_end = 0;
@@ -194,6 +167,7 @@
         worker_restarted (cell, worker, row->start_ms);
       worker->start_ms = row->start_ms;
     }
+  worker->listed_start_ms = row->start_ms;
   cell->place_pending = true;
 }
 
@@ -216,6 +190,17 @@
   worker->responsive = false;
 }
 
+bool
+cell_worker_takes_starts (const cell_worker_t *worker)
+{
+  /* After a restart the list may still show the capacity of the life before.
+   */
+  return worker->has_fencing_token && worker->responsive && !worker->draining
+         && (worker->listed_start_ms == 0
+             || worker->listed_start_ms >= worker->start_ms)
+         && resource_fits (worker->used, worker->capacity);
+}
+
 int64_t
 cell_extend_lease (cell_worker_t *worker, const cell_t *cell)
 {
@@ -381,12 +366,16 @@
       worker->polls_held_since_ms = cell->now_ms;
       cell->new_ends = true;
       cell_task_t *task = task_of_run (cell, worker, end->task, end->run);
+      if (task == NULL)
+        cell_run_outlived_lease (cell, end->task, end->run);
       if (task == NULL && end->how == END_DONE)
-        task = task_of_lost_run (cell, end->task, end->run);
+        {
+          task = task_of_lost_run (cell, end->task, end->run);
+          if (task == NULL)
+            log_ignored_end (cell, worker, end);
+        }
       if (task != NULL)
         cell_run_ended (task, end->how, end->checkpoint);
-      else if (end->how == END_DONE)
-        log_ignored_end (cell, worker, end);
     }
 }
 
@@ -394,6 +383,9 @@
 update_progress (cell_t *cell, cell_task_t *task, const report_run_t *run)
 {
   task->reported = true;
+  task->verdict_pending = false;
+  if (task->seen_running_ms == 0)
+    task->seen_running_ms = cell->now_ms;
   if (task->state == RUN_ORDERED)
     {
       cell_set_task_state (task, RUN_LIVE);
@@ -549,7 +541,7 @@
       worker->listed = false;
       worker->has_fencing_token = true;
       if (!worker->draining)
-        log_crash (cell, worker, "replaced");
+        cell_worker_crashed (cell, worker, "replaced");
       end_all_runs (worker, worker->draining ? END_LAPSED : END_CRASHED);
     }
 }
@@ -609,6 +601,7 @@
               worker->tasks->len, worker->has_fencing_token,
               (long long)(cell->now_ms - worker->sampled_ms),
               (long long)(worker->lease_until_ms - worker->sampled_clock_ms));
+          cell_worker_stayed_silent (cell, worker);
           end_all_runs (worker, END_LAPSED);
         }
       if (worker->draining)
--- /dev/null
+++ b/tests/test_blame.c
@@ -0,0 +1,149 @@
+#include "blame.h"
+#include "test.h"
+
+#include <string.h>
+
+#define MAX_RUNS 3
+
+/* Runs on a crashed worker and the verdict on each.  */
+static const struct
+{
+  const char *guards_against;
+  blame_run_t runs[MAX_RUNS];
+  uint32_t count;
+  bool common_cause;
+  blame_verdict_t verdicts[MAX_RUNS];
+} cases[] = {
+  { "a task that is given up after one crash, alone on its worker",
+    { { "a", { 0, 0 }, 10, false } },
+    1,
+    false,
+    { BLAME_SUSPECT } },
+  { "blame for a run that had gone well beside a new one",
+    { { "a", { 0, 0 }, 10, false }, { "b", { 0, 0 }, 4000, false } },
+    2,
+    false,
+    { BLAME_SUSPECT, BLAME_BYSTANDER } },
+  { "a choice between runs that started together",
+    { { "a", { 0, 0 }, 10, false }, { "b", { 0, 0 }, 300, false } },
+    2,
+    false,
+    { BLAME_SUSPECT, BLAME_SUSPECT } },
+  { "a suspect that crashes a second worker and goes on",
+    { { "a", { 1, 1 }, 10, false }, { "b", { 0, 0 }, 900, false } },
+    2,
+    false,
+    { BLAME_CULPRIT, BLAME_BYSTANDER } },
+  { "blame for a suspect that has survived its time apart",
+    { { "a", { 1, 1 }, 900, false }, { "b", { 0, 0 }, 10, false } },
+    2,
+    false,
+    { BLAME_BYSTANDER, BLAME_SUSPECT } },
+  { "certainty about two suspects of different jobs",
+    { { "a", { 1, 1 }, 10, false }, { "b", { 1, 1 }, 10, false } },
+    2,
+    false,
+    { BLAME_SUSPECT, BLAME_SUSPECT } },
+  { "doubt about two suspects of one job, which fails in any case",
+    { { "a", { 1, 1 }, 10, false }, { "a", { 1, 1 }, 10, false } },
+    2,
+    false,
+    { BLAME_CULPRIT, BLAME_CULPRIT } },
+  { "a suspect that is given up because its rack lost power",
+    { { "a", { 1, 1 }, 10, false } },
+    1,
+    true,
+    { BLAME_SUSPECT } },
+  { "a task that crashes late and hides behind new runs",
+    { { "a", { 0, 2 }, 3000, false }, { "b", { 0, 0 }, 10, false } },
+    2,
+    false,
+    { BLAME_CULPRIT, BLAME_BYSTANDER } },
+  { "a run of unknown age that is taken for an old one",
+    { { "a", { 0, 0 }, -1, false }, { "b", { 0, 0 }, 4000, false } },
+    2,
+    false,
+    { BLAME_SUSPECT, BLAME_BYSTANDER } },
+  { "a lasting task that is blamed for a crash after a long time",
+    { { "a", { 1, 1 }, 60000, true } },
+    1,
+    false,
+    { BLAME_NONE } },
+  { "a task with an end that is cleared however long it runs",
+    { { "a", { 0, 0 }, 60000, false } },
+    1,
+    false,
+    { BLAME_SUSPECT } },
+};
+
+static void
+test_verdicts (void)
+{
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      blame_verdict_t verdicts[MAX_RUNS];
+      blame_judge (cases[i].runs, cases[i].count, cases[i].common_cause,
+                   verdicts);
+      for (uint32_t j = 0; j < cases[i].count; j++)
+        CU_ASSERT_EQUAL (verdicts[j], cases[i].verdicts[j]);
+    }
+}
+
+/* Guards against a task that is never given up, whatever the verdicts: every
+   sequence of them ends within five losses, and a first crash never ends it.
+ */
+static void
+test_limit (void)
+{
+  for (uint32_t sequence = 0; sequence < 3 * 3 * 3 * 3 * 3; sequence++)
+    {
+      blame_history_t history = { 0 };
+      uint32_t digits = sequence;
+      uint32_t losses = 0;
+      bool given_up = false;
+      while (!given_up && losses < 6)
+        {
+          given_up = blame_add (
+              &history, (blame_verdict_t)(BLAME_BYSTANDER + digits % 3));
+          digits /= 3;
+          losses++;
+        }
+      CU_ASSERT_TRUE (given_up);
+      CU_ASSERT_TRUE (losses >= 2 && losses <= 5);
+    }
+}
+
+/* Guards against losses that are taken for unrelated, or for related ones.  */
+static void
+test_common_cause (void)
+{
+  static const struct
+  {
+    blame_loss_t losses[3];
+    uint32_t count;
+    bool common;
+  } rows[] = {
+    { { { 1000, 1 } }, 1, false },
+    { { { 1000, 1 }, { 1200, 1 } }, 2, true },
+    { { { 1000, 1 }, { 1200, 2 } }, 2, false },
+    { { { 1000, 1 }, { 1010, 2 } }, 2, false },
+    { { { 1000, 1 }, { 1010, 2 }, { 990, 3 } }, 3, true },
+    { { { 1000, 1 }, { 2000, 1 }, { 900, 3 } }, 3, false },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    CU_ASSERT_EQUAL (
+        blame_common_cause (rows[i].losses, rows[i].count, &rows[i].losses[0]),
+        rows[i].common);
+}
+
+static CU_TestInfo blame_tests[] = {
+  { "verdicts on the runs of a crashed worker", test_verdicts },
+  { "every task is given up in the end", test_limit },
+  { "losses with a common cause", test_common_cause },
+  CU_TEST_INFO_NULL,
+};
+
+CU_SuiteInfo test_blame_suites[] = {
+  { "blame", NULL, NULL, NULL, NULL, blame_tests },
+  CU_SUITE_INFO_NULL,
+};
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -13,12 +13,14 @@
   test_admit_suites,
   test_auth_suites,
   test_base_suites,
+  test_blame_suites,
   test_burn_suites,
   test_burn_store_suites,
   test_cell_suites,
   test_conf_suites,
   test_confrev_suites,
   test_contract_suites,
+  test_crash_suites,
   test_dispatch_suites,
   test_doc_suites,
   test_explore_suites,
@@ -40,11 +42,6 @@
   test_settings_suites,
   test_share_suites,
 };
-
-/* Listed in KNOWN-RED.txt: run only by name.  */
-static CU_SuiteInfo *const known_red_suites[] = {
-  test_crash_suites,
-};
 /* clang-format on */
 
 static uint32_t seed = DEFAULT_SEED;
@@ -74,12 +71,6 @@
         fprintf (stderr, "unit-tests: %s\n", CU_get_error_msg ());
         return EXIT_FAILURE;
       }
-  for (size_t i = 0;
-       suite_name != NULL
-       && i < sizeof known_red_suites / sizeof known_red_suites[0];
-       i++)
-    if (CU_register_suites (known_red_suites[i]) != CUE_SUCCESS)
-      return EXIT_FAILURE;
   printf ("seed %u\n", seed);
   CU_basic_set_mode (CU_BRM_NORMAL);
   if (suite_name != NULL)
