cell: tell a crash from the loss of a rack, look at its idle workers

Cause: workers that run nothing are not polled, so the loss of the others in a rack was known only when they were back, after the verdict. Ruled out: the order in which machines return; the verdict would be the same.

Change: a loss is the interval in which the worker was lost, and when a worker falls silent the idle ones in its rack are polled once. A rack of idle workers that are lost too is a common cause.

Also new: innocent tasks beside a deadly one are done within the time until the worker is back plus one time apart; a task whose workers are cut off eight times keeps its job; fake workers whose capacity shrinks for a while.

--- a/src/blame.c
+++ b/src/blame.c
@@ -104,11 +104,13 @@
          || (verdict == BLAME_CULPRIT && history->crashes >= MAX_CRASHES);
 }
 
+/* Shortest time that may lie between two losses.  */
 static int64_t
-distance_ms (const blame_loss_t *left, const blame_loss_t *right)
+gap_ms (const blame_loss_t *left, const blame_loss_t *right)
 {
-  return left->at_ms < right->at_ms ? right->at_ms - left->at_ms
-                                    : left->at_ms - right->at_ms;
+  if (left->to_ms < right->from_ms)
+    return right->from_ms - left->to_ms;
+  return right->to_ms < left->from_ms ? left->from_ms - right->to_ms : 0;
 }
 
 bool
@@ -119,10 +121,11 @@
   uint32_t anywhere = 0;
   for (uint32_t i = 0; i < count; i++)
     {
-      int64_t apart_ms = distance_ms (&losses[i], one);
-      in_rack += losses[i].rack == one->rack && apart_ms <= COMMON_RACK_MS;
-      anywhere += apart_ms <= COMMON_ANYWHERE_MS;
+      if (losses[i].worker == one->worker)
+        continue;
+      int64_t between_ms = gap_ms (&losses[i], one);
+      in_rack += losses[i].rack == one->rack && between_ms <= COMMON_RACK_MS;
+      anywhere += between_ms <= COMMON_ANYWHERE_MS;
     }
-  /* ONE is counted too.  */
-  return in_rack >= 2 || anywhere >= 3;
+  return in_rack >= 1 || anywhere >= 2;
 }
--- a/src/blame.h
+++ b/src/blame.h
@@ -67,15 +67,18 @@
 /* Adds VERDICT to HISTORY.  Returns whether the task is to be given up.  */
 bool blame_add (blame_history_t *history, blame_verdict_t verdict);
 
-/* The loss of a worker.  */
+/* The loss of a worker, which fell between two times.  */
 typedef struct
 {
-  int64_t at_ms;
-  uint32_t rack; /* hash of its name */
+  uint32_t worker; /* hash of its id */
+  uint32_t rack;   /* hash of its name */
+  int64_t from_ms;
+  int64_t to_ms;
 } blame_loss_t;
 
-/* Whether the loss ONE of COUNT LOSSES has a cause in common with others: one
-   other in its rack or two anywhere at about the same time.  */
+/* Whether the loss ONE and some of COUNT LOSSES of other workers may have a
+   cause in common: one in its rack or two anywhere at about the same time.
+   Losses of the same worker as ONE are ignored.  */
 bool blame_common_cause (const blame_loss_t *losses, uint32_t count,
                          const blame_loss_t *one);
 
--- a/src/cell_crash.c
+++ b/src/cell_crash.c
@@ -15,6 +15,8 @@
 #define LOGGED_RUNS_MAX 8u
 /* A worker is kept free of new starts for a suspected task for this long.  */
 #define HOLD_MS (2 * BLAME_SETTLE_MS)
+/* An idle worker that has answered this recently is not looked at again.  */
+#define CHECK_GAP_MS 1000
 /* Workers that are kept free for one gang.  */
 #define GANG_HOLDS_MAX 4u
 
@@ -39,32 +41,57 @@
   return worker->responsive ? cell->now_ms : worker->silent_ms;
 }
 
+/* When WORKER was lost: as long as it runs something, a poll waits there, so a
+   crash shows at once.  */
+static blame_loss_t
+loss_of (const cell_t *cell, const cell_worker_t *worker)
+{
+  int64_t to_ms = lost_at_ms (cell, worker);
+  return (blame_loss_t){ g_str_hash (worker->id), g_str_hash (worker->rack),
+                         worker->tasks->len > 0 ? to_ms : worker->sampled_ms,
+                         to_ms };
+}
+
 /* Notes the loss of WORKER, and returns whether others were lost with it.  */
 static bool
 has_common_cause (cell_t *cell, const cell_worker_t *worker)
 {
-  blame_loss_t loss = { lost_at_ms (cell, worker), g_str_hash (worker->rack) };
+  blame_loss_t loss = loss_of (cell, worker);
+  while (cell->losses->len > 0
+         && g_array_index (cell->losses, blame_loss_t, 0).to_ms
+                < cell->now_ms - LOSSES_KEPT_MS)
+    g_array_remove_index (cell->losses, 0);
+  g_array_append_val (cell->losses, loss);
   GArray *losses = g_array_new (FALSE, FALSE, sizeof (blame_loss_t));
+  g_array_append_vals (losses, cell->losses->data, cell->losses->len);
   /* Those that are not known to have crashed yet.  */
   for (guint i = 0; i < cell->worker_list->len; i++)
     {
       const cell_worker_t *other = cell->worker_list->pdata[i];
-      blame_loss_t silent = { other->silent_ms, g_str_hash (other->rack) };
-      if (other != worker && !other->responsive && other->silent_ms > 0)
+      blame_loss_t silent = loss_of (cell, other);
+      if (!other->responsive && other->silent_ms > 0)
         g_array_append_val (losses, silent);
     }
-  while (cell->losses->len > 0
-         && g_array_index (cell->losses, blame_loss_t, 0).at_ms
-                < cell->now_ms - LOSSES_KEPT_MS)
-    g_array_remove_index (cell->losses, 0);
-  g_array_append_val (cell->losses, loss);
-  g_array_append_vals (losses, cell->losses->data, cell->losses->len);
   bool common = blame_common_cause (
       (const blame_loss_t *)(const void *)losses->data, losses->len, &loss);
   g_array_unref (losses);
   return common;
 }
 
+void
+cell_check_rack (cell_t *cell, const cell_worker_t *worker)
+{
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    {
+      cell_worker_t *other = cell->worker_list->pdata[i];
+      other->check_due
+          = other->check_due
+            || (other != worker && other->tasks->len == 0 && other->listed
+                && other->responsive && strcmp (other->rack, worker->rack) == 0
+                && cell->now_ms - other->sampled_ms > CHECK_GAP_MS);
+    }
+}
+
 static bool
 is_lost_with_worker (const cell_task_t *task)
 {
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -168,6 +168,7 @@
                               also set when it is gone and can carry out none */
   bool responsive;   /* cleared when a call fails, set by the next report */
   int64_t silent_ms; /* when RESPONSIVE was last cleared */
+  bool check_due;    /* poll it although it runs nothing */
   bool poll_in_flight;
   uint32_t failed_polls;
   int64_t next_poll_ms;
@@ -316,6 +317,9 @@
    its runs a verdict, which counts once the run is known to be over.  */
 void cell_worker_crashed (cell_t *cell, const cell_worker_t *worker,
                           const char *evidence);
+/* Has the idle workers in the rack of WORKER polled, which has fallen silent:
+   whether they are lost too tells a crash from a loss of the rack.  */
+void cell_check_rack (cell_t *cell, const cell_worker_t *worker);
 /* The same for a worker that was silent until its lease expired.  */
 void cell_worker_stayed_silent (cell_t *cell, const cell_worker_t *worker);
 /* A worker lists the end of the run RUN of the task NAME, so it has not
@@ -344,7 +348,7 @@
 /* cell_workers.c */
 cell_worker_t *cell_find_worker (const cell_t *cell, const char *id);
 /* Notes that a call to WORKER has failed.  */
-void cell_worker_is_silent (cell_worker_t *worker, int64_t now_ms);
+void cell_worker_is_silent (cell_t *cell, cell_worker_t *worker);
 /* Returns the lease end to send to WORKER, in its clock, and remembers the
    highest.  */
 int64_t cell_extend_lease (cell_worker_t *worker, const cell_t *cell);
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -300,7 +300,7 @@
   if (result == ORDER_NO_TICKET)
     g_hash_table_remove (task->group->advice, task->worker->id);
   if (result == ORDER_NOT_DELIVERED)
-    cell_worker_is_silent (task->worker, task->group->job->cell->now_ms);
+    cell_worker_is_silent (task->group->job->cell, task->worker);
   if (result == ORDER_UNAVAILABLE || result == ORDER_NO_CAPACITY)
     task->worker->avoid_until_ms
         = task->group->job->cell->now_ms + AVOID_AFTER_REFUSAL_MS;
@@ -334,7 +334,7 @@
     {
       /* A single lost answer doesn't make the worker unresponsive.  */
       if (task->start_unanswered)
-        cell_worker_is_silent (worker, cell->now_ms);
+        cell_worker_is_silent (cell, worker);
       task->start_unanswered = true;
       return;
     }
@@ -387,7 +387,7 @@
       cell_poll_if_due (cell, task->worker);
     }
   else if (result == ORDER_UNKNOWN)
-    cell_worker_is_silent (task->worker, cell->now_ms);
+    cell_worker_is_silent (cell, task->worker);
 }
 
 static void
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -183,11 +183,13 @@
 }
 
 void
-cell_worker_is_silent (cell_worker_t *worker, int64_t now_ms)
+cell_worker_is_silent (cell_t *cell, cell_worker_t *worker)
 {
-  if (worker->responsive)
-    worker->silent_ms = now_ms;
+  if (!worker->responsive)
+    return;
+  worker->silent_ms = cell->now_ms;
   worker->responsive = false;
+  cell_check_rack (cell, worker);
 }
 
 bool
@@ -273,6 +275,7 @@
       && may_extend_leases (cell))
     until_ms = cell_extend_lease (worker, cell);
   worker->poll_in_flight = true;
+  worker->check_due = false;
   worker->acknowledging_end = end_to_acknowledge (worker);
   cell->actions->poll (cell->context, &ref, until_ms,
                        worker->acknowledging_end, wait_ms);
@@ -295,7 +298,7 @@
       return;
     }
   if (worker->tasks->len == 0 && worker->stray_runs == 0
-      && worker->acknowledged_end >= worker->saved_end
+      && worker->acknowledged_end >= worker->saved_end && !worker->check_due
       && (worker->responsive || !worker->listed))
     return;
   int64_t wait_ms = POLL_WAIT_MS;
@@ -534,7 +537,7 @@
   if (worker->responsive)
     cell_log (cell, "worker_silent", id, "tasks=%u result=%d",
               worker->tasks->len, result);
-  cell_worker_is_silent (worker, cell->now_ms);
+  cell_worker_is_silent (cell, worker);
   /* Another worker answers at its address, so this one has ended.  */
   if (result == ORDER_OTHER_WORKER)
     {
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -14,6 +14,10 @@
 /* After that many crashed workers a task may start MAX_LATE_STARTS times.  */
 #define MAX_CRASHES 3
 #define MAX_LATE_STARTS 2
+/* A worker shows its capacity this often.  */
+#define HEARTBEAT_MS 1500
+/* A start counts against a smaller capacity from this time on.  */
+#define CAPACITY_LAG_MS (3000 + HEARTBEAT_MS)
 /* A worker that is gone leaves the list after this time.  */
 #define UNLISTED_AFTER_MS 4500
 
@@ -46,8 +50,11 @@
   char id[24];
   char address[16];
   char rack[16];
-  resource_t capacity;
+  resource_t capacity;       /* against which starts are checked */
+  resource_t shown_capacity; /* in the list */
+  int64_t shrunk_until_ms;
   int64_t start_ms;
+  int64_t listed_start_ms;
   int64_t lease_end_ms; /* in simulation time */
   int64_t disconnected_until_ms;
   int64_t down_until_ms; /* connections are refused until then */
@@ -90,6 +97,7 @@
   uint64_t acknowledged_end;
   int64_t wait_until_ms;
   int64_t sent_ms;
+  int64_t cpu_millis;
   int64_t worker_start_ms; /* of the worker when the call was sent */
   int64_t clock_ms;        /* of the worker when it answered */
   uint64_t call;           /* to which an answer belongs */
@@ -888,17 +896,20 @@
 {
   for (guint i = 0; i < sim->workers->len; i++)
     {
-      const fake_worker_t *worker = sim->workers->pdata[i];
+      fake_worker_t *worker = sim->workers->pdata[i];
       const char *labels[] = { worker->rack };
+      /* A worker that is down changes nothing in the list.  */
+      if (now_of (sim) >= worker->down_until_ms)
+        worker->listed_start_ms = worker->start_ms;
       worker_row_t row = { .id = worker->id,
                            .address = worker->address,
                            .service = "pool",
                            .rack = worker->rack,
                            .labels = labels,
                            .label_count = 1,
-                           .capacity = worker->capacity,
+                           .capacity = worker->shown_capacity,
                            .remaining_ms = -1,
-                           .start_ms = worker->start_ms };
+                           .start_ms = worker->listed_start_ms };
       cell_worker_listed (sim->cell, &row);
     }
 }
@@ -977,6 +988,7 @@
   fake_worker_t *worker = event->worker;
   if (now_of (sim) < worker->down_until_ms)
     return;
+  worker->start_ms = now_of (sim);
   if (sim->faults.crash_changes_id)
     {
       fake_event_t *unlisted = event_new (sim, UNLISTED_AFTER_MS, on_unlisted);
@@ -985,7 +997,6 @@
       g_snprintf (worker->id, sizeof worker->id, "%s+%u", worker->address,
                   worker->crashes);
     }
-  worker->start_ms = now_of (sim);
   list_workers (sim);
 }
 
@@ -1052,13 +1063,46 @@
   return sim->deadly_crashes;
 }
 
-void
-fake_cell_set_capacity (fake_cell_t *sim, resource_t capacity,
-                        int64_t after_ms)
+/* A worker that shrinks may get too much for CAPACITY_LAG_MS, as the platform
+   allows; one that grows shows it later.  */
+static void
+on_capacity_shown (fake_cell_t *sim, fake_event_t *event)
 {
-  for (guint i = 0; i < sim->workers->len; i++)
-    ((fake_worker_t *)sim->workers->pdata[i])->capacity = capacity;
-  event_new (sim, after_ms, on_relisted)->owner = 0;
+  event->worker->shown_capacity.cpu_millis = event->cpu_millis;
+  list_workers (sim);
+}
+
+static void
+on_capacity_counts (fake_cell_t *sim, fake_event_t *event)
+{
+  event->worker->capacity.cpu_millis = event->cpu_millis;
+}
+
+static void
+set_capacity (fake_cell_t *sim, fake_worker_t *worker, int64_t cpu_millis,
+              int64_t in_ms, int64_t shown_after_ms, int64_t counts_after_ms)
+{
+  fake_event_t *shown
+      = event_new (sim, in_ms + shown_after_ms, on_capacity_shown);
+  fake_event_t *counts
+      = event_new (sim, in_ms + counts_after_ms, on_capacity_counts);
+  shown->owner = counts->owner = 0;
+  shown->worker = counts->worker = worker;
+  shown->cpu_millis = counts->cpu_millis = cpu_millis;
+}
+
+static void
+shrink_worker (fake_cell_t *sim, fake_worker_t *worker)
+{
+  if (worker->shrunk_until_ms > now_of (sim))
+    return;
+  int64_t for_ms = g_rand_int_range (sim->random, 6000, 12000);
+  worker->shrunk_until_ms = now_of (sim) + for_ms + HEARTBEAT_MS;
+  int64_t cpu_millis = worker->capacity.cpu_millis;
+  set_capacity (sim, worker, cpu_millis / 2, 0,
+                g_rand_int_range (sim->random, 1, HEARTBEAT_MS),
+                CAPACITY_LAG_MS);
+  set_capacity (sim, worker, cpu_millis, for_ms, HEARTBEAT_MS, 0);
 }
 
 static void
@@ -1071,6 +1115,9 @@
   if (chance (sim, sim->faults.worker_crash))
     crash_worker (sim, sim->workers->pdata[g_rand_int_range (
                            sim->random, 0, (gint32)sim->workers->len)]);
+  if (chance (sim, sim->faults.worker_shrinks))
+    shrink_worker (sim, sim->workers->pdata[g_rand_int_range (
+                            sim->random, 0, (gint32)sim->workers->len)]);
   if (chance (sim, sim->faults.worker_disconnect))
     ((fake_worker_t *)sim->workers
          ->pdata[g_rand_int_range (sim->random, 0, (gint32)sim->workers->len)])
@@ -1161,7 +1208,7 @@
   g_snprintf (worker->id, sizeof worker->id, "w%u", at);
   g_snprintf (worker->address, sizeof worker->address, "w%u", at);
   g_snprintf (worker->rack, sizeof worker->rack, "r%u", at / 3);
-  worker->capacity = (resource_t){ 16000, 64000, 8 };
+  worker->capacity = worker->shown_capacity = (resource_t){ 16000, 64000, 8 };
   worker->start_ms = 1;
   worker->runs = g_ptr_array_new_with_free_func (run_free);
   worker->ends = g_ptr_array_new_with_free_func (end_free);
--- a/tests/fake_cell.h
+++ b/tests/fake_cell.h
@@ -31,9 +31,11 @@
   const char *deadly_task; /* a worker crashes DEADLY_AFTER_MS after it has
                               started this task; the name or its beginning */
   uint32_t deadly_after_ms;
-  uint32_t worker_disconnect;  /* each 100 ms: unreachable for 1 to 9 s */
-  uint32_t owner_lost;         /* each 100 ms: another owner takes over */
-  uint32_t store_outage;       /* each 100 ms: saves hang for 1 to 4 s */
+  uint32_t worker_disconnect; /* each 100 ms: unreachable for 1 to 9 s */
+  uint32_t worker_shrinks;    /* each 100 ms: a worker has half of its capacity
+                                 for 6 to 12 s, which the list shows later */
+  uint32_t owner_lost;        /* each 100 ms: another owner takes over */
+  uint32_t store_outage;      /* each 100 ms: saves hang for 1 to 4 s */
   uint32_t ticket_validity_ms; /* 0: queues without advice */
   bool nodes_busy;             /* no call for advice can be made */
   uint32_t answer_delay_ms;    /* most that an answer is delayed */
@@ -84,9 +86,6 @@
 void fake_cell_crash_rack (fake_cell_t *sim);
 /* Workers that the deadly task has crashed.  */
 uint32_t fake_cell_deadly_crashes (const fake_cell_t *sim);
-/* Sets the capacity of all workers, which they show AFTER_MS later.  */
-void fake_cell_set_capacity (fake_cell_t *sim, resource_t capacity,
-                             int64_t after_ms);
 /* Tasks that run now.  */
 uint32_t fake_cell_running (const fake_cell_t *sim);
 
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -161,7 +161,93 @@
       }
 }
 
+/* Guards against an innocent task that loses its job: it runs on a rack that
+   loses power three times, each time soon after its start.  */
+static void
+test_racks_lose_power (void)
+{
+  const fake_faults_t faults
+      = { .crash_down_ms = 3000, .crash_changes_id = true };
+  for (int64_t delay_ms = 20; delay_ms < 500; delay_ms += 40)
+    {
+      fake_cell_t *sim = fake_cell_new (1, 12, &faults, DEFECT_NONE);
+      fake_cell_submit (sim, job_new (1, 4, 2000));
+      fake_cell_run (sim, 400);
+      for (uint32_t i = 0; i < 3; i++)
+        {
+          fake_cell_crash_rack (sim);
+          for (uint32_t j = 0; j < 1000 && fake_cell_running (sim) == 0; j++)
+            fake_cell_run (sim, 10);
+          fake_cell_run (sim, delay_ms);
+        }
+      fake_cell_run (sim, 12000);
+      CU_ASSERT_PTR_NULL (fake_cell_violation (sim));
+      CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (sim, DEADLY_JOB),
+                              "completed");
+      fake_cell_free (sim);
+    }
+}
+
+/* Guards against a cut that is taken for a crash: the workers of a long task
+   are cut off eight times for longer than their lease, and run on.  */
+static void
+test_cut_is_no_crash (void)
+{
+  fake_faults_t no_faults = { 0 };
+  fake_cell_t *sim = fake_cell_new (1, 12, &no_faults, DEFECT_NONE);
+  fake_cell_submit (sim, job_new (1, 1, 9000));
+  fake_cell_run (sim, 400);
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      fake_cell_disconnect_busy (sim, 8000);
+      fake_cell_run (sim, 8500);
+    }
+  CU_ASSERT_TRUE (fake_cell_starts (sim) > 5);
+  fake_cell_run (sim, 20000);
+  CU_ASSERT_PTR_NULL (fake_cell_violation (sim));
+  CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (sim, DEADLY_JOB),
+                          "completed");
+  fake_cell_free (sim);
+}
+
+/* Guards against innocent tasks that wait long because they are suspected:
+   after their worker is back, jobs that ran beside a deadly task need a time
+   apart at most before their run.  Load pattern: a job of short tasks each 250
+   ms, one of them deadly.  */
+static void
+test_wait_of_bystanders (void)
+{
+  const fake_faults_t faults = { .deadly_task = DEADLY_JOB ".0.0.0",
+                                 .deadly_after_ms = 10,
+                                 .crash_down_ms = 3000,
+                                 .crash_changes_id = true };
+  const int64_t work_ms = 600;
+  /* The crash, the time until the worker is back, one look at it, keeping a
+     worker free for a second, saves and the run.  */
+  const int64_t limit_ms = work_ms + 3000 + 300 + 1000 + 200 + work_ms;
+  const uint32_t jobs = 60;
+  fake_cell_t *sim = fake_cell_new (1, 12, &faults, DEFECT_NONE);
+  fake_cell_submit (sim, job_new (2, 6, work_ms));
+  fake_cell_submit (sim, job_new (3, 6, work_ms));
+  fake_cell_submit (sim, deadly_job_new (KIND_PLAIN));
+  for (uint32_t i = 4; i < 4 + jobs; i++)
+    {
+      char id[WORK_ID_LENGTH + 1];
+      fake_cell_submit (sim, job_new (i, 5, work_ms));
+      fake_cell_run (sim, 250);
+      uint32_t looked_at = i - MIN (i - 4, (uint32_t)(limit_ms / 250) + 1);
+      g_snprintf (id, sizeof id, "%016x", looked_at);
+      if (looked_at > 4)
+        CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (sim, id), "completed");
+    }
+  CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (sim, DEADLY_JOB), "failed");
+  fake_cell_free (sim);
+}
+
 static CU_TestInfo crash_tests[] = {
+  { "a task beside which racks lose power", test_racks_lose_power },
+  { "a task whose workers are cut off", test_cut_is_no_crash },
+  { "tasks that ran beside a deadly one", test_wait_of_bystanders },
   { "a task that crashes its workers is given up", test_deadly_task },
   CU_TEST_INFO_NULL,
 };
