blame: a successor suspects a recorded run, but is never certain

Cause: its second run was recorded by an owner that lost the cell before it sent the start. The worker crashed by another task. The successor did not know the run's age, took it for one that ran apart, and it was the only suspected one there. The silence of a worker that never answered this owner was dated to time zero besides (silent_ms=6034144 in the log).

Change: a run that an earlier owner recorded and that is not known to have started may be suspected, but never is the culprit; it still counts towards the five lost runs. A worker that never answered was lost between the beginning of this owner and now.

--- a/src/blame.c
+++ b/src/blame.c
@@ -37,7 +37,7 @@
 static bool
 is_apart (const blame_run_t *run)
 {
-  return age_of (run) < blame_isolation_ms (&run->history);
+  return run->age_ms >= 0 && run->age_ms < blame_isolation_ms (&run->history);
 }
 
 /* Whether RUN may be to blame.  A run that was still apart goes before all
--- a/src/blame.h
+++ b/src/blame.h
@@ -39,7 +39,8 @@
 {
   const char *job; /* id */
   blame_history_t history;
-  int64_t age_ms; /* from the start to the loss; -1: unknown */
+  int64_t age_ms; /* from the start to the loss; -1: unknown, perhaps it was
+                     never started */
   bool lasting;
 } blame_run_t;
 
--- a/src/cell_crash.c
+++ b/src/cell_crash.c
@@ -20,12 +20,14 @@
 /* Workers that are kept free for one gang.  */
 #define GANG_HOLDS_MAX 4u
 
-/* Age of the run of TASK at AT_MS, -1 if it is not known to have started.  */
+/* Age of the run of TASK at AT_MS, -1 if an earlier owner has recorded it and
+   it is not known to have started.  */
 static int64_t
 run_age_ms (const cell_task_t *task, int64_t at_ms)
 {
-  return task->seen_running_ms == 0 ? -1
-                                    : MAX (at_ms - task->seen_running_ms, 0);
+  if (task->seen_running_ms == 0)
+    return task->loaded ? -1 : 0;
+  return MAX (at_ms - task->seen_running_ms, 0);
 }
 
 static blame_run_t
@@ -35,10 +37,12 @@
                         run_age_ms (task, at_ms), task->group->spec->lasting };
 }
 
+/* When the loss of WORKER showed first.  */
 static int64_t
 lost_at_ms (const cell_t *cell, const cell_worker_t *worker)
 {
-  return worker->responsive ? cell->now_ms : worker->silent_ms;
+  return worker->responsive || worker->silent_ms == 0 ? cell->now_ms
+                                                      : worker->silent_ms;
 }
 
 /* When WORKER was lost: as long as it runs something, a poll waits there, so a
@@ -47,9 +51,13 @@
 loss_of (const cell_t *cell, const cell_worker_t *worker)
 {
   int64_t to_ms = lost_at_ms (cell, worker);
+  int64_t from_ms = to_ms;
+  if (worker->sampled_ms == 0)
+    from_ms = MIN (cell->begun_ms, to_ms);
+  else if (worker->tasks->len == 0)
+    from_ms = worker->sampled_ms;
   return (blame_loss_t){ g_str_hash (worker->id), g_str_hash (worker->rack),
-                         worker->tasks->len > 0 ? to_ms : worker->sampled_ms,
-                         to_ms };
+                         from_ms, to_ms };
 }
 
 /* Notes the loss of WORKER, and returns whether others were lost with it.  */
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -44,6 +44,7 @@
   task->stop_sent_ms = 0;
   task->start_confirmed_ms = 0;
   task->seen_running_ms = 0;
+  task->loaded = false;
   task->worker_start_ms = worker->start_ms;
   task->verdict_pending = false;
   task->percent = 0;
@@ -113,10 +114,10 @@
 {
   cell_t *cell = task->group->job->cell;
   char name[WORK_NAME_BYTES];
+  task->stop_sent_ms = cell->now_ms;
   cell_task_name (task, name);
   cell_worker_ref_t ref = worker_ref (task->worker);
   task->stop_in_flight = true;
-  task->stop_sent_ms = cell->now_ms;
   cell->actions->stop (cell->context, &ref, name, task->run);
 }
 
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -15,17 +15,20 @@
 {
   cell_t *cell;
   clk_fake_t clock;
-  uint32_t starts;
+  uint32_t starts, stops;
   char started_on[16]; /* worker of the last start */
   uint32_t polls;
   int64_t poll_lease_ms; /* of the last poll */
   bool save_pending;
+  char record[512]; /* saved last */
 } owner_t;
 
 static void
 on_save (void *context, const cell_record_t *records, uint32_t count)
 {
-  ((owner_t *)context)->save_pending = true;
+  owner_t *owner = context;
+  owner->save_pending = true;
+  g_strlcpy (owner->record, records[count - 1].text, sizeof owner->record);
 }
 
 static void
@@ -41,6 +44,9 @@
 on_stop (void *context, const cell_worker_ref_t *worker, const char *task,
          uint32_t run)
 {
+  owner_t *owner = context;
+  owner->stops++;
+  CU_ASSERT_STRING_NOT_EQUAL (worker->address, "");
 }
 
 static void
@@ -65,32 +71,46 @@
                                         .log = on_log };
 
 static void
-list_worker (owner_t *owner, const char *id)
+list_life (owner_t *owner, const char *id, int64_t start_ms,
+           int64_t cpu_millis)
 {
   worker_row_t row = { .id = id,
                        .address = id,
                        .service = "pool",
                        .rack = "r1-1",
-                       .capacity = { 16000, 64000, 8 },
+                       .capacity = { cpu_millis, 64000, 8 },
                        .remaining_ms = -1,
-                       .start_ms = 1 };
+                       .start_ms = start_ms };
   cell_worker_listed (owner->cell, &row);
 }
 
-/* RUNS: whether the first task of the job runs there.  */
 static void
-answer_poll (owner_t *owner, const char *id, bool runs)
+list_worker (owner_t *owner, const char *id)
+{
+  list_life (owner, id, 1, 16000);
+}
+
+/* START_MS: of the life that answers.  RUNS: whether the first task of the job
+   runs there.  */
+static void
+answer_poll_as (owner_t *owner, const char *id, int64_t start_ms, bool runs)
 {
   int64_t now_ms = clk_now_ms (&owner->clock.base);
   report_run_t run = { JOB_ID ".0.0.0", 1, "", 10, 0 };
   worker_report_t report = { .sent_ms = now_ms,
                              .clock_ms = now_ms,
-                             .start_ms = 1,
+                             .start_ms = start_ms,
                              .runs = &run,
                              .run_count = runs };
   cell_poll_answered (owner->cell, id, &report);
 }
 
+static void
+answer_poll (owner_t *owner, const char *id, bool runs)
+{
+  answer_poll_as (owner, id, 1, runs);
+}
+
 /* Begins an owner with the job JOB_ID of COUNT tasks.  RECORD: of an earlier
    owner; NULL: none.  */
 static void
@@ -173,9 +193,144 @@
   cell_free (owner.cell);
 }
 
+/* Guards against counts that are lost with their owner, or with a version that
+   did not keep them, and against an innocent task that a successor gives up:
+   the worker of a recorded run has restarted when the successor begins.  */
+static void
+test_recorded_crashes (void)
+{
+  static const struct
+  {
+    const char *record;
+    const char *state;
+    const char *counts; /* in the next record; "": no line of the task */
+  } rows[] = {
+    /* Without the start of the worker a restart cannot be told.  */
+    { "1 R 0\ng 0 0 0 -\nt 0 a 1 0 i-1 -\n", "running", " 0 0 -" },
+    { "1 R 0\ng 0 0 0 -\nt 0 a 1 0 i-1 - 1 0 0 -\n", "running", " 1 1 -" },
+    /* Perhaps the run was never started.  */
+    { "1 R 0\ng 0 0 0 -\nt 0 a 2 0 i-1 - 1 1 1 -\n", "running", " 2 2 -" },
+    { "1 R 0\ng 0 0 0 -\nt 0 a 4 0 i-1 - 1 1 3 1,2\n", "running", " 2 4 1,2" },
+    { "1 R 0\ng 0 0 0 -\nt 0 a 5 0 i-1 - 1 0 4 -\n", "failed", " 1 5 -" },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      owner_t owner;
+      begin (&owner, 1, rows[i].record);
+      list_life (&owner, "i-1", 5000, 16000);
+      run_for (&owner, 100);
+      answer_poll_as (&owner, "i-1", 5000, false);
+      run_for (&owner, 200);
+      CU_ASSERT_STRING_EQUAL (cell_state (owner.cell, JOB_ID), rows[i].state);
+      CU_ASSERT_PTR_NOT_NULL (strstr (owner.record, rows[i].counts));
+      cell_free (owner.cell);
+    }
+}
+
+/* Guards against a start that is sent although much changed during its save.
+ */
+static void
+test_changes_during_save (void)
+{
+  static const struct
+  {
+    const char *change;
+    int64_t start_ms, cpu_millis;
+    bool draining;
+  } rows[] = {
+    { "nothing", 1, 16000, false },
+    { "the worker shrinks", 1, 500, false },
+    { "the worker drains", 1, 16000, true },
+    { "the worker restarts", 5000, 16000, false },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      owner_t owner;
+      begin (&owner, 1, NULL);
+      list_worker (&owner, "i-1");
+      run_for (&owner, 100);
+      answer_poll (&owner, "i-1", false);
+      cell_run (owner.cell, clk_now_ms (&owner.clock.base));
+      CU_ASSERT_TRUE (owner.save_pending);
+      worker_row_t row = { .id = "i-1",
+                           .address = "i-1",
+                           .service = "pool",
+                           .rack = "r1-1",
+                           .capacity = { rows[i].cpu_millis, 64000, 8 },
+                           .draining = rows[i].draining,
+                           .remaining_ms = -1,
+                           .start_ms = rows[i].start_ms };
+      cell_worker_listed (owner.cell, &row);
+      owner.save_pending = false;
+      cell_save_done (owner.cell);
+      CU_ASSERT_EQUAL (owner.starts, i == 0);
+      run_for (&owner, 500);
+      CU_ASSERT_EQUAL (owner.starts, i == 0);
+      /* The capacity comes back.  */
+      if (i == 1)
+        list_worker (&owner, "i-1");
+      run_for (&owner, 100);
+      CU_ASSERT_EQUAL (owner.starts, i <= 1);
+      cell_free (owner.cell);
+    }
+}
+
+/* Guards against a task that is placed by the capacity of the life before: the
+   restarted worker answers before the list shows it.  */
+static void
+test_capacity_of_new_life (void)
+{
+  owner_t owner;
+  begin (&owner, 1, NULL);
+  list_worker (&owner, "i-1");
+  run_for (&owner, 100);
+  answer_poll_as (&owner, "i-1", 5000, false);
+  run_for (&owner, 100);
+  answer_poll_as (&owner, "i-1", 5000, false);
+  run_for (&owner, 500);
+  CU_ASSERT_EQUAL (owner.starts, 0);
+  list_life (&owner, "i-1", 5000, 500);
+  run_for (&owner, 500);
+  CU_ASSERT_EQUAL (owner.starts, 0);
+  list_life (&owner, "i-1", 5000, 16000);
+  run_for (&owner, 500);
+  CU_ASSERT_EQUAL (owner.starts, 1);
+  cell_free (owner.cell);
+}
+
+/* Guards against a start that is repeated into the next life of its worker,
+   which would carry it out: while a worker is silent only polls are sent.  */
+static void
+test_start_to_silent_worker (void)
+{
+  owner_t owner;
+  begin (&owner, 1, NULL);
+  list_worker (&owner, "i-1");
+  run_for (&owner, 100);
+  answer_poll (&owner, "i-1", false);
+  run_for (&owner, 100);
+  CU_ASSERT_EQUAL (owner.starts, 1);
+  cell_start_answered (owner.cell, "i-1", JOB_ID ".0.0.0", 1, ORDER_UNKNOWN,
+                       0);
+  run_for (&owner, 200);
+  CU_ASSERT_EQUAL (owner.starts, 2);
+  cell_start_answered (owner.cell, "i-1", JOB_ID ".0.0.0", 1, ORDER_UNKNOWN,
+                       0);
+  run_for (&owner, 3000);
+  CU_ASSERT_EQUAL (owner.starts, 2);
+  answer_poll (&owner, "i-1", false);
+  run_for (&owner, 200);
+  CU_ASSERT_EQUAL (owner.starts, 3);
+  cell_free (owner.cell);
+}
+
 static CU_TestInfo owner_tests[] = {
   { "leases after a pause", test_leases_after_pause },
   { "a worker that only a record names", test_worker_only_in_record },
+  { "crashes in the record of an earlier owner", test_recorded_crashes },
+  { "changes during the save before a start", test_changes_during_save },
+  { "the capacity of a restarted worker", test_capacity_of_new_life },
+  { "no start is repeated to a silent worker", test_start_to_silent_worker },
   CU_TEST_INFO_NULL,
 };
 
