cell: send no stop to a worker that only a record names

Found by the suite "crash" (workers back after their lease): the fake worker at the address "" does not exist. Callers saw nothing: the call failed, and the stop was sent again each 100 ms until the lease expired.

Cause: a job that ends, also by a cancel, stops all its runs, and a worker that has left the list has no address. Repeated stops leave such workers out, the first one did not. Change: such a stop waits until the worker is listed again or its lease has expired. Test: "a cancel while only a record names the worker" fails before.

--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -115,6 +115,9 @@
   cell_t *cell = task->group->job->cell;
   char name[WORK_NAME_BYTES];
   task->stop_sent_ms = cell->now_ms;
+  /* Known from a record only; its lease expires or it is listed again.  */
+  if (task->worker->address[0] == '\0')
+    return;
   cell_task_name (task, name);
   cell_worker_ref_t ref = worker_ref (task->worker);
   task->stop_in_flight = true;
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -227,6 +227,23 @@
     }
 }
 
+/* Guards against a stop that is sent to no address: the job is cancelled while
+   only a record names its worker; once that is listed, it is stopped.  */
+static void
+test_cancel_on_unlisted_worker (void)
+{
+  owner_t owner;
+  begin (&owner, 1, "1 R 0\ng 0 0 0 -\nt 0 a 1 0 i-9 - 1 0 0 -\n");
+  run_for (&owner, 100);
+  cell_cancel_job (owner.cell, JOB_ID);
+  run_for (&owner, 500);
+  CU_ASSERT_EQUAL (owner.stops, 0);
+  list_worker (&owner, "i-9");
+  run_for (&owner, 1000);
+  CU_ASSERT_EQUAL (owner.stops, 1);
+  cell_free (owner.cell);
+}
+
 /* Guards against a start that is sent although much changed during its save.
  */
 static void
@@ -328,6 +345,8 @@
   { "leases after a pause", test_leases_after_pause },
   { "a worker that only a record names", test_worker_only_in_record },
   { "crashes in the record of an earlier owner", test_recorded_crashes },
+  { "a cancel while only a record names the worker",
+    test_cancel_on_unlisted_worker },
   { "changes during the save before a start", test_changes_during_save },
   { "the capacity of a restarted worker", test_capacity_of_new_life },
   { "no start is repeated to a silent worker", test_start_to_silent_worker },
