sched: count a run that may have crashed its worker as a failure

Cause: the end of a run as "lost" counts neither towards max_failures nor delays the next start, whether its worker went silent or restarted. Tasks lost together wait for different times, so that the next crash tells them apart. Silent workers count nothing, as before. Ruled out: keeping suspected tasks apart as in the cell; with the different waits all jobs beside the deadly one end, so it is not needed here.

--- a/src/sched_internal.h
+++ b/src/sched_internal.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIADOCK_SCHED_INTERNAL_H
 #define MAGNOLIADOCK_SCHED_INTERNAL_H
 
+#include "blame.h"
 #include "estimate.h"
 #include "explain.h"
 #include "fleet.h"
@@ -50,7 +51,9 @@
   PHASE_ENDED,
   PHASE_FAILED,
   PHASE_STOPPED,
-  PHASE_LOST
+  PHASE_LOST,
+  PHASE_CRASHED /* lost when its worker restarted, for which it may be to
+                   blame: counts as a failure */
 } phase_t;
 
 typedef struct sched_worker sched_worker_t;
--- a/src/sched_ops.c
+++ b/src/sched_ops.c
@@ -78,12 +78,26 @@
     return TASK_ENDED;
   if (job->stopping)
     return TASK_CANCELLED;
-  if (task->phase == PHASE_FAILED && spec->max_failures >= 0
-      && task->failures > spec->max_failures)
+  if ((task->phase == PHASE_FAILED || task->phase == PHASE_CRASHED)
+      && spec->max_failures >= 0 && task->failures > spec->max_failures)
     return TASK_FAILED;
   return TASK_WAITING;
 }
 
+/* How long task INDEX of JOB waits for its next start after it has failed,
+   crashed its worker perhaps, or ended.  Tasks that were lost with one worker
+   get different waits, so that the next crash tells them apart.  */
+static int64_t
+restart_wait_ms (const sched_job_t *job, uint32_t index)
+{
+  const sched_task_t *task = &job->tasks[index];
+  uint32_t shift = MIN (task->failures, 8);
+  int64_t wait_ms = job->row->spec->backoff_ms << (shift > 0 ? shift - 1 : 0);
+  if (task->phase == PHASE_CRASHED && wait_ms > 0)
+    wait_ms += (g_str_hash (job->id) + index) % wait_ms;
+  return MIN (wait_ms, MAX_BACKOFF_MS);
+}
+
 bool
 op_end (sched_t *s, sched_job_t *job, uint32_t index)
 {
@@ -104,19 +118,16 @@
   op->index_or_flag = index;
   op->old_task = *task;
   op->old_assignment = *assignment;
-  if (task->phase != PHASE_LOST)
+  if (task->phase != PHASE_LOST && task->phase != PHASE_CRASHED)
     op->ack = sched_task_name (job, index);
   txn_touch_part (&s->plan_txn, job);
   txn_touch_worker (&s->plan_txn, worker);
   remove_assignment (s, worker, assignment);
   char state = state_after_end (job, task);
-  bool restart
-      = state == TASK_WAITING
-        && (task->phase == PHASE_FAILED || task->phase == PHASE_ENDED);
-  uint32_t shift = MIN (task->failures, 8);
-  int64_t wait_ms = job->row->spec->backoff_ms << (shift > 0 ? shift - 1 : 0);
-  task->since_ms
-      = restart ? s->now_ms + MIN (wait_ms, MAX_BACKOFF_MS) : s->now_ms;
+  bool restart = state == TASK_WAITING
+                 && (task->phase == PHASE_FAILED || task->phase == PHASE_ENDED
+                     || task->phase == PHASE_CRASHED);
+  task->since_ms = s->now_ms + (restart ? restart_wait_ms (job, index) : 0);
   task->phase = PHASE_NONE;
   task->worker = NULL;
   sched_task_set_state (job, task, state);
--- a/src/sched_view.c
+++ b/src/sched_view.c
@@ -75,9 +75,10 @@
   json_object_set_new (json, "spec", job_spec_to_json (job->row->spec));
   json_t *tasks = json_array ();
   /* By phase_t.  */
-  static const char *const phases[]
-      = { "waiting",  "planned", "assigned", "starting", "running", "starting",
-          "stopping", "ended",   "failed",   "stopped",  "lost" };
+  static const char *const phases[] = { "waiting",  "planned", "assigned",
+                                        "starting", "running", "starting",
+                                        "stopping", "ended",   "failed",
+                                        "stopped",  "lost",    "crashed" };
   for (uint32_t i = 0; i < job->task_count; i++)
     {
       const sched_task_t *task = &job->tasks[i];
--- a/tests/fake_cluster.c
+++ b/tests/fake_cluster.c
@@ -418,6 +418,21 @@
     }
 }
 
+static void
+crash_workers (fake_cluster_t *cluster)
+{
+  for (uint32_t i = 0; i < cluster->worker_count; i++)
+    {
+      fake_worker_t *worker = &cluster->workers[i];
+      if (worker->crash_at_ms == 0
+          || fake_cluster_now (cluster) < worker->crash_at_ms)
+        continue;
+      worker->crash_at_ms = 0;
+      cluster->deadly_crashes++;
+      fake_cluster_worker_restart (cluster, i);
+    }
+}
+
 void
 fake_cluster_run (fake_cluster_t *cluster, int64_t ms)
 {
@@ -425,6 +440,7 @@
     {
       clk_fake_advance_ms (&cluster->clock, 10);
       run_workers (cluster);
+      crash_workers (cluster);
       deliver (cluster);
       for (uint32_t i = 0; i < cluster->entry_count; i++)
         {
--- a/tests/fake_cluster.h
+++ b/tests/fake_cluster.h
@@ -60,9 +60,10 @@
   bool
       partitioned; /* no message arrives; its tasks run until the lease ends */
   bool fails;      /* every task that it starts fails */
-  GArray *tasks;   /* fake_task_t */
-  GHashTable *barred; /* task name -> highest generation that must not
-                         run again */
+  int64_t crash_at_ms; /* it restarts then; 0: it does not */
+  GArray *tasks;       /* fake_task_t */
+  GHashTable *barred;  /* task name -> highest generation that must not
+                          run again */
 } fake_worker_t;
 
 struct fake_cluster
@@ -82,6 +83,10 @@
   GHashTable *refused;     /* job id -> reason of the refused submission */
   GHashTable *ended;       /* set of task names that ended successfully */
   bool fail_next_task;
+  const char *deadly_task; /* name; its worker restarts DEADLY_AFTER_MS after
+                              it has started it; NULL: none */
+  int64_t deadly_after_ms;
+  uint32_t deadly_crashes;
   uint32_t violations;       /* number found */
   char first_violation[200]; /* description of the first one */
   uint64_t worker_starts;
--- a/tests/fake_worker.c
+++ b/tests/fake_worker.c
@@ -122,6 +122,8 @@
   if (task.fails)
     task.end_ms = now_ms + 200;
   g_array_append_val (worker->tasks, task);
+  if (g_strcmp0 (item->task, cluster->deadly_task) == 0)
+    worker->crash_at_ms = now_ms + cluster->deadly_after_ms;
   cluster->worker_starts++;
   check_start (cluster, worker, item->task, item->generation);
   return START_RUNNING;
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -606,7 +606,59 @@
     }
 }
 
+/* Guards against a task that crashes one worker after the other without end,
+   and against jobs beside it that fail with it: a batch job ends after its
+   failures, a service is started again at growing intervals.  */
+static void
+test_deadly_task (void)
+{
+  static const struct
+  {
+    const char *json, *id, *state;
+    uint32_t crashes; /* most within 60 s */
+  } rows[] = {
+    /* Three failures are allowed.  */
+    { JOB ("d", "batch", "bulk", 3, 500, 2000), "d", "ended", 4 },
+    /* 1, 2, 4, ... s apart at least.  */
+    { JOB ("d", "service", "urgent", 3, 500, 0), "d", "accepted", 7 },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    for (uint32_t seed = 0; seed < 5; seed++)
+      {
+        int tokens[9];
+        fake_cluster_t *cluster
+            = fake_cluster_new (2, 4, worker_size, test_seed () + seed);
+        cluster->deadly_task = "d/0";
+        cluster->deadly_after_ms = 50;
+        fake_cluster_run (cluster, 500);
+        fake_cluster_submit (cluster, 0, rows[i].json, &tokens[0]);
+        for (uint32_t j = 1; j < G_N_ELEMENTS (tokens); j++)
+          {
+            char *json = g_strdup_printf (
+                JOB ("b%u", "batch", "bulk", 4, 500, 1500), j);
+            fake_cluster_submit (cluster, j % 2, json, &tokens[j]);
+            g_free (json);
+            fake_cluster_run (cluster, 700);
+          }
+        fake_cluster_run (cluster, 54000);
+        CU_ASSERT_TRUE (cluster->deadly_crashes >= 2);
+        CU_ASSERT_TRUE (cluster->deadly_crashes <= rows[i].crashes);
+        CU_ASSERT_STRING_EQUAL (fake_cluster_job_state (cluster, rows[i].id),
+                                rows[i].state);
+        for (uint32_t j = 1; j < G_N_ELEMENTS (tokens); j++)
+          {
+            char id[8];
+            g_snprintf (id, sizeof id, "b%u", j);
+            CU_ASSERT_STRING_EQUAL (fake_cluster_job_state (cluster, id),
+                                    "ended");
+          }
+        CU_ASSERT_EQUAL (cluster->violations, 0);
+        fake_cluster_free (cluster);
+      }
+}
+
 static CU_TestInfo sched_tests[] = {
+  { "a task that crashes its workers", test_deadly_task },
   { "row writes of many ends at once", test_end_row_rate },
   { "each kind of job runs", test_each_kind_runs },
   { "rolling update", test_rolling_update },
