retry: send no request to a third server after two have broken under it

Change: an idempotent request under which two servers have broken the connection while it may have run is not sent again; its caller gets the outcome "unknown". Other failures may still be retried, four attempts in all. A request that is not idempotent was and is sent once. Ruled out: counting timeouts; a slow server has not crashed.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -559,6 +559,7 @@
                              request->replayable,
                              request->answer_started,
                              request->attempt,
+                             request->broken_attempts,
                              kind,
                              outcome };
   int64_t due_ms
@@ -606,6 +607,7 @@
     end_process_attempt (dispatch, request, kind, status);
   if (kind == ERR_OK)
     outcome = OUTCOME_RAN;
+  request->broken_attempts += retry_is_broken (kind, outcome);
   request->combined_outcome = (uint8_t)retry_combine_outcomes (
       (outcome_t)request->combined_outcome, outcome);
   if (kind == ERR_OK || request->answer_started || request->cancelled)
--- a/src/dispatch_internal.h
+++ b/src/dispatch_internal.h
@@ -123,10 +123,11 @@
   /* The pointer to this request in its bucket, NULL if no timer is set.  */
   request_t **wheel_link;
   service_t *service;
-  process_t *process;      /* of the attempt in flight */
-  process_t *last_process; /* compared only: may have been freed */
-  uint32_t peer;           /* number of the one it was handed over to */
-  uint32_t attempt;        /* number of the last attempt, from 1 */
+  process_t *process;       /* of the attempt in flight */
+  process_t *last_process;  /* compared only: may have been freed */
+  uint32_t peer;            /* number of the one it was handed over to */
+  uint32_t attempt;         /* number of the last attempt, from 1 */
+  uint32_t broken_attempts; /* see retry_is_broken */
   int64_t deadline_ms;
   int64_t timer_due_ms;
   int64_t submitted_us;
--- a/src/retry.c
+++ b/src/retry.c
@@ -33,10 +33,18 @@
   return true;
 }
 
+bool
+retry_is_broken (err_kind_t kind, outcome_t outcome)
+{
+  return outcome != OUTCOME_NOT_RUN
+         && (kind == ERR_CONNECTION_LOST || kind == ERR_ANSWER_CUT);
+}
+
 bool
 retry_allowed (const retry_failure_t *failed)
 {
   if (failed->answer_started || failed->attempts >= RETRY_MAX_ATTEMPTS
+      || failed->broken >= RETRY_MAX_BROKEN
       || !err_info (failed->kind)->retryable)
     return false;
   /* No byte of the request was sent, so its body is still complete.  */
--- a/src/retry.h
+++ b/src/retry.h
@@ -13,6 +13,11 @@
    handed over to an entry, including the first time.  */
 #define RETRY_MAX_ATTEMPTS 4
 
+/* A request under which that many backend servers have broken the connection
+   while it may have run is not sent to another one: it may be what crashes
+   them.  */
+#define RETRY_MAX_BROKEN 2
+
 /* Retry budget shared by the requests of one service.  Each request earns
    PERCENT / 100 of a retry, so that a failing service gets at most that much
    additional load in the long run.  */
@@ -34,6 +39,7 @@
   bool replayable;     /* the whole request body is still kept */
   bool answer_started; /* the caller has received part of the answer */
   uint32_t attempts;   /* made so far, including this one */
+  uint32_t broken;     /* of these, see retry_is_broken */
   err_kind_t kind;
   outcome_t outcome; /* of this attempt */
 } retry_failure_t;
@@ -43,6 +49,10 @@
    did not run.  */
 bool retry_allowed (const retry_failure_t *failed);
 
+/* Returns whether an attempt that ended with KIND and OUTCOME may have crashed
+   its backend server.  */
+bool retry_is_broken (err_kind_t kind, outcome_t outcome);
+
 /* Returns the pause before attempt number ATTEMPTS + 1: uniformly distributed
    from 0 to a bound that doubles with each attempt up to a maximum.  RANDOM is
    any 32-bit random number.  */
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -178,6 +178,9 @@
       OUTCOME_UNKNOWN, OUTCOME_NOT_RUN, 4, 1, OUTCOME_UNKNOWN },
     { true, true, false, ERR_CONNECT_FAILED, ERR_CONNECT_FAILED,
       OUTCOME_NOT_RUN, OUTCOME_NOT_RUN, 4, 1, OUTCOME_NOT_RUN },
+    /* It may be what crashes its servers.  */
+    { true, true, false, ERR_CONNECTION_LOST, ERR_CONNECTION_LOST,
+      OUTCOME_UNKNOWN, OUTCOME_UNKNOWN, 2, 1, OUTCOME_UNKNOWN },
     { true, false, false, ERR_TIMEOUT, ERR_OK, OUTCOME_UNKNOWN, OUTCOME_RAN, 1,
       1, OUTCOME_UNKNOWN },
     { true, true, true, ERR_ANSWER_CUT, ERR_OK, OUTCOME_RAN, OUTCOME_RAN, 1, 0,
