blame: losses of many workers suspect nobody; ask at recorded addresses

Callers would have seen a fleet that stands still after two losses of all its workers (new test "all workers crash three times": with the verdicts before, not all tasks ran 1.5 s after the third), and a job of six deadly tasks crash 30 workers ("a job whose tasks are all deadly": more than two crashes a task).

Cause: a loss with a common cause still made tasks suspects, or counted towards running apart, so that each job wanted a worker of its own; and six tasks of one job that crash six workers at once looked like such a cause. Change: with a common cause, and after silence, only the count that limits the lost runs grows (verdict "unrelated"). Losses where the same job was started last are no common cause. Suspected tasks of one job go to one worker.

With that, a successor that learnt of a crash only by an expired lease suspected nobody. Records now hold the address of each run's worker, so that it asks there at once, also when the worker has left the list: a worker that runs on is found, and another one at its address shows that it has ended.

--- a/src/blame.c
+++ b/src/blame.c
@@ -2,11 +2,11 @@
 
 #include <string.h>
 
-/* A task whose runs were lost this often runs apart, although another run may
-   always have been the more likely cause.  */
-#define APART_AFTER_LOSSES 2u
-/* Crashes after which a culprit is given up.  */
-#define MAX_CRASHES 2u
+/* A task with this many crashes runs apart, although another run may always
+   have been the more likely cause.  */
+#define APART_AFTER_CRASHES 2u
+/* A culprit that was suspected this often is given up.  */
+#define MAX_SUSPECTED 2u
 /* Losses this far apart may have a common cause: within a rack, whose workers
    lose power together but are found out one after the other, and anywhere.  */
 #define COMMON_RACK_MS 300
@@ -15,9 +15,9 @@
 int64_t
 blame_isolation_ms (const blame_history_t *history)
 {
-  if (history->crashes >= MAX_CRASHES || history->losses >= APART_AFTER_LOSSES)
+  if (history->crashes >= APART_AFTER_CRASHES)
     return BLAME_LONG_SETTLE_MS;
-  return history->crashes > 0 ? BLAME_SETTLE_MS : 0;
+  return history->suspected > 0 ? BLAME_SETTLE_MS : 0;
 }
 
 /* Whether RUN had run well for so long that its start did no harm.  Only tasks
@@ -77,17 +77,18 @@
   for (uint32_t i = 0; i < count; i++)
     if (is_cleared (&runs[i]))
       verdicts[i] = BLAME_NONE;
+    else if (common_cause)
+      verdicts[i] = BLAME_UNRELATED;
     else if (!is_suspect (&runs[i], any_apart, youngest_ms))
       verdicts[i] = BLAME_BYSTANDER;
     else
-      verdicts[i] = any_apart && one_job && !common_cause ? BLAME_CULPRIT
-                                                          : BLAME_SUSPECT;
+      verdicts[i] = any_apart && one_job ? BLAME_CULPRIT : BLAME_SUSPECT;
 }
 
 blame_verdict_t
 blame_judge_silent (const blame_run_t *run)
 {
-  return is_cleared (run) ? BLAME_NONE : BLAME_BYSTANDER;
+  return is_cleared (run) ? BLAME_NONE : BLAME_UNRELATED;
 }
 
 bool
@@ -99,9 +100,10 @@
       return false;
     }
   history->losses++;
-  history->crashes += verdict >= BLAME_SUSPECT;
+  history->crashes += verdict >= BLAME_BYSTANDER;
+  history->suspected += verdict >= BLAME_SUSPECT;
   return history->losses >= BLAME_MAX_LOSSES
-         || (verdict == BLAME_CULPRIT && history->crashes >= MAX_CRASHES);
+         || (verdict == BLAME_CULPRIT && history->suspected >= MAX_SUSPECTED);
 }
 
 /* Shortest time that may lie between two losses.  */
@@ -121,7 +123,8 @@
   uint32_t anywhere = 0;
   for (uint32_t i = 0; i < count; i++)
     {
-      if (losses[i].worker == one->worker)
+      if (losses[i].worker == one->worker
+          || (losses[i].job == one->job && one->job != 0))
         continue;
       int64_t between_ms = gap_ms (&losses[i], one);
       in_rack += losses[i].rack == one->rack && between_ms <= COMMON_RACK_MS;
--- a/src/blame.h
+++ b/src/blame.h
@@ -26,12 +26,14 @@
    platform accepts.  */
 #define BLAME_MAX_LOSSES 5u
 
-/* What is known of a task; saved with it.  */
+/* What is known of a task; saved with it.  Each number includes those before
+   it.  */
 typedef struct
 {
-  uint32_t crashes; /* crashed workers for which it may be to blame */
-  uint32_t losses;  /* runs lost with their worker, including these; a worker
-                       that stayed silent until its lease expired counts too */
+  uint32_t suspected; /* crashed workers for which it may be to blame */
+  uint32_t crashes;   /* workers that crashed alone, with a run of it */
+  uint32_t losses;    /* runs lost with their worker, also with others at the
+                         same time or by silence until the lease expired */
 } blame_history_t;
 
 /* A run on a worker that is lost.  */
@@ -46,7 +48,8 @@
 
 typedef enum
 {
-  BLAME_NONE,      /* not lost, or lost after it had run well for long */
+  BLAME_NONE,      /* lost after it had run well for long */
+  BLAME_UNRELATED, /* lost with several workers, or with a silent one */
   BLAME_BYSTANDER, /* ran beside */
   BLAME_SUSPECT,   /* may be to blame */
   BLAME_CULPRIT    /* the only job that may be to blame, while it ran apart */
@@ -57,8 +60,7 @@
 int64_t blame_isolation_ms (const blame_history_t *history);
 
 /* Sets VERDICTS[i] for each of the COUNT runs on a worker that has crashed.
-   COMMON_CAUSE: other workers were lost at the same time, so that no run is
-   blamed for certain.  */
+   COMMON_CAUSE: other workers were lost at the same time.  */
 void blame_judge (const blame_run_t *runs, uint32_t count, bool common_cause,
                   blame_verdict_t *verdicts);
 /* The verdict on one run of a worker that stayed silent until its lease
@@ -73,13 +75,15 @@
 {
   uint32_t worker; /* hash of its id */
   uint32_t rack;   /* hash of its name */
+  uint32_t job;    /* hash of the id of the job started there last; 0: none */
   int64_t from_ms;
   int64_t to_ms;
 } blame_loss_t;
 
 /* Whether the loss ONE and some of COUNT LOSSES of other workers may have a
    cause in common: one in its rack or two anywhere at about the same time.
-   Losses of the same worker as ONE are ignored.  */
+   Losses where the same job was started last are ignored, since that job may
+   be the cause.  */
 bool blame_common_cause (const blame_loss_t *losses, uint32_t count,
                          const blame_loss_t *one);
 
--- a/src/cell_crash.c
+++ b/src/cell_crash.c
@@ -45,6 +45,21 @@
                                                       : worker->silent_ms;
 }
 
+/* See blame_loss_t.  */
+static uint32_t
+hash_of_last_job (const cell_worker_t *worker)
+{
+  const cell_task_t *last = NULL;
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const cell_task_t *task = worker->tasks->pdata[i];
+      if (task->state != RUN_ASSIGNED
+          && (last == NULL || task->start_sent_ms > last->start_sent_ms))
+        last = task;
+    }
+  return last != NULL ? g_str_hash (last->group->job->id) : 0;
+}
+
 /* When WORKER was lost: as long as it runs something, a poll waits there, so a
    crash shows at once.  */
 static blame_loss_t
@@ -57,7 +72,7 @@
   else if (worker->tasks->len == 0)
     from_ms = worker->sampled_ms;
   return (blame_loss_t){ g_str_hash (worker->id), g_str_hash (worker->rack),
-                         from_ms, to_ms };
+                         hash_of_last_job (worker), from_ms, to_ms };
 }
 
 /* Notes the loss of WORKER, and returns whether others were lost with it.  */
@@ -198,7 +213,7 @@
 cell_count_lost_run (cell_task_t *task)
 {
   static const char *const verdict_names[]
-      = { "none", "bystander", "suspect", "culprit" };
+      = { "none", "unrelated", "bystander", "suspect", "culprit" };
   cell_job_t *job = task->group->job;
   blame_verdict_t verdict = (blame_verdict_t)task->verdict;
   char name[WORK_NAME_BYTES];
@@ -208,8 +223,9 @@
     return;
   cell_task_name (task, name);
   cell_log (job->cell, give_up ? "task_given_up" : "task_suspected", name,
-            "run=%u verdict=%s crashes=%u losses=%u", task->run,
-            verdict_names[verdict], task->blame.crashes, task->blame.losses);
+            "run=%u verdict=%s suspected=%u crashes=%u losses=%u", task->run,
+            verdict_names[verdict], task->blame.suspected, task->blame.crashes,
+            task->blame.losses);
   if (give_up)
     cell_job_end (job, JOB_STATE_FAILED);
 }
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -90,7 +90,8 @@
 /* Lower is better.  Prefers a tight fit, which keeps capacity for large tasks
    elsewhere, but above all the rack of the data, then the separation of
    fillers and serving tasks, then workers without recent failures.  A
-   suspected task goes where it would do least harm.  */
+   suspected task goes where it would do least harm: to the worker that runs
+   others of its job apart, else to the emptiest one.  */
 static double
 score (const cell_group_t *group, const cell_worker_t *worker, bool suspected)
 {
@@ -98,7 +99,9 @@
   resource_t left
       = resource_sub (free_capacity (worker), cell_task_need (step));
   double value = resource_dominant_share (left, worker->capacity);
-  if (suspected)
+  if (suspected && worker->isolated_for == group->job)
+    value = -1.0;
+  else if (suspected)
     value = 1.0 - value;
   if (step->data_rack != NULL && g_strcmp0 (step->data_rack, worker->rack))
     value += 10.0;
--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -7,13 +7,15 @@
    a task that has had a run
      g OCCURRENCE STEP GANG_FAILURES CHECKPOINT
    followed by a line for each such task
-     t INDEX STATE RUN FAILURES WORKER CHECKPOINT [START CRASHES LOSSES LAPSED]
+     t INDEX STATE RUN FAILURES WORKER CHECKPOINT
+       [START ADDRESS SUSPECTED CRASHES LOSSES LAPSED]
    with STATE d (done), a (holds capacity of WORKER) or w (waits) and "-" for
    an empty text.  START is the wall time at which WORKER had started, 0 if it
-   is unknown; CRASHES and LOSSES are those of blame_history_t, LAPSED the
-   numbers of lapsed runs among the lost ones, joined by commas.  Records of
-   earlier versions lack these four.  A group all of whose tasks are done has
-   the single line "f OCCURRENCE STEP".  */
+   is unknown, and ADDRESS where it was; SUSPECTED, CRASHES and LOSSES are
+   those of blame_history_t, LAPSED the numbers of lapsed runs among the lost
+   ones, joined by commas.  Records of earlier versions lack these six.  A
+   group all of whose tasks are done has the single line "f OCCURRENCE STEP".
+ */
 
 /* Least time between the starts of two saves.  The store's partition that
    takes them serves 200 transactions a second; this leaves some for other
@@ -53,9 +55,10 @@
   if (task->worker != NULL || task->blame.losses > 0)
     {
       g_string_append_printf (
-          text, " %lld %u %u ",
+          text, " %lld %s %u %u %u ",
           (long long)(task->worker != NULL ? task->worker_start_ms : 0),
-          task->blame.crashes, task->blame.losses);
+          or_dash (task->worker != NULL ? task->worker->address : NULL),
+          task->blame.suspected, task->blame.crashes, task->blame.losses);
       for (uint32_t i = 0; i < task->lapsed_count; i++)
         g_string_append_printf (text, "%s%u", i > 0 ? "," : "",
                                 task->lapsed_runs[i]);
@@ -111,9 +114,10 @@
 load_blame (cell_task_t *task, char **fields)
 {
   task->worker_start_ms = g_ascii_strtoll (fields[0], NULL, 10);
-  task->blame.crashes = (uint32_t)g_ascii_strtoull (fields[1], NULL, 10);
-  task->blame.losses = (uint32_t)g_ascii_strtoull (fields[2], NULL, 10);
-  char **runs = g_strsplit (fields[3], ",", (gint)BLAME_MAX_LOSSES + 1);
+  task->blame.suspected = (uint32_t)g_ascii_strtoull (fields[2], NULL, 10);
+  task->blame.crashes = (uint32_t)g_ascii_strtoull (fields[3], NULL, 10);
+  task->blame.losses = (uint32_t)g_ascii_strtoull (fields[4], NULL, 10);
+  char **runs = g_strsplit (fields[5], ",", (gint)BLAME_MAX_LOSSES + 1);
   for (uint32_t i = 0; runs[i] != NULL && i < BLAME_MAX_LOSSES; i++)
     if (g_ascii_isdigit (runs[i][0]))
       task->lapsed_runs[task->lapsed_count++]
@@ -137,7 +141,8 @@
   task->failures = (uint32_t)g_ascii_strtoull (fields[4], NULL, 10);
   if (strcmp (fields[6], "-") != 0)
     task->checkpoint = g_strdup (fields[6]);
-  if (g_strv_length (fields) >= 11)
+  bool has_blame = g_strv_length (fields) >= 13;
+  if (has_blame)
     load_blame (task, fields + 7);
   if (fields[2][0] == 'd')
     cell_set_task_state (task, RUN_DONE);
@@ -146,8 +151,11 @@
       cell_worker_t *worker = cell_find_worker (cell, fields[5]);
       if (worker == NULL)
         {
-          /* No longer listed; its runs last until its lease has expired.  */
-          worker_row_t row = { .id = fields[5], .address = "" };
+          /* No longer listed; its runs last until it, or another worker at its
+             address, shows their end, or until its lease has expired.  */
+          bool has_address = has_blame && strcmp (fields[8], "-") != 0;
+          worker_row_t row
+              = { .id = fields[5], .address = has_address ? fields[8] : "" };
           cell_worker_listed (cell, &row);
           cell_worker_unlisted (cell, fields[5]);
           worker = cell_find_worker (cell, fields[5]);
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -1057,6 +1057,13 @@
     }
 }
 
+void
+fake_cell_crash_all (fake_cell_t *sim)
+{
+  for (guint i = 0; i < sim->workers->len; i++)
+    crash_worker (sim, sim->workers->pdata[i]);
+}
+
 uint32_t
 fake_cell_deadly_crashes (const fake_cell_t *sim)
 {
--- a/tests/fake_cell.h
+++ b/tests/fake_cell.h
@@ -84,6 +84,7 @@
 void fake_cell_disconnect_busy (fake_cell_t *sim, int64_t for_ms);
 /* Crashes all workers of the rack of a worker that runs something.  */
 void fake_cell_crash_rack (fake_cell_t *sim);
+void fake_cell_crash_all (fake_cell_t *sim);
 /* Workers that the deadly task has crashed.  */
 uint32_t fake_cell_deadly_crashes (const fake_cell_t *sim);
 /* Tasks that run now.  */
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -244,7 +244,71 @@
   fake_cell_free (sim);
 }
 
+/* Guards against a fleet that stands still after all workers have lost power
+   twice, since every task has to run apart: the third time everything is done
+   in the same time as the first.  Load pattern: 24 jobs of three tasks on 12
+   workers, three quarters of their room.  */
+static void
+test_all_workers_crash (void)
+{
+  const fake_faults_t faults
+      = { .crash_down_ms = 3000, .crash_changes_id = true };
+  const int64_t work_ms = 4000;
+  fake_cell_t *sim = fake_cell_new (1, 12, &faults, DEFECT_NONE);
+  const uint32_t jobs = 24;
+  for (uint32_t i = 1; i <= jobs; i++)
+    fake_cell_submit (sim, job_new (i, 3, work_ms));
+  fake_cell_run (sim, 1500);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      fake_cell_crash_all (sim);
+      fake_cell_run (sim, 4500);
+      CU_ASSERT_EQUAL (fake_cell_running (sim), 3 * jobs);
+    }
+  fake_cell_run (sim, work_ms);
+  for (uint32_t i = 1; i <= jobs; i++)
+    {
+      char id[WORK_ID_LENGTH + 1];
+      g_snprintf (id, sizeof id, "%016x", i);
+      CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (sim, id), "completed");
+    }
+  fake_cell_free (sim);
+}
+
+/* Guards against a job whose tasks crash many workers at the same moment, as
+   if they had lost power: its first starts, and then one worker.  */
+static void
+test_all_tasks_deadly (void)
+{
+  const fake_faults_t faults = { .deadly_task = DEADLY_JOB ".0",
+                                 .deadly_after_ms = 10,
+                                 .crash_down_ms = 3000,
+                                 .crash_changes_id = true };
+  const uint32_t tasks = 6;
+  fake_cell_t *sim = fake_cell_new (1, 12, &faults, DEFECT_NONE);
+  work_job_t *job = job_new (1, tasks, 1000);
+  job->steps[0].spread = 1;
+  fake_cell_submit (sim, job);
+  fake_cell_run (sim, 200);
+  CU_ASSERT_EQUAL (fake_cell_deadly_crashes (sim), tasks);
+  fake_cell_run (sim, 20000);
+  CU_ASSERT_PTR_NULL (fake_cell_violation (sim));
+  CU_ASSERT_TRUE (fake_cell_deadly_crashes (sim) <= 2 * tasks);
+  CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (sim, DEADLY_JOB), "failed");
+  fake_cell_free (sim);
+  sim = fake_cell_new (1, 12, &faults, DEFECT_NONE);
+  job = job_new (1, tasks, 1000);
+  job->steps[0].need.cpu_millis = 16000;
+  fake_cell_submit (sim, job);
+  fake_cell_run (sim, 20000);
+  CU_ASSERT_TRUE (fake_cell_deadly_crashes (sim) <= 2 * tasks);
+  CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (sim, DEADLY_JOB), "failed");
+  fake_cell_free (sim);
+}
+
 static CU_TestInfo crash_tests[] = {
+  { "all workers crash three times", test_all_workers_crash },
+  { "a job whose tasks are all deadly", test_all_tasks_deadly },
   { "a task beside which racks lose power", test_racks_lose_power },
   { "a task whose workers are cut off", test_cut_is_no_crash },
   { "tasks that ran beside a deadly one", test_wait_of_bystanders },
