node: pause after a claim that the store refuses

Calls are paid for and help nobody; callers saw nothing.

Change: the pause doubles from 100 to 800 ms until a heartbeat is seen or the claim is won (src/backoff.c). The longest pause delays a takeover once the store is back.

--- a/src/io/node_claim.c
+++ b/src/io/node_claim.c
@@ -1,5 +1,6 @@
 #include "node_internal.h"
 
+#include "backoff.h"
 #include "log.h"
 
 #include <jansson.h>
@@ -34,6 +35,10 @@
 /* A node with at least this rank for every cell follows the heartbeats at
    longer gaps.  */
 #define CANDIDATE_RANKS 4u
+/* First and longest pause after claims that the store refused or did not
+   answer; the longest delays a takeover once the store is back.  */
+#define CLAIM_RETRY_MS 100
+#define CLAIM_MAX_RETRY_MS 800
 /* The last answer about the cluster must be younger than this.  */
 #define CLUSTER_FRESH_MS 400
 
@@ -74,6 +79,7 @@
 node_heartbeat_changed (node_cell_t *cell, const char *value, size_t length)
 {
   cell->heartbeat_seen_ms = node_now (cell->node);
+  cell->claim_failures = 0;
   json_t *heartbeat
       = value != NULL ? json_loadb (value, length, 0, NULL) : NULL;
   const char *owner = json_string_value (json_object_get (heartbeat, "owner"));
@@ -123,6 +129,15 @@
   return matches;
 }
 
+void
+node_claim_failed (node_cell_t *cell)
+{
+  cell->claim_failures++;
+  cell->claim_due_ms = node_now (cell->node)
+                       + backoff_ms (cell->claim_failures, CLAIM_RETRY_MS,
+                                     CLAIM_MAX_RETRY_MS);
+}
+
 static void send_claim (node_cell_t *cell, uint64_t version);
 
 static void
@@ -136,8 +151,9 @@
     return;
   if (reply->result == STORE_UNKNOWN)
     {
-      /* Sent again unchanged: only one of the two can be applied.  */
-      send_claim (cell, cell->fence_version);
+      /* To be sent again unchanged: only one of the two can be applied.  */
+      node_claim_failed (cell);
+      cell->claim_unanswered = true;
       return;
     }
   uint64_t version = reply->version;
@@ -156,8 +172,10 @@
     {
       cell->state = CELL_IDLE;
       cell->heartbeat_seen_ms = node_now (cell->node);
+      node_claim_failed (cell);
       return;
     }
+  cell->claim_failures = 0;
   cell->fence_version = version;
   node_cell_claimed (cell);
 }
@@ -215,6 +233,7 @@
   if (reply->result != STORE_OK || cell->node->stopping)
     {
       cell->state = CELL_IDLE;
+      node_claim_failed (cell);
       return;
     }
   uint64_t token = 0;
@@ -251,6 +270,7 @@
   log_event (LOG_INFO, "cell_claiming", "cell", cell->name, "owner",
              cell->owner != NULL ? cell->owner : "", NULL);
   cell->state = CELL_CLAIMING;
+  cell->claim_unanswered = false;
   cell->epoch++;
   cell->claim_started_ms = node_now (node);
   node->platform->ops->read (node->platform, FENCE_TABLE, cell->name,
@@ -303,13 +323,13 @@
   return held;
 }
 
-static void
-claim_if_due (node_cell_t *cell, uint32_t rank)
+bool
+node_claim_is_due (const node_cell_t *cell, uint32_t rank)
 {
-  node_t *node = cell->node;
+  const node_t *node = cell->node;
   int64_t now_ms = node_now (node);
-  if (cell->state != CELL_IDLE)
-    return;
+  if (cell->state != CELL_IDLE || now_ms < cell->claim_due_ms)
+    return false;
   bool vacant = cell->owner == NULL || cell->owner[0] == '\0';
   bool owned_before_restart
       = !vacant && !owner_is_self (cell)
@@ -331,9 +351,21 @@
      one that has agreed to take it from the owner.  */
   if (owned_before_restart || (vacant && now_ms < cell->agreed_until_ms))
     delay_ms = 0;
-  if (node->cluster_answered_ms - cell->heartbeat_seen_ms >= delay_ms
-      && now_ms - node->cluster_answered_ms < CLUSTER_FRESH_MS)
+  return node->cluster_answered_ms - cell->heartbeat_seen_ms >= delay_ms
+         && now_ms - node->cluster_answered_ms < CLUSTER_FRESH_MS;
+}
+
+static void
+claim_if_due (node_cell_t *cell, uint32_t rank)
+{
+  if (node_claim_is_due (cell, rank))
     begin_claim (cell);
+  else if (cell->state == CELL_CLAIMING && cell->claim_unanswered
+           && node_now (cell->node) >= cell->claim_due_ms)
+    {
+      cell->claim_unanswered = false;
+      send_claim (cell, cell->fence_version);
+    }
 }
 
 void
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -110,6 +110,9 @@
   int64_t heartbeat_sent_ms;
   int64_t next_offer_ms; /* no offer to another node before */
   int64_t claim_started_ms;
+  uint32_t claim_failures; /* claims in a row that failed */
+  int64_t claim_due_ms;    /* no claim is begun or sent again before */
+  bool claim_unanswered;   /* the claim is to be sent again then */
   ev_timer commit_retry;
   uint8_t replay_pass; /* REPLAY_x of node_cell.c */
 };
@@ -193,6 +196,10 @@
 void node_heartbeat_changed (node_cell_t *cell, const char *value,
                              size_t length);
 void node_claim_check (node_t *node);
+/* Whether this node, RANK others of which go first, is to claim CELL now.  */
+bool node_claim_is_due (const node_cell_t *cell, uint32_t rank);
+/* A claim of CELL has failed; pauses before the next one.  */
+void node_claim_failed (node_cell_t *cell);
 /* Whether the fence row TEXT was written by this node with its current token
    for CELL.  Sets *NUMBER to the number of the commit that wrote it.  */
 bool node_fence_matches (const node_cell_t *cell, const char *text,
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -168,6 +168,36 @@
   g_free (cell);
 }
 
+/* Guards against claims that are begun again as fast as the store refuses
+   them: within 4 s, at most ten.  */
+static void
+test_claims_refused (void)
+{
+  node_t node = { 0 };
+  platform_api_t platform = { 0 };
+  clk_fake_t clock;
+  uint32_t claims = 0;
+  clk_fake_init (&clock, 100000);
+  node.clock = &clock.base;
+  node.cells = g_hash_table_new (g_str_hash, g_str_equal);
+  node_cell_t *cell = new_cell_on_node (&node, &platform, "edge-1", "19bafe");
+  cell->owner = (char *)"";
+  for (int i = 0; i < 80; i++)
+    {
+      clk_fake_advance_ms (&clock, 50);
+      node.cluster_answered_ms = node_now (&node);
+      if (node_claim_is_due (cell, 0))
+        {
+          claims++;
+          node_claim_failed (cell);
+        }
+    }
+  CU_ASSERT_TRUE (claims > 3);
+  CU_ASSERT_TRUE (claims <= 10);
+  g_hash_table_unref (node.cells);
+  g_free (cell);
+}
+
 /* Guards against steps that wait for advice although nodes could ask, because
    each of them has failed lately, and against short calls that wait behind
    long ones.  */
@@ -375,6 +405,7 @@
   { "writes of many nodes to a slow store", test_writes_to_slow_store },
   { "ownership of the fence row", test_fence_row },
   { "pending jobs in the heartbeat of a claim", test_heartbeat_of_claim },
+  { "claims that the store refuses", test_claims_refused },
   { "choice of the node for a call for advice", test_advice_choice },
   { "calls for advice through a node that failed", test_advice_after_failure },
   { "choice of the node to offer a cell to", test_yield_choice },
