cell: pause before attempts that keep failing

Change: the pauses double, 20 to 500 ms for the calls of a step, 50 to 2,000 ms for invalid starts. Ruled out: giving such a job up; neither tells that it cannot be done.

--- a/src/cell_advice.c
+++ b/src/cell_advice.c
@@ -1,3 +1,4 @@
+#include "backoff.h"
 #include "cell_internal.h"
 
 #include <math.h>
@@ -26,8 +27,10 @@
 /* A ticket with less time left may expire before it reaches the worker, since
    a save comes before the start.  */
 #define TICKET_MARGIN_MS 60
-/* Pause after a call without an answer.  */
+/* First and longest pause after calls of a step without an answer.  The first
+   is short, since another node makes the next call.  */
 #define ASK_RETRY_MS 20
+#define ASK_MAX_RETRY_MS 500
 /* Share of allowed workers that is assumed for a new queue; it counts as much
    as answers for PRIOR_WEIGHT workers.  Deployments have 0.3 to 0.7.  */
 #define PRIOR_ALLOWED_SHARE 0.5
@@ -392,8 +395,11 @@
     return;
   group->calls_in_flight -= group->calls_in_flight > 0;
   uint32_t named = finish_advice_call (cell, group, call, ok, valid_ms);
+  group->ask_failures = ok ? 0 : group->ask_failures + 1;
   if (!ok)
-    group->next_ask_ms = cell->now_ms + ASK_RETRY_MS;
+    group->next_ask_ms
+        = cell->now_ms
+          + backoff_ms (group->ask_failures, ASK_RETRY_MS, ASK_MAX_RETRY_MS);
   else if (group->job->queue != NULL)
     count_answer (cell, group->job->queue->name, named, count);
   for (uint32_t i = 0; i < count; i++)
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -104,6 +104,10 @@
   uint32_t calls_in_flight; /* calls for advice in flight */
   uint32_t last_call;       /* number of the last call */
   int64_t next_ask_ms;
+  uint32_t ask_failures;   /* calls without an answer since the last one */
+  uint32_t invalid_starts; /* starts refused as invalid since the last one that
+                              was accepted */
+  int64_t next_start_ms;   /* none of its tasks is placed before */
   int64_t tickets_until_ms; /* when the last ticket expires */
   int64_t next_explain_ms;  /* when to log again why it waits */
   GHashTable *advice;       /* worker id -> advice_t, owned */
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -342,7 +342,8 @@
 static void
 place_now (cell_t *cell, cell_group_t *group)
 {
-  if (needs_ticket (group) && !cell_has_tickets (group))
+  if (cell->now_ms < group->next_start_ms
+      || (needs_ticket (group) && !cell_has_tickets (group)))
     return;
   if (group->spec->gang && group->waiting < group->spec->count)
     return;
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -1,3 +1,4 @@
+#include "backoff.h"
 #include "cell_internal.h"
 
 #include <string.h>
@@ -9,6 +10,10 @@
 #define ORDER_RETRY_UNRESPONSIVE_MS 700
 /* A worker that refused a start gets no new tasks for this long.  */
 #define AVOID_AFTER_REFUSAL_MS 300
+/* First and longest pause of a step whose starts are refused as invalid, which
+   no other worker may accept either.  */
+#define INVALID_RETRY_MS 50
+#define INVALID_MAX_RETRY_MS 2000
 /* After this many failed runs in a row, of different jobs, a worker gets no
    new tasks for AVOID_AFTER_FAILURES_MS.  That is short because a lasting task
    has to run again within 3 s where there is free capacity.  */
@@ -296,18 +301,24 @@
 static void
 handle_refused_start (cell_task_t *task, order_result_t result)
 {
+  cell_group_t *group = task->group;
+  cell_t *cell = group->job->cell;
   char name[WORK_NAME_BYTES];
   cell_task_name (task, name);
-  cell_log (task->group->job->cell, "start_refused", name,
+  cell_log (cell, "start_refused", name,
             "run=%u worker=%s result=%d unsure=%d", task->run,
             task->worker->id, result, task->start_unanswered);
   if (result == ORDER_NO_TICKET)
-    g_hash_table_remove (task->group->advice, task->worker->id);
+    g_hash_table_remove (group->advice, task->worker->id);
   if (result == ORDER_NOT_DELIVERED)
-    cell_worker_is_silent (task->group->job->cell, task->worker);
+    cell_worker_is_silent (cell, task->worker);
+  if (result == ORDER_INVALID)
+    group->next_start_ms
+        = cell->now_ms
+          + backoff_ms (++group->invalid_starts, INVALID_RETRY_MS,
+                        INVALID_MAX_RETRY_MS);
   if (result == ORDER_UNAVAILABLE || result == ORDER_NO_CAPACITY)
-    task->worker->avoid_until_ms
-        = task->group->job->cell->now_ms + AVOID_AFTER_REFUSAL_MS;
+    task->worker->avoid_until_ms = cell->now_ms + AVOID_AFTER_REFUSAL_MS;
   /* Stop the run, and let the next report show how it ended, if an earlier
      copy of the order may still be carried out or the run has ended there.  */
   if (task->start_unanswered || result == ORDER_STALE)
@@ -365,6 +376,7 @@
   task->seen_running_ms = cell->now_ms;
   task->progress_ms = cell->now_ms;
   task->group->last_start_ms = cell->now_ms;
+  task->group->invalid_starts = 0;
   task->group->job->started = true;
   if (task->group->job->first_start_ms == 0)
     task->group->job->first_start_ms = cell->now_ms;
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -130,6 +130,7 @@
   int64_t store_down_until_ms;
   char *violation;
   uint32_t starts;
+  uint32_t start_orders;
   uint32_t advice_calls;
   uint32_t deadly_crashes;
   bool faults_stopped;
@@ -391,6 +392,8 @@
   fake_worker_t *worker = event->worker;
   const work_step_t *step = step_of (sim, event->task);
   worker->token = MAX (worker->token, event->token);
+  if (sim->faults.starts_invalid)
+    return ORDER_INVALID;
   if (find_run (worker, event->task, event->run, NULL) != NULL)
     return ORDER_ACCEPTED;
   if (event->lease_until_ms <= now_of (sim) - worker->start_ms)
@@ -522,6 +525,7 @@
   advance_all (sim);
   order_result_t result
       = fenced (sim, event) ? ORDER_FENCED : carry_out_start (sim, event);
+  sim->start_orders++;
   trace (sim, event->worker,
          result == ORDER_ACCEPTED ? "start_accepted" : "start_refused",
          event->task, event->run);
@@ -789,12 +793,15 @@
   for (guint i = 0; i < event->texts->len; i++)
     {
       advice_row_t row = { event->texts->pdata[i], ticket };
+      if (sim->faults.advice_fails)
+        break;
       /* Each step may run on about two thirds of the workers, always the same
          ones.  */
       if ((g_str_hash (event->task) + g_str_hash (row.worker)) % 3 != 0)
         g_array_append_val (rows, row);
     }
-  cell_advice_answered (sim->cell, event->task, event->run, true,
+  cell_advice_answered (sim->cell, event->task, event->run,
+                        !sim->faults.advice_fails,
                         (advice_row_t *)(void *)rows->data, rows->len,
                         sim->faults.ticket_validity_ms);
   g_array_unref (rows);
@@ -1327,6 +1334,12 @@
   return sim->starts;
 }
 
+uint32_t
+fake_cell_start_orders (const fake_cell_t *sim)
+{
+  return sim->start_orders;
+}
+
 uint32_t
 fake_cell_advice_calls (const fake_cell_t *sim)
 {
--- a/tests/fake_cell.h
+++ b/tests/fake_cell.h
@@ -38,6 +38,8 @@
   uint32_t store_outage;      /* each 100 ms: saves hang for 1 to 4 s */
   uint32_t ticket_validity_ms; /* 0: queues without advice */
   bool nodes_busy;             /* no call for advice can be made */
+  bool advice_fails;           /* calls for advice get no answer */
+  bool starts_invalid;         /* workers refuse each start as invalid */
   uint32_t answer_delay_ms;    /* most that an answer is delayed */
   uint32_t save_ms;            /* duration of each save; 0: 10 ms */
 } fake_faults_t;
@@ -76,6 +78,8 @@
 cell_t *fake_cell_owner (fake_cell_t *sim);
 /* Runs that were started.  */
 uint32_t fake_cell_starts (const fake_cell_t *sim);
+/* Orders to start that workers received.  */
+uint32_t fake_cell_start_orders (const fake_cell_t *sim);
 /* Attempted calls for advice.  */
 uint32_t fake_cell_advice_calls (const fake_cell_t *sim);
 /* Lets another owner take over now.  */
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -244,6 +244,30 @@
   fake_cell_free (sim);
 }
 
+/* Guards against attempts that keep failing and are repeated as fast as they
+   fail: within 20 s, 60 calls for advice on a step that get no answer, and 30
+   starts of a task that are refused as invalid, are enough to notice that it
+   works again within a moment.  */
+static void
+test_failing_attempts (void)
+{
+  fake_faults_t no_advice
+      = { .ticket_validity_ms = 1000, .advice_fails = true };
+  fake_faults_t invalid = { .starts_invalid = true };
+  fake_cell_t *sim = fake_cell_new (1, 12, &no_advice, DEFECT_NONE);
+  fake_cell_submit (sim, job_new (1, 1, 4, 500));
+  fake_cell_run (sim, 20000);
+  CU_ASSERT_TRUE (fake_cell_advice_calls (sim) > 5);
+  CU_ASSERT_TRUE (fake_cell_advice_calls (sim) <= 60);
+  fake_cell_free (sim);
+  sim = fake_cell_new (1, 12, &invalid, DEFECT_NONE);
+  fake_cell_submit (sim, job_new (1, 1, 1, 500));
+  fake_cell_run (sim, 20000);
+  CU_ASSERT_TRUE (fake_cell_start_orders (sim) > 5);
+  CU_ASSERT_TRUE (fake_cell_start_orders (sim) <= 30);
+  fake_cell_free (sim);
+}
+
 /* Guards against useless calls for advice: while no worker has free capacity,
    waiting steps must leave the nodes to steps that can start.  */
 static void
@@ -482,6 +506,7 @@
   { "a lost worker", test_worker_lost },
   { "an end reported after its lease", test_end_after_lease_expiry },
   { "no node is free to call for advice", test_busy_nodes },
+  { "attempts that keep failing", test_failing_attempts },
   { "regressions", test_regressions },
   { "random scenarios with faults", test_random_scenarios },
   { "injected defects are caught", test_injected_defects },
