blame: a rack is lost only if all its workers are

Cause: one other lost worker of the rack was enough, an unknown rack counted as a rack, and a worker that was judged and still silent was counted twice. Change: all other listed workers of a known rack have to be lost, and each worker counts once.

--- a/src/blame.c
+++ b/src/blame.c
@@ -115,20 +115,34 @@
   return right->to_ms < left->from_ms ? left->from_ms - right->to_ms : 0;
 }
 
+/* Whether LOSSES[AT] is of a worker that was lost about when ONE was, not of
+   one that an earlier entry names.  */
+static bool
+lost_with (const blame_loss_t *losses, uint32_t at, const blame_loss_t *one,
+           int64_t within_ms)
+{
+  const blame_loss_t *other = &losses[at];
+  if (other->worker == one->worker || (other->job == one->job && one->job != 0)
+      || gap_ms (other, one) > within_ms)
+    return false;
+  for (uint32_t i = 0; i < at; i++)
+    if (losses[i].worker == other->worker
+        && gap_ms (&losses[i], one) <= within_ms)
+      return false;
+  return true;
+}
+
 bool
 blame_common_cause (const blame_loss_t *losses, uint32_t count,
-                    const blame_loss_t *one)
+                    const blame_loss_t *one, uint32_t rack_workers)
 {
   uint32_t in_rack = 0;
   uint32_t anywhere = 0;
   for (uint32_t i = 0; i < count; i++)
     {
-      if (losses[i].worker == one->worker
-          || (losses[i].job == one->job && one->job != 0))
-        continue;
-      int64_t between_ms = gap_ms (&losses[i], one);
-      in_rack += losses[i].rack == one->rack && between_ms <= COMMON_RACK_MS;
-      anywhere += between_ms <= COMMON_ANYWHERE_MS;
+      in_rack += losses[i].rack == one->rack
+                 && lost_with (losses, i, one, COMMON_RACK_MS);
+      anywhere += lost_with (losses, i, one, COMMON_ANYWHERE_MS);
     }
-  return in_rack >= 1 || anywhere >= 2;
+  return (rack_workers > 1 && in_rack + 1 >= rack_workers) || anywhere >= 2;
 }
--- a/src/blame.h
+++ b/src/blame.h
@@ -81,10 +81,10 @@
 } blame_loss_t;
 
 /* Whether the loss ONE and some of COUNT LOSSES of other workers may have a
-   cause in common: one in its rack or two anywhere at about the same time.
-   Losses where the same job was started last are ignored, since that job may
-   be the cause.  */
+   cause in common: at about the same time all other workers of its rack were
+   lost, which has RACK_WORKERS in all, or two anywhere.  Losses where the same
+   job was started last are ignored, since that job may be the cause.  */
 bool blame_common_cause (const blame_loss_t *losses, uint32_t count,
-                         const blame_loss_t *one);
+                         const blame_loss_t *one, uint32_t rack_workers);
 
 #endif
--- a/src/cell_crash.c
+++ b/src/cell_crash.c
@@ -75,6 +75,23 @@
                          hash_of_last_job (worker), from_ms, to_ms };
 }
 
+/* Listed workers in the rack of WORKER, and WORKER; 0 if its rack is unknown.
+ */
+static uint32_t
+count_rack (const cell_t *cell, const cell_worker_t *worker)
+{
+  uint32_t count = 0;
+  if (worker->rack[0] == '\0')
+    return 0;
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    {
+      const cell_worker_t *other = cell->worker_list->pdata[i];
+      count += other == worker
+               || (other->listed && strcmp (other->rack, worker->rack) == 0);
+    }
+  return count;
+}
+
 /* Notes the loss of WORKER, and returns whether others were lost with it.  */
 static bool
 has_common_cause (cell_t *cell, const cell_worker_t *worker)
@@ -95,8 +112,9 @@
       if (!other->responsive && other->silent_ms > 0)
         g_array_append_val (losses, silent);
     }
-  bool common = blame_common_cause (
-      (const blame_loss_t *)(const void *)losses->data, losses->len, &loss);
+  bool common
+      = blame_common_cause ((const blame_loss_t *)(const void *)losses->data,
+                            losses->len, &loss, count_rack (cell, worker));
   g_array_unref (losses);
   return common;
 }
--- a/tests/test_blame.c
+++ b/tests/test_blame.c
@@ -124,34 +124,48 @@
 {
   static const struct
   {
-    blame_loss_t losses[3];
+    blame_loss_t losses[3]; /* worker, rack, job, from, to */
     uint32_t count;
+    uint32_t rack_workers;
     bool common;
   } rows[] = {
-    { { { 1, 1, 0, 1000, 1000 } }, 1, false },
-    { { { 1, 1, 0, 1000, 1000 }, { 2, 1, 0, 1200, 1200 } }, 2, true },
-    { { { 1, 1, 0, 1000, 1000 }, { 1, 1, 0, 1200, 1200 } }, 2, false },
-    { { { 1, 1, 0, 1000, 1000 }, { 2, 1, 0, 200, 4000 } }, 2, true },
-    { { { 1, 1, 7, 1000, 1000 }, { 2, 1, 8, 1000, 1000 } }, 2, true },
+    { { { 1, 1, 0, 1000, 1000 } }, 1, 2, false },
+    { { { 1, 1, 0, 1000, 1000 }, { 2, 1, 0, 1200, 1200 } }, 2, 2, true },
+    /* Not the whole rack; the rack is unknown.  */
+    { { { 1, 1, 0, 1000, 1000 }, { 2, 1, 0, 1200, 1200 } }, 2, 3, false },
+    { { { 1, 1, 0, 1000, 1000 }, { 2, 1, 0, 1200, 1200 } }, 2, 0, false },
+    { { { 1, 1, 0, 1000, 1000 }, { 1, 1, 0, 1200, 1200 } }, 2, 2, false },
+    { { { 1, 1, 0, 1000, 1000 }, { 2, 1, 0, 200, 4000 } }, 2, 2, true },
+    { { { 1, 1, 7, 1000, 1000 }, { 2, 1, 8, 1000, 1000 } }, 2, 2, true },
     /* One job may have crashed both.  */
-    { { { 1, 1, 7, 1000, 1000 }, { 2, 1, 7, 1000, 1000 } }, 2, false },
-    { { { 1, 1, 0, 1000, 1000 }, { 2, 2, 0, 1200, 1200 } }, 2, false },
-    { { { 1, 1, 0, 1000, 1000 }, { 2, 2, 0, 1010, 1010 } }, 2, false },
+    { { { 1, 1, 7, 1000, 1000 }, { 2, 1, 7, 1000, 1000 } }, 2, 2, false },
+    { { { 1, 1, 0, 1000, 1000 }, { 2, 2, 0, 1200, 1200 } }, 2, 2, false },
+    { { { 1, 1, 0, 1000, 1000 }, { 2, 2, 0, 1010, 1010 } }, 2, 2, false },
     { { { 1, 1, 0, 1000, 1000 },
         { 2, 2, 0, 1010, 1010 },
         { 3, 3, 0, 990, 990 } },
       3,
+      2,
       true },
+    /* The same worker twice.  */
+    { { { 1, 1, 0, 1000, 1000 },
+        { 2, 2, 0, 1010, 1010 },
+        { 2, 2, 0, 1000, 1000 } },
+      3,
+      2,
+      false },
     { { { 1, 1, 0, 1000, 1000 },
         { 2, 1, 0, 2000, 2000 },
         { 3, 3, 0, 900, 900 } },
       3,
+      2,
       false },
   };
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
-    CU_ASSERT_EQUAL (
-        blame_common_cause (rows[i].losses, rows[i].count, &rows[i].losses[0]),
-        rows[i].common);
+    CU_ASSERT_EQUAL (blame_common_cause (rows[i].losses, rows[i].count,
+                                         &rows[i].losses[0],
+                                         rows[i].rack_workers),
+                     rows[i].common);
 }
 
 static CU_TestInfo blame_tests[] = {
