--- a/tests/site_standin.c
+++ b/tests/site_standin.c
@@ -406,6 +406,18 @@
                                (int)site_running ()));
 }
 
+/* GET /control/crashes?job=ID  */
+static void
+on_crashes (void *context, httpd_exchange_t *exchange,
+            const httpd_request_t *request)
+{
+  const char *job = httpd_query (exchange, "job");
+  site_answer_json (
+      exchange, 200,
+      json_pack ("{s:i}", "crashes",
+                 job != NULL ? (int)site_crashes_under (job) : 0));
+}
+
 static int64_t
 query_number (httpd_exchange_t *exchange, const char *name)
 {
@@ -450,6 +462,7 @@
   { "GET", "/api/rows-feed", on_follow },
   { "POST", "/api/advise", on_advise },
   { "GET", "/control/check", on_check },
+  { "GET", "/control/crashes", on_crashes },
   { "POST", "/control/", on_control },
   { NULL, NULL, NULL },
 };
--- a/tests/site_standin.h
+++ b/tests/site_standin.h
@@ -37,6 +37,8 @@
 /* Number of runs started so far, and of those running now.  */
 uint32_t site_starts (void);
 uint32_t site_running (void);
+/* Most workers that crashed with a run of one task of JOB.  */
+uint32_t site_crashes_under (const char *job);
 /* Rows [id, ticket] for the given workers.  */
 json_t *site_advice (const json_t *workers);
 
