cell: count ages of runs to the last sign of life of their worker

Cause: a worker that crashes without a sign (no connection breaks) is noticed up to 1.3 s later. The half second in which the deadly task had to run apart was over, another suspected task was placed on that worker, its start never arrived, and it was the only run that seemed to be apart. Ruled out: that the isolation was not kept; both starts are half a second apart. Change: a run on a lost worker is as old as it was at the last sign of life: the last answer, or the end of a waiting poll whose connection broke. A run whose start was not confirmed is never the culprit. The time of a loss begins there too. Measured: "a start after a crash without a sign" fails with the ages before and passes now; three cases with such crashes added to the suite "crash".

--- a/src/cell_crash.c
+++ b/src/cell_crash.c
@@ -20,21 +20,22 @@
 /* Workers that are kept free for one gang.  */
 #define GANG_HOLDS_MAX 4u
 
-/* Age of the run of TASK at AT_MS, -1 if an earlier owner has recorded it and
-   it is not known to have started.  */
+/* Age of the run of TASK at AT_MS, -1 if it is not known to have started.  */
 static int64_t
 run_age_ms (const cell_task_t *task, int64_t at_ms)
 {
-  if (task->seen_running_ms == 0)
-    return task->loaded ? -1 : 0;
-  return MAX (at_ms - task->seen_running_ms, 0);
+  return task->seen_running_ms == 0 ? -1
+                                    : MAX (at_ms - task->seen_running_ms, 0);
 }
 
+/* The run of TASK on a worker that was lost.  It counts as old as it was at
+   the last sign of life: what was started after that may not have arrived.  */
 static blame_run_t
-blame_run_of (const cell_task_t *task, int64_t at_ms)
+blame_run_of (const cell_task_t *task)
 {
   return (blame_run_t){ task->group->job->id, task->blame,
-                        run_age_ms (task, at_ms), task->group->spec->lasting };
+                        run_age_ms (task, task->worker->alive_ms),
+                        task->group->spec->lasting };
 }
 
 /* When the loss of WORKER showed first.  */
@@ -60,19 +61,15 @@
   return last != NULL ? g_str_hash (last->group->job->id) : 0;
 }
 
-/* When WORKER was lost: as long as it runs something, a poll waits there, so a
-   crash shows at once.  */
+/* When WORKER was lost: between its last sign of life and when that showed. */
 static blame_loss_t
 loss_of (const cell_t *cell, const cell_worker_t *worker)
 {
   int64_t to_ms = lost_at_ms (cell, worker);
-  int64_t from_ms = to_ms;
-  if (worker->sampled_ms == 0)
-    from_ms = MIN (cell->begun_ms, to_ms);
-  else if (worker->tasks->len == 0)
-    from_ms = worker->sampled_ms;
+  int64_t from_ms = worker->alive_ms != 0 ? worker->alive_ms : cell->begun_ms;
   return (blame_loss_t){ g_str_hash (worker->id), g_str_hash (worker->rack),
-                         hash_of_last_job (worker), from_ms, to_ms };
+                         hash_of_last_job (worker), MIN (from_ms, to_ms),
+                         to_ms };
 }
 
 /* Listed workers in the rack of WORKER, and WORKER; 0 if its rack is unknown.
@@ -179,7 +176,6 @@
 {
   bool common_cause = has_common_cause (cell, worker);
   log_crash (cell, worker, evidence, common_cause);
-  int64_t at_ms = lost_at_ms (cell, worker);
   GPtrArray *lost = g_ptr_array_new ();
   for (guint i = 0; i < worker->tasks->len; i++)
     if (is_lost_with_worker (worker->tasks->pdata[i]))
@@ -187,7 +183,7 @@
   blame_run_t *runs = g_new0 (blame_run_t, lost->len + 1);
   blame_verdict_t *verdicts = g_new0 (blame_verdict_t, lost->len + 1);
   for (guint i = 0; i < lost->len; i++)
-    runs[i] = blame_run_of (lost->pdata[i], at_ms);
+    runs[i] = blame_run_of (lost->pdata[i]);
   blame_judge (runs, lost->len, common_cause, verdicts);
   for (guint i = 0; i < lost->len; i++)
     set_verdict (lost->pdata[i], verdicts[i]);
@@ -204,7 +200,7 @@
       cell_task_t *task = worker->tasks->pdata[i];
       if (!is_lost_with_worker (task))
         continue;
-      blame_run_t run = blame_run_of (task, lost_at_ms (cell, worker));
+      blame_run_t run = blame_run_of (task);
       blame_verdict_t verdict = blame_judge_silent (&run);
       set_verdict (task, verdict);
       if (verdict != BLAME_NONE && task->lapsed_count < BLAME_MAX_LOSSES)
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -172,7 +172,10 @@
                               also set when it is gone and can carry out none */
   bool responsive;   /* cleared when a call fails, set by the next report */
   int64_t silent_ms; /* when RESPONSIVE was last cleared */
-  bool check_due;    /* poll it although it runs nothing */
+  int64_t alive_ms;  /* last sign of life: an answer, or a connection that it
+                        held until then; 0: none yet */
+  int64_t poll_sent_ms, poll_wait_ms; /* of the last poll */
+  bool check_due;                     /* poll it although it runs nothing */
   bool poll_in_flight;
   uint32_t failed_polls;
   int64_t next_poll_ms;
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -49,7 +49,6 @@
   task->stop_sent_ms = 0;
   task->start_confirmed_ms = 0;
   task->seen_running_ms = 0;
-  task->loaded = false;
   task->worker_start_ms = worker->start_ms;
   task->verdict_pending = false;
   task->percent = 0;
@@ -374,6 +373,7 @@
   cell_set_task_state (task, RUN_LIVE);
   task->start_confirmed_ms = cell->now_ms;
   task->seen_running_ms = cell->now_ms;
+  worker->alive_ms = cell->now_ms;
   task->progress_ms = cell->now_ms;
   task->group->last_start_ms = cell->now_ms;
   task->group->invalid_starts = 0;
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -275,6 +275,8 @@
       && may_extend_leases (cell))
     until_ms = cell_extend_lease (worker, cell);
   worker->poll_in_flight = true;
+  worker->poll_sent_ms = cell->now_ms;
+  worker->poll_wait_ms = wait_ms;
   worker->check_due = false;
   worker->acknowledging_end = end_to_acknowledge (worker);
   cell->actions->poll (cell->context, &ref, until_ms,
@@ -504,6 +506,7 @@
   worker->responsive = true;
   worker->has_fencing_token = true;
   worker->sampled_ms = cell->now_ms;
+  worker->alive_ms = cell->now_ms;
   worker->sampled_clock_ms = report->clock_ms;
   worker->acknowledged_end
       = MAX (worker->acknowledged_end, worker->acknowledging_end);
@@ -526,6 +529,11 @@
     return;
   worker->poll_in_flight = false;
   worker->failed_polls++;
+  /* A waiting poll that ended before its time: the connection was there until
+     now.  */
+  if (result == ORDER_UNKNOWN && worker->failed_polls == 1
+      && cell->now_ms - worker->poll_sent_ms < worker->poll_wait_ms)
+    worker->alive_ms = cell->now_ms;
   /* A single lost answer doesn't make the worker unresponsive.  */
   if (result == ORDER_UNKNOWN && worker->failed_polls == 1
       && worker->responsive)
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -1014,6 +1014,8 @@
   if (sim->faults.crash_down_ms > 0)
     {
       worker->down_until_ms = now_of (sim) + sim->faults.crash_down_ms;
+      if (sim->faults.crash_is_dark)
+        worker->disconnected_until_ms = worker->down_until_ms;
       fake_event_t *back
           = event_new (sim, sim->faults.crash_down_ms, on_worker_back);
       back->owner = 0;
--- a/tests/fake_cell.h
+++ b/tests/fake_cell.h
@@ -27,6 +27,8 @@
   const char *failing_job; /* id; all its runs fail */
   uint32_t worker_crash;   /* each 100 ms: a worker crashes */
   uint32_t crash_down_ms;  /* a crashed worker is back after that time */
+  bool crash_is_dark;      /* ... and answers nothing meanwhile, instead of
+                              refusing connections */
   bool crash_changes_id;   /* ... under another id at its address */
   const char *deadly_task; /* a worker crashes DEADLY_AFTER_MS after it has
                               started this task; the name or its beginning */
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -54,44 +54,66 @@
   fake_faults_t faults;
   job_kind_t kind;
   int64_t takeover_period_ms; /* 0: the owner stays */
+  uint32_t workers;           /* 0: 12 */
 } deadly_cases[] = {
-  { "one owner", { 0 }, KIND_PLAIN, 0 },
-  { "the owner is lost between the crashes", { 0 }, KIND_PLAIN, 3700 },
-  { "the owner is lost again and again", { 0 }, KIND_PLAIN, 900 },
-  { "answers are lost", { .answer_lost = 100 }, KIND_PLAIN, 0 },
+  { "one owner", { 0 }, KIND_PLAIN, 0, 0 },
+  { "the owner is lost between the crashes", { 0 }, KIND_PLAIN, 3700, 0 },
+  { "the owner is lost again and again", { 0 }, KIND_PLAIN, 900, 0 },
+  { "crashed workers answer nothing",
+    { .crash_is_dark = true },
+    KIND_PLAIN,
+    0,
+    0 },
+  { "crashed workers answer nothing, answers are lost",
+    { .crash_is_dark = true, .answer_lost = 50 },
+    KIND_PLAIN,
+    0,
+    0 },
+  { "crashed workers answer nothing, of three",
+    { .crash_is_dark = true },
+    KIND_PLAIN,
+    0,
+    3 },
+  { "answers are lost", { .answer_lost = 100 }, KIND_PLAIN, 0, 0 },
   { "orders are dropped, owners lost",
     { .order_dropped = 80 },
     KIND_PLAIN,
-    2500 },
-  { "the store is away", { .store_outage = 30 }, KIND_PLAIN, 0 },
+    2500,
+    0 },
+  { "the store is away", { .store_outage = 30 }, KIND_PLAIN, 0, 0 },
   { "the store is away, owners lost",
     { .store_outage = 30 },
     KIND_PLAIN,
-    4100 },
-  { "slow saves", { .save_ms = 700 }, KIND_PLAIN, 0 },
-  { "tickets", { .ticket_validity_ms = 1500 }, KIND_PLAIN, 0 },
-  { "workers are cut off", { .worker_disconnect = 20 }, KIND_PLAIN, 0 },
+    4100,
+    0 },
+  { "slow saves", { .save_ms = 700 }, KIND_PLAIN, 0, 0 },
+  { "tickets", { .ticket_validity_ms = 1500 }, KIND_PLAIN, 0, 0 },
+  { "workers are cut off", { .worker_disconnect = 20 }, KIND_PLAIN, 0, 0 },
   { "the crash comes 300 ms after the start",
     { .deadly_after_ms = 300 },
     KIND_PLAIN,
+    0,
     0 },
   { "the crash comes 1 s after the start",
     { .deadly_after_ms = 1000 },
     KIND_PLAIN,
+    0,
     0 },
   { "the crash comes 3.5 s after the start",
     { .deadly_after_ms = 3500 },
     KIND_PLAIN,
+    0,
     0 },
   { "workers are back after their lease",
     { .crash_down_ms = 9000 },
     KIND_PLAIN,
+    0,
     0 },
-  { "a gang", { 0 }, KIND_GANG, 0 },
-  { "a gang, owners lost", { 0 }, KIND_GANG, 3700 },
-  { "a lasting task", { 0 }, KIND_LASTING, 0 },
-  { "a lasting task, owners lost", { 0 }, KIND_LASTING, 3700 },
-  { "a recurring job", { 0 }, KIND_RECURRING, 0 },
+  { "a gang", { 0 }, KIND_GANG, 0, 0 },
+  { "a gang, owners lost", { 0 }, KIND_GANG, 3700, 0 },
+  { "a lasting task", { 0 }, KIND_LASTING, 0, 0 },
+  { "a lasting task, owners lost", { 0 }, KIND_LASTING, 3700, 0 },
+  { "a recurring job", { 0 }, KIND_RECURRING, 0, 0 },
 };
 
 /* Runs a deadly job among others.  Returns what was wrong, NULL if nothing
@@ -108,7 +130,9 @@
   if (faults.crash_down_ms == 0)
     faults.crash_down_ms = 3000;
   faults.crash_changes_id = changes_id;
-  fake_cell_t *sim = fake_cell_new (seed, 12, &faults, DEFECT_NONE);
+  uint32_t workers = deadly_cases[at].workers;
+  fake_cell_t *sim
+      = fake_cell_new (seed, workers > 0 ? workers : 12, &faults, DEFECT_NONE);
   fake_cell_submit (sim, job_new (2, 6, 800));
   fake_cell_submit (sim, deadly_job_new (deadly_cases[at].kind));
   int64_t since_takeover_ms = 0;
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -1,3 +1,4 @@
+#include "blame.h"
 #include "cell.h"
 #include "test.h"
 
@@ -10,6 +11,7 @@
 #define LEASE_MS 6000
 #define RENEWAL_GRACE_MS 10000
 #define JOB_ID "5c0e7a21d94b36f8"
+#define OTHER_JOB_ID "6d1f8b32e05c47a9"
 
 typedef struct
 {
@@ -17,6 +19,7 @@
   clk_fake_t clock;
   uint32_t starts, stops;
   char started_on[16]; /* worker of the last start */
+  char started_task[WORK_NAME_BYTES];
   uint32_t polls;
   uint32_t polls_of_record; /* at the address in test_recorded_address */
   int64_t poll_lease_ms;    /* of the last poll */
@@ -39,6 +42,7 @@
   owner_t *owner = context;
   owner->starts++;
   g_strlcpy (owner->started_on, worker->id, sizeof owner->started_on);
+  g_strlcpy (owner->started_task, order->task, sizeof owner->started_task);
 }
 
 static void
@@ -113,16 +117,11 @@
   answer_poll_as (owner, id, 1, runs);
 }
 
-/* Begins an owner with the job JOB_ID of COUNT tasks.  RECORD: of an earlier
-   owner; NULL: none.  */
+/* Adds the job ID of COUNT tasks.  RECORD: of an earlier owner; NULL: none. */
 static void
-begin (owner_t *owner, uint32_t count, const char *record)
+add_job (owner_t *owner, const char *id, uint32_t count, const char *record)
 {
-  static const cell_options_t options = { LEASE_MS, RENEWAL_GRACE_MS, 120000 };
-  *owner = (owner_t){ 0 };
-  clk_fake_init (&owner->clock, 100000);
-  owner->cell = cell_new (&options, &owner->clock.base, &actions, owner);
-  work_job_t *job = work_job_new (JOB_ID, "queue", 1);
+  work_job_t *job = work_job_new (id, "queue", 1);
   job->spec = g_strdup ("x");
   job->steps[0].count = count;
   job->steps[0].need = (resource_t){ 1000, 1000, 0 };
@@ -130,7 +129,24 @@
   cell_add_job (owner->cell, job);
   if (record != NULL)
     CU_ASSERT_TRUE (
-        cell_load_record (owner->cell, JOB_ID, record, strlen (record)));
+        cell_load_record (owner->cell, id, record, strlen (record)));
+}
+
+static void
+make (owner_t *owner)
+{
+  static const cell_options_t options = { LEASE_MS, RENEWAL_GRACE_MS, 120000 };
+  *owner = (owner_t){ 0 };
+  clk_fake_init (&owner->clock, 100000);
+  owner->cell = cell_new (&options, &owner->clock.base, &actions, owner);
+}
+
+/* Begins an owner with the job JOB_ID; see add_job.  */
+static void
+begin (owner_t *owner, uint32_t count, const char *record)
+{
+  make (owner);
+  add_job (owner, JOB_ID, count, record);
   cell_begin (owner->cell, false);
 }
 
@@ -279,6 +295,46 @@
   cell_free (owner.cell);
 }
 
+/* Guards against a task that is blamed although its start came too late: its
+   worker had crashed without a sign, under another task that had run apart by
+   then for long enough.  */
+static void
+test_start_after_silent_crash (void)
+{
+  static const char suspected[]
+      = "1 R 0\ng 0 0 0 -\nt 0 w 1 0 - - 0 - 1 1 1 -\n";
+  const char *ids[] = { JOB_ID, OTHER_JOB_ID };
+  owner_t owner;
+  make (&owner);
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    add_job (&owner, ids[i], 1, suspected);
+  cell_begin (owner.cell, false);
+  list_worker (&owner, "i-1");
+  run_for (&owner, 100);
+  answer_poll (&owner, "i-1", false);
+  run_for (&owner, 100);
+  CU_ASSERT_EQUAL (owner.starts, 1);
+  bool first_is_culprit = g_str_has_prefix (owner.started_task, JOB_ID);
+  cell_start_answered (owner.cell, "i-1", owner.started_task, 2,
+                       ORDER_ACCEPTED, 0);
+  /* The worker crashes now.  */
+  run_for (&owner, BLAME_SETTLE_MS + 100);
+  CU_ASSERT_EQUAL (owner.starts, 2);
+  CU_ASSERT_EQUAL (g_str_has_prefix (owner.started_task, JOB_ID),
+                   !first_is_culprit);
+  run_for (&owner, 1000);
+  cell_poll_failed (owner.cell, "i-1", ORDER_UNKNOWN);
+  cell_poll_failed (owner.cell, "i-1", ORDER_UNKNOWN);
+  run_for (&owner, 300);
+  cell_poll_failed (owner.cell, "i-1", ORDER_OTHER_WORKER);
+  run_for (&owner, 100);
+  CU_ASSERT_STRING_EQUAL (cell_state (owner.cell, ids[!first_is_culprit]),
+                          "failed");
+  CU_ASSERT_STRING_EQUAL (cell_state (owner.cell, ids[first_is_culprit]),
+                          "running");
+  cell_free (owner.cell);
+}
+
 /* Guards against a start that is sent although much changed during its save.
  */
 static void
@@ -383,6 +439,7 @@
   { "a cancel while only a record names the worker",
     test_cancel_on_unlisted_worker },
   { "the address of a worker that has left the list", test_recorded_address },
+  { "a start after a crash without a sign", test_start_after_silent_crash },
   { "changes during the save before a start", test_changes_during_save },
   { "the capacity of a restarted worker", test_capacity_of_new_life },
   { "no start is repeated to a silent worker", test_start_to_silent_worker },
