cell: split isolation from verdicts, keep the event worker_restarted

A reader of cell_crash.c met two matters: who is to blame, and which jobs may start where. The latter moves to cell_isolation.c unchanged. The event worker_restarted, whose name is a metric label, is logged again beside worker_crashed.

--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -199,9 +199,9 @@
   char last_failed_job[WORK_ID_LENGTH + 1]; /* id */
   int64_t avoid_until_ms;
   const cell_job_t *held_for; /* other jobs start nothing here until
-                                 HELD_UNTIL_MS */
+                                 HELD_UNTIL_MS; only compared */
   int64_t held_until_ms;
-  /* In the current pass, see cell_crash.c.  */
+  /* In the current pass, see cell_isolation.c.  */
   const cell_job_t *isolated_for; /* other jobs start nothing here; NULL: all
                                      may */
   const cell_job_t *recent_job;   /* a job with a recent start; NULL: none */
@@ -324,10 +324,8 @@
    its runs a verdict, which counts once the run is known to be over.  */
 void cell_worker_crashed (cell_t *cell, const cell_worker_t *worker,
                           const char *evidence);
-/* Has the idle workers in the rack of WORKER polled, which has fallen silent:
-   whether they are lost too tells a crash from a loss of the rack.  */
-void cell_check_rack (cell_t *cell, const cell_worker_t *worker);
-/* The same for a worker that was silent until its lease expired.  */
+/* The same for a worker that was silent until its lease expired, and has
+   perhaps not crashed.  */
 void cell_worker_stayed_silent (cell_t *cell, const cell_worker_t *worker);
 /* A worker lists the end of the run RUN of the task NAME, so it has not
    crashed: withdraws what cell_worker_stayed_silent has counted.  */
@@ -335,6 +333,13 @@
 /* Counts the run of TASK, which was lost with its worker; ends the job if the
    task is to be given up.  */
 void cell_count_lost_run (cell_task_t *task);
+/* Has the idle workers in the rack of WORKER polled, which has fallen silent:
+   whether they are lost too tells a crash from a loss of the rack.  */
+void cell_check_rack (cell_t *cell, const cell_worker_t *worker);
+/* Age of the run of TASK at AT_MS, -1 if it is not known to have started.  */
+int64_t cell_run_age_ms (const cell_task_t *task, int64_t at_ms);
+
+/* cell_isolation.c */
 /* Whether TASK has to run apart from starts of other jobs.  */
 bool cell_task_suspected (const cell_task_t *task);
 /* Finds out, for a pass, which jobs may start runs on WORKER.  */
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -98,6 +98,8 @@
 static void
 worker_restarted (cell_t *cell, cell_worker_t *worker, int64_t start_ms)
 {
+  cell_log (cell, "worker_restarted", worker->id, "tasks=%u",
+            worker->tasks->len);
   cell_worker_crashed (cell, worker, "restarted");
   worker->start_ms = start_ms;
   worker->processed_end = worker->saved_end = worker->end_in_save = 0;
