tests: split the simulated workers from fake_cell.c

fake_cell.c had grown to 1,358 lines; the workers (what they do with orders, how they crash and shrink) move to fake_cell_worker.c, shared structures to fake_cell_internal.h. Names of shared functions get the prefix fake_cell_; nothing else changes, and all random sequences are the same. cppcheck asks for the limit before the index in load_blame.

--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -118,7 +118,7 @@
   task->blame.crashes = (uint32_t)g_ascii_strtoull (fields[3], NULL, 10);
   task->blame.losses = (uint32_t)g_ascii_strtoull (fields[4], NULL, 10);
   char **runs = g_strsplit (fields[5], ",", (gint)BLAME_MAX_LOSSES + 1);
-  for (uint32_t i = 0; runs[i] != NULL && i < BLAME_MAX_LOSSES; i++)
+  for (uint32_t i = 0; i < BLAME_MAX_LOSSES && runs[i] != NULL; i++)
     if (g_ascii_isdigit (runs[i][0]))
       task->lapsed_runs[task->lapsed_count++]
           = (uint32_t)g_ascii_strtoull (runs[i], NULL, 10);
--- /dev/null
+++ b/tests/fake_cell_worker.c
@@ -0,0 +1,684 @@
+#include "fake_cell_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Workers of the simulation: what they do with orders, and how they fail.  */
+
+#define STOP_MS 50
+/* After that many crashed workers a task may start MAX_LATE_STARTS times.  */
+#define MAX_CRASHES 3
+#define MAX_LATE_STARTS 2
+/* A worker shows its capacity this often.  */
+#define HEARTBEAT_MS 1500
+/* A start counts against a smaller capacity from this time on.  */
+#define CAPACITY_LAG_MS (3000 + HEARTBEAT_MS)
+/* A worker that is gone leaves the list after this time.  */
+#define UNLISTED_AFTER_MS 4500
+
+static fake_task_facts_t *
+facts_of (fake_cell_t *sim, const char *task)
+{
+  fake_task_facts_t *facts = g_hash_table_lookup (sim->facts, task);
+  if (facts == NULL)
+    {
+      facts = g_new0 (fake_task_facts_t, 1);
+      g_hash_table_insert (sim->facts, g_strdup (task), facts);
+    }
+  return facts;
+}
+
+static const work_step_t *
+step_of (fake_cell_t *sim, const char *task)
+{
+  work_name_t name;
+  if (!work_name_parse (task, &name))
+    return NULL;
+  const work_job_t *job = g_hash_table_lookup (sim->decoded, name.id);
+  return job != NULL && name.step < job->step_count ? &job->steps[name.step]
+                                                    : NULL;
+}
+
+static void
+end_run (fake_cell_t *sim, fake_worker_t *worker, guint at, end_kind_t how)
+{
+  fake_run_t *run = worker->runs->pdata[at];
+  fake_end_t *end = g_new0 (fake_end_t, 1);
+  *end = (fake_end_t){ ++worker->last_end_number, g_strdup (run->task),
+                       run->run, how, fake_cell_now (sim) };
+  fake_task_facts_t *facts = facts_of (sim, run->task);
+  facts->done = facts->done || (how == END_DONE && !run->lasting);
+  g_ptr_array_add (worker->ends, end);
+  guint closed = GPOINTER_TO_UINT (
+      g_hash_table_lookup (worker->closed_runs, run->task));
+  g_hash_table_insert (worker->closed_runs, g_strdup (run->task),
+                       GUINT_TO_POINTER (MAX (closed, run->run)));
+  g_ptr_array_remove_index (worker->runs, at);
+}
+
+/* Prints what a worker did, to debug a failing seed.  */
+static void
+trace (const fake_cell_t *sim, const fake_worker_t *worker, const char *event,
+       const char *task, uint32_t run)
+{
+  if (g_getenv ("FAKE_CELL_LOG") != NULL)
+    g_print ("%lld %s %s run=%u worker=%s start_ms=%lld\n",
+             (long long)fake_cell_now (sim), event, task, run, worker->id,
+             (long long)worker->start_ms);
+}
+
+static fake_run_t *
+find_run (const fake_worker_t *worker, const char *task, uint32_t run,
+          guint *at)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      fake_run_t *running = worker->runs->pdata[i];
+      if (strcmp (running->task, task) == 0
+          && (run == 0 || running->run == run))
+        {
+          if (at != NULL)
+            *at = i;
+          return running;
+        }
+    }
+  return NULL;
+}
+
+/* Ends the runs that are due to end.  */
+static void
+advance_worker (fake_cell_t *sim, fake_worker_t *worker)
+{
+  int64_t now_ms = fake_cell_now (sim);
+  if (worker->lease_end_ms > worker->lease_expired_ms
+      && now_ms >= worker->lease_end_ms)
+    worker->lease_expired_ms = now_ms;
+  for (guint i = worker->runs->len; i > 0; i--)
+    {
+      fake_run_t *run = worker->runs->pdata[i - 1];
+      if (now_ms >= worker->lease_end_ms)
+        end_run (sim, worker, i - 1, END_LAPSED);
+      else if (run->stop_ms != 0 && now_ms >= run->stop_ms)
+        end_run (sim, worker, i - 1, END_STOPPED);
+      else if (run->end_ms != 0 && now_ms >= run->end_ms)
+        end_run (sim, worker, i - 1, run->fails ? END_FAILED : END_DONE);
+    }
+}
+
+void
+fake_cell_advance_workers (fake_cell_t *sim)
+{
+  for (guint i = 0; i < sim->workers->len; i++)
+    advance_worker (sim, sim->workers->pdata[i]);
+}
+
+/* Lets the members of a gang's run begin once all of them have started.  */
+static void
+begin_gang (fake_cell_t *sim, const char *task, uint32_t run)
+{
+  work_name_t name;
+  const work_step_t *step = step_of (sim, task);
+  work_name_parse (task, &name);
+  uint32_t present = 0;
+  for (uint32_t pass = 0; pass < 2; pass++)
+    for (guint i = 0; i < sim->workers->len; i++)
+      for (uint32_t j = 0; j < step->count; j++)
+        {
+          char member[WORK_NAME_BYTES];
+          work_name_format (member, name.id, name.occurrence, name.step, j);
+          fake_run_t *running
+              = find_run (sim->workers->pdata[i], member, run, NULL);
+          if (running == NULL)
+            continue;
+          present += pass == 0;
+          if (pass == 1 && present == step->count && running->end_ms == 0)
+            running->end_ms = fake_cell_now (sim) + running->work_ms;
+        }
+}
+
+static void
+check_start (fake_cell_t *sim, const fake_worker_t *worker, const char *task,
+             uint32_t run)
+{
+  work_name_t name;
+  const work_step_t *step = step_of (sim, task);
+  if (step == NULL || !work_name_parse (task, &name))
+    {
+      fake_cell_violate (sim, "%s: belongs to no submitted job", task);
+      return;
+    }
+  fake_task_facts_t *facts = facts_of (sim, task);
+  facts->started_ms = fake_cell_now (sim);
+  if (facts->done_acknowledged)
+    fake_cell_violate (sim, "%s run %u: starts after it was done", task, run);
+  if (!step->gang && !step->lasting && facts->failures >= MAX_ATTEMPTS)
+    fake_cell_violate (sim, "%s run %u: starts after %u failures", task, run,
+                       facts->failures);
+  if (facts->crashes >= MAX_CRASHES
+      && ++facts->starts_after_crashes > MAX_LATE_STARTS)
+    fake_cell_violate (sim, "%s run %u: starts after it crashed %u workers",
+                       task, run, facts->crashes);
+  resource_t used = step->need;
+  uint32_t same_step = 1;
+  for (guint i = 0; i < sim->workers->len; i++)
+    {
+      const fake_worker_t *other = sim->workers->pdata[i];
+      if (find_run (other, task, 0, NULL) != NULL)
+        fake_cell_violate (sim, "%s run %u on %s: runs on %s already", task,
+                           run, worker->id, other->id);
+    }
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const fake_run_t *running = worker->runs->pdata[i];
+      work_name_t other;
+      used = resource_add (used, running->need);
+      work_name_parse (running->task, &other);
+      same_step += strcmp (other.id, name.id) == 0 && other.step == name.step;
+    }
+  if (!resource_fits (used, worker->capacity))
+    fake_cell_violate (sim, "%s run %u: over the capacity of %s", task, run,
+                       worker->id);
+  if (step->spread > 0 && same_step > step->spread)
+    fake_cell_violate (sim, "%s run %u: too many of its step on %s", task, run,
+                       worker->id);
+  for (uint32_t i = 0; i < step->after_count; i++)
+    {
+      const work_job_t *job = g_hash_table_lookup (sim->decoded, name.id);
+      for (uint32_t j = 0; j < job->steps[step->after[i]].count; j++)
+        {
+          char before[WORK_NAME_BYTES];
+          work_name_format (before, name.id, 0, step->after[i], j);
+          if (!job->steps[step->after[i]].gang
+              && !facts_of (sim, before)->done)
+            fake_cell_violate (sim, "%s: starts before %s is done", task,
+                               before);
+        }
+    }
+  int64_t *cancelled = g_hash_table_lookup (sim->cancelled, name.id);
+  if (cancelled != NULL && fake_cell_now (sim) > *cancelled + 8000)
+    fake_cell_violate (sim, "%s: starts long after its job was cancelled",
+                       task);
+}
+
+static void on_deadly (fake_cell_t *sim, fake_event_t *event);
+
+static order_result_t
+carry_out_start (fake_cell_t *sim, fake_event_t *event)
+{
+  fake_worker_t *worker = event->worker;
+  const work_step_t *step = step_of (sim, event->task);
+  worker->token = MAX (worker->token, event->token);
+  if (sim->faults.starts_invalid)
+    return ORDER_INVALID;
+  if (find_run (worker, event->task, event->run, NULL) != NULL)
+    return ORDER_ACCEPTED;
+  if (event->lease_until_ms <= fake_cell_now (sim) - worker->start_ms)
+    return ORDER_LATE;
+  if (event->run <= GPOINTER_TO_UINT (
+          g_hash_table_lookup (worker->closed_runs, event->task)))
+    return ORDER_STALE;
+  if (sim->faults.ticket_validity_ms > 0
+      && (event->ticket == NULL
+          || atoll (event->ticket) < fake_cell_now (sim)))
+    return ORDER_NO_TICKET;
+  check_start (sim, worker, event->task, event->run);
+  sim->starts++;
+  worker->lease_end_ms = MAX (worker->lease_end_ms,
+                              MIN (event->lease_until_ms + worker->start_ms,
+                                   fake_cell_now (sim) + LEASE_MS));
+  fake_run_t *run = g_new0 (fake_run_t, 1);
+  run->task = g_strdup (event->task);
+  run->run = event->run;
+  run->need = step->need;
+  run->gang = step->gang;
+  run->lasting = step->lasting;
+  run->work_ms = step->estimate_ms;
+  run->fails = !step->gang && fake_cell_chance (sim, sim->faults.run_fails);
+  if (sim->faults.failing_job != NULL
+      && g_str_has_prefix (event->task, sim->faults.failing_job))
+    run->fails = true;
+  run->end_ms = step->gang || step->lasting
+                    ? 0
+                    : fake_cell_now (sim) + step->estimate_ms;
+  g_ptr_array_add (worker->runs, run);
+  if (sim->faults.deadly_task != NULL
+      && g_str_has_prefix (event->task, sim->faults.deadly_task))
+    {
+      fake_event_t *crash
+          = fake_cell_event_new (sim, sim->faults.deadly_after_ms, on_deadly);
+      crash->owner = 0;
+      crash->worker = worker;
+      crash->task = g_strdup (event->task);
+      crash->run = event->run;
+      crash->worker_start_ms = worker->start_ms;
+    }
+  if (step->gang)
+    begin_gang (sim, event->task, event->run);
+  return ORDER_ACCEPTED;
+}
+
+/* Marks the call of EVENT as answered.  Returns false if it already was, by an
+   earlier answer or by the timeout.  */
+static bool
+mark_answered (fake_cell_t *sim, const fake_event_t *event)
+{
+  return g_hash_table_remove (sim->calls, GSIZE_TO_POINTER (event->call));
+}
+
+void
+fake_cell_answer_start (fake_cell_t *sim, fake_event_t *event)
+{
+  if (!mark_answered (sim, event))
+    return;
+  cell_start_answered (sim->cell, event->target, event->task, event->run,
+                       event->result, event->clock_ms);
+}
+
+void
+fake_cell_answer_stop (fake_cell_t *sim, fake_event_t *event)
+{
+  if (!mark_answered (sim, event))
+    return;
+  cell_stop_answered (sim->cell, event->target, event->task, event->run,
+                      event->result);
+}
+
+static bool
+reachable (const fake_cell_t *sim, const fake_worker_t *worker)
+{
+  return fake_cell_now (sim) >= worker->disconnected_until_ms;
+}
+
+/* Answers go to the owner that sent the order.  */
+static void
+answer_later (fake_cell_t *sim, const fake_event_t *order,
+              void (*fire) (fake_cell_t *sim, fake_event_t *event),
+              order_result_t result)
+{
+  int64_t delay_ms = NETWORK_DELAY_MS;
+  if (sim->faults.answer_delay_ms > 0)
+    delay_ms += g_rand_int_range (sim->random, 0,
+                                  (gint)sim->faults.answer_delay_ms);
+  fake_event_t *event = fake_cell_event_new (sim, delay_ms, fire);
+  event->clock_ms = fake_cell_now (sim) - order->worker->start_ms;
+  event->owner = order->sender_owner;
+  event->worker = order->worker;
+  event->target = g_strdup (order->target);
+  event->task = g_strdup (order->task);
+  event->run = order->run;
+  event->call = order->call;
+  event->sent_ms = order->sent_ms;
+  event->worker_start_ms = order->worker_start_ms;
+  event->result = result;
+}
+
+/* Answers a call to a worker that is down or has been replaced by another at
+   its address.  Returns whether it did.  */
+static bool
+answered_by_other (fake_cell_t *sim, const fake_event_t *event,
+                   void (*answer) (fake_cell_t *sim, fake_event_t *event))
+{
+  bool down = fake_cell_now (sim) < event->worker->down_until_ms;
+  if (!down && strcmp (event->target, event->worker->id) == 0)
+    return false;
+  if (event->sends_answer)
+    answer_later (sim, event, answer,
+                  down ? ORDER_NOT_DELIVERED : ORDER_OTHER_WORKER);
+  return true;
+}
+
+static bool
+fenced (const fake_cell_t *sim, const fake_event_t *event)
+{
+  return sim->defect != DEFECT_NO_FENCING
+         && event->token < event->worker->token;
+}
+
+void
+fake_cell_deliver_start (fake_cell_t *sim, fake_event_t *event)
+{
+  if (!reachable (sim, event->worker)
+      || answered_by_other (sim, event, fake_cell_answer_start))
+    return;
+  fake_cell_advance_workers (sim);
+  order_result_t result
+      = fenced (sim, event) ? ORDER_FENCED : carry_out_start (sim, event);
+  sim->start_orders++;
+  trace (sim, event->worker,
+         result == ORDER_ACCEPTED ? "start_accepted" : "start_refused",
+         event->task, event->run);
+  if (event->sends_answer)
+    answer_later (sim, event, fake_cell_answer_start, result);
+}
+
+void
+fake_cell_deliver_stop (fake_cell_t *sim, fake_event_t *event)
+{
+  fake_worker_t *worker = event->worker;
+  if (!reachable (sim, worker)
+      || answered_by_other (sim, event, fake_cell_answer_stop))
+    return;
+  fake_cell_advance_workers (sim);
+  order_result_t result = ORDER_FENCED;
+  if (!fenced (sim, event))
+    {
+      result = ORDER_ACCEPTED;
+      worker->token = MAX (worker->token, event->token);
+      fake_run_t *run = find_run (worker, event->task, event->run, NULL);
+      if (run != NULL && run->stop_ms == 0)
+        run->stop_ms = fake_cell_now (sim) + STOP_MS;
+      guint closed = GPOINTER_TO_UINT (
+          g_hash_table_lookup (worker->closed_runs, event->task));
+      g_hash_table_insert (worker->closed_runs, g_strdup (event->task),
+                           GUINT_TO_POINTER (MAX (closed, event->run)));
+    }
+  if (event->sends_answer)
+    answer_later (sim, event, fake_cell_answer_stop, result);
+}
+
+static void
+end_free (void *data)
+{
+  fake_end_t *end = data;
+  g_free (end->task);
+  g_free (end);
+}
+
+static void
+run_free (void *data)
+{
+  fake_run_t *run = data;
+  g_free (run->task);
+  g_free (run);
+}
+
+/* Drops the ends numbered up to ACKNOWLEDGED_END, which the cell has
+   acknowledged.  */
+static void
+acknowledge (fake_cell_t *sim, fake_worker_t *worker,
+             uint64_t acknowledged_end)
+{
+  while (worker->ends->len > 0)
+    {
+      const fake_end_t *end = worker->ends->pdata[0];
+      if (end->number > acknowledged_end)
+        return;
+      fake_task_facts_t *facts = facts_of (sim, end->task);
+      const work_step_t *step = step_of (sim, end->task);
+      bool done = end->how == END_DONE && step != NULL && !step->lasting
+                  && worker->lease_expired_ms <= end->at_ms;
+      facts->done_acknowledged = facts->done_acknowledged || done;
+      if (done && facts->started_ms > end->at_ms)
+        fake_cell_violate (
+            sim,
+            "%s: an end was acknowledged after the task had started again",
+            end->task);
+      facts->failures += end->how == END_FAILED;
+      trace (sim, worker, done ? "acknowledged_done" : "acknowledged",
+             end->task, end->run);
+
+      g_ptr_array_remove_index (worker->ends, 0);
+    }
+}
+
+void
+fake_cell_answer_poll (fake_cell_t *sim, fake_event_t *event)
+{
+  fake_worker_t *worker = event->worker;
+  if (!mark_answered (sim, event))
+    return;
+  /* A crash breaks the connection of an answer on its way.  */
+  if (event->result == ORDER_ACCEPTED && sim->faults.crash_down_ms > 0
+      && event->worker_start_ms != worker->start_ms)
+    event->result = ORDER_UNKNOWN;
+  if (event->result != ORDER_ACCEPTED)
+    {
+      cell_poll_failed (sim->cell, event->target, event->result);
+      return;
+    }
+  GArray *runs = g_array_new (FALSE, TRUE, sizeof (report_run_t));
+  GArray *ends = g_array_new (FALSE, TRUE, sizeof (report_end_t));
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const fake_run_t *run = worker->runs->pdata[i];
+      report_run_t row = { run->task, run->run, "", 0, 0 };
+      g_array_append_val (runs, row);
+    }
+  for (guint i = 0; i < worker->ends->len; i++)
+    {
+      const fake_end_t *end = worker->ends->pdata[i];
+      report_end_t row = { end->number, end->task, end->run, end->how, "" };
+      g_array_append_val (ends, row);
+    }
+  worker_report_t report
+      = { .sent_ms = event->sent_ms,
+          .clock_ms = fake_cell_now (sim) - worker->start_ms,
+          .start_ms = worker->start_ms,
+          .runs = (report_run_t *)(void *)runs->data,
+          .run_count = runs->len,
+          .ends = (report_end_t *)(void *)ends->data,
+          .end_count = ends->len };
+  cell_poll_answered (sim->cell, event->target, &report);
+  g_array_unref (runs);
+  g_array_unref (ends);
+}
+
+void
+fake_cell_deliver_poll (fake_cell_t *sim, fake_event_t *event)
+{
+  fake_worker_t *worker = event->worker;
+  int64_t now_ms = fake_cell_now (sim);
+  if (!reachable (sim, worker)
+      || answered_by_other (sim, event, fake_cell_answer_poll))
+    return;
+  /* A crash breaks the connection on which a poll waits.  */
+  if (event->worker_start_ms != worker->start_ms)
+    return;
+  fake_cell_advance_workers (sim);
+  order_result_t result = ORDER_ACCEPTED;
+  if (fenced (sim, event))
+    result = ORDER_FENCED;
+  else
+    {
+      worker->token = MAX (worker->token, event->token);
+      acknowledge (sim, worker, event->acknowledged_end);
+      if (event->lease_until_ms > 0)
+        worker->lease_end_ms = MAX (
+            worker->lease_end_ms,
+            MIN (event->lease_until_ms + worker->start_ms, now_ms + LEASE_MS));
+    }
+  if (result == ORDER_ACCEPTED && worker->ends->len == 0
+      && now_ms < event->wait_until_ms)
+    {
+      fake_event_t *again
+          = fake_cell_event_new (sim, 20, fake_cell_deliver_poll);
+      again->owner = 0;
+      again->sender_owner = event->sender_owner;
+      again->worker = worker;
+      again->target = g_strdup (event->target);
+      again->token = event->token;
+      again->acknowledged_end = event->acknowledged_end;
+      again->wait_until_ms = event->wait_until_ms;
+      again->sent_ms = event->sent_ms;
+      again->call = event->call;
+      again->worker_start_ms = event->worker_start_ms;
+      again->sends_answer = event->sends_answer;
+      return;
+    }
+  if (!event->sends_answer)
+    return;
+  answer_later (sim, event, fake_cell_answer_poll, result);
+}
+
+static void
+on_relisted (fake_cell_t *sim, fake_event_t *event)
+{
+  fake_cell_list_workers (sim);
+}
+
+static void
+on_unlisted (fake_cell_t *sim, fake_event_t *event)
+{
+  cell_worker_unlisted (sim->cell, event->target);
+}
+
+static void
+on_worker_back (fake_cell_t *sim, fake_event_t *event)
+{
+  fake_worker_t *worker = event->worker;
+  if (fake_cell_now (sim) < worker->down_until_ms)
+    return;
+  worker->start_ms = fake_cell_now (sim);
+  if (sim->faults.crash_changes_id)
+    {
+      fake_event_t *unlisted
+          = fake_cell_event_new (sim, UNLISTED_AFTER_MS, on_unlisted);
+      unlisted->owner = 0;
+      unlisted->target = g_strdup (worker->id);
+      g_snprintf (worker->id, sizeof worker->id, "%s+%u", worker->address,
+                  worker->crashes);
+    }
+  fake_cell_list_workers (sim);
+}
+
+void
+fake_cell_crash_worker (fake_cell_t *sim, fake_worker_t *worker)
+{
+  worker->crashes++;
+  if (sim->faults.crash_down_ms > 0)
+    {
+      worker->down_until_ms = fake_cell_now (sim) + sim->faults.crash_down_ms;
+      if (sim->faults.crash_is_dark)
+        worker->disconnected_until_ms = worker->down_until_ms;
+      fake_event_t *back = fake_cell_event_new (sim, sim->faults.crash_down_ms,
+                                                on_worker_back);
+      back->owner = 0;
+      back->worker = worker;
+    }
+  worker->start_ms = fake_cell_now (sim);
+  worker->lease_end_ms = 0;
+  worker->token = 0;
+  worker->last_end_number = 0;
+  g_ptr_array_set_size (worker->runs, 0);
+  g_ptr_array_set_size (worker->ends, 0);
+  g_hash_table_remove_all (worker->closed_runs);
+  if (sim->faults.crash_down_ms > 0)
+    return;
+  /* The list shows the restart later; orders may reach it before.  */
+  fake_cell_event_new (sim, g_rand_int_range (sim->random, 1, 1500),
+                       on_relisted)
+      ->owner
+      = 0;
+}
+
+static void
+on_deadly (fake_cell_t *sim, fake_event_t *event)
+{
+  fake_worker_t *worker = event->worker;
+  fake_cell_advance_workers (sim);
+  if (worker->start_ms != event->worker_start_ms
+      || find_run (worker, event->task, event->run, NULL) == NULL)
+    return;
+  facts_of (sim, event->task)->crashes++;
+  sim->deadly_crashes++;
+  fake_cell_crash_worker (sim, worker);
+}
+
+void
+fake_cell_crash_rack (fake_cell_t *sim)
+{
+  const char *rack = NULL;
+  for (guint i = 0; i < sim->workers->len && rack == NULL; i++)
+    {
+      const fake_worker_t *worker = sim->workers->pdata[i];
+      if (worker->runs->len > 0)
+        rack = worker->rack;
+    }
+  for (guint i = 0; i < sim->workers->len && rack != NULL; i++)
+    {
+      fake_worker_t *worker = sim->workers->pdata[i];
+      if (strcmp (worker->rack, rack) == 0)
+        fake_cell_crash_worker (sim, worker);
+    }
+}
+
+void
+fake_cell_crash_all (fake_cell_t *sim)
+{
+  for (guint i = 0; i < sim->workers->len; i++)
+    fake_cell_crash_worker (sim, sim->workers->pdata[i]);
+}
+
+uint32_t
+fake_cell_deadly_crashes (const fake_cell_t *sim)
+{
+  return sim->deadly_crashes;
+}
+
+/* A worker that shrinks may get too much for CAPACITY_LAG_MS, as the platform
+   allows; one that grows shows it later.  */
+static void
+on_capacity_shown (fake_cell_t *sim, fake_event_t *event)
+{
+  event->worker->shown_capacity.cpu_millis = event->cpu_millis;
+  fake_cell_list_workers (sim);
+}
+
+static void
+on_capacity_counts (fake_cell_t *sim, fake_event_t *event)
+{
+  event->worker->capacity.cpu_millis = event->cpu_millis;
+}
+
+static void
+set_capacity (fake_cell_t *sim, fake_worker_t *worker, int64_t cpu_millis,
+              int64_t in_ms, int64_t shown_after_ms, int64_t counts_after_ms)
+{
+  fake_event_t *shown
+      = fake_cell_event_new (sim, in_ms + shown_after_ms, on_capacity_shown);
+  fake_event_t *counts
+      = fake_cell_event_new (sim, in_ms + counts_after_ms, on_capacity_counts);
+  shown->owner = counts->owner = 0;
+  shown->worker = counts->worker = worker;
+  shown->cpu_millis = counts->cpu_millis = cpu_millis;
+}
+
+void
+fake_cell_shrink_worker (fake_cell_t *sim, fake_worker_t *worker)
+{
+  if (worker->shrunk_until_ms > fake_cell_now (sim))
+    return;
+  int64_t for_ms = g_rand_int_range (sim->random, 6000, 12000);
+  worker->shrunk_until_ms = fake_cell_now (sim) + for_ms + HEARTBEAT_MS;
+  int64_t cpu_millis = worker->capacity.cpu_millis;
+  set_capacity (sim, worker, cpu_millis / 2, 0,
+                g_rand_int_range (sim->random, 1, HEARTBEAT_MS),
+                CAPACITY_LAG_MS);
+  set_capacity (sim, worker, cpu_millis, for_ms, HEARTBEAT_MS, 0);
+}
+
+fake_worker_t *
+fake_cell_worker_new (uint32_t at)
+{
+  fake_worker_t *worker = g_new0 (fake_worker_t, 1);
+  g_snprintf (worker->id, sizeof worker->id, "w%u", at);
+  g_snprintf (worker->address, sizeof worker->address, "w%u", at);
+  g_snprintf (worker->rack, sizeof worker->rack, "r%u", at / 3);
+  worker->capacity = worker->shown_capacity = (resource_t){ 16000, 64000, 8 };
+  worker->start_ms = 1;
+  worker->runs = g_ptr_array_new_with_free_func (run_free);
+  worker->ends = g_ptr_array_new_with_free_func (end_free);
+  worker->closed_runs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return worker;
+}
+
+void
+fake_cell_worker_free (void *data)
+{
+  fake_worker_t *worker = data;
+  g_ptr_array_unref (worker->runs);
+  g_ptr_array_unref (worker->ends);
+  g_hash_table_unref (worker->closed_runs);
+  g_free (worker);
+}
