blame: compare a precise loss with precise ones, and a rack with who was there

Cause: workers that a successor finds lost were lost some time since it began. Such a wide interval overlaps each later crash, so for seconds after a takeover every crash had a common cause and blamed nobody. Ruled out: verdicts of runs of unknown age (no line of a suspect became one of a culprit). The test "a task beside which racks lose power" then showed that a rack counted the next lives of its own lost workers, which are listed under new ids, as workers that are left.

A rack was lost if no other worker is left that was there at that time. Suites blame, crash, cell and owner pass (2085, 317, 1172, 64 asserts).

--- a/src/blame.c
+++ b/src/blame.c
@@ -132,17 +132,44 @@
   return true;
 }
 
+static bool
+is_precise (const blame_loss_t *loss)
+{
+  return loss->to_ms - loss->from_ms <= COMMON_ANYWHERE_MS;
+}
+
+/* Whether the rack of ONE was lost: some of it with ONE, and none is left.  */
+static bool
+rack_was_lost (const blame_loss_t *losses, uint32_t count,
+               const blame_loss_t *one, const blame_others_t *others)
+{
+  uint32_t lost = 0;
+  for (uint32_t i = 0; i < count; i++)
+    lost += losses[i].rack == one->rack
+            && lost_with (losses, i, one, COMMON_RACK_MS);
+  for (uint32_t i = 0; lost > 0 && i < others->rack_count; i++)
+    {
+      uint32_t at = 0;
+      while (at < count
+             && (losses[at].worker != others->rack[i]
+                 || gap_ms (&losses[at], one) > COMMON_RACK_MS))
+        at++;
+      if (at == count)
+        return false;
+    }
+  return lost > 0;
+}
+
 bool
 blame_common_cause (const blame_loss_t *losses, uint32_t count,
-                    const blame_loss_t *one, uint32_t rack_workers)
+                    const blame_loss_t *one, const blame_others_t *others)
 {
-  uint32_t in_rack = 0;
   uint32_t anywhere = 0;
+  uint32_t enough = 2;
+  if (!is_precise (one) && others->all_count / 8 > enough)
+    enough = others->all_count / 8;
   for (uint32_t i = 0; i < count; i++)
-    {
-      in_rack += losses[i].rack == one->rack
-                 && lost_with (losses, i, one, COMMON_RACK_MS);
-      anywhere += lost_with (losses, i, one, COMMON_ANYWHERE_MS);
-    }
-  return (rack_workers > 1 && in_rack + 1 >= rack_workers) || anywhere >= 2;
+    anywhere += (!is_precise (one) || is_precise (&losses[i]))
+                && lost_with (losses, i, one, COMMON_ANYWHERE_MS);
+  return anywhere >= enough || rack_was_lost (losses, count, one, others);
 }
--- a/src/blame.h
+++ b/src/blame.h
@@ -80,11 +80,22 @@
   int64_t to_ms;
 } blame_loss_t;
 
+/* The others that were there when a worker was lost.  */
+typedef struct
+{
+  const uint32_t *rack; /* hashes of the ids of the others in its rack that are
+                           still known */
+  uint32_t rack_count;
+  uint32_t all_count; /* workers of the cell */
+} blame_others_t;
+
 /* Whether the loss ONE and some of COUNT LOSSES of other workers may have a
-   cause in common: at about the same time all other workers of its rack were
-   lost, which has RACK_WORKERS in all, or two anywhere.  Losses where the same
-   job was started last are ignored, since that job may be the cause.  */
+   cause in common: at about the same time all others of its rack were lost, or
+   two workers anywhere; if the time of ONE is not known well, an eighth of
+   all.  Losses where the same job was started last are ignored, since that job
+   may be the cause.  */
 bool blame_common_cause (const blame_loss_t *losses, uint32_t count,
-                         const blame_loss_t *one, uint32_t rack_workers);
+                         const blame_loss_t *one,
+                         const blame_others_t *others);
 
 #endif
--- a/src/cell_crash.c
+++ b/src/cell_crash.c
@@ -62,26 +62,30 @@
 {
   int64_t to_ms = lost_at_ms (cell, worker);
   int64_t from_ms = worker->alive_ms != 0 ? worker->alive_ms : cell->begun_ms;
-  return (blame_loss_t){ g_str_hash (worker->id), g_str_hash (worker->rack),
+  /* Workers whose rack is unknown share none.  */
+  const char *rack = worker->rack[0] != '\0' ? worker->rack : worker->id;
+  return (blame_loss_t){ g_str_hash (worker->id), g_str_hash (rack),
                          hash_of_last_job (worker), MIN (from_ms, to_ms),
                          to_ms };
 }
 
-/* Listed workers in the rack of WORKER, and WORKER; 0 if its rack is unknown.
- */
-static uint32_t
-count_rack (const cell_t *cell, const cell_worker_t *worker)
+/* Returns the hashes of the ids of the other workers that were in the rack of
+   WORKER when it was lost (g_array_unref).  */
+static GArray *
+others_in_rack (const cell_t *cell, const cell_worker_t *worker)
 {
-  uint32_t count = 0;
-  if (worker->rack[0] == '\0')
-    return 0;
+  GArray *others = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   for (guint i = 0; i < cell->worker_list->len; i++)
     {
       const cell_worker_t *other = cell->worker_list->pdata[i];
-      count += other == worker
-               || (other->listed && strcmp (other->rack, worker->rack) == 0);
+      uint32_t hash = g_str_hash (other->id);
+      /* A worker that was added later may be the next life of a lost one.  */
+      if (other != worker && other->listed
+          && other->added_ms <= lost_at_ms (cell, worker)
+          && strcmp (other->rack, worker->rack) == 0)
+        g_array_append_val (others, hash);
     }
-  return count;
+  return others;
 }
 
 /* Notes the loss of WORKER, and returns whether others were lost with it.  */
@@ -104,9 +108,13 @@
       if (!other->responsive && other->silent_ms > 0)
         g_array_append_val (losses, silent);
     }
+  GArray *rack = others_in_rack (cell, worker);
+  blame_others_t others = { (const uint32_t *)(const void *)rack->data,
+                            rack->len, cell->worker_list->len };
   bool common
       = blame_common_cause ((const blame_loss_t *)(const void *)losses->data,
-                            losses->len, &loss, count_rack (cell, worker));
+                            losses->len, &loss, &others);
+  g_array_unref (rack);
   g_array_unref (losses);
   return common;
 }
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -171,6 +171,7 @@
                               start, so it refuses the orders of earlier owners;
                               also set when it is gone and can carry out none */
   bool responsive;   /* cleared when a call fails, set by the next report */
+  int64_t added_ms;  /* when this owner first saw it */
   int64_t silent_ms; /* when RESPONSIVE was last cleared */
   int64_t alive_ms;  /* last sign of life: an answer, or a connection that it
                         held until then; 0: none yet */
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -58,6 +58,7 @@
   worker->labels
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   worker->tasks = g_ptr_array_new ();
+  worker->added_ms = cell->now_ms;
   g_hash_table_insert (cell->workers, worker->id, worker);
   g_ptr_array_add (cell->worker_list, worker);
   return worker;
--- a/tests/test_blame.c
+++ b/tests/test_blame.c
@@ -126,46 +126,63 @@
   {
     blame_loss_t losses[3]; /* worker, rack, job, from, to */
     uint32_t count;
-    uint32_t rack_workers;
+    uint32_t others_in_rack; /* workers 2, 3, ... */
     bool common;
   } rows[] = {
-    { { { 1, 1, 0, 1000, 1000 } }, 1, 2, false },
-    { { { 1, 1, 0, 1000, 1000 }, { 2, 1, 0, 1200, 1200 } }, 2, 2, true },
-    /* Not the whole rack; the rack is unknown.  */
-    { { { 1, 1, 0, 1000, 1000 }, { 2, 1, 0, 1200, 1200 } }, 2, 3, false },
-    { { { 1, 1, 0, 1000, 1000 }, { 2, 1, 0, 1200, 1200 } }, 2, 0, false },
-    { { { 1, 1, 0, 1000, 1000 }, { 1, 1, 0, 1200, 1200 } }, 2, 2, false },
-    { { { 1, 1, 0, 1000, 1000 }, { 2, 1, 0, 200, 4000 } }, 2, 2, true },
-    { { { 1, 1, 7, 1000, 1000 }, { 2, 1, 8, 1000, 1000 } }, 2, 2, true },
+    { { { 1, 1, 0, 1000, 1000 } }, 1, 1, false },
+    { { { 1, 1, 0, 1000, 1000 }, { 2, 1, 0, 1200, 1200 } }, 2, 1, true },
+    /* Not the whole rack.  */
+    { { { 1, 1, 0, 1000, 1000 }, { 2, 1, 0, 1200, 1200 } }, 2, 2, false },
+    /* The other was lost, and is not known any more.  */
+    { { { 1, 1, 0, 1000, 1000 }, { 2, 1, 0, 1200, 1200 } }, 2, 0, true },
+    { { { 1, 1, 0, 1000, 1000 }, { 1, 1, 0, 1200, 1200 } }, 2, 1, false },
+    { { { 1, 1, 0, 1000, 1000 }, { 2, 1, 0, 200, 4000 } }, 2, 1, true },
+    { { { 1, 1, 7, 1000, 1000 }, { 2, 1, 8, 1000, 1000 } }, 2, 1, true },
     /* One job may have crashed both.  */
-    { { { 1, 1, 7, 1000, 1000 }, { 2, 1, 7, 1000, 1000 } }, 2, 2, false },
-    { { { 1, 1, 0, 1000, 1000 }, { 2, 2, 0, 1200, 1200 } }, 2, 2, false },
-    { { { 1, 1, 0, 1000, 1000 }, { 2, 2, 0, 1010, 1010 } }, 2, 2, false },
+    { { { 1, 1, 7, 1000, 1000 }, { 2, 1, 7, 1000, 1000 } }, 2, 1, false },
+    { { { 1, 1, 0, 1000, 1000 }, { 2, 2, 0, 1200, 1200 } }, 2, 1, false },
+    { { { 1, 1, 0, 1000, 1000 }, { 2, 2, 0, 1010, 1010 } }, 2, 1, false },
     { { { 1, 1, 0, 1000, 1000 },
         { 2, 2, 0, 1010, 1010 },
         { 3, 3, 0, 990, 990 } },
       3,
-      2,
+      1,
       true },
+    /* Two that were lost some time since this owner began.  */
+    { { { 1, 1, 0, 1000, 1000 },
+        { 2, 2, 0, 200, 1500 },
+        { 3, 3, 0, 200, 1500 } },
+      3,
+      1,
+      false },
+    { { { 1, 1, 0, 200, 1500 },
+        { 2, 2, 0, 200, 1500 },
+        { 3, 3, 0, 200, 1500 } },
+      3,
+      1,
+      false },
     /* The same worker twice.  */
     { { { 1, 1, 0, 1000, 1000 },
         { 2, 2, 0, 1010, 1010 },
         { 2, 2, 0, 1000, 1000 } },
       3,
-      2,
+      1,
       false },
     { { { 1, 1, 0, 1000, 1000 },
         { 2, 1, 0, 2000, 2000 },
         { 3, 3, 0, 900, 900 } },
       3,
-      2,
+      1,
       false },
   };
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
-    CU_ASSERT_EQUAL (blame_common_cause (rows[i].losses, rows[i].count,
-                                         &rows[i].losses[0],
-                                         rows[i].rack_workers),
-                     rows[i].common);
+    {
+      static const uint32_t rack[] = { 2, 3, 4 };
+      const blame_others_t others = { rack, rows[i].others_in_rack, 40 };
+      CU_ASSERT_EQUAL (blame_common_cause (rows[i].losses, rows[i].count,
+                                           &rows[i].losses[0], &others),
+                       rows[i].common);
+    }
 }
 
 static CU_TestInfo blame_tests[] = {
