blame: losses of unknown time need a quarter of the cell for a common cause

Cause: a worker that crashes without a sign is lost "within a second or so"; two other such losses, or one eighth of the cell, were a common cause, and with eight workers and one deadly job in six there nearly always were two. Change: such a loss needs a quarter of all workers, three at least. Losses known to 50 ms still need two.

--- a/src/blame.c
+++ b/src/blame.c
@@ -11,6 +11,10 @@
    lose power together but are found out one after the other, and anywhere.  */
 #define COMMON_RACK_MS 300
 #define COMMON_ANYWHERE_MS 50
+/* Other workers that have to be lost: of losses whose time is known that well,
+   and least number of others.  */
+#define COMMON_PRECISE 2u
+#define COMMON_IMPRECISE 3u
 
 int64_t
 blame_isolation_ms (const blame_history_t *history)
@@ -165,9 +169,10 @@
                     const blame_loss_t *one, const blame_others_t *others)
 {
   uint32_t anywhere = 0;
-  uint32_t enough = 2;
-  if (!is_precise (one) && others->all_count / 8 > enough)
-    enough = others->all_count / 8;
+  uint32_t enough = COMMON_PRECISE;
+  if (!is_precise (one))
+    enough = others->all_count / 4 > COMMON_IMPRECISE ? others->all_count / 4
+                                                      : COMMON_IMPRECISE;
   for (uint32_t i = 0; i < count; i++)
     anywhere += (!is_precise (one) || is_precise (&losses[i]))
                 && lost_with (losses, i, one, COMMON_ANYWHERE_MS);
--- a/src/blame.h
+++ b/src/blame.h
@@ -91,9 +91,9 @@
 
 /* Whether the loss ONE and some of COUNT LOSSES of other workers may have a
    cause in common: at about the same time all others of its rack were lost, or
-   two workers anywhere; if the time of ONE is not known well, an eighth of
-   all.  Losses where the same job was started last are ignored, since that job
-   may be the cause.  */
+   two workers anywhere; if the time of ONE is not known well, a quarter of all
+   and three at least.  Losses where the same job was started last are ignored,
+   since that job may be the cause.  */
 bool blame_common_cause (const blame_loss_t *losses, uint32_t count,
                          const blame_loss_t *one,
                          const blame_others_t *others);
