blame: a run that may have ended is not to blame for certain

Cause: the run was confirmed, apart and young, and nothing told that it was over. Ruled out: a restart that was detected twice; both crashes of the worker are real. Change: a run that lasted half of its estimate or longer before the loss showed is suspected at most. A crash that breaks connections shows within milliseconds, so nothing changes there; one without a sign may cost a deadly task of short runs more than two crashes, five at most as before.

--- a/src/blame.c
+++ b/src/blame.c
@@ -61,6 +61,7 @@
 {
   bool any_apart = false;
   bool one_job = true;
+  bool certain = true;
   int64_t youngest_ms = INT64_MAX - BLAME_SETTLE_MS;
   const char *job = NULL;
   for (uint32_t i = 0; i < count; i++)
@@ -75,6 +76,7 @@
     {
       if (!is_suspect (&runs[i], any_apart, youngest_ms))
         continue;
+      certain = certain && !runs[i].may_have_ended;
       one_job = one_job && (job == NULL || strcmp (job, runs[i].job) == 0);
       job = runs[i].job;
     }
@@ -86,7 +88,8 @@
     else if (!is_suspect (&runs[i], any_apart, youngest_ms))
       verdicts[i] = BLAME_BYSTANDER;
     else
-      verdicts[i] = any_apart && one_job ? BLAME_CULPRIT : BLAME_SUSPECT;
+      verdicts[i]
+          = any_apart && one_job && certain ? BLAME_CULPRIT : BLAME_SUSPECT;
 }
 
 blame_verdict_t
--- a/src/blame.h
+++ b/src/blame.h
@@ -44,6 +44,7 @@
   int64_t age_ms; /* from the start to the loss; -1: unknown, perhaps it was
                      never started */
   bool lasting;
+  bool may_have_ended; /* before the loss showed */
 } blame_run_t;
 
 typedef enum
--- a/src/cell_crash.c
+++ b/src/cell_crash.c
@@ -23,16 +23,6 @@
                                     : MAX (at_ms - task->seen_running_ms, 0);
 }
 
-/* The run of TASK on a worker that was lost.  It counts as old as it was at
-   the last sign of life: what was started after that may not have arrived.  */
-static blame_run_t
-blame_run_of (const cell_task_t *task)
-{
-  return (blame_run_t){ task->group->job->id, task->blame,
-                        cell_run_age_ms (task, task->worker->alive_ms),
-                        task->group->spec->lasting };
-}
-
 /* When the loss of WORKER showed first.  */
 static int64_t
 lost_at_ms (const cell_t *cell, const cell_worker_t *worker)
@@ -41,6 +31,23 @@
                                                       : worker->silent_ms;
 }
 
+/* The run of TASK on a worker that was lost.  It counts as old as it was at
+   the last sign of life: what was started after that may not have arrived.
+   Estimates are rough, so it may have ended after half of its own.  */
+static blame_run_t
+blame_run_of (const cell_t *cell, const cell_task_t *task)
+{
+  const work_step_t *step = task->group->spec;
+  int64_t longest_ms = cell_run_age_ms (task, lost_at_ms (cell, task->worker));
+  return (blame_run_t){
+    .job = task->group->job->id,
+    .history = task->blame,
+    .age_ms = cell_run_age_ms (task, task->worker->alive_ms),
+    .lasting = step->lasting,
+    .may_have_ended = !step->lasting && longest_ms * 2 >= step->estimate_ms
+  };
+}
+
 /* See blame_loss_t.  */
 static uint32_t
 hash_of_last_job (const cell_worker_t *worker)
@@ -188,7 +195,7 @@
   blame_run_t *runs = g_new0 (blame_run_t, lost->len + 1);
   blame_verdict_t *verdicts = g_new0 (blame_verdict_t, lost->len + 1);
   for (guint i = 0; i < lost->len; i++)
-    runs[i] = blame_run_of (lost->pdata[i]);
+    runs[i] = blame_run_of (cell, lost->pdata[i]);
   blame_judge (runs, lost->len, common_cause, verdicts);
   for (guint i = 0; i < lost->len; i++)
     set_verdict (lost->pdata[i], verdicts[i]);
@@ -205,7 +212,7 @@
       cell_task_t *task = worker->tasks->pdata[i];
       if (!is_lost_with_worker (task))
         continue;
-      blame_run_t run = blame_run_of (task);
+      blame_run_t run = blame_run_of (cell, task);
       blame_verdict_t verdict = blame_judge_silent (&run);
       set_verdict (task, verdict);
       if (verdict != BLAME_NONE && task->lapsed_count < BLAME_MAX_LOSSES)
