--- a/src/sched_internal.h
+++ b/src/sched_internal.h
@@ -507,6 +507,12 @@
    JOBS.  */
 void preempt_for (sched_t *s, const GPtrArray *jobs);
 
+/* sched_lost.c */
+/* Ends all tasks assigned to WORKER: its leases have run out, or it has
+   CRASHED and runs as a newer incarnation.  After a crash the youngest ones
+   and those that are not known to have started may be to blame.  */
+void sched_mark_all_lost (sched_t *s, sched_worker_t *worker, bool crashed);
+
 /* sched_workers.c */
 /* Sends the due messages to workers.  Records the tasks of a worker that is
    gone or has restarted as lost, once they may run elsewhere.  */
