--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -149,7 +149,12 @@
   count=$(violations)
   say "violations: $count"
   [ "$count" = 0 ] || {
-    get violations
+    details=$(get violations)
+    echo "$details"
+    # Names the kinds, so that KNOWN-RED.txt can list one of them.
+    kinds=$(echo "$details" | sed -n 's/.*"kinds":{\([^}]*\)}.*/\1/p' \
+      | sed 's/:[0-9]*//g; s/"//g')
+    printf '\nFAILED: violations of %s\n' "$kinds"
     exit 1
   }
   exit 0
