cell: log each second what the owner of a cell spends its time on

Change: event owner_load each second, with the processor time, the passes, the advice and the writes of an owner; advice_failed names how long the call took. No decision changes.

--- a/src/cell.c
+++ b/src/cell.c
@@ -204,6 +204,22 @@
   return cell->fenced;
 }
 
+static void
+note_pass (cell_t *cell)
+{
+  int64_t took_ms = clk_now_ms (cell->clock) - cell->now_ms;
+  cell->load.passes++;
+  cell->load.passes_ms += took_ms;
+  cell->load.longest_pass_ms = MAX (cell->load.longest_pass_ms, took_ms);
+}
+
+void
+cell_take_load (cell_t *cell, cell_load_t *load)
+{
+  *load = cell->load;
+  cell->load = (cell_load_t){ 0 };
+}
+
 void
 cell_run (cell_t *cell, int64_t wall_ms)
 {
@@ -214,6 +230,9 @@
   cell_add_due_occurrences (cell);
   if (cell->now_ms >= cell->next_scan_ms)
     {
+      if (cell->next_scan_ms != 0)
+        cell->load.late_ms
+            = MAX (cell->load.late_ms, cell->now_ms - cell->next_scan_ms);
       cell->next_scan_ms = cell->now_ms + CELL_TICK_MS;
       cell_check_workers (cell);
       cell_delete_expired_jobs (cell);
@@ -225,6 +244,7 @@
     {
       cell->place_pending = false;
       cell_place (cell);
+      note_pass (cell);
     }
   cell_save_if_due (cell);
 }
--- a/src/cell.h
+++ b/src/cell.h
@@ -233,6 +233,29 @@
 void cell_run (cell_t *cell, int64_t wall_ms);
 #define CELL_TICK_MS 25
 
+/* What the owner did since the last call of cell_take_load.  Growing passes
+   and growing delays at the same load mean that it cannot keep up.  */
+typedef struct
+{
+  uint32_t passes;   /* placement passes */
+  int64_t passes_ms; /* total duration */
+  int64_t longest_pass_ms;
+  int64_t late_ms;         /* longest delay of the scan due each
+                              CELL_TICK_MS */
+  uint32_t waiting_steps;  /* in the last pass */
+  uint32_t too_late_steps; /* of these, whose job has lost its value */
+  uint32_t advice_calls;
+  uint32_t advice_failures; /* calls without an answer */
+  uint32_t advice_busy;     /* calls not made, since every node was busy */
+  uint32_t tickets;         /* issued */
+  uint32_t tickets_unused;  /* replaced, expired, before any start */
+  uint32_t starts;          /* ordered, the repeated ones included */
+  uint32_t polls;
+  uint32_t saves;
+  uint32_t saved_records;
+} cell_load_t;
+void cell_take_load (cell_t *cell, cell_load_t *load);
+
 /* Whether a worker has refused an order because another owner has a higher
    token.  */
 bool cell_fenced (const cell_t *cell);
--- a/src/cell_advice.c
+++ b/src/cell_advice.c
@@ -58,6 +58,14 @@
   return advice->ticket;
 }
 
+void
+cell_note_ticket_used (const cell_group_t *group, const cell_worker_t *worker)
+{
+  advice_t *advice = find_advice (group, worker);
+  if (advice != NULL)
+    advice->used = true;
+}
+
 bool
 cell_has_tickets (const cell_group_t *group)
 {
@@ -281,7 +289,11 @@
   if (!cell->actions->advise (
           cell->context, step, group->last_call + 1, names, count,
           queue->advice_ms + queue->advice_each_ms * (double)count))
-    return false;
+    {
+      cell->load.advice_busy++;
+      return false;
+    }
+  cell->load.advice_calls++;
   group->last_call++;
   group->calls_in_flight++;
   for (guint i = 0; i < count; i++)
@@ -343,8 +355,8 @@
    until cell_advice_answered adds the tickets; if not OK, leaves their advice
    as it was.  Returns how many workers the call named.  */
 static uint32_t
-finish_advice_call (const cell_t *cell, cell_group_t *group, uint32_t call,
-                    bool ok, int64_t valid_ms)
+finish_advice_call (cell_t *cell, cell_group_t *group, uint32_t call, bool ok,
+                    int64_t valid_ms)
 {
   GHashTableIter iterator;
   gpointer id;
@@ -364,6 +376,8 @@
       advice->answered = true;
       advice->valid_until_ms = cell->now_ms + valid_ms;
       advice->worker_start_ms = worker != NULL ? worker->start_ms : 0;
+      cell->load.tickets_unused += advice->ticket != NULL && !advice->used;
+      advice->used = false;
       g_clear_pointer (&advice->ticket, g_free);
     }
   return named;
@@ -396,6 +410,7 @@
   group->calls_in_flight -= group->calls_in_flight > 0;
   uint32_t named = finish_advice_call (cell, group, call, ok, valid_ms);
   group->ask_failures = ok ? 0 : group->ask_failures + 1;
+  cell->load.advice_failures += !ok;
   if (!ok)
     group->next_ask_ms
         = cell->now_ms
@@ -408,6 +423,7 @@
       if (advice == NULL || !advice->answered || advice->ticket != NULL)
         continue;
       advice->ticket = g_strdup (rows[i].ticket);
+      cell->load.tickets++;
       group->tickets_until_ms
           = MAX (group->tickets_until_ms, advice->valid_until_ms);
     }
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -79,6 +79,7 @@
   uint32_t call; /* number of the call in flight that names it; 0: none */
   int64_t valid_until_ms;
   int64_t worker_start_ms; /* incarnation for which the ticket was given */
+  bool used;               /* a start has carried TICKET */
 } advice_t;
 
 struct cell_group
@@ -258,6 +259,7 @@
   int64_t answer_lost_ms; /* when a worker was last found to have answered a
                              poll whose answer was lost; 0: never */
   int64_t next_scan_ms;   /* of workers, orders and ended jobs */
+  cell_load_t load;       /* since the last cell_take_load */
 };
 
 /* cell.c */
@@ -412,6 +414,9 @@
 /* Returns the ticket of GROUP for WORKER, NULL if there is no valid one.  */
 const char *cell_ticket (const cell_group_t *group,
                          const cell_worker_t *worker);
+/* Notes that a start carries the ticket of GROUP for WORKER.  */
+void cell_note_ticket_used (const cell_group_t *group,
+                            const cell_worker_t *worker);
 /* Whether the last advice denied GROUP on WORKER.  */
 bool cell_worker_denied (const cell_group_t *group,
                          const cell_worker_t *worker);
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -422,7 +422,12 @@
   g_hash_table_remove_all (cell->queues_without_free_node);
   cell->next_place_ms
       = cell->now_ms + MIN (ranked->len / GROUPS_PER_MS, MAX_PLACE_PERIOD_MS);
+  cell->load.waiting_steps = ranked->len;
+  cell->load.too_late_steps = 0;
   uint32_t reserving_gangs = 0;
+  for (guint i = 0; i < ranked->len; i++)
+    cell->load.too_late_steps
+        += ((cell_group_t *)ranked->pdata[i])->rank.tier == RANK_TOO_LATE;
   for (guint i = 0; i < ranked->len; i++)
     place_group (cell, ranked->pdata[i], &reserving_gangs);
   g_ptr_array_unref (ranked);
--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -399,6 +399,8 @@
   GArray *records = g_array_new (FALSE, FALSE, sizeof (cell_record_t));
   collect_records (cell, records);
   mark_ends_in_save (cell);
+  cell->load.saves++;
+  cell->load.saved_records += records->len;
   cell->actions->save (cell->context, (cell_record_t *)(void *)records->data,
                        records->len);
   for (guint i = 0; i < records->len; i++)
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -90,6 +90,8 @@
                         ? cell_ticket (group, worker)
                         : NULL };
   cell_worker_ref_t ref = worker_ref (worker);
+  cell_note_ticket_used (group, worker);
+  cell->load.starts++;
   task->start_in_flight = true;
   task->start_sent_ms = cell->now_ms;
   cell->actions->start (cell->context, &ref, &order);
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -277,6 +277,7 @@
       && worker->failed_polls == 0 && worker->sampled_ms != 0
       && may_extend_leases (cell))
     until_ms = cell_extend_lease (worker, cell);
+  cell->load.polls++;
   worker->poll_in_flight = true;
   worker->poll_sent_ms = cell->now_ms;
   worker->poll_wait_ms = wait_ms;
--- a/src/io/node_advice.c
+++ b/src/io/node_advice.c
@@ -36,6 +36,7 @@
   char *step;
   uint32_t call_number;
   char *member_name;
+  int64_t sent_ms;
 } advice_call_t;
 
 void
@@ -125,6 +126,12 @@
   node_cell_t *cell = call->cell;
   node_t *node = cell->node;
   node_member_t *member = node_member_find (node, call->member_name);
+  int64_t took_ms = node_now (node) - call->sent_ms;
+  if (ok)
+    {
+      cell->advice_took_ms += took_ms;
+      cell->advice_answers++;
+    }
   if (member != NULL)
     {
       member->advice_calls -= member->advice_calls > 0;
@@ -140,8 +147,12 @@
         }
     }
   if (!ok)
-    log_event (LOG_WARN, "advice_failed", "subject", call->step, "node",
-               call->member_name, NULL);
+    {
+      char took[24];
+      g_snprintf (took, sizeof took, "%lld", (long long)took_ms);
+      log_event (LOG_WARN, "advice_failed", "subject", call->step, "node",
+                 call->member_name, "took_ms", took, NULL);
+    }
   if (call->epoch == cell->epoch && cell->scheduler != NULL)
     {
       cell_advice_answered (cell->scheduler, call->step, call->call_number, ok,
@@ -276,8 +287,12 @@
   int64_t timeout_ms
       = (int64_t)(expected_ms * TIMEOUT_FACTOR) + TIMEOUT_SLACK_MS;
   advice_call_t *call = g_new (advice_call_t, 1);
-  *call = (advice_call_t){ cell, cell->epoch, g_strdup (step), call_number,
-                           g_strdup (member->name) };
+  *call = (advice_call_t){ cell,
+                           cell->epoch,
+                           g_strdup (step),
+                           call_number,
+                           g_strdup (member->name),
+                           node_now (node) };
   member->advice_calls++;
   if (strcmp (member->name, node->platform->settings.name) == 0)
     {
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -11,6 +11,8 @@
 #define READ_RETRY_S 0.1
 #define INBOX_WAIT_MS 1000
 #define INBOX_SLACK_MS 1200
+/* Period of the line "owner_load".  */
+#define LOAD_PERIOD_MS 1000
 
 /* Passes over the inbox before scheduling starts.  Cancels are applied only
    after the jobs and their records are loaded: earlier they would be ignored
@@ -237,6 +239,7 @@
   replica_replay (cell->inbox);
   cell->replay_pass = REPLAY_DONE;
   cell->state = CELL_OWNED;
+  cell->load_logged_ms = 0;
   node_histogram_add (node, "magnoliadock_takeover_us",
                       node_now (node) - cell->claim_started_ms);
   cell_begin (cell->scheduler, cell->previous_owner_gone);
@@ -340,12 +343,58 @@
   read_records (cell, NULL);
 }
 
+static int64_t
+processor_ms (void)
+{
+  struct timespec used;
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &used);
+  return clk_to_ms (used);
+}
+
+/* Logs what the owner did in the last LOAD_PERIOD_MS.  */
+static void
+log_load (node_cell_t *cell)
+{
+  int64_t now_ms = node_now (cell->node);
+  int64_t since_ms = now_ms - cell->load_logged_ms;
+  if (since_ms < LOAD_PERIOD_MS)
+    return;
+  int64_t used_ms = processor_ms ();
+  cell_load_t load;
+  char detail[512];
+  cell_take_load (cell->scheduler, &load);
+  g_snprintf (
+      detail, sizeof detail,
+      "period_ms=%lld processor_ms=%lld late_ms=%lld passes=%u passes_ms=%lld "
+      "longest_pass_ms=%lld waiting_steps=%u too_late_steps=%u "
+      "advice_calls=%u advice_answers=%u advice_mean_ms=%lld "
+      "advice_failures=%u advice_busy=%u tickets=%u tickets_unused=%u "
+      "starts=%u polls=%u saves=%u saved_records=%u",
+      (long long)since_ms, (long long)(used_ms - cell->load_processor_ms),
+      (long long)load.late_ms, load.passes, (long long)load.passes_ms,
+      (long long)load.longest_pass_ms, load.waiting_steps, load.too_late_steps,
+      load.advice_calls, cell->advice_answers,
+      (long long)(cell->advice_took_ms / MAX (cell->advice_answers, 1)),
+      load.advice_failures, load.advice_busy, load.tickets,
+      load.tickets_unused, load.starts, load.polls, load.saves,
+      load.saved_records);
+  /* The first period began with an earlier ownership.  */
+  if (cell->load_logged_ms != 0)
+    log_event (LOG_INFO, "owner_load", "cell", cell->name, "detail", detail,
+               NULL);
+  cell->load_logged_ms = now_ms;
+  cell->load_processor_ms = used_ms;
+  cell->advice_took_ms = 0;
+  cell->advice_answers = 0;
+}
+
 void
 node_cell_run (node_cell_t *cell, int64_t wall_ms)
 {
   if (cell->state == CELL_OWNED)
     {
       cell_run (cell->scheduler, wall_ms);
+      log_load (cell);
       if (cell_fenced (cell->scheduler))
         {
           node_cell_step_down (cell, "fenced");
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -115,6 +115,10 @@
   bool claim_unanswered;   /* the claim is to be sent again then */
   ev_timer commit_retry;
   uint8_t replay_pass; /* REPLAY_x of node_cell.c */
+  int64_t load_logged_ms;
+  int64_t load_processor_ms; /* processor time of the process then */
+  int64_t advice_took_ms;    /* of the calls answered since, in total */
+  uint32_t advice_answers;
 };
 
 typedef struct
