--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -29,6 +29,7 @@
   test_job_suites,
   test_membership_suites,
   test_node_suites,
+  test_odd_row_suites,
   test_option_suites,
   test_outcome_suites,
   test_outlier_suites,
--- /dev/null
+++ b/tests/test_odd_rows.c
@@ -0,0 +1,158 @@
+#include "platform_internal.h"
+#include "test.h"
+
+#include <string.h>
+
+/* Rows of the list of workers that another writer left.  */
+
+static const char good_row[]
+    = "{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"z\","
+      "\"version\":\"v1\",\"slots\":8,\"state\":\"draining\","
+      "\"cold_remaining_ms\":0,\"remaining_ms\":1200,\"machine\":\"m-1\","
+      "\"born\":1765000000123,\"capacity\":{\"cpu\":16000,\"mem_mb\":32768,"
+      "\"gpu\":8},\"labels\":[\"a\",\"r1-3\"],\"sequence\":4}";
+
+typedef struct
+{
+  uint32_t calls;
+  resource_t capacity;
+  int64_t remaining_ms, start_ms;
+} seen_t;
+
+static void
+record_row (void *context, const worker_row_t *row)
+{
+  seen_t *seen = context;
+  seen->calls++;
+  seen->capacity = row->capacity;
+  seen->remaining_ms = row->remaining_ms;
+  seen->start_ms = row->start_ms;
+}
+
+/* Returns TEXT with FROM replaced by TO (g_free).  */
+static char *
+changed_text (const char *text, const char *from, const char *to)
+{
+  char **parts = g_strsplit (text, from, 2);
+  char *changed = g_strjoinv (to, parts);
+  CU_ASSERT_STRING_NOT_EQUAL (changed, text);
+  g_strfreev (parts);
+  return changed;
+}
+
+static bool
+is_usable (const char *key, const char *text, seen_t *seen)
+{
+  *seen = (seen_t){ 0 };
+  bool usable = platform_parse_worker (NULL, key, text, strlen (text),
+                                       record_row, seen);
+  CU_ASSERT_EQUAL (seen->calls, usable ? 1 : 0);
+  return usable;
+}
+
+/* Guards against numbers that do not fit, or texts in their place, that end
+   the process or are taken for a worker's.  A start in the far future made
+   the answers of a live worker look like those of an earlier life.  */
+static void
+test_numbers (void)
+{
+  static const char *const fields[]
+      = { "\"born\":1765000000123", "\"cpu\":16000",
+          "\"mem_mb\":32768",       "\"gpu\":8",
+          "\"remaining_ms\":1200",  "\"slots\":8",
+          "\"sequence\":4",         "\"cold_remaining_ms\":0" };
+  static const char *const values[] = { "1e300",
+                                        "-1e300",
+                                        "-1",
+                                        "1e19",
+                                        "9223372036854775807",
+                                        "-0.5",
+                                        "1e400",
+                                        "NaN",
+                                        "10000000000000000000",
+                                        "true",
+                                        "\"12\"",
+                                        "null",
+                                        "[]",
+                                        "{}" };
+  seen_t seen;
+  CU_ASSERT_TRUE_FATAL (is_usable ("i-1", good_row, &seen));
+  CU_ASSERT_EQUAL (seen.start_ms, 1765000000123);
+  CU_ASSERT_EQUAL (seen.remaining_ms, 1200);
+  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+    for (size_t j = 0; j < G_N_ELEMENTS (values); j++)
+      {
+        char *name = g_strndup (fields[i], strcspn (fields[i], ":") + 1);
+        char *field = g_strconcat (name, values[j], NULL);
+        char *text = changed_text (good_row, fields[i], field);
+        CU_ASSERT_FALSE (is_usable ("i-1", text, &seen));
+        if (seen.calls > 0)
+          g_printerr ("usable: %s\n", field);
+        g_free (text);
+        g_free (field);
+        g_free (name);
+      }
+}
+
+/* Guards against a value left out, which is 0 or unknown, or a fraction, that
+   makes a worker unusable.  */
+static void
+test_numbers_left_out (void)
+{
+  static const char *const fields[] = {
+    "\"born\":1765000000123,", "\"slots\":8,", "\"remaining_ms\":1200,",
+    ",\"sequence\":4",         ",\"gpu\":8",   "\"cold_remaining_ms\":0,",
+    "\"machine\":\"m-1\","
+  };
+  seen_t seen;
+  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+    {
+      char *text = changed_text (good_row, fields[i], "");
+      CU_ASSERT_TRUE (is_usable ("i-1", text, &seen));
+      g_free (text);
+    }
+  char *text = changed_text (good_row, "16000", "16000.5");
+  CU_ASSERT_TRUE (is_usable ("i-1", text, &seen));
+  CU_ASSERT_EQUAL (seen.capacity.cpu_millis, 16000);
+  g_free (text);
+}
+
+/* Guards against a row at the parser's limit of depth that ends the process.
+ */
+static void
+test_depth (void)
+{
+  static const uint32_t depths[] = { 2046, 2047, 2048, 2049, 100000 };
+  seen_t seen;
+  for (size_t i = 0; i < G_N_ELEMENTS (depths); i++)
+    {
+      char *open = g_strnfill (depths[i], '[');
+      char *close = g_strnfill (depths[i], ']');
+      char *list = g_strconcat ("\"sequence\":", open, close, NULL);
+      char *text = changed_text (good_row, "\"sequence\":4", list);
+      CU_ASSERT_FALSE (is_usable ("i-1", text, &seen));
+      CU_ASSERT_FALSE (is_usable ("i-1", open, &seen));
+      g_free (text);
+      /* A field that is not read.  */
+      g_free (list);
+      list = g_strconcat ("{\"more\":", open, close, ",", NULL);
+      text = changed_text (good_row, "{", list);
+      is_usable ("i-1", text, &seen);
+      g_free (text);
+      g_free (list);
+      g_free (open);
+      g_free (close);
+    }
+}
+
+static CU_TestInfo odd_row_tests[] = {
+  { "numbers out of range and of other types", test_numbers },
+  { "numbers that are left out", test_numbers_left_out },
+  { "deep nesting", test_depth },
+  CU_TEST_INFO_NULL,
+};
+
+CU_SuiteInfo test_odd_row_suites[] = {
+  { "odd rows", NULL, NULL, NULL, NULL, odd_row_tests },
+  CU_SUITE_INFO_NULL,
+};
