--- a/tests/test_odd_rows.c
+++ b/tests/test_odd_rows.c
@@ -145,10 +145,129 @@
     }
 }
 
+/* Guards against addresses and ids that cannot be called, or that change the
+   request or the stored records that hold them.  */
+static void
+test_addresses_and_ids (void)
+{
+  static const char *const addresses[] = { "",
+                                           "10.128.0.9",
+                                           "10.128.0.9:",
+                                           "10.128.0.9:0",
+                                           "10.128.0.9:70000",
+                                           "10.128.0.9:-1",
+                                           "10.128.0.9:+80",
+                                           "10.128.0.9: 80",
+                                           "10.128.0.9:80 ",
+                                           "10.128.0.9:80x",
+                                           "10.128.0.9:80/path?",
+                                           "10.128.0.9:80\\r\\nX-A: b",
+                                           " 10.128.0.9:80",
+                                           "user@10.128.0.9:80",
+                                           "10.128.0:80",
+                                           "10.128.0.900:80",
+                                           ":8080",
+                                           "letters",
+                                           "letters:80" };
+  static const char *const ids[] = {
+    "", "-", "i 1", "i-1\n", "i-1\r\nX-A: b", "i\t1", "i-\xff", "i-\x7f"
+  };
+  seen_t seen;
+  for (size_t i = 0; i < G_N_ELEMENTS (addresses); i++)
+    {
+      char *text = changed_text (good_row, "10.128.0.9:8080", addresses[i]);
+      CU_ASSERT_FALSE (is_usable ("i-1", text, &seen));
+      g_free (text);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    CU_ASSERT_FALSE (is_usable (ids[i], good_row, &seen));
+}
+
+/* Guards against texts of any length that are kept for each worker, logged and
+   stored with each of its runs, and against other types in their place.  */
+static void
+test_texts (void)
+{
+  static const char *const fields[]
+      = { "\"service\":\"s\"", "\"address\":\"10.128.0.9:8080\"",
+          "\"state\":\"draining\"", "\"machine\":\"m-1\"",
+          "\"labels\":[\"a\",\"r1-3\"]" };
+  char *long_text = g_strnfill (10240, '7');
+  char *long_value = g_strdup_printf ("\"%s\"", long_text);
+  char *long_list = g_strdup_printf ("[\"%s\"]", long_text);
+  const char *const values[]
+      = { "7", "null", "true", "{}", "[7]", long_value, long_list };
+  seen_t seen;
+  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+    for (size_t j = 0; j < G_N_ELEMENTS (values); j++)
+      {
+        char *name = g_strndup (fields[i], strcspn (fields[i], ":") + 1);
+        char *field = g_strconcat (name, values[j], NULL);
+        char *text = changed_text (good_row, fields[i], field);
+        CU_ASSERT_FALSE (is_usable ("i-1", text, &seen));
+        g_free (text);
+        g_free (field);
+        g_free (name);
+      }
+  CU_ASSERT_FALSE (is_usable (long_text, good_row, &seen));
+  g_free (long_list);
+  g_free (long_value);
+  g_free (long_text);
+}
+
+typedef struct
+{
+  struct ev_loop *loop;
+  uint32_t calls;
+  order_result_t result;
+} answers_t;
+
+static void
+record_poll (void *context, order_result_t result, worker_report_t *report)
+{
+  answers_t *answers = context;
+  answers->calls++;
+  answers->result = result;
+  ev_break (answers->loop, EVBREAK_ALL);
+}
+
+/* Guards against an address for which a call is never answered, or answered
+   from inside the call: a cell polls a worker again only after an answer, and
+   records of earlier versions may hold any address.  */
+static void
+test_calls_to_odd_addresses (void)
+{
+  static const char *const addresses[]
+      = { "",       "127.0.0.1:0",    "127.0.0.1:70000",  "127.0.0.1:-1", " ",
+          "a b:80", "127.0.0.1:80x",  "127.0.0.1:1\r\nA", "[:80",         "%",
+          ":80",    "127.0.0.1:1/?#", "127.0.0.1:1" };
+  platform_t platform = { 0 };
+  httpc_options_t options
+      = { .max_connections_per_host = 2, .connect_timeout_ms = 100 };
+  answers_t answers = { .loop = ev_loop_new (0) };
+  platform.worker_client = httpc_new (answers.loop, &options);
+  for (size_t i = 0; i < G_N_ELEMENTS (addresses); i++)
+    {
+      order_target_t target = { "i-1", addresses[i], 1 };
+      answers.calls = 0;
+      platform_poll (&platform.api, &target, 0, 0, 0, 200, record_poll,
+                     &answers);
+      CU_ASSERT_EQUAL (answers.calls, 0);
+      ev_run (answers.loop, 0);
+      CU_ASSERT_EQUAL (answers.calls, 1);
+      CU_ASSERT_NOT_EQUAL (answers.result, ORDER_ACCEPTED);
+    }
+  httpc_free (platform.worker_client);
+  ev_loop_destroy (answers.loop);
+}
+
 static CU_TestInfo odd_row_tests[] = {
   { "numbers out of range and of other types", test_numbers },
   { "numbers that are left out", test_numbers_left_out },
   { "deep nesting", test_depth },
+  { "addresses and ids", test_addresses_and_ids },
+  { "long texts and other types", test_texts },
+  { "calls to odd addresses", test_calls_to_odd_addresses },
   CU_TEST_INFO_NULL,
 };
 
