node: treat a worker whose row turns unreadable as not listed

What callers would see: an entry of the list that another writer overwrites keeps its worker in use. The worker gets new starts although its entry names no worker, or, where the new text was read, at a wrong address. An entry that changes to another service left the worker in the cell it had been in. Each change of a bad entry, and each cell that is loaded, wrote a line to the log.

Cause: node.c ignored an unreadable row, and told a row only to the cell that the row names.

Change: an unreadable row unlists the worker in all cells, a readable one in all cells but its own. An unlisted worker takes no starts, and its runs are followed at the known address. A row is logged when it becomes unreadable and when it is readable again. The code moves to src/io/node_workers.c.

Ruled out: runs that end early or twice. Over ten seconds with a bad entry, longer than a lease, the run on the worker is polled at its old address, not stopped and not started again; 2,000 bad rows drop no other.

Evidence: build/asan/unit-tests "odd rows".

--- a/src/io/node.c
+++ b/src/io/node.c
@@ -13,12 +13,7 @@
    for good, which only the timeout of such a call shows; a configuration has
    to be in force within 2 s.  */
 #define CONFIG_WAIT_MS 700
-#define WORKERS_WAIT_MS 1000
 #define FOLLOW_SLACK_MS 900
-/* Every worker renews its row once per heartbeat; without a pause each renewal
-   would come in an answer of its own.  Draining workers must get no work after
-   2 s.  */
-#define WORKERS_GAP_MS 300
 /* Claims need recent answers about the owners' heartbeats.  */
 #define CLUSTER_WAIT_MS 250
 #define CLUSTER_SLACK_MS 600
@@ -163,67 +158,6 @@
 static const replica_events_t cluster_events
     = { on_cluster_changed, NULL, on_cluster_answered };
 
-static void
-worker_listed (void *context, const worker_row_t *row)
-{
-  node_t *node = context;
-  node_cell_t *cell = g_hash_table_lookup (node->cells, row->service);
-  if (cell != NULL && cell->scheduler != NULL)
-    cell_worker_listed (cell->scheduler, row);
-}
-
-static void
-on_worker_changed (void *context, const char *part, const char *key,
-                   const char *value, size_t length)
-{
-  node_t *node = context;
-  platform_api_t *platform = node->platform;
-  node->input_pending = true;
-  /* An invalid row names no usable worker; the worker that its key named
-     before stays listed until the next row or the removal.  */
-  if (value != NULL)
-    {
-      if (!platform->ops->parse_worker (platform, key, value, length,
-                                        worker_listed, node))
-        log_event (LOG_WARN, "worker_row_unreadable", "id", key, NULL);
-      return;
-    }
-  GHashTableIter iterator;
-  gpointer cell;
-  g_hash_table_iter_init (&iterator, node->cells);
-  while (g_hash_table_iter_next (&iterator, NULL, &cell))
-    if (((node_cell_t *)cell)->scheduler != NULL)
-      cell_worker_unlisted (((node_cell_t *)cell)->scheduler, key);
-}
-
-static void
-on_workers_loaded (void *context)
-{
-  for_each_cell (context, node_cell_begin_if_loaded);
-}
-
-static const replica_events_t worker_events
-    = { on_worker_changed, on_workers_loaded, NULL };
-
-void
-node_follow_workers (node_t *node)
-{
-  static const char *const parts[] = { "", NULL };
-  bool wanted = node_cells_held (node) > 0;
-  if (!wanted)
-    {
-      replica_free (node->workers);
-      node->workers = NULL;
-    }
-  if (!wanted || node->workers != NULL)
-    return;
-  replica_options_t options
-      = { node->platform->ops->workers_table (node->platform), parts,
-          WORKERS_WAIT_MS, FOLLOW_SLACK_MS, WORKERS_GAP_MS };
-  node->workers = replica_new (node->platform, node->loop, &options,
-                               &worker_events, node);
-}
-
 static void
 apply_queues (node_cell_t *cell)
 {
@@ -505,6 +439,8 @@
   node->metrics = counter_registry_new ();
   node->cells = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                        (GDestroyNotify)node_cell_free);
+  node->unreadable_workers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   node->members = g_ptr_array_new_with_free_func (node_member_free);
   adaptive_timeout_init (&node->store_timeout, STORE_MIN_TIMEOUT_MS,
                          STORE_MAX_TIMEOUT_MS);
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -134,7 +134,9 @@
   queue_table_t *queues;
   replica_t *config, *cluster;
   replica_t *workers; /* NULL: this node holds no cell */
-  GHashTable *cells;  /* name -> node_cell_t, freed by the table */
+  GHashTable
+      *unreadable_workers; /* ids of the list's unreadable rows, owned */
+  GHashTable *cells;       /* name -> node_cell_t, freed by the table */
   httpd_t *peer_server;
   httpd_t *metrics_server; /* NULL: no additional metrics port */
   httpc_t *peer_client;
@@ -165,9 +167,6 @@
 /* Adds a duration to the histogram NAME.  */
 void node_histogram_add (node_t *node, const char *name, int64_t took_ms);
 
-/* Starts to follow the list of workers if this node holds a cell, and stops if
-   it holds none.  */
-void node_follow_workers (node_t *node);
 /* Number of cells that this node is claiming, loading or releasing, or owns.
  */
 uint32_t node_cells_held (const node_t *node);
@@ -183,6 +182,15 @@
 void node_cell_run (node_cell_t *cell, int64_t wall_ms);
 extern const cell_actions_t node_cell_actions;
 
+/* node_workers.c */
+/* Starts to follow the list of workers if this node holds a cell, and stops if
+   it holds none.  */
+void node_follow_workers (node_t *node);
+/* The row KEY of the list has changed; VALUE is NULL for a removed row.  A row
+   that can't be read names no worker, as if it were removed.  */
+void node_worker_changed (void *context, const char *part, const char *key,
+                          const char *value, size_t length);
+
 /* node_commit.c */
 void node_commit (node_cell_t *cell);
 void node_commit_retry (struct ev_loop *loop, ev_timer *watcher, int events);
--- a/tests/test_odd_rows.c
+++ b/tests/test_odd_rows.c
@@ -1,7 +1,9 @@
+#include "node_internal.h"
 #include "platform_internal.h"
 #include "test.h"
 
 #include <string.h>
+#include <unistd.h>
 
 /* Rows of the list of workers that another writer left.  */
 
@@ -261,6 +263,289 @@
   ev_loop_destroy (answers.loop);
 }
 
+/* A node that owns the cells "s" and "t", with a job of one task in "s".  */
+
+#define JOB_ID "5c0e7a21d94b36f8"
+#define OTHER_JOB_ID "6d1f8b32e05c47a9"
+#define WORKER "i-1"
+#define WORKER_ADDRESS "10.128.0.9:8080"
+
+static const char ready_row[]
+    = "{\"service\":\"s\",\"address\":\"" WORKER_ADDRESS "\",\"state\":"
+      "\"ready\",\"born\":1765000000123,\"capacity\":{\"cpu\":16000,"
+      "\"mem_mb\":32768},\"labels\":[\"r1-3\"]}";
+
+/* Rows that the worker's may turn into.  */
+static const struct
+{
+  const char *from, *to;
+} odd_rows[] = {
+  { "16000", "1e300" },
+  { "1765000000123", "1e300" },
+  { "1765000000123", "9223372036854775807" },
+  { "1765000000123", "true" },
+  { "\"ready\"", "\"new\"" },
+  { "\"state\"", "\"stage\"" },
+  { ":8080", ":70000" },
+  { ":8080", "" },
+  { "\"s\"", "\"u\"" }, /* not the name of a cell */
+  { "\"s\"", "\"t\"" },
+  { "{\"service", "[\"service" },
+  { "r1-3", "\xff\xfe" },
+  { "}", "" },
+};
+
+typedef struct
+{
+  platform_api_t platform;
+  node_t node;
+  node_cell_t cells[2];
+  clk_fake_t clock;
+  bool save_pending;
+  uint32_t polls, starts, stops; /* at WORKER */
+  uint32_t starts_elsewhere;
+  char poll_address[32];
+} owner_t;
+
+static void
+on_save (void *context, const cell_record_t *records, uint32_t count)
+{
+  ((owner_t *)context)->save_pending = true;
+}
+
+static void
+on_start (void *context, const cell_worker_ref_t *worker,
+          const cell_start_order_t *order)
+{
+  owner_t *owner = context;
+  if (strcmp (worker->id, WORKER) == 0)
+    owner->starts++;
+  else
+    owner->starts_elsewhere++;
+}
+
+static void
+on_stop (void *context, const cell_worker_ref_t *worker, const char *task,
+         uint32_t run)
+{
+  ((owner_t *)context)->stops++;
+}
+
+static void
+on_poll (void *context, const cell_worker_ref_t *worker,
+         int64_t lease_until_ms, uint64_t acknowledged_end, int64_t wait_ms)
+{
+  owner_t *owner = context;
+  if (strcmp (worker->id, WORKER) != 0)
+    return;
+  owner->polls++;
+  g_strlcpy (owner->poll_address, worker->address, sizeof owner->poll_address);
+}
+
+static void
+on_log (void *context, const char *event, const char *subject,
+        const char *detail)
+{
+}
+
+static const cell_actions_t cell_actions = { .save = on_save,
+                                             .start = on_start,
+                                             .stop = on_stop,
+                                             .poll = on_poll,
+                                             .log = on_log };
+
+static void
+add_job (owner_t *owner, const char *id)
+{
+  work_job_t *job = work_job_new (id, "queue", 1);
+  job->spec = g_strdup ("x");
+  job->steps[0].count = 1;
+  job->steps[0].need = (resource_t){ 1000, 1000, 0 };
+  job->steps[0].estimate_ms = 10000;
+  cell_add_job (owner->cells[0].scheduler, job);
+}
+
+static void
+run_for (owner_t *owner, int64_t for_ms)
+{
+  for (int64_t done_ms = 0; done_ms < for_ms; done_ms += CELL_TICK_MS)
+    {
+      clk_fake_advance_ms (&owner->clock, CELL_TICK_MS);
+      for (size_t i = 0; i < G_N_ELEMENTS (owner->cells); i++)
+        cell_run (owner->cells[i].scheduler, clk_now_ms (&owner->clock.base));
+      if (!owner->save_pending)
+        continue;
+      owner->save_pending = false;
+      cell_save_done (owner->cells[0].scheduler);
+    }
+}
+
+/* WORKER's answer to a poll: RUNS the task of the first job or nothing.  */
+static void
+answer_poll (owner_t *owner, bool runs)
+{
+  int64_t now_ms = clk_now_ms (&owner->clock.base);
+  report_run_t run = { JOB_ID ".0.0.0", 1, "", 10, 0 };
+  worker_report_t report = { .sent_ms = now_ms,
+                             .clock_ms = now_ms,
+                             .start_ms = 1765000000123,
+                             .runs = &run,
+                             .run_count = runs };
+  cell_poll_answered (owner->cells[0].scheduler, WORKER, &report);
+}
+
+static void
+list_row (owner_t *owner, const char *id, const char *row)
+{
+  node_worker_changed (&owner->node, "", id, row,
+                       row != NULL ? strlen (row) : 0);
+}
+
+/* The owner with the first job's task at work on WORKER.  */
+static void
+owner_begin (owner_t *owner)
+{
+  static const platform_api_ops_t ops
+      = { .parse_worker = platform_parse_worker };
+  static const cell_options_t options = { 6000, 10000, 120000 };
+  static const char *const names[] = { "s", "t" };
+  *owner = (owner_t){ .platform.ops = &ops };
+  clk_fake_init (&owner->clock, 100000);
+  owner->node.platform = &owner->platform;
+  owner->node.clock = &owner->clock.base;
+  owner->node.cells = g_hash_table_new (g_str_hash, g_str_equal);
+  owner->node.unreadable_workers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      node_cell_t *cell = &owner->cells[i];
+      cell->node = &owner->node;
+      cell->name = (char *)names[i];
+      cell->scheduler
+          = cell_new (&options, &owner->clock.base, &cell_actions, owner);
+      g_hash_table_insert (owner->node.cells, cell->name, cell);
+      cell_begin (cell->scheduler, true);
+    }
+  add_job (owner, JOB_ID);
+  list_row (owner, WORKER, ready_row);
+  run_for (owner, 100);
+  answer_poll (owner, false);
+  run_for (owner, 100);
+  CU_ASSERT_EQUAL_FATAL (owner->starts, 1);
+  cell_start_answered (owner->cells[0].scheduler, WORKER, JOB_ID ".0.0.0", 1,
+                       ORDER_ACCEPTED, 0);
+  answer_poll (owner, true);
+}
+
+static void
+owner_end (owner_t *owner)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (owner->cells); i++)
+    cell_free (owner->cells[i].scheduler);
+  g_hash_table_unref (owner->node.cells);
+  g_hash_table_unref (owner->node.unreadable_workers);
+}
+
+/* Lets WORKER answer its polls for longer than a lease.  Returns whether each
+   was sent to the known address.  */
+static bool
+follow_run (owner_t *owner)
+{
+  bool followed = true;
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      uint32_t polls = owner->polls;
+      answer_poll (owner, true);
+      run_for (owner, 1000);
+      followed = followed && owner->polls > polls
+                 && strcmp (owner->poll_address, WORKER_ADDRESS) == 0;
+    }
+  return followed;
+}
+
+/* Guards against an entry that turns bad and takes its worker's runs along, or
+   still gets new ones: it names no worker to use, and what runs there goes on.
+   "Turns good" is the entry as it was.  */
+static void
+test_row_turns_bad (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (odd_rows); i++)
+    {
+      owner_t owner;
+      owner_begin (&owner);
+      char *row = changed_text (ready_row, odd_rows[i].from, odd_rows[i].to);
+      list_row (&owner, WORKER, row);
+      add_job (&owner, OTHER_JOB_ID);
+      CU_ASSERT_TRUE (follow_run (&owner));
+      CU_ASSERT_EQUAL (owner.starts, 1);
+      CU_ASSERT_EQUAL (owner.stops, 0);
+      CU_ASSERT_EQUAL (owner.starts_elsewhere, 0);
+      list_row (&owner, WORKER, ready_row);
+      CU_ASSERT_TRUE (follow_run (&owner));
+      CU_ASSERT_EQUAL (owner.starts, 2);
+      CU_ASSERT_EQUAL (owner.stops, 0);
+      g_free (row);
+      owner_end (&owner);
+    }
+}
+
+/* Returns the lines that contain EVENT in the file PATH.  */
+static uint32_t
+count_lines (const char *path, const char *event)
+{
+  char *text = NULL;
+  uint32_t count = 0;
+  CU_ASSERT_TRUE_FATAL (g_file_get_contents (path, &text, NULL, NULL));
+  for (const char *at = text; (at = strstr (at, event)) != NULL; at++)
+    count++;
+  g_free (text);
+  return count;
+}
+
+/* Guards against bad entries that drop others or flood the log: rows that stay
+   bad are reported again and again, with each change and each cell that is
+   loaded.  */
+static void
+test_many_bad_rows (void)
+{
+  owner_t owner;
+  char *path = NULL;
+  char id[16];
+  owner_begin (&owner);
+  int fd = g_file_open_tmp ("log-XXXXXX", &path, NULL);
+  CU_ASSERT_TRUE_FATAL (fd >= 0);
+  int saved_stderr = dup (STDERR_FILENO);
+  dup2 (fd, STDERR_FILENO);
+  for (uint32_t round = 0; round < 5; round++)
+    {
+      list_row (&owner, "i-bad", "[");
+      list_row (&owner, "i-bad", "{}");
+    }
+  CU_ASSERT_EQUAL (count_lines (path, "worker_row_unreadable"), 1);
+  list_row (&owner, "i-bad", ready_row);
+  list_row (&owner, "i-bad", "[");
+  CU_ASSERT_EQUAL (count_lines (path, "worker_row_readable"), 1);
+  CU_ASSERT_EQUAL (count_lines (path, "worker_row_unreadable"), 2);
+  list_row (&owner, "i-bad", NULL);
+  for (uint32_t i = 0; i < 2000; i++)
+    {
+      g_snprintf (id, sizeof id, "i-x%u", i);
+      list_row (&owner, id, "{\"state\":1e300}");
+    }
+  list_row (&owner, "i-2", ready_row);
+  dup2 (saved_stderr, STDERR_FILENO);
+  close (saved_stderr);
+  CU_ASSERT_TRUE (count_lines (path, "worker_row_unreadable") <= 100);
+  CU_ASSERT_TRUE (follow_run (&owner));
+  cell_totals_t totals;
+  cell_totals (owner.cells[0].scheduler, &totals);
+  CU_ASSERT_EQUAL (totals.workers, 2);
+  close (fd);
+  remove (path);
+  g_free (path);
+  owner_end (&owner);
+}
+
 static CU_TestInfo odd_row_tests[] = {
   { "numbers out of range and of other types", test_numbers },
   { "numbers that are left out", test_numbers_left_out },
@@ -268,6 +553,8 @@
   { "addresses and ids", test_addresses_and_ids },
   { "long texts and other types", test_texts },
   { "calls to odd addresses", test_calls_to_odd_addresses },
+  { "a row that turns bad and good again", test_row_turns_bad },
+  { "many bad rows", test_many_bad_rows },
   CU_TEST_INFO_NULL,
 };
 
