platform: take only complete answers of workers for reports

What callers would see: an answer to a poll without lists, or with a row that can't be read, ends the runs that it does not show, and they are started a second time beside the first. An end numbered 1e300 hides all later ends of that worker. A checkpoint with a space breaks the record that it is stored in.

Cause: platform/workers.c read missing or odd values as 0 or "", converted numbers to integers unchecked, and cut run numbers to 32 bits.

Change: a report needs clock_ms and lists, and each row a task, a run from 1 and, for an end, a number from 1; else the poll counts as not answered, so the runs end only with the lease. A percentage or figure that can't be read counts as 0, and a checkpoint that does not fit a record is left out: neither says whether a run is there.

Ruled out: lists that are left out because they are empty stay allowed.

--- a/tests/test_odd_rows.c
+++ b/tests/test_odd_rows.c
@@ -546,6 +546,132 @@
   owner_end (&owner);
 }
 
+static const char good_report[]
+    = "{\"clock_ms\":482113,\"born\":1765000000123,\"running\":[[\"" JOB_ID
+      ".0.1.17\",2,\"00000bb87a21d94b\",41,87]],\"ended\":[[58,\"" JOB_ID
+      ".0.1.9\",1,\"done\",\"\"]]}";
+
+typedef struct
+{
+  uint32_t calls;
+  worker_report_t report; /* its lists hold one item each */
+  report_run_t run;
+  report_end_t end;
+  char run_checkpoint[32];
+} seen_report_t;
+
+static void
+record_report (void *context, order_result_t result, worker_report_t *report)
+{
+  seen_report_t *seen = context;
+  seen->calls++;
+  seen->report = *report;
+  if (report->run_count > 0)
+    {
+      seen->run = report->runs[0];
+      g_strlcpy (seen->run_checkpoint, seen->run.checkpoint,
+                 sizeof seen->run_checkpoint);
+    }
+  if (report->end_count > 0)
+    seen->end = report->ends[0];
+}
+
+static bool
+is_report (const char *text, seen_report_t *seen)
+{
+  json_t *body = json_loads (text, 0, NULL);
+  *seen = (seen_report_t){ 0 };
+  bool ok = platform_parse_report (body, record_report, seen);
+  CU_ASSERT_EQUAL (seen->calls, ok ? 1 : 0);
+  json_decref (body);
+  return ok;
+}
+
+/* Guards against an answer to a poll of which only a part was understood.  A
+   run that is not in it counts as ended and is started again; an end with a
+   number out of range hides all later ones.  */
+static void
+test_reports (void)
+{
+  static const struct
+  {
+    const char *from, *to;
+  } odd[] = {
+    { "482113", "1e300" },
+    { "482113", "-1" },
+    { "482113", "\"482113\"" },
+    { "\"clock_ms\":482113,", "" },
+    { "1765000000123", "1e300" },
+    { "1765000000123", "-1" },
+    { "1765000000123", "true" },
+    { "[[\"5c", "[7,[\"5c" },
+    { "17\",2", "17\",1e300" },
+    { "17\",2", "17\",4294967298" },
+    { "17\",2", "17\",0" },
+    { "17\",2", "17\",\"2\"" },
+    { "\"" JOB_ID ".0.1.17\",2", "2,\"" JOB_ID ".0.1.17\"" },
+    { "\"" JOB_ID ".0.1.17\"", "\"\"" },
+    { "[58", "[1e300" },
+    { "[58", "[-58" },
+    { "[58", "[0" },
+    { "9\",1,", "9\",1e19," },
+    { "9\",1,", "9\",-1," },
+    { "\"" JOB_ID ".0.1.9\"", "null" },
+    { "\"running\":[", "\"running\":7,\"walking\":[" },
+    { "\"ended\":[", "\"ended\":{},\"over\":[" },
+  };
+  seen_report_t seen;
+  CU_ASSERT_TRUE_FATAL (is_report (good_report, &seen));
+  CU_ASSERT_EQUAL (seen.report.clock_ms, 482113);
+  CU_ASSERT_EQUAL (seen.report.start_ms, 1765000000123);
+  CU_ASSERT_EQUAL (seen.run.run, 2);
+  CU_ASSERT_EQUAL (seen.run.percent, 41);
+  CU_ASSERT_EQUAL (seen.run.measure, 87);
+  CU_ASSERT_STRING_EQUAL (seen.run_checkpoint, "00000bb87a21d94b");
+  CU_ASSERT_EQUAL (seen.end.number, 58);
+  CU_ASSERT_EQUAL (seen.end.run, 1);
+  CU_ASSERT_EQUAL (seen.end.how, END_DONE);
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      char *text = changed_text (good_report, odd[i].from, odd[i].to);
+      CU_ASSERT_FALSE (is_report (text, &seen));
+      g_free (text);
+    }
+  CU_ASSERT_FALSE (is_report ("{}", &seen));
+  CU_ASSERT_TRUE (is_report ("{\"clock_ms\":1}", &seen));
+}
+
+/* Guards against a figure of a run that ends the process or hides the run, and
+   against a checkpoint that breaks the record it is stored in.  */
+static void
+test_figures_of_runs (void)
+{
+  static const char *const figures[]
+      = { "1e300", "-1e300", "1e19", "-1", "null", "\"41\"", "[]" };
+  seen_report_t seen;
+  for (size_t i = 0; i < G_N_ELEMENTS (figures); i++)
+    {
+      char *both = g_strdup_printf (",%s,%s]", figures[i], figures[i]);
+      char *text = changed_text (good_report, ",41,87]", both);
+      CU_ASSERT_TRUE (is_report (text, &seen));
+      CU_ASSERT_EQUAL (seen.run.percent, 0);
+      CU_ASSERT_EQUAL (seen.run.measure, 0);
+      g_free (both);
+      g_free (text);
+    }
+  char *long_text = g_strnfill (10240, '0');
+  const char *const checkpoints[] = { "0 1", "0\\n1", long_text };
+  for (size_t i = 0; i < G_N_ELEMENTS (checkpoints); i++)
+    {
+      char *text
+          = changed_text (good_report, "00000bb87a21d94b", checkpoints[i]);
+      CU_ASSERT_TRUE (is_report (text, &seen));
+      CU_ASSERT_STRING_EQUAL (seen.run_checkpoint, "");
+      g_free (text);
+    }
+  g_free (long_text);
+}
+
 static CU_TestInfo odd_row_tests[] = {
   { "numbers out of range and of other types", test_numbers },
   { "numbers that are left out", test_numbers_left_out },
@@ -555,6 +681,8 @@
   { "calls to odd addresses", test_calls_to_odd_addresses },
   { "a row that turns bad and good again", test_row_turns_bad },
   { "many bad rows", test_many_bad_rows },
+  { "answers to polls", test_reports },
+  { "figures and checkpoints of runs", test_figures_of_runs },
   CU_TEST_INFO_NULL,
 };
 
