--- a/src/number.c
+++ b/src/number.c
@@ -25,3 +25,13 @@
   const json_t *value = json_object_get (object, key);
   return value == NULL || number_read (value, min, max, number);
 }
+
+bool
+number_member_u32 (const json_t *object, const char *key, uint32_t *number)
+{
+  int64_t wide = *number;
+  if (!number_member (object, key, 0, UINT32_MAX, &wide))
+    return false;
+  *number = (uint32_t)wide;
+  return true;
+}
--- a/src/number.h
+++ b/src/number.h
@@ -29,5 +29,8 @@
    leaves *NUMBER as it is.  */
 bool number_member (const json_t *object, const char *key, int64_t min,
                     int64_t max, int64_t *number);
+/* The same for a number of 32 bits without a sign.  */
+bool number_member_u32 (const json_t *object, const char *key,
+                        uint32_t *number);
 
 #endif
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -193,6 +193,27 @@
     "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[0]}]}",
     "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":-5}]}",
     "{\"spec\":\"x\",\"steps\":[{\"count\":100000}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":4294967297}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":true}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"mem_mb\":\"5\"}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1e300}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"estimated_ms\":1e19}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"estimated_ms\":"
+    "9223372036854775807}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"target_ms\":-1}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"anti_affinity\":-1}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"miss_tolerant\":1e10}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1},{\"count\":1,\"after\":"
+    "[4294967296]}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1},{\"count\":1,\"after\":"
+    "[\"0\"]}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1},{\"count\":1,\"after\":0}]}",
+    "{\"spec\":\"x\",\"repeat_count\":-1,\"steps\":[{\"count\":1}]}",
+    "{\"spec\":\"x\",\"repeat_count\":1e10,\"steps\":[{\"count\":1}]}",
+    "{\"spec\":\"x\",\"repeat_count\":2,\"interval_ms\":-1,\"steps\":"
+    "[{\"count\":1}]}",
+    "{\"spec\":\"x\",\"repeat_count\":2,\"start_time_ms\":1e300,\"steps\":"
+    "[{\"count\":1}]}",
   };
   for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
     {
