--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -225,6 +225,29 @@
     }
 }
 
+/* Guards against a wait that overflows when it is added to the time.  */
+static void
+test_waits (void)
+{
+  static const struct
+  {
+    const char *text;
+    int64_t wait_ms;
+  } cases[] = {
+    { "2500", 2500 },
+    { "2500.5", 2500 },
+    { NULL, 0 },
+    { "", 0 },
+    { "soon", 0 },
+    { "-1", 0 },
+    { "9223372036854775807", 0 },
+    { "-9223372036854775808", 0 },
+    { "99999999999999999999", 0 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    CU_ASSERT_EQUAL (platform_parse_wait (cases[i].text), cases[i].wait_ms);
+}
+
 static const char settings_text[]
     = "node=edge-1\nzone=z\nip=10.1.0.30\ninternal_ports=7380,7395\n"
       "listen_addresses.front=10.1.0.30:8149\n"
@@ -296,6 +319,7 @@
   { "rows of workers, valid and invalid", test_worker_rows },
   { "a submission and its row", test_job },
   { "submissions that are refused", test_bad_jobs },
+  { "waits of callers", test_waits },
   { "settings", test_settings },
   CU_TEST_INFO_NULL,
 };
