--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -274,6 +274,18 @@
       "listen_addresses.front is \"nowhere\", expected IP:PORT" },
     { "grace_s=6", "grace_s=soon",
       "bounds.grace_s is \"soon\", expected a number from 0" },
+    { "grace_s=6", "grace_s=1e300",
+      "bounds.grace_s is \"1e300\", expected a number from 0" },
+    { "grace_s=6", "grace_s=nan",
+      "bounds.grace_s is \"nan\", expected a number from 0" },
+    { "grace_s=6", "grace_s=inf",
+      "bounds.grace_s is \"inf\", expected a number from 0" },
+    { "cores=2", "cores=1e300",
+      "limits.cores is \"1e300\", expected a number from 0" },
+    { "7380,7395", "70000,70001",
+      "internal_ports is \"70000,70001\", expected FIRST,LAST" },
+    { "7380,7395", "-1,7395",
+      "internal_ports is \"-1,7395\", expected FIRST,LAST" },
     { "7380,7395", "x", "internal_ports is \"x\", expected FIRST,LAST" },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
