--- a/tests/test_odd_rows.c
+++ b/tests/test_odd_rows.c
@@ -672,6 +672,99 @@
   g_free (long_text);
 }
 
+typedef struct
+{
+  uint32_t calls, count;
+  store_result_t result;
+  uint64_t version;
+  bool more;
+  char keys[4][32];
+  char values[4][16];
+} seen_reply_t;
+
+static void
+record_reply (void *context, const store_reply_t *reply)
+{
+  seen_reply_t *seen = context;
+  seen->calls++;
+  seen->result = reply->result;
+  seen->version = reply->version;
+  seen->more = reply->more;
+  seen->count = reply->count;
+  for (uint32_t i = 0; i < MIN (reply->count, 4); i++)
+    {
+      const store_row_t *row = &reply->rows[i];
+      g_strlcpy (seen->keys[i], row->key, sizeof seen->keys[i]);
+      if (row->value == NULL)
+        continue;
+      memcpy (seen->values[i], row->value, MIN (row->length, 15));
+    }
+}
+
+/* Guards against one odd row of a table that makes the answer of the store
+   unreadable, and with it the whole list.  */
+static void
+test_replies_with_odd_row (void)
+{
+  static const char *const odd[] = {
+    "{\"key\":\"a\\u0000b\",\"value\":\"e30=\",\"schema_version\":3}",
+    "{\"key\":\"i-1\\u0000\",\"value\":\"e30=\",\"schema_version\":3}",
+    "{\"key\":\"a\\ud800\",\"value\":\"e30=\",\"schema_version\":3}",
+    "{\"key\":\"a\\uDFFF\\ud800\",\"value\":\"e30=\",\"schema_version\":3}",
+    "{\"key\":\"a\xff\xc3\",\"value\":\"e30=\",\"schema_version\":3}",
+    "{\"key\":\"a\\ud83d\\ude00\\\\u0000\",\"value\":\"e30=\"}",
+    "{\"key\":7,\"value\":\"e30=\",\"schema_version\":3}",
+    "{\"key\":\"a\",\"value\":\"\\u00e4~*\",\"schema_version\":3}",
+    "{\"key\":\"a\",\"value\":7,\"schema_version\":-3}",
+    "{\"key\":\"a\",\"value\":{\"a\":[]},\"schema_version\":1e300}",
+    "[]",
+    "null",
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      char *text = g_strdup_printf (
+          "{\"rows\":[{\"key\":\"i-1\",\"value\":\"YWJj\",\"schema_version\":"
+          "2},%s,{\"key\":\"i-2\",\"value\":\"ZGVm\",\"schema_version\":4}],"
+          "\"has_more\":true,\"schema_version\":5}",
+          odd[i]);
+      seen_reply_t seen = { 0 };
+      platform_parse_reply (STORE_OK, text, strlen (text), record_reply,
+                            &seen);
+      CU_ASSERT_EQUAL (seen.calls, 1);
+      CU_ASSERT_EQUAL (seen.result, STORE_OK);
+      CU_ASSERT_EQUAL (seen.version, 5);
+      CU_ASSERT_TRUE (seen.more);
+      CU_ASSERT_EQUAL (seen.count, 3);
+      CU_ASSERT_STRING_EQUAL (seen.keys[0], "i-1");
+      CU_ASSERT_STRING_EQUAL (seen.values[0], "abc");
+      CU_ASSERT_STRING_NOT_EQUAL (seen.keys[1], "i-1");
+      CU_ASSERT_STRING_EQUAL (seen.keys[2], "i-2");
+      CU_ASSERT_STRING_EQUAL (seen.values[2], "def");
+      g_free (text);
+    }
+}
+
+/* Guards against an answer that can't be read and is taken for a table without
+   rows, which would unlist all workers.  */
+static void
+test_unreadable_replies (void)
+{
+  static const char *const bodies[] = { "", "{", "[]", "7", "null", "<html>" };
+  for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      seen_reply_t seen = { 0 };
+      platform_parse_reply (STORE_OK, bodies[i], strlen (bodies[i]),
+                            record_reply, &seen);
+      CU_ASSERT_EQUAL (seen.calls, 1);
+      CU_ASSERT_EQUAL (seen.result, STORE_UNKNOWN);
+      seen = (seen_reply_t){ 0 };
+      platform_parse_reply (STORE_CONFLICT, bodies[i], strlen (bodies[i]),
+                            record_reply, &seen);
+      CU_ASSERT_EQUAL (seen.calls, 1);
+      CU_ASSERT_EQUAL (seen.result, STORE_CONFLICT);
+    }
+}
+
 static CU_TestInfo odd_row_tests[] = {
   { "numbers out of range and of other types", test_numbers },
   { "numbers that are left out", test_numbers_left_out },
@@ -683,6 +776,8 @@
   { "many bad rows", test_many_bad_rows },
   { "answers to polls", test_reports },
   { "figures and checkpoints of runs", test_figures_of_runs },
+  { "answers of the store with an odd row", test_replies_with_odd_row },
+  { "unreadable answers of the store", test_unreadable_replies },
   CU_TEST_INFO_NULL,
 };
 
