--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -193,6 +193,27 @@
     "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[0]}]}",
     "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":-5}]}",
     "{\"spec\":\"x\",\"steps\":[{\"count\":100000}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":4294967297}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":true}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"mem_mb\":\"5\"}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1e300}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"estimated_ms\":1e19}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"estimated_ms\":"
+    "9223372036854775807}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"target_ms\":-1}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"anti_affinity\":-1}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"miss_tolerant\":1e10}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1},{\"count\":1,\"after\":"
+    "[4294967296]}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1},{\"count\":1,\"after\":"
+    "[\"0\"]}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1},{\"count\":1,\"after\":0}]}",
+    "{\"spec\":\"x\",\"repeat_count\":-1,\"steps\":[{\"count\":1}]}",
+    "{\"spec\":\"x\",\"repeat_count\":1e10,\"steps\":[{\"count\":1}]}",
+    "{\"spec\":\"x\",\"repeat_count\":2,\"interval_ms\":-1,\"steps\":"
+    "[{\"count\":1}]}",
+    "{\"spec\":\"x\",\"repeat_count\":2,\"start_time_ms\":1e300,\"steps\":"
+    "[{\"count\":1}]}",
   };
   for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
     {
@@ -204,6 +225,29 @@
     }
 }
 
+/* Guards against a wait that overflows when it is added to the time.  */
+static void
+test_waits (void)
+{
+  static const struct
+  {
+    const char *text;
+    int64_t wait_ms;
+  } cases[] = {
+    { "2500", 2500 },
+    { "2500.5", 2500 },
+    { NULL, 0 },
+    { "", 0 },
+    { "soon", 0 },
+    { "-1", 0 },
+    { "9223372036854775807", 0 },
+    { "-9223372036854775808", 0 },
+    { "99999999999999999999", 0 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    CU_ASSERT_EQUAL (platform_parse_wait (cases[i].text), cases[i].wait_ms);
+}
+
 static const char settings_text[]
     = "node=edge-1\nzone=z\nip=10.1.0.30\ninternal_ports=7380,7395\n"
       "listen_addresses.front=10.1.0.30:8149\n"
@@ -230,6 +274,18 @@
       "listen_addresses.front is \"nowhere\", expected IP:PORT" },
     { "grace_s=6", "grace_s=soon",
       "bounds.grace_s is \"soon\", expected a number from 0" },
+    { "grace_s=6", "grace_s=1e300",
+      "bounds.grace_s is \"1e300\", expected a number from 0" },
+    { "grace_s=6", "grace_s=nan",
+      "bounds.grace_s is \"nan\", expected a number from 0" },
+    { "grace_s=6", "grace_s=inf",
+      "bounds.grace_s is \"inf\", expected a number from 0" },
+    { "cores=2", "cores=1e300",
+      "limits.cores is \"1e300\", expected a number from 0" },
+    { "7380,7395", "70000,70001",
+      "internal_ports is \"70000,70001\", expected FIRST,LAST" },
+    { "7380,7395", "-1,7395",
+      "internal_ports is \"-1,7395\", expected FIRST,LAST" },
     { "7380,7395", "x", "internal_ports is \"x\", expected FIRST,LAST" },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -275,6 +331,7 @@
   { "rows of workers, valid and invalid", test_worker_rows },
   { "a submission and its row", test_job },
   { "submissions that are refused", test_bad_jobs },
+  { "waits of callers", test_waits },
   { "settings", test_settings },
   CU_TEST_INFO_NULL,
 };
