cell: log which lease the runs of a silent worker wait for

Change: runs_await_lease once per wait of a worker, with the cause (lease, former_owner, late_order) and the longest time left; lease_expired names the cause too. Its answered_ago_ms and silent_ms are -1 where the worker never answered; they were computed from a time that never was.

--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -195,8 +195,10 @@
   int64_t lease_until_ms;      /* highest lease end granted, worker's clock */
   int64_t late_renewal_until_ms; /* until then, a delayed order sent before its
                                     restart may still extend its lease */
-  uint32_t fail_streak; /* failed runs since a run was last done; repeated
-                           failures of one job count once */
+  int64_t awaited_until_ms; /* end of its leases that was logged last, while
+                               its runs wait for it */
+  uint32_t fail_streak;     /* failed runs since a run was last done; repeated
+                               failures of one job count once */
   char last_failed_job[WORK_ID_LENGTH + 1]; /* id */
   int64_t avoid_until_ms;
   const cell_job_t *held_for; /* other jobs start nothing here until
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -560,21 +560,59 @@
     }
 }
 
-/* Whether every lease that WORKER may have been given has expired.  */
-static bool
-lease_has_expired (const cell_t *cell, const cell_worker_t *worker)
+/* Returns the time by which every lease that WORKER may have been given has
+   expired, and sets *CAUSE to what that time is due to.  */
+static int64_t
+leases_end_ms (const cell_t *cell, const cell_worker_t *worker,
+               const char **cause)
 {
   double max_slowdown = 1.0 / (1.0 - CLOCK_MAX_SLOW_SHARE);
   if (!worker->has_fencing_token || worker->sampled_ms == 0)
-    return cell->now_ms
-           > MAX (cell->previous_renews_until_ms,
+    {
+      *cause = worker->late_renewal_until_ms > cell->previous_renews_until_ms
+                   ? "late_order"
+                   : "former_owner";
+      return MAX (cell->previous_renews_until_ms,
                   worker->late_renewal_until_ms)
-                 + (int64_t)((double)cell->options.lease_ms * max_slowdown)
-                 + LEASE_EXPIRY_MARGIN_MS;
+             + (int64_t)((double)cell->options.lease_ms * max_slowdown)
+             + LEASE_EXPIRY_MARGIN_MS;
+    }
   double left_ms = (double)(worker->lease_until_ms - worker->sampled_clock_ms)
                    * max_slowdown;
-  return cell->now_ms
-         > worker->sampled_ms + (int64_t)left_ms + LEASE_EXPIRY_MARGIN_MS;
+  *cause = "lease";
+  return worker->sampled_ms + (int64_t)left_ms + LEASE_EXPIRY_MARGIN_MS;
+}
+
+/* Time since AT_MS; -1 if that is 0, which means never.  */
+static int64_t
+elapsed_ms (const cell_t *cell, int64_t at_ms)
+{
+  return at_ms == 0 ? -1 : cell->now_ms - at_ms;
+}
+
+/* Ends the runs of WORKER, which is silent, once its leases have expired.  */
+static void
+end_runs_without_lease (cell_t *cell, cell_worker_t *worker)
+{
+  const char *cause;
+  int64_t end_ms = leases_end_ms (cell, worker, &cause);
+  if (cell->now_ms > end_ms)
+    {
+      cell_log (cell, "lease_expired", worker->id,
+                "tasks=%u cause=%s answered_ago_ms=%lld silent_ms=%lld",
+                worker->tasks->len, cause,
+                (long long)elapsed_ms (cell, worker->sampled_ms),
+                (long long)elapsed_ms (cell, worker->silent_ms));
+      cell_worker_stayed_silent (cell, worker);
+      end_all_runs (worker, END_LAPSED);
+    }
+  else if (worker->awaited_until_ms != end_ms)
+    {
+      worker->awaited_until_ms = end_ms;
+      cell_log (cell, "runs_await_lease", worker->id,
+                "tasks=%u cause=%s left_ms=%lld", worker->tasks->len, cause,
+                (long long)(end_ms - cell->now_ms));
+    }
 }
 
 /* Stops the tasks on a draining worker shortly before it may leave, except
@@ -606,18 +644,8 @@
   for (guint i = 0; i < cell->worker_list->len;)
     {
       cell_worker_t *worker = cell->worker_list->pdata[i];
-      if (!worker->responsive && worker->tasks->len > 0
-          && lease_has_expired (cell, worker))
-        {
-          cell_log (
-              cell, "lease_expired", worker->id,
-              "tasks=%u fenced=%d answered_ago_ms=%lld left_ms=%lld",
-              worker->tasks->len, worker->has_fencing_token,
-              (long long)(cell->now_ms - worker->sampled_ms),
-              (long long)(worker->lease_until_ms - worker->sampled_clock_ms));
-          cell_worker_stayed_silent (cell, worker);
-          end_all_runs (worker, END_LAPSED);
-        }
+      if (!worker->responsive && worker->tasks->len > 0)
+        end_runs_without_lease (cell, worker);
       if (worker->draining)
         evacuate (cell, worker);
       if (!worker->listed && worker->tasks->len == 0 && !worker->poll_in_flight
