--- a/src/number.c
+++ b/src/number.c
@@ -35,3 +35,17 @@
   *number = (uint32_t)wide;
   return true;
 }
+
+bool
+number_member_real (const json_t *object, const char *key, double min,
+                    double max, double *number)
+{
+  const json_t *value = json_object_get (object, key);
+  double real = json_number_value (value);
+  if (value == NULL)
+    return true;
+  if (!json_is_number (value) || !(real >= min && real <= max))
+    return false;
+  *number = real;
+  return true;
+}
--- a/src/number.h
+++ b/src/number.h
@@ -32,5 +32,8 @@
 /* The same for a number of 32 bits without a sign.  */
 bool number_member_u32 (const json_t *object, const char *key,
                         uint32_t *number);
+/* The same for a number with a fraction.  */
+bool number_member_real (const json_t *object, const char *key, double min,
+                         double max, double *number);
 
 #endif
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -51,6 +51,55 @@
   queue_table_free (table);
 }
 
+/* Guards against numbers of an operator's row that end all nodes at once, hide
+   later versions, or count as something else.  A route that can't be read is
+   left out, the others stay.  */
+static void
+test_odd_configs (void)
+{
+  static const struct
+  {
+    const char *from, *to;
+  } odd[] = {
+    { "\"priority\":2", "\"priority\":-1" },
+    { "\"priority\":2", "\"priority\":1e300" },
+    { "\"priority\":2", "\"priority\":\"2\"" },
+    { "\"max_attempts\":3", "\"max_attempts\":4294967297" },
+    { "\"target_latency_ms\":3000", "\"target_latency_ms\":1e19" },
+    { "\"stretch\":4.0", "\"stretch\":1e300" },
+    { "\"stretch\":4.0", "\"stretch\":-1" },
+    { "\"stretch\":4.0", "\"stretch\":true" },
+    { "\"decision_ms\":170.0", "\"decision_ms\":1e300" },
+    { "\"per_worker_ms\":2.4", "\"per_worker_ms\":-2.4" },
+    { "\"validity_ms\":1500", "\"validity_ms\":9223372036854775807" },
+  };
+  static const char *const versions[]
+      = { "-1", "9223372036854775807", "\"7\"", "7.5e300" };
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      char **parts = g_strsplit (config_text, odd[i].from, 2);
+      char *text = g_strjoinv (odd[i].to, parts);
+      queue_table_t *table
+          = platform_parse_config (NULL, text, strlen (text), NULL);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (table);
+      CU_ASSERT_EQUAL (table->queues->len, 1);
+      queue_table_free (table);
+      g_free (text);
+      g_strfreev (parts);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (versions); i++)
+    {
+      GError *error = NULL;
+      char *text
+          = g_strdup_printf ("{\"version\":%s,\"routes\":[]}", versions[i]);
+      CU_ASSERT_PTR_NULL (
+          platform_parse_config (NULL, text, strlen (text), &error));
+      CU_ASSERT_PTR_NOT_NULL (error);
+      g_clear_error (&error);
+      g_free (text);
+    }
+}
+
 typedef struct
 {
   uint32_t calls;
@@ -328,6 +377,7 @@
 
 static CU_TestInfo platform_tests[] = {
   { "decoding of a configuration", test_config },
+  { "configurations with odd numbers", test_odd_configs },
   { "rows of workers, valid and invalid", test_worker_rows },
   { "a submission and its row", test_job },
   { "submissions that are refused", test_bad_jobs },
