--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -100,6 +100,56 @@
     }
 }
 
+typedef struct
+{
+  uint32_t calls, count;
+  bool ok;
+  int64_t valid_ms;
+} seen_advice_t;
+
+static void
+record_advice (void *context, bool ok, const advice_row_t *rows,
+               uint32_t count, int64_t valid_ms)
+{
+  seen_advice_t *seen = context;
+  *seen = (seen_advice_t){ seen->calls + 1, count, ok, valid_ms };
+}
+
+/* Guards against a validity that overflows when it is added to the time.  */
+static void
+test_advice (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool ok;
+    int64_t valid_ms;
+  } cases[] = {
+    { "{\"good\":[[\"i-1\",\"t-1\"]],\"validity_ms\":3000}", true, 3000 },
+    { "{\"good\":[[\"i-1\",\"t-1\"]]}", true, 0 },
+    { "{\"good\":[[\"i-1\",\"t-1\"]],\"validity_ms\":1e300}", false, 0 },
+    { "{\"good\":[[\"i-1\",\"t-1\"]],\"validity_ms\":-1}", false, 0 },
+    { "{\"good\":[[\"i-1\",\"t-1\"]],\"validity_ms\":"
+      "9223372036854775807}",
+      false, 0 },
+    { "{\"good\":[[\"i-1\",\"t-1\"]],\"validity_ms\":\"3000\"}", false, 0 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      seen_advice_t seen = { 0 };
+      json_t *body = json_loads (cases[i].text, 0, NULL);
+      platform_parse_advice (body, record_advice, &seen);
+      CU_ASSERT_EQUAL (seen.calls, 1);
+      CU_ASSERT_EQUAL (seen.ok, cases[i].ok);
+      CU_ASSERT_EQUAL (seen.count, cases[i].ok ? 1 : 0);
+      CU_ASSERT_EQUAL (seen.valid_ms, cases[i].valid_ms);
+      json_decref (body);
+    }
+  seen_advice_t seen = { 0 };
+  platform_parse_advice (NULL, record_advice, &seen);
+  CU_ASSERT_TRUE (seen.calls == 1 && !seen.ok);
+}
+
 typedef struct
 {
   uint32_t calls;
@@ -378,6 +428,7 @@
 static CU_TestInfo platform_tests[] = {
   { "decoding of a configuration", test_config },
   { "configurations with odd numbers", test_odd_configs },
+  { "answers of the advice service", test_advice },
   { "rows of workers, valid and invalid", test_worker_rows },
   { "a submission and its row", test_job },
   { "submissions that are refused", test_bad_jobs },
