Makefile: trap conversions that do not fit in the sanitizer build

-fsanitize=undefined does not include float-cast-overflow, so that the fuzz suite did not show a number of another process such as 1e308 that was converted to an integer unchecked.

--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,8 @@
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lev -lm
 CFLAGS_release := -O2 -g
-CFLAGS_asan := -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer \
-  -fno-sanitize-recover=undefined
+CFLAGS_asan := -O1 -g -fsanitize=address,undefined,float-cast-overflow -fno-omit-frame-pointer \
+  -fno-sanitize-recover=undefined,float-cast-overflow
 CPPFLAGS := -D_GNU_SOURCE -iquote src -iquote src/io -iquote src/proto \
   -iquote platform \
   -iquote tests $(PKG_CFLAGS)
