work: refuse a stored job whose numbers are out of range

What callers would see: an inbox row that another writer changed counts as another job: "count": as 3 tasks, "after":["0"] as a dependency on step 0, and a text in place of a number as 0. Times of the largest integer overflow when they are added up.

Cause: src/work.c cut numbers to 32 bits, and read other types as 0.

Change: such a row is unreadable, and logged as before (job_unreadable). The bounds are those of submissions; both read the dependencies by the same function.

Ruled out: a job that is accepted and can't be read back. The fuzz suite now requires that each accepted submission is readable as a row.

--- a/src/work.c
+++ b/src/work.c
@@ -1,5 +1,7 @@
 #include "work.h"
 
+#include "number.h"
+
 #include <stdio.h>
 #include <string.h>
 
@@ -164,10 +166,10 @@
   return text;
 }
 
-static int64_t
-get_integer (const json_t *object, const char *key)
+static bool
+get_size (const json_t *object, const char *key, int64_t *value)
 {
-  return json_integer_value (json_object_get (object, key));
+  return number_member (object, key, 0, WORK_MAX_SIZE, value);
 }
 
 static bool
@@ -182,14 +184,26 @@
   return g_strdup (json_string_value (json_object_get (object, key)));
 }
 
-static void
+bool
+work_step_set_after (work_step_t *step, const json_t *list)
+{
+  if (list != NULL && !json_is_array (list))
+    return false;
+  step->after_count = (uint32_t)json_array_size (list);
+  step->after = g_new0 (uint32_t, step->after_count);
+  for (uint32_t i = 0; i < step->after_count; i++)
+    {
+      int64_t number;
+      if (!number_read (json_array_get (list, i), 0, WORK_MAX_STEPS, &number))
+        return false;
+      step->after[i] = (uint32_t)number;
+    }
+  return true;
+}
+
+static bool
 step_from_json (work_step_t *step, const json_t *object)
 {
-  step->count = (uint32_t)get_integer (object, "count");
-  step->need.cpu_millis = get_integer (object, "cpu_millis");
-  step->need.memory_mib = get_integer (object, "memory_mib");
-  step->need.accelerators = get_integer (object, "accelerators");
-  step->estimate_ms = get_integer (object, "estimate_ms");
   step->gang = get_flag (object, "gang");
   step->rack_bound = get_flag (object, "rack_bound");
   step->speculative = get_flag (object, "speculative");
@@ -199,14 +213,26 @@
   step->label = get_text (object, "label");
   step->data_rack = get_text (object, "data_rack");
   step->image = get_text (object, "image");
-  step->spread = (uint32_t)get_integer (object, "spread");
-  step->may_miss = (uint32_t)get_integer (object, "may_miss");
-  step->tail_limit_ms = get_integer (object, "tail_limit_ms");
-  const json_t *after = json_object_get (object, "after");
-  step->after_count = (uint32_t)json_array_size (after);
-  step->after = g_new0 (uint32_t, step->after_count);
-  for (uint32_t i = 0; i < step->after_count; i++)
-    step->after[i] = (uint32_t)json_integer_value (json_array_get (after, i));
+  return number_member_u32 (object, "count", &step->count)
+         && get_size (object, "cpu_millis", &step->need.cpu_millis)
+         && get_size (object, "memory_mib", &step->need.memory_mib)
+         && get_size (object, "accelerators", &step->need.accelerators)
+         && get_size (object, "estimate_ms", &step->estimate_ms)
+         && get_size (object, "tail_limit_ms", &step->tail_limit_ms)
+         && number_member_u32 (object, "spread", &step->spread)
+         && number_member_u32 (object, "may_miss", &step->may_miss)
+         && work_step_set_after (step, json_object_get (object, "after"));
+}
+
+static bool
+occurrences_from_json (work_job_t *job, const json_t *object)
+{
+  return number_member_u32 (object, "times", &job->times)
+         && number_member (object, "first_due_ms", 0, NUMBER_MAX_WALL_MS,
+                           &job->first_due_ms)
+         && get_size (object, "interval_ms", &job->interval_ms)
+         && number_member (object, "accepted_ms", 0, NUMBER_MAX_WALL_MS,
+                           &job->accepted_ms);
 }
 
 work_job_t *
@@ -225,13 +251,13 @@
     }
   job = work_job_new (id, queue, (uint32_t)json_array_size (steps));
   job->spec = get_text (object, "spec");
-  job->times = (uint32_t)get_integer (object, "times");
-  job->first_due_ms = get_integer (object, "first_due_ms");
-  job->interval_ms = get_integer (object, "interval_ms");
-  job->accepted_ms = get_integer (object, "accepted_ms");
-  for (uint32_t i = 0; i < job->step_count; i++)
-    step_from_json (&job->steps[i], json_array_get (steps, i));
-  if (!work_job_check (job, error))
+  bool ok = occurrences_from_json (job, object);
+  for (uint32_t i = 0; ok && i < job->step_count; i++)
+    ok = step_from_json (&job->steps[i], json_array_get (steps, i));
+  if (!ok)
+    g_set_error (error, ERROR_DOMAIN, ERR_BAD_REQUEST,
+                 "stored job: a number is out of range or of another type");
+  if (!ok || !work_job_check (job, error))
     {
       work_job_free (job);
       job = NULL;
--- a/src/work.h
+++ b/src/work.h
@@ -20,6 +20,9 @@
 /* The stored row of a job has at most 64 KB.  */
 #define WORK_MAX_STEP_TASKS 2000u
 #define WORK_MAX_SPEC_BYTES 4000u
+/* Largest size of a task in one dimension, and longest duration in ms.  Sums
+   over the tasks of all jobs fit in an int64_t.  */
+#define WORK_MAX_SIZE ((int64_t)1000000000000)
 /* "ID.OCCURRENCE.STEP.INDEX" with its NUL.  */
 #define WORK_NAME_BYTES 56
 
@@ -78,6 +81,10 @@
    depend only on earlier ones.  Sets ERROR (ERR_BAD_REQUEST) if not.  */
 bool work_job_check (const work_job_t *job, GError **error);
 
+/* Sets the steps that STEP, which has none, depends on.  Returns false unless
+   LIST is NULL or a list of numbers of steps.  */
+bool work_step_set_after (work_step_t *step, const json_t *list);
+
 /* The row of a job in the store, as JSON.  The encoded text belongs to the
    caller (free).  Decoding returns NULL and sets ERROR if TEXT is not a valid
    job.  */
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -116,12 +116,17 @@
       = platform_parse_job ("5c0e7a21d94b36f8", "queue", text, length, NULL);
   char *encoded = job != NULL ? work_job_encode (job) : NULL;
   if (encoded != NULL)
-    work_job_free (work_job_decode (encoded, strlen (encoded), NULL));
+    {
+      work_job_t *stored = work_job_decode (encoded, strlen (encoded), NULL);
+      CU_ASSERT_PTR_NOT_NULL (stored);
+      work_job_free (stored);
+    }
   free (encoded);
   work_job_free (job);
 }
 
-/* Guards against a submission that ends the node that receives it.  */
+/* Guards against a submission that ends the node that receives it, or that is
+   accepted and can't be read back by an owner.  */
 static void
 test_submissions (void)
 {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -324,6 +324,56 @@
     }
 }
 
+/* Guards against a row of a job that another writer changed and that counts as
+   another job.  */
+static void
+test_odd_stored_jobs (void)
+{
+  static const char good[]
+      = "{\"id\":\"00000000000000ab\",\"queue\":\"q\",\"spec\":\"x\","
+        "\"times\":"
+        "2,\"first_due_ms\":1000,\"interval_ms\":500,\"accepted_ms\":900,"
+        "\"steps\":[{\"count\":1},{\"count\":3,\"cpu_millis\":100,\"spread\":"
+        "1,"
+        "\"estimate_ms\":500,\"tail_limit_ms\":40,\"after\":[0]}]}";
+  static const struct
+  {
+    const char *from, *to;
+  } odd[] = {
+    { "\"count\":3", "\"count\":4294967299" },
+    { "\"count\":3", "\"count\":-4294967293" },
+    { "\"count\":3", "\"count\":\"3\"" },
+    { "\"cpu_millis\":100", "\"cpu_millis\":9223372036854775807" },
+    { "\"cpu_millis\":100", "\"cpu_millis\":true" },
+    { "\"spread\":1", "\"spread\":-1" },
+    { "\"estimate_ms\":500", "\"estimate_ms\":9223372036854775807" },
+    { "\"tail_limit_ms\":40", "\"tail_limit_ms\":-40" },
+    { "\"after\":[0]", "\"after\":[4294967296]" },
+    { "\"after\":[0]", "\"after\":[\"0\"]" },
+    { "\"after\":[0]", "\"after\":0" },
+    { "\"times\":2", "\"times\":4294967298" },
+    { "\"first_due_ms\":1000", "\"first_due_ms\":9223372036854775807" },
+    { "\"interval_ms\":500", "\"interval_ms\":-500" },
+    { "\"accepted_ms\":900", "\"accepted_ms\":-9223372036854775807" },
+  };
+  work_job_t *job = work_job_decode (good, strlen (good), NULL);
+  CU_ASSERT_PTR_NOT_NULL (job);
+  work_job_free (job);
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      GError *error = NULL;
+      char **parts = g_strsplit (good, odd[i].from, 2);
+      char *text = g_strjoinv (odd[i].to, parts);
+      job = work_job_decode (text, strlen (text), &error);
+      CU_ASSERT_PTR_NULL (job);
+      CU_ASSERT_PTR_NOT_NULL (error);
+      work_job_free (job);
+      g_clear_error (&error);
+      g_free (text);
+      g_strfreev (parts);
+    }
+}
+
 /* Guards against a wait that overflows when it is added to the time.  */
 static void
 test_waits (void)
@@ -432,6 +482,7 @@
   { "rows of workers, valid and invalid", test_worker_rows },
   { "a submission and its row", test_job },
   { "submissions that are refused", test_bad_jobs },
+  { "stored jobs with odd numbers", test_odd_stored_jobs },
   { "waits of callers", test_waits },
   { "settings", test_settings },
   CU_TEST_INFO_NULL,
