cell: log -1 for a time of a step that never was

What readers saw: "job_late ... steps=2722/-/-".

Cause: the acceptance was subtracted from the start and the end of a step that are 0: the step of a cancelled or failed job has none, and after a takeover the owner did not see the start of a run that the owner before has started.

Change: such a time is -1, as first_start_ms already was.

--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -165,9 +165,17 @@
   cell_job_advance (group->job);
 }
 
-/* Returns where the time of JOB went (g_free): for each step, in ms since the
-   acceptance, when it could begin, when the last of its tasks started and when
-   they were done.  */
+/* AT_MS in ms since the acceptance of JOB; -1 if AT_MS is 0, which is what
+   never was, or was before this owner.  */
+static long long
+since_acceptance (const cell_job_t *job, int64_t at_ms)
+{
+  return at_ms == 0 ? -1 : at_ms - job->added_ms;
+}
+
+/* Returns where the time of JOB went (g_free): for each step, when it could
+   begin, when the last of its tasks started and when they were done; see
+   since_acceptance.  */
 static char *
 step_times (const cell_job_t *job)
 {
@@ -176,11 +184,11 @@
     {
       const cell_group_t *group = job->groups->pdata[i];
       if (group->ready_ms != 0)
-        g_string_append_printf (
-            text, "%s%lld/%lld/%lld", text->len > 0 ? "," : "",
-            (long long)(group->ready_ms - job->added_ms),
-            (long long)(group->last_start_ms - job->added_ms),
-            (long long)(group->finished_ms - job->added_ms));
+        g_string_append_printf (text, "%s%lld/%lld/%lld",
+                                text->len > 0 ? "," : "",
+                                since_acceptance (job, group->ready_ms),
+                                since_acceptance (job, group->last_start_ms),
+                                since_acceptance (job, group->finished_ms));
     }
   return g_string_free (text, FALSE);
 }
@@ -205,10 +213,8 @@
             "queue=%s age_ms=%lld objective_ms=%lld first_start_ms=%lld "
             "runs=%u failed=%u lost=%u steps=%s",
             job->work->queue, (long long)age_ms, (long long)objective_ms,
-            (long long)(job->first_start_ms == 0
-                            ? -1
-                            : job->first_start_ms - job->added_ms),
-            job->runs, job->failed_runs, job->lost_runs, times);
+            since_acceptance (job, job->first_start_ms), job->runs,
+            job->failed_runs, job->lost_runs, times);
   g_free (times);
 }
 
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -24,7 +24,8 @@
   uint32_t polls_of_record; /* at the address in test_recorded_address */
   int64_t poll_lease_ms;    /* of the last poll */
   bool save_pending;
-  char record[512]; /* saved last */
+  char record[512];     /* saved last */
+  char end_detail[256]; /* of the last line about the end of a job */
 } owner_t;
 
 static void
@@ -68,6 +69,9 @@
 on_log (void *context, const char *event, const char *subject,
         const char *detail)
 {
+  owner_t *owner = context;
+  if (g_str_has_prefix (event, "job_"))
+    g_strlcpy (owner->end_detail, detail, sizeof owner->end_detail);
 }
 
 static const cell_actions_t actions = { .save = on_save,
@@ -383,6 +387,40 @@
     }
 }
 
+/* Guards against a line about the end of a job that gives times before its
+   acceptance for what never was, or that this owner did not see: the start of
+   a run that the owner before has started, the start and the end of a step of
+   a cancelled job.  */
+static void
+test_times_in_log (void)
+{
+  owner_t owner;
+  begin (&owner, 1,
+         "1 R 0\ng 0 0 0 -\nt 0 a 1 0 i-1 - 1 10.0.0.9:80 0 0 0 -\n");
+  list_worker (&owner, "i-1");
+  run_for (&owner, 100);
+  answer_poll (&owner, "i-1", true);
+  run_for (&owner, 400);
+  int64_t now_ms = clk_now_ms (&owner.clock.base);
+  report_end_t end = { 1, JOB_ID ".0.0.0", 1, END_DONE, "" };
+  worker_report_t report = { .sent_ms = now_ms,
+                             .clock_ms = now_ms,
+                             .start_ms = 1,
+                             .ends = &end,
+                             .end_count = 1 };
+  cell_poll_answered (owner.cell, "i-1", &report);
+  CU_ASSERT_PTR_NOT_NULL (strstr (owner.end_detail, " lost=0 "));
+  const char *steps = strstr (owner.end_detail, "steps=");
+  CU_ASSERT_PTR_NOT_NULL (steps != NULL ? strstr (steps, "/-1/") : NULL);
+  cell_free (owner.cell);
+
+  begin (&owner, 1, NULL);
+  run_for (&owner, 400);
+  cell_cancel_job (owner.cell, JOB_ID);
+  CU_ASSERT_TRUE (g_str_has_suffix (owner.end_detail, "/-1/-1"));
+  cell_free (owner.cell);
+}
+
 /* Guards against a task that is placed by the capacity of the life before: the
    restarted worker answers before the list shows it.  */
 static void
@@ -433,6 +471,7 @@
 }
 
 static CU_TestInfo owner_tests[] = {
+  { "times in the line about the end of a job", test_times_in_log },
   { "leases after a pause", test_leases_after_pause },
   { "a worker that only a record names", test_worker_only_in_record },
   { "crashes in the record of an earlier owner", test_recorded_crashes },
