--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -51,6 +51,105 @@
   queue_table_free (table);
 }
 
+/* Guards against numbers of an operator's row that end all nodes at once, hide
+   later versions, or count as something else.  A route that can't be read is
+   left out, the others stay.  */
+static void
+test_odd_configs (void)
+{
+  static const struct
+  {
+    const char *from, *to;
+  } odd[] = {
+    { "\"priority\":2", "\"priority\":-1" },
+    { "\"priority\":2", "\"priority\":1e300" },
+    { "\"priority\":2", "\"priority\":\"2\"" },
+    { "\"max_attempts\":3", "\"max_attempts\":4294967297" },
+    { "\"target_latency_ms\":3000", "\"target_latency_ms\":1e19" },
+    { "\"stretch\":4.0", "\"stretch\":1e300" },
+    { "\"stretch\":4.0", "\"stretch\":-1" },
+    { "\"stretch\":4.0", "\"stretch\":true" },
+    { "\"decision_ms\":170.0", "\"decision_ms\":1e300" },
+    { "\"per_worker_ms\":2.4", "\"per_worker_ms\":-2.4" },
+    { "\"validity_ms\":1500", "\"validity_ms\":9223372036854775807" },
+  };
+  static const char *const versions[]
+      = { "-1", "9223372036854775807", "\"7\"", "7.5e300" };
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      char **parts = g_strsplit (config_text, odd[i].from, 2);
+      char *text = g_strjoinv (odd[i].to, parts);
+      queue_table_t *table
+          = platform_parse_config (NULL, text, strlen (text), NULL);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (table);
+      CU_ASSERT_EQUAL (table->queues->len, 1);
+      queue_table_free (table);
+      g_free (text);
+      g_strfreev (parts);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (versions); i++)
+    {
+      GError *error = NULL;
+      char *text
+          = g_strdup_printf ("{\"version\":%s,\"routes\":[]}", versions[i]);
+      CU_ASSERT_PTR_NULL (
+          platform_parse_config (NULL, text, strlen (text), &error));
+      CU_ASSERT_PTR_NOT_NULL (error);
+      g_clear_error (&error);
+      g_free (text);
+    }
+}
+
+typedef struct
+{
+  uint32_t calls, count;
+  bool ok;
+  int64_t valid_ms;
+} seen_advice_t;
+
+static void
+record_advice (void *context, bool ok, const advice_row_t *rows,
+               uint32_t count, int64_t valid_ms)
+{
+  seen_advice_t *seen = context;
+  *seen = (seen_advice_t){ seen->calls + 1, count, ok, valid_ms };
+}
+
+/* Guards against a validity that overflows when it is added to the time.  */
+static void
+test_advice (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool ok;
+    int64_t valid_ms;
+  } cases[] = {
+    { "{\"good\":[[\"i-1\",\"t-1\"]],\"validity_ms\":3000}", true, 3000 },
+    { "{\"good\":[[\"i-1\",\"t-1\"]]}", true, 0 },
+    { "{\"good\":[[\"i-1\",\"t-1\"]],\"validity_ms\":1e300}", false, 0 },
+    { "{\"good\":[[\"i-1\",\"t-1\"]],\"validity_ms\":-1}", false, 0 },
+    { "{\"good\":[[\"i-1\",\"t-1\"]],\"validity_ms\":"
+      "9223372036854775807}",
+      false, 0 },
+    { "{\"good\":[[\"i-1\",\"t-1\"]],\"validity_ms\":\"3000\"}", false, 0 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      seen_advice_t seen = { 0 };
+      json_t *body = json_loads (cases[i].text, 0, NULL);
+      platform_parse_advice (body, record_advice, &seen);
+      CU_ASSERT_EQUAL (seen.calls, 1);
+      CU_ASSERT_EQUAL (seen.ok, cases[i].ok);
+      CU_ASSERT_EQUAL (seen.count, cases[i].ok ? 1 : 0);
+      CU_ASSERT_EQUAL (seen.valid_ms, cases[i].valid_ms);
+      json_decref (body);
+    }
+  seen_advice_t seen = { 0 };
+  platform_parse_advice (NULL, record_advice, &seen);
+  CU_ASSERT_TRUE (seen.calls == 1 && !seen.ok);
+}
+
 typedef struct
 {
   uint32_t calls;
@@ -225,6 +324,56 @@
     }
 }
 
+/* Guards against a row of a job that another writer changed and that counts as
+   another job.  */
+static void
+test_odd_stored_jobs (void)
+{
+  static const char good[]
+      = "{\"id\":\"00000000000000ab\",\"queue\":\"q\",\"spec\":\"x\","
+        "\"times\":"
+        "2,\"first_due_ms\":1000,\"interval_ms\":500,\"accepted_ms\":900,"
+        "\"steps\":[{\"count\":1},{\"count\":3,\"cpu_millis\":100,\"spread\":"
+        "1,"
+        "\"estimate_ms\":500,\"tail_limit_ms\":40,\"after\":[0]}]}";
+  static const struct
+  {
+    const char *from, *to;
+  } odd[] = {
+    { "\"count\":3", "\"count\":4294967299" },
+    { "\"count\":3", "\"count\":-4294967293" },
+    { "\"count\":3", "\"count\":\"3\"" },
+    { "\"cpu_millis\":100", "\"cpu_millis\":9223372036854775807" },
+    { "\"cpu_millis\":100", "\"cpu_millis\":true" },
+    { "\"spread\":1", "\"spread\":-1" },
+    { "\"estimate_ms\":500", "\"estimate_ms\":9223372036854775807" },
+    { "\"tail_limit_ms\":40", "\"tail_limit_ms\":-40" },
+    { "\"after\":[0]", "\"after\":[4294967296]" },
+    { "\"after\":[0]", "\"after\":[\"0\"]" },
+    { "\"after\":[0]", "\"after\":0" },
+    { "\"times\":2", "\"times\":4294967298" },
+    { "\"first_due_ms\":1000", "\"first_due_ms\":9223372036854775807" },
+    { "\"interval_ms\":500", "\"interval_ms\":-500" },
+    { "\"accepted_ms\":900", "\"accepted_ms\":-9223372036854775807" },
+  };
+  work_job_t *job = work_job_decode (good, strlen (good), NULL);
+  CU_ASSERT_PTR_NOT_NULL (job);
+  work_job_free (job);
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      GError *error = NULL;
+      char **parts = g_strsplit (good, odd[i].from, 2);
+      char *text = g_strjoinv (odd[i].to, parts);
+      job = work_job_decode (text, strlen (text), &error);
+      CU_ASSERT_PTR_NULL (job);
+      CU_ASSERT_PTR_NOT_NULL (error);
+      work_job_free (job);
+      g_clear_error (&error);
+      g_free (text);
+      g_strfreev (parts);
+    }
+}
+
 /* Guards against a wait that overflows when it is added to the time.  */
 static void
 test_waits (void)
@@ -328,9 +477,12 @@
 
 static CU_TestInfo platform_tests[] = {
   { "decoding of a configuration", test_config },
+  { "configurations with odd numbers", test_odd_configs },
+  { "answers of the advice service", test_advice },
   { "rows of workers, valid and invalid", test_worker_rows },
   { "a submission and its row", test_job },
   { "submissions that are refused", test_bad_jobs },
+  { "stored jobs with odd numbers", test_odd_stored_jobs },
   { "waits of callers", test_waits },
   { "settings", test_settings },
   CU_TEST_INFO_NULL,
