--- a/tests/site_standin.c
+++ b/tests/site_standin.c
@@ -61,7 +61,7 @@
   { "port", OPTION_INTEGER, offsetof (settings_t, port), "25000", false, 1024,
     60000, NULL, "Port of the store; the workers use the ports above it" },
   { "workers", OPTION_INTEGER, offsetof (settings_t, workers), "8", false, 1,
-    200, NULL, "Number of workers" },
+    1000, NULL, "Number of workers" },
   { "seed", OPTION_INTEGER, offsetof (settings_t, seed), "1", false, 0,
     G_MAXUINT32, NULL, "Seed of the injected faults" },
   { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
@@ -400,10 +400,11 @@
           const httpd_request_t *request)
 {
   site_answer_json (exchange, 200,
-                    json_pack ("{s:i, s:i, s:i}", "violations",
+                    json_pack ("{s:i, s:i, s:i, s:i}", "violations",
                                (int)platform.violations, "starts",
                                (int)site_starts (), "running",
-                               (int)site_running ()));
+                               (int)site_running (), "accepted",
+                               (int)site_load_accepted ()));
 }
 
 /* GET /control/crashes?job=ID  */
@@ -427,7 +428,7 @@
 
 /* POST /control/store?mode=busy|silent&for_ms=N, /control/lose?commits=N&
    answers=N (of 1000), /control/crash?worker=N, /control/mute?worker=N&
-   for_ms=N.  */
+   for_ms=N, /control/load?to=ADDRESS&jobs_per_s=N (0 ends it).  */
 static void
 on_control (void *context, httpd_exchange_t *exchange,
             const httpd_request_t *request)
@@ -453,6 +454,9 @@
   else if (strcmp (what, "mute") == 0)
     site_worker_silence ((uint32_t)query_number (exchange, "worker"),
                          query_number (exchange, "for_ms"));
+  else if (strcmp (what, "load") == 0)
+    site_load (httpd_query (exchange, "to"),
+               (uint32_t)query_number (exchange, "jobs_per_s"));
   site_answer_json (exchange, 200, json_object ());
 }
 
--- a/tests/site_standin.h
+++ b/tests/site_standin.h
@@ -39,6 +39,9 @@
 uint32_t site_running (void);
 /* Most workers that crashed with a run of one task of JOB.  */
 uint32_t site_crashes_under (const char *job);
+/* Submits JOBS_PER_S jobs to the node with the front ADDRESS; 0 ends it.  */
+void site_load (const char *address, uint32_t jobs_per_s);
+uint32_t site_load_accepted (void);
 /* Rows [id, ticket] for the given workers.  */
 json_t *site_advice (const json_t *workers);
 
