--- a/src/cell.c
+++ b/src/cell.c
@@ -293,5 +293,13 @@
       const cell_worker_t *worker = cell->worker_list->pdata[i];
       totals->placed_tasks += worker->tasks->len;
       totals->unresponsive_workers += !worker->responsive;
+      totals->capacity = resource_add (totals->capacity, worker->capacity);
+      totals->used = resource_add (totals->used, worker->used);
     }
 }
+
+void
+cell_pass_stats (const cell_t *cell, cell_pass_stats_t *stats)
+{
+  *stats = cell->pass_stats;
+}
--- a/src/cell.h
+++ b/src/cell.h
@@ -253,7 +253,18 @@
 typedef struct
 {
   uint32_t jobs, waiting_tasks, placed_tasks, workers, unresponsive_workers;
+  resource_t capacity, used; /* of all workers */
 } cell_totals_t;
 void cell_totals (const cell_t *cell, cell_totals_t *totals);
 
+/* What the placement passes did so far.  */
+typedef struct
+{
+  uint64_t passes;
+  uint64_t groups;            /* waiting ones, added up over the passes */
+  uint64_t workers_looked_at; /* for some group, each time counted */
+  uint64_t placed;            /* tasks */
+} cell_pass_stats_t;
+void cell_pass_stats (const cell_t *cell, cell_pass_stats_t *stats);
+
 #endif
--- a/src/cell_advice.c
+++ b/src/cell_advice.c
@@ -205,6 +205,7 @@
   cell_t *cell = search->cell;
   cell_group_t *group = search->group;
   double share = allowed_share (cell, group->job->queue->name);
+  cell->pass_stats.workers_looked_at += cell->worker_list->len;
   for (guint i = 0; i < cell->worker_list->len; i++)
     {
       cell_worker_t *worker = cell->worker_list->pdata[i];
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -242,6 +242,7 @@
   bool new_ends;      /* ends were processed since the last save was begun */
   bool place_pending; /* a placement pass is due */
   int64_t next_place_ms;
+  cell_pass_stats_t pass_stats;
   GHashTable *queues_without_free_node; /* names of queues for which no node
                                            was free to call for advice in the
                                            current pass */
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -123,8 +123,9 @@
 /* Collects the workers that GROUP may run on now: eligible, with room for one
    of its tasks, and with a ticket if it needs one.  */
 static GPtrArray *
-collect_workers (const cell_t *cell, const cell_group_t *group)
+collect_workers (cell_t *cell, const cell_group_t *group)
 {
+  cell->pass_stats.workers_looked_at += cell->worker_list->len;
   GPtrArray *found = g_ptr_array_new ();
   resource_t need = cell_task_need (group->spec);
   bool advised = needs_ticket (group);
@@ -150,6 +151,7 @@
   cell_worker_t *best = NULL;
   double best_score = INFINITY;
   resource_t need = cell_task_need (group->spec);
+  group->job->cell->pass_stats.workers_looked_at += workers->len;
   for (guint i = 0; i < workers->len; i++)
     {
       cell_worker_t *worker = workers->pdata[i];
@@ -274,6 +276,7 @@
     {
       cell_worker_t *best = NULL;
       double best_share = -INFINITY;
+      cell->pass_stats.workers_looked_at += cell->worker_list->len;
       for (guint i = 0; i < cell->worker_list->len; i++)
         {
           cell_worker_t *worker = cell->worker_list->pdata[i];
@@ -313,6 +316,7 @@
       || cell->now_ms - group->ready_ms < EXPLAIN_AFTER_MS)
     return;
   group->next_explain_ms = cell->now_ms + EXPLAIN_PERIOD_MS;
+  cell->pass_stats.workers_looked_at += cell->worker_list->len;
   for (guint i = 0; i < cell->worker_list->len; i++)
     {
       const cell_worker_t *worker = cell->worker_list->pdata[i];
@@ -422,6 +426,8 @@
   g_hash_table_remove_all (cell->queues_without_free_node);
   cell->next_place_ms
       = cell->now_ms + MIN (ranked->len / GROUPS_PER_MS, MAX_PLACE_PERIOD_MS);
+  cell->pass_stats.passes++;
+  cell->pass_stats.groups += ranked->len;
   uint32_t reserving_gangs = 0;
   for (guint i = 0; i < ranked->len; i++)
     place_group (cell, ranked->pdata[i], &reserving_gangs);
--- a/src/io/bench.c
+++ b/src/io/bench.c
@@ -13,6 +13,8 @@
 } subcommand_t;
 
 static const subcommand_t subcommands[] = {
+  { "cell", bench_cell_run,
+    "passes of a cell with many waiting steps, without sockets" },
   { "http", bench_http_run, "requests to entries at a fixed rate" },
   { "dispatch", bench_dispatch_run,
     "the request side of the core, without sockets" },
--- a/src/io/bench.h
+++ b/src/io/bench.h
@@ -21,6 +21,9 @@
     .help = "seed of all random numbers"                                      \
   }
 
+/* Measures a pass of a cell by its workers and waiting steps.  */
+int bench_cell_run (int argc, char **argv);
+
 /* Options of "bench http"; ends with a NULL name.  */
 extern const option_t bench_http_options[];
 
