cell: look only at the workers that matter to a waiting step

Cause, as far as shown here: each pass looked at every worker for every waiting step, 1.6 times over, with hash look-ups by the worker's id. One difference is intended: advice about a worker that has left the list for good is forgotten with it.

--- a/src/cell.c
+++ b/src/cell.c
@@ -22,6 +22,7 @@
   cell->worker_list = g_ptr_array_new ();
   cell->queues_without_free_node
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  cell->room_lists = cell_room_lists_new ();
   cell->advice_counts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   cell->durations
@@ -45,6 +46,7 @@
   g_hash_table_unref (cell->workers);
   g_hash_table_unref (cell->queues);
   g_hash_table_unref (cell->queues_without_free_node);
+  g_hash_table_unref (cell->room_lists);
   g_hash_table_unref (cell->advice_counts);
   g_hash_table_unref (cell->durations);
   g_ptr_array_unref (cell->worker_list);
--- a/src/cell_advice.c
+++ b/src/cell_advice.c
@@ -41,23 +41,72 @@
 #define FITS_BONUS 1.0
 #define ALLOWED_BONUS 0.5
 
+void
+cell_advice_free (void *data)
+{
+  advice_t *advice = data;
+  g_free (advice->ticket);
+  g_free (advice);
+}
+
+/* Returns the index in GROUP->advice of the first one about WORKER or a later
+   one.  */
+static guint
+advice_index (const cell_group_t *group, const cell_worker_t *worker)
+{
+  guint low = 0;
+  guint high = group->advice->len;
+  while (low < high)
+    {
+      guint middle = low + (high - low) / 2;
+      const advice_t *advice = group->advice->pdata[middle];
+      if (advice->worker->number < worker->number)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
 static advice_t *
 find_advice (const cell_group_t *group, const cell_worker_t *worker)
 {
-  return g_hash_table_lookup (group->advice, worker->id);
+  guint at = advice_index (group, worker);
+  advice_t *advice = at < group->advice->len ? group->advice->pdata[at] : NULL;
+  return advice != NULL && advice->worker == worker ? advice : NULL;
+}
+
+void
+cell_forget_advice (cell_group_t *group, const cell_worker_t *worker)
+{
+  if (find_advice (group, worker) != NULL)
+    g_ptr_array_remove_index (group->advice, advice_index (group, worker));
+}
+
+void
+cell_forget_worker (cell_t *cell, const cell_worker_t *worker)
+{
+  for (guint i = 0; i < cell->ready_groups->len; i++)
+    cell_forget_advice (cell->ready_groups->pdata[i], worker);
 }
 
 const char *
-cell_ticket (const cell_group_t *group, const cell_worker_t *worker)
+cell_advice_ticket (const cell_group_t *group, const advice_t *advice)
 {
-  const advice_t *advice = find_advice (group, worker);
-  if (advice == NULL || advice->ticket == NULL
-      || advice->worker_start_ms != worker->start_ms
+  if (advice->ticket == NULL
+      || advice->worker_start_ms != advice->worker->start_ms
       || advice->valid_until_ms < group->job->cell->now_ms + TICKET_MARGIN_MS)
     return NULL;
   return advice->ticket;
 }
 
+const char *
+cell_ticket (const cell_group_t *group, const cell_worker_t *worker)
+{
+  const advice_t *advice = find_advice (group, worker);
+  return advice != NULL ? cell_advice_ticket (group, advice) : NULL;
+}
+
 bool
 cell_has_tickets (const cell_group_t *group)
 {
@@ -66,17 +115,22 @@
 }
 
 bool
-cell_worker_allowed (const cell_group_t *group, const cell_worker_t *worker)
+cell_advice_allows (const advice_t *advice)
 {
-  const advice_t *advice = find_advice (group, worker);
-  return advice != NULL && advice->answered && advice->ticket != NULL;
+  return advice->answered && advice->ticket != NULL;
+}
+
+static bool
+is_denied (const advice_t *advice)
+{
+  return advice->answered && advice->ticket == NULL;
 }
 
 bool
 cell_worker_denied (const cell_group_t *group, const cell_worker_t *worker)
 {
   const advice_t *advice = find_advice (group, worker);
-  return advice != NULL && advice->answered && advice->ticket == NULL;
+  return advice != NULL && is_denied (advice);
 }
 
 /* A search for workers to name in the next call of a group.  */
@@ -87,6 +141,7 @@
   double expected_slots; /* that tickets and calls will yield */
   GArray *candidates;    /* candidate_t to name in a call */
   bool reserving;        /* see cell_ask_advice */
+  uint64_t number;       /* among the searches of the cell */
 } search_t;
 
 typedef struct
@@ -136,9 +191,9 @@
 slots_soon (const cell_group_t *group, const cell_worker_t *worker)
 {
   resource_t need = cell_task_need (group->spec);
-  resource_t free
-      = resource_sub (worker->free_soon,
-                      resource_add (worker->reserved, worker->expected_use));
+  resource_t free = cell_room_soon (worker);
+  if (!resource_fits (need, free))
+    return 0;
   uint32_t max_slots = MIN (group->waiting, cell_spread_left (group, worker));
   uint32_t slots = 0;
   while (slots < max_slots && resource_fits (need, free))
@@ -185,59 +240,81 @@
 /* Whether ADVICE will still hold a ticket after another call, or a call in
    flight may yield one.  */
 static bool
-may_yield_slot (const cell_group_t *group, const cell_worker_t *worker,
-                const advice_t *advice)
+may_yield_slot (const cell_group_t *group, const advice_t *advice)
 {
   int64_t soon_ms = group->job->cell->now_ms
                     + (int64_t)group->job->queue->advice_ms
                     + TICKET_RENEW_BEFORE_MS;
-  return advice != NULL
-         && (advice->call != 0
-             || (advice->valid_until_ms > soon_ms
-                 && advice->worker_start_ms == worker->start_ms));
+  return advice->call != 0
+         || (advice->valid_until_ms > soon_ms
+             && advice->worker_start_ms == advice->worker->start_ms);
 }
 
 /* Adds up the slots that tickets and calls in flight are expected to yield,
-   and collects the other workers that a call could name.  */
+   and notes with each worker what was advised about it.  */
+static void
+count_expected_slots (search_t *search, double share)
+{
+  cell_group_t *group = search->group;
+  search->cell->pass_stats.workers_looked_at += group->advice->len;
+  for (guint i = 0; i < group->advice->len; i++)
+    {
+      const advice_t *advice = group->advice->pdata[i];
+      cell_worker_t *worker = advice->worker;
+      worker->advice = advice;
+      worker->advice_search = search->number;
+      if (!is_denied (advice) && may_yield_slot (group, advice)
+          && usable (group, worker))
+        expect_slots (search, worker, slots_soon (group, worker),
+                      cell_advice_allows (advice) ? 1.0 : share);
+    }
+}
+
+/* Collects the workers that a call could name, best first.  */
 static void
-collect_candidates (search_t *search)
+collect_candidates (search_t *search, double share)
 {
   cell_t *cell = search->cell;
   cell_group_t *group = search->group;
-  double share = allowed_share (cell, group->job->queue->name);
-  cell->pass_stats.workers_looked_at += cell->worker_list->len;
-  for (guint i = 0; i < cell->worker_list->len; i++)
+  GPtrArray *found = NULL;
+  const GPtrArray *workers;
+  if (search->reserving)
+    workers = cell_workers_with_label (cell, group->spec->label);
+  else
+    {
+      workers = found = g_ptr_array_new ();
+      cell_find_room (cell, group, true, found);
+    }
+  cell->pass_stats.workers_looked_at += workers->len;
+  for (guint i = 0; i < workers->len; i++)
     {
-      cell_worker_t *worker = cell->worker_list->pdata[i];
+      cell_worker_t *worker = workers->pdata[i];
       uint32_t slots = slots_soon (group, worker);
       if (slots == 0 && !search->reserving)
         continue;
-      const advice_t *advice = find_advice (group, worker);
-      bool known = advice != NULL && advice->answered;
-      bool allowed = known && advice->ticket != NULL;
-      if ((known && !allowed) || !usable (group, worker))
+      const advice_t *advice
+          = worker->advice_search == search->number ? worker->advice : NULL;
+      bool allowed = advice != NULL && cell_advice_allows (advice);
+      if ((advice != NULL
+           && (is_denied (advice) || may_yield_slot (group, advice)))
+          || !usable (group, worker))
         continue;
-      double chance = allowed ? 1.0 : share;
-      if (may_yield_slot (group, worker, advice))
-        {
-          expect_slots (search, worker, slots, chance);
-          continue;
-        }
-      candidate_t candidate = { worker, slots, chance,
+      candidate_t candidate = { worker, slots, allowed ? 1.0 : share,
                                 candidate_score (group, worker, allowed) };
       g_array_append_val (search->candidates, candidate);
     }
   g_array_sort (search->candidates, compare_candidates);
+  if (found != NULL)
+    g_ptr_array_unref (found);
 }
 
-/* Cuts the candidates to those of one call; to none if no call is needed.  */
+/* Cuts the candidates to those of one call; to none for a gang that it would
+   not help.  */
 static void
 choose_candidates (search_t *search)
 {
   double waiting = (double)search->group->waiting;
-  guint count = 0;
-  if (search->expected_slots < waiting || search->reserving)
-    count = MIN (search->candidates->len, CALL_MAX_WORKERS);
+  guint count = MIN (search->candidates->len, CALL_MAX_WORKERS);
   for (guint i = 0; i < count; i++)
     {
       const candidate_t *candidate
@@ -254,13 +331,15 @@
 }
 
 static advice_t *
-get_advice (cell_group_t *group, const char *id)
+get_advice (cell_group_t *group, cell_worker_t *worker)
 {
-  advice_t *advice = g_hash_table_lookup (group->advice, id);
+  advice_t *advice = find_advice (group, worker);
   if (advice == NULL)
     {
       advice = g_new0 (advice_t, 1);
-      g_hash_table_insert (group->advice, g_strdup (id), advice);
+      advice->worker = worker;
+      g_ptr_array_insert (group->advice, (gint)advice_index (group, worker),
+                          advice);
     }
   return advice;
 }
@@ -286,7 +365,10 @@
   group->last_call++;
   group->calls_in_flight++;
   for (guint i = 0; i < count; i++)
-    get_advice (group, names[i])->call = group->last_call;
+    get_advice (group,
+                g_array_index (search->candidates, candidate_t, i).worker)
+        ->call
+        = group->last_call;
   return true;
 }
 
@@ -299,10 +381,16 @@
   if (g_hash_table_contains (cell->queues_without_free_node, queue))
     return false;
   search_t search
-      = { cell, group, 0.0, g_array_new (FALSE, FALSE, sizeof (candidate_t)),
-          reserving };
-  collect_candidates (&search);
-  choose_candidates (&search);
+      = { cell,      group,
+          0.0,       g_array_new (FALSE, FALSE, sizeof (candidate_t)),
+          reserving, ++cell->last_advice_search };
+  double share = allowed_share (cell, queue);
+  count_expected_slots (&search, share);
+  if (search.expected_slots < (double)group->waiting || reserving)
+    {
+      collect_candidates (&search, share);
+      choose_candidates (&search);
+    }
   bool sent = search.candidates->len > 0 && send_call (&search);
   /* Other steps of the queue would find no free node either.  */
   if (search.candidates->len > 0 && !sent)
@@ -347,24 +435,19 @@
 finish_advice_call (const cell_t *cell, cell_group_t *group, uint32_t call,
                     bool ok, int64_t valid_ms)
 {
-  GHashTableIter iterator;
-  gpointer id;
-  gpointer value;
   uint32_t named = 0;
-  g_hash_table_iter_init (&iterator, group->advice);
-  while (g_hash_table_iter_next (&iterator, &id, &value))
+  for (guint i = 0; i < group->advice->len; i++)
     {
-      advice_t *advice = value;
+      advice_t *advice = group->advice->pdata[i];
       if (advice->call != call)
         continue;
       advice->call = 0;
       named++;
       if (!ok)
         continue;
-      const cell_worker_t *worker = cell_find_worker (cell, id);
       advice->answered = true;
       advice->valid_until_ms = cell->now_ms + valid_ms;
-      advice->worker_start_ms = worker != NULL ? worker->start_ms : 0;
+      advice->worker_start_ms = advice->worker->start_ms;
       g_clear_pointer (&advice->ticket, g_free);
     }
   return named;
@@ -405,7 +488,8 @@
     count_answer (cell, group->job->queue->name, named, count);
   for (uint32_t i = 0; i < count; i++)
     {
-      advice_t *advice = g_hash_table_lookup (group->advice, rows[i].worker);
+      const cell_worker_t *worker = cell_find_worker (cell, rows[i].worker);
+      advice_t *advice = worker != NULL ? find_advice (group, worker) : NULL;
       if (advice == NULL || !advice->answered || advice->ticket != NULL)
         continue;
       advice->ticket = g_strdup (rows[i].ticket);
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -18,6 +18,7 @@
 typedef struct cell_group cell_group_t;
 typedef struct cell_task cell_task_t;
 typedef struct cell_worker cell_worker_t;
+typedef struct room_list room_list_t;
 
 /* State of a task with regard to its last run.  */
 typedef enum
@@ -74,6 +75,7 @@
 /* What the advice service said about one worker for a group.  */
 typedef struct
 {
+  cell_worker_t *worker;
   bool answered; /* a call that named the worker was answered */
   char *ticket;  /* if ANSWERED, NULL: the worker may not run the step */
   uint32_t call; /* number of the call in flight that names it; 0: none */
@@ -110,7 +112,8 @@
   int64_t next_start_ms;   /* none of its tasks is placed before */
   int64_t tickets_until_ms; /* when the last ticket expires */
   int64_t next_explain_ms;  /* when to log again why it waits */
-  GHashTable *advice;       /* worker id -> advice_t, owned */
+  GPtrArray *advice; /* advice_t, owned, by the number of their worker; empty
+                        unless the group is in ready_groups */
 };
 
 typedef enum
@@ -152,6 +155,7 @@
 struct cell_worker
 {
   char *id;
+  uint64_t number; /* rises in the order of worker_list */
   char *address;
   char *machine;
   char *rack;
@@ -211,6 +215,9 @@
   resource_t free_soon; /* free now or within SOON_MS, in the current pass */
   resource_t expected_use; /* part of FREE_SOON that the steps that asked for
                               advice so far are expected to take */
+  /* In the search for workers to name in a call, see cell_advice.c.  */
+  const advice_t *advice; /* of the searching group ... */
+  uint64_t advice_search; /* ... if the search has this number */
 };
 
 /* Workers named in the answered calls for advice of a queue, and how many of
@@ -242,6 +249,9 @@
   bool new_ends;      /* ends were processed since the last save was begun */
   bool place_pending; /* a placement pass is due */
   int64_t next_place_ms;
+  GHashTable *room_lists; /* room_list_t of the current pass, owned */
+  uint64_t last_worker_number;
+  uint64_t last_advice_search;
   cell_pass_stats_t pass_stats;
   GHashTable *queues_without_free_node; /* names of queues for which no node
                                            was free to call for advice in the
@@ -402,17 +412,36 @@
 uint32_t cell_spread_left (const cell_group_t *group,
                            const cell_worker_t *worker);
 
+/* cell_room.c: room that is left in the current pass */
+GHashTable *cell_room_lists_new (void);
+/* The room on WORKER that no task holds and that is not reserved.  */
+resource_t cell_room_now (const cell_worker_t *worker);
+/* The same within SOON_MS, less what the steps that asked for advice so far
+   are expected to take.  */
+resource_t cell_room_soon (const cell_worker_t *worker);
+/* Workers with LABEL, or all if that is NULL; valid during the pass.  */
+const GPtrArray *cell_workers_with_label (cell_t *cell, const char *label);
+/* Appends to FOUND the workers that have the label and the room for a task of
+   GROUP, now or SOON.  */
+void cell_find_room (cell_t *cell, const cell_group_t *group, bool soon,
+                     GPtrArray *found);
+
 /* cell_advice.c */
 /* Calls for advice if GROUP needs it.  RESERVING: GROUP is a gang for which
    capacity is reserved.  */
 void cell_ask_advice (cell_t *cell, cell_group_t *group, bool reserving);
-/* Whether the last advice allowed GROUP on WORKER; the ticket may have
-   expired.  */
-bool cell_worker_allowed (const cell_group_t *group,
-                          const cell_worker_t *worker);
+void cell_advice_free (void *advice);
+/* Drops what was advised about WORKER for GROUP, or for all groups.  */
+void cell_forget_advice (cell_group_t *group, const cell_worker_t *worker);
+void cell_forget_worker (cell_t *cell, const cell_worker_t *worker);
+/* Whether ADVICE allowed its worker; the ticket may have expired.  */
+bool cell_advice_allows (const advice_t *advice);
 /* Returns the ticket of GROUP for WORKER, NULL if there is no valid one.  */
 const char *cell_ticket (const cell_group_t *group,
                          const cell_worker_t *worker);
+/* The same for the worker of ADVICE.  */
+const char *cell_advice_ticket (const cell_group_t *group,
+                                const advice_t *advice);
 /* Whether the last advice denied GROUP on WORKER.  */
 bool cell_worker_denied (const cell_group_t *group,
                          const cell_worker_t *worker);
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -11,14 +11,6 @@
 #define RETENTION_MARGIN_MS 30000
 #define DELETE_BATCH_JOBS 16
 
-static void
-advice_free (void *data)
-{
-  advice_t *advice = data;
-  g_free (advice->ticket);
-  g_free (advice);
-}
-
 static void
 group_free (void *data)
 {
@@ -29,7 +21,7 @@
       g_free (group->tasks[i].checkpoint);
     }
   g_ptr_array_remove_fast (group->job->cell->ready_groups, group);
-  g_hash_table_unref (group->advice);
+  g_ptr_array_unref (group->advice);
   g_free (group->gang_checkpoint);
   g_free (group->tasks);
   g_free (group);
@@ -68,8 +60,7 @@
       group->spec = &job->work->steps[step];
       group->tasks = g_new0 (cell_task_t, group->spec->count);
       group->waiting = group->spec->count;
-      group->advice = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                             advice_free);
+      group->advice = g_ptr_array_new_with_free_func (cell_advice_free);
       for (uint32_t i = 0; i < group->spec->count; i++)
         {
           group->tasks[i].group = group;
@@ -162,6 +153,7 @@
   group->finished = true;
   cell_note_group_finished (group);
   g_ptr_array_remove_fast (group->job->cell->ready_groups, group);
+  g_ptr_array_set_size (group->advice, 0);
   cell_job_advance (group->job);
 }
 
@@ -223,6 +215,7 @@
       cell_group_t *group = job->groups->pdata[i];
       if (!group->finished)
         g_ptr_array_remove_fast (job->cell->ready_groups, group);
+      g_ptr_array_set_size (group->advice, 0);
       for (uint32_t j = 0; j < group->spec->count; j++)
         cell_stop_task (&group->tasks[j]);
     }
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -43,13 +43,6 @@
          && resource_fits (cell_task_need (step), worker->capacity);
 }
 
-static resource_t
-free_capacity (const cell_worker_t *worker)
-{
-  return resource_sub (resource_sub (worker->capacity, worker->used),
-                       worker->reserved);
-}
-
 static uint32_t
 tasks_of_group (const cell_worker_t *worker, const cell_group_t *group)
 {
@@ -97,7 +90,7 @@
 {
   const work_step_t *step = group->spec;
   resource_t left
-      = resource_sub (free_capacity (worker), cell_task_need (step));
+      = resource_sub (cell_room_now (worker), cell_task_need (step));
   double value = resource_dominant_share (left, worker->capacity);
   if (suspected && worker->isolated_for == group->job)
     value = -1.0;
@@ -120,23 +113,37 @@
   return group->job->queue != NULL && group->job->queue->advised;
 }
 
+/* Appends the workers to FOUND that have room for a task of GROUP, which needs
+   a ticket, and for which it has one.  */
+static void
+find_ticketed (cell_t *cell, const cell_group_t *group, GPtrArray *found)
+{
+  resource_t need = cell_task_need (group->spec);
+  cell->pass_stats.workers_looked_at += group->advice->len;
+  for (guint i = 0; i < group->advice->len; i++)
+    {
+      const advice_t *advice = group->advice->pdata[i];
+      if (cell_advice_ticket (group, advice) != NULL
+          && resource_fits (need, cell_room_now (advice->worker)))
+        g_ptr_array_add (found, advice->worker);
+    }
+}
+
 /* Collects the workers that GROUP may run on now: eligible, with room for one
    of its tasks, and with a ticket if it needs one.  */
 static GPtrArray *
 collect_workers (cell_t *cell, const cell_group_t *group)
 {
-  cell->pass_stats.workers_looked_at += cell->worker_list->len;
   GPtrArray *found = g_ptr_array_new ();
-  resource_t need = cell_task_need (group->spec);
-  bool advised = needs_ticket (group);
-  for (guint i = 0; i < cell->worker_list->len; i++)
-    {
-      cell_worker_t *worker = cell->worker_list->pdata[i];
-      if (resource_fits (need, free_capacity (worker))
-          && eligible (cell, group, worker)
-          && (!advised || cell_ticket (group, worker) != NULL))
-        g_ptr_array_add (found, worker);
-    }
+  guint kept = 0;
+  if (needs_ticket (group))
+    find_ticketed (cell, group, found);
+  else
+    cell_find_room (cell, group, false, found);
+  for (guint i = 0; i < found->len; i++)
+    if (eligible (cell, group, found->pdata[i]))
+      found->pdata[kept++] = found->pdata[i];
+  g_ptr_array_set_size (found, (gint)kept);
   return found;
 }
 
@@ -156,7 +163,7 @@
     {
       cell_worker_t *worker = workers->pdata[i];
       if ((rack != NULL && g_strcmp0 (rack, worker->rack) != 0)
-          || !resource_fits (need, free_capacity (worker))
+          || !resource_fits (need, cell_room_now (worker))
           || cell_spread_left (group, worker) == 0
           || (suspected && !cell_worker_settled_for (worker, group->job)))
         continue;
@@ -263,6 +270,28 @@
   return free;
 }
 
+/* Collects the eligible workers for GROUP, however full; if the queue needs
+   advice, only those where it was allowed.  */
+static GPtrArray *
+collect_reservable (cell_t *cell, const cell_group_t *group)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  bool advised = needs_ticket (group);
+  const GPtrArray *from
+      = advised ? group->advice
+                : cell_workers_with_label (cell, group->spec->label);
+  cell->pass_stats.workers_looked_at += from->len;
+  for (guint i = 0; i < from->len; i++)
+    {
+      const advice_t *advice = advised ? from->pdata[i] : NULL;
+      cell_worker_t *worker = advised ? advice->worker : from->pdata[i];
+      if ((!advised || cell_advice_allows (advice))
+          && eligible (cell, group, worker))
+        g_ptr_array_add (found, worker);
+    }
+  return found;
+}
+
 /* Reserves capacity for a waiting gang against the groups after it in the
    pass: one task at a time, on the eligible worker with the most free capacity
    soon; if the queue needs advice, only on workers where the gang was
@@ -271,19 +300,17 @@
 reserve_capacity (cell_t *cell, cell_group_t *group)
 {
   resource_t need = cell_task_need (group->spec);
-  bool advised = needs_ticket (group);
+  GPtrArray *workers = collect_reservable (cell, group);
   for (uint32_t left = group->spec->count; left > 0; left--)
     {
       cell_worker_t *best = NULL;
       double best_share = -INFINITY;
-      cell->pass_stats.workers_looked_at += cell->worker_list->len;
-      for (guint i = 0; i < cell->worker_list->len; i++)
+      cell->pass_stats.workers_looked_at += workers->len;
+      for (guint i = 0; i < workers->len; i++)
         {
-          cell_worker_t *worker = cell->worker_list->pdata[i];
-          if (!eligible (cell, group, worker)
-              || (advised && !cell_worker_allowed (group, worker))
-              || !resource_fits (resource_add (worker->reserved, need),
-                                 worker->capacity))
+          cell_worker_t *worker = workers->pdata[i];
+          if (!resource_fits (resource_add (worker->reserved, need),
+                              worker->capacity))
             continue;
           double share = resource_dominant_share (
               resource_sub (worker->free_soon, worker->reserved),
@@ -295,9 +322,10 @@
             }
         }
       if (best == NULL)
-        return;
+        break;
       best->reserved = resource_add (best->reserved, need);
     }
+  g_ptr_array_unref (workers);
 }
 
 /* Logs why tasks of GROUP still wait: how many workers are excluded for which
@@ -327,7 +355,7 @@
       else if (cell_worker_denied (group, worker))
         denied++;
       else if (!resource_fits (cell_task_need (group->spec),
-                               free_capacity (worker)))
+                               cell_room_now (worker)))
         full++;
       else
         ticketless++;
@@ -424,6 +452,7 @@
     defer_group (ranked->pdata[i], highest_priority);
   g_ptr_array_sort (ranked, compare_groups);
   g_hash_table_remove_all (cell->queues_without_free_node);
+  g_hash_table_remove_all (cell->room_lists);
   cell->next_place_ms
       = cell->now_ms + MIN (ranked->len / GROUPS_PER_MS, MAX_PLACE_PERIOD_MS);
   cell->pass_stats.passes++;
--- a/src/cell_rank.c
+++ b/src/cell_rank.c
@@ -112,9 +112,10 @@
     left_ms -= (int64_t)advice_ms (queue);
   if (group->spec->gang)
     left_ms += (int64_t)GANG_GATHER_MS * group->spec->count;
-  group->rank = rank_of_step (priority, since_ms,
-                              cell_objective_ms (job, group->occurrence),
-                              left_ms, now_ms);
+  group->rank = rank_of_step (
+      priority, since_ms,
+      work_job_has_lasting_step (job->work) ? 0 : group->objective_ms, left_ms,
+      now_ms);
 }
 
 void
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -309,7 +309,7 @@
             "run=%u worker=%s result=%d unsure=%d", task->run,
             task->worker->id, result, task->start_unanswered);
   if (result == ORDER_NO_TICKET)
-    g_hash_table_remove (group->advice, task->worker->id);
+    cell_forget_advice (group, task->worker);
   if (result == ORDER_NOT_DELIVERED)
     cell_worker_is_silent (cell, task->worker);
   if (result == ORDER_INVALID)
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -52,6 +52,7 @@
 {
   cell_worker_t *worker = g_new0 (cell_worker_t, 1);
   worker->id = g_strdup (id);
+  worker->number = ++cell->last_worker_number;
   worker->address = g_strdup ("");
   worker->machine = g_strdup ("");
   worker->rack = g_strdup ("");
@@ -597,6 +598,7 @@
 remove_worker (cell_t *cell, guint at)
 {
   cell_worker_t *worker = g_ptr_array_remove_index (cell->worker_list, at);
+  cell_forget_worker (cell, worker);
   g_hash_table_remove (cell->workers, worker->id);
 }
 
