--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -38,6 +38,7 @@
   cell_group_t *group = task->group;
   worker->used = resource_add (worker->used, cell_task_need (group->spec));
   g_ptr_array_add (worker->tasks, task);
+  group->job->cell->pass_stats.placed++;
   group->waiting -= 1;
   task->worker = worker;
   task->run++;
@@ -310,7 +311,7 @@
             "run=%u worker=%s result=%d unsure=%d", task->run,
             task->worker->id, result, task->start_unanswered);
   if (result == ORDER_NO_TICKET)
-    g_hash_table_remove (group->advice, task->worker->id);
+    cell_forget_advice (group, task->worker);
   if (result == ORDER_NOT_DELIVERED)
     cell_worker_is_silent (cell, task->worker);
   if (result == ORDER_INVALID)
