cell: bound the polls that a lost answer leads to

From 2.5 to 9 s the owner of 389 workers sends up to 1,746 polls a second for 544 ends and has no time left, before there is a queue. Cause: one lost answer lets every worker be polled each 250 ms for 5 s, so the polls grow with the workers, not with what was lost, and an owner that is late because of them loses more. Ruled out: polls for ends; those are 544 a second, and a poll more for what they acknowledge. Change: shorter waits add up to 800 polls a second in a cell at most. Small cells poll as before. Test 'polls after a lost answer': 50, 400, 1,600 workers 200, 1,600, 6,400 polls a second before (failed), 200, 800, 1,600 now. 186 unit tests pass.

--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -269,6 +269,7 @@
   int64_t next_save_ms;
   int64_t save_begun_ms; /* when the save in flight was begun */
   int64_t ownership_confirmed_ms;
+  uint32_t busy_workers;  /* that ran something in the last scan */
   int64_t answer_lost_ms; /* when a worker was last found to have answered a
                              poll whose answer was lost; 0: never */
   int64_t next_scan_ms;   /* of workers, orders and ended jobs */
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -14,6 +14,9 @@
 #define POLL_WAIT_LOSSY_MS 250
 /* How long after a lost answer more losses are expected.  */
 #define LOSSY_PERIOD_MS 5000
+/* Polls a second that shorter waits may lead to in the whole cell: a large one
+   would leave its owner no time for anything else.  */
+#define LOSSY_POLLS_PER_S 800u
 /* Pause after a failed poll.  */
 #define POLL_RETRY_MS 200
 /* Workers' clocks may be slow by this share, as the platform documents.  */
@@ -288,6 +291,15 @@
                        worker->acknowledging_end, wait_ms);
 }
 
+/* How long polls wait while answers get lost.  */
+static int64_t
+lossy_wait_ms (const cell_t *cell)
+{
+  const int64_t ms_per_s = 1000;
+  return CLAMP (cell->busy_workers * ms_per_s / LOSSY_POLLS_PER_S,
+                POLL_WAIT_LOSSY_MS, POLL_WAIT_MS);
+}
+
 void
 cell_poll_if_due (cell_t *cell, cell_worker_t *worker)
 {
@@ -313,7 +325,7 @@
     wait_ms = POLL_WAIT_PACED_MS;
   if (cell->answer_lost_ms != 0
       && cell->now_ms - cell->answer_lost_ms < LOSSY_PERIOD_MS)
-    wait_ms = MIN (wait_ms, POLL_WAIT_LOSSY_MS);
+    wait_ms = MIN (wait_ms, lossy_wait_ms (cell));
   if (unsaved || worker->failed_polls > 0 || worker->sampled_ms == 0
       || has_confirmed_stop (worker) || worker->tasks->len == 0)
     wait_ms = 0;
@@ -644,6 +656,7 @@
 void
 cell_check_workers (cell_t *cell)
 {
+  uint32_t busy_workers = 0;
   for (guint i = 0; i < cell->worker_list->len;)
     {
       cell_worker_t *worker = cell->worker_list->pdata[i];
@@ -659,6 +672,8 @@
           continue;
         }
       cell_poll_if_due (cell, worker);
+      busy_workers += worker->tasks->len > 0;
       i++;
     }
+  cell->busy_workers = busy_workers;
 }
--- a/tests/test.h
+++ b/tests/test.h
@@ -40,6 +40,7 @@
 extern CU_SuiteInfo test_node_suites[];
 extern CU_SuiteInfo test_fuzz_suites[];
 extern CU_SuiteInfo test_platform_suites[];
+extern CU_SuiteInfo test_poll_suites[];
 extern CU_SuiteInfo test_crash_suites[];
 extern CU_SuiteInfo test_blame_suites[];
 extern CU_SuiteInfo test_lost_suites[];
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -38,6 +38,7 @@
   test_rank_suites,
   test_fuzz_suites,
   test_platform_suites,
+  test_poll_suites,
   test_retry_suites,
   test_sched_suites,
   test_settings_suites,
