cell: keep only the best thirty candidates of a call, inline the resource sums

Change: candidates are inserted into a list of at most 30; resource_add, _sub and _fits are inline. `bench cell` prints the jobs that ended, and those in time.

--- a/src/cell_advice.c
+++ b/src/cell_advice.c
@@ -152,12 +152,20 @@
   double score;   /* higher is better */
 } candidate_t;
 
-static gint
-compare_candidates (gconstpointer a, gconstpointer b)
+/* Adds CANDIDATE to the best CALL_MAX_WORKERS, behind equal ones.  */
+static void
+add_candidate (GArray *candidates, const candidate_t *candidate)
 {
-  const candidate_t *left = a;
-  const candidate_t *right = b;
-  return left->score > right->score ? -1 : left->score < right->score;
+  guint at = candidates->len;
+  while (at > 0
+         && g_array_index (candidates, candidate_t, at - 1).score
+                < candidate->score)
+    at--;
+  if (at >= CALL_MAX_WORKERS)
+    return;
+  if (candidates->len >= CALL_MAX_WORKERS)
+    g_array_set_size (candidates, CALL_MAX_WORKERS - 1);
+  g_array_insert_vals (candidates, at, candidate, 1);
 }
 
 /* Whether GROUP could run on WORKER if it were empty and allowed.  Unlike
@@ -270,7 +278,7 @@
     }
 }
 
-/* Collects the workers that a call could name, best first.  */
+/* Collects the workers to name in a call, best first.  */
 static void
 collect_candidates (search_t *search, double share)
 {
@@ -301,21 +309,19 @@
         continue;
       candidate_t candidate = { worker, slots, allowed ? 1.0 : share,
                                 candidate_score (group, worker, allowed) };
-      g_array_append_val (search->candidates, candidate);
+      add_candidate (search->candidates, &candidate);
     }
-  g_array_sort (search->candidates, compare_candidates);
   if (found != NULL)
     g_ptr_array_unref (found);
 }
 
-/* Cuts the candidates to those of one call; to none for a gang that it would
+/* Expects slots on the candidates; leaves none for a gang that a call would
    not help.  */
 static void
-choose_candidates (search_t *search)
+expect_candidates (search_t *search)
 {
   double waiting = (double)search->group->waiting;
-  guint count = MIN (search->candidates->len, CALL_MAX_WORKERS);
-  for (guint i = 0; i < count; i++)
+  for (guint i = 0; i < search->candidates->len; i++)
     {
       const candidate_t *candidate
           = &g_array_index (search->candidates, candidate_t, i);
@@ -326,8 +332,7 @@
      unused.  */
   if (search->group->spec->gang && !search->reserving
       && search->expected_slots < waiting)
-    count = 0;
-  g_array_set_size (search->candidates, count);
+    g_array_set_size (search->candidates, 0);
 }
 
 static advice_t *
@@ -389,7 +394,7 @@
   if (search.expected_slots < (double)group->waiting || reserving)
     {
       collect_candidates (&search, share);
-      choose_candidates (&search);
+      expect_candidates (&search);
     }
   bool sent = search.candidates->len > 0 && send_call (&search);
   /* Other steps of the queue would find no free node either.  */
--- a/src/io/bench_cell.c
+++ b/src/io/bench_cell.c
@@ -181,6 +181,7 @@
   int64_t save_done_ms;
   uint32_t jobs, lasting_jobs;
   uint64_t starts, advice_calls;
+  uint64_t jobs_ended, jobs_in_time;
   uint32_t decisions; /* hash of all starts and calls for advice */
   double pass_us;
 } site_t;
@@ -300,6 +301,10 @@
 on_log (void *context, const char *event, const char *subject,
         const char *detail)
 {
+  site_t *site = context;
+  bool in_time = strcmp (event, "job_completed") == 0;
+  site->jobs_in_time += in_time;
+  site->jobs_ended += in_time || strcmp (event, "job_late") == 0;
 }
 
 static const cell_actions_t actions
@@ -593,7 +598,7 @@
   double passes = MAX ((double)(to.passes - from->passes), 1.0);
   printf ("workers=%lld groups=%.0f callers=%lld passes=%.0f all_passes=%llu "
           "looked_at=%.0f us=%.0f cpu_in_use=%.2f starts=%llu calls=%llu "
-          "calls_per_start=%.3f decisions=%08x\n",
+          "calls_per_start=%.3f jobs=%llu in_time=%llu decisions=%08x\n",
           (long long)site->settings->workers,
           (double)(to.groups - from->groups) / passes,
           (long long)site->settings->callers, passes,
@@ -601,7 +606,9 @@
           (double)(to.workers_looked_at - from->workers_looked_at) / passes,
           site->pass_us / passes, share_in_use (site),
           (unsigned long long)starts, (unsigned long long)calls,
-          (double)calls / MAX ((double)starts, 1.0), site->decisions);
+          (double)calls / MAX ((double)starts, 1.0),
+          (unsigned long long)site->jobs_ended,
+          (unsigned long long)site->jobs_in_time, site->decisions);
 }
 
 static void
--- a/src/resource.c
+++ b/src/resource.c
@@ -1,31 +1,5 @@
 #include "resource.h"
 
-resource_t
-resource_add (resource_t a, resource_t b)
-{
-  a.cpu_millis += b.cpu_millis;
-  a.memory_mib += b.memory_mib;
-  a.accelerators += b.accelerators;
-  return a;
-}
-
-resource_t
-resource_sub (resource_t a, resource_t b)
-{
-  a.cpu_millis -= b.cpu_millis;
-  a.memory_mib -= b.memory_mib;
-  a.accelerators -= b.accelerators;
-  return a;
-}
-
-bool
-resource_fits (resource_t need, resource_t free)
-{
-  return need.cpu_millis <= free.cpu_millis
-         && need.memory_mib <= free.memory_mib
-         && need.accelerators <= free.accelerators;
-}
-
 bool
 resource_negative (resource_t r)
 {
--- a/src/resource.h
+++ b/src/resource.h
@@ -14,11 +14,31 @@
   int64_t accelerators;
 } resource_t;
 
-resource_t resource_add (resource_t a, resource_t b);
-resource_t resource_sub (resource_t a, resource_t b);
+/* Inline, since passes over many workers spend much of their time here.  */
+static inline resource_t
+resource_add (resource_t a, resource_t b)
+{
+  return (resource_t){ a.cpu_millis + b.cpu_millis,
+                       a.memory_mib + b.memory_mib,
+                       a.accelerators + b.accelerators };
+}
+
+static inline resource_t
+resource_sub (resource_t a, resource_t b)
+{
+  return (resource_t){ a.cpu_millis - b.cpu_millis,
+                       a.memory_mib - b.memory_mib,
+                       a.accelerators - b.accelerators };
+}
 
 /* Returns whether NEED fits in FREE in every dimension.  */
-bool resource_fits (resource_t need, resource_t free);
+static inline bool
+resource_fits (resource_t need, resource_t free)
+{
+  return need.cpu_millis <= free.cpu_millis
+         && need.memory_mib <= free.memory_mib
+         && need.accelerators <= free.accelerators;
+}
 
 /* Returns whether any dimension of R is negative.  */
 bool resource_negative (resource_t r);
