cell: bound the ends of leases by the owner's last commit, and tell successors

Where workers accept leases of 10 s, a worker that falls silent was given up only after 9.5 s, without any takeover. Change: - cell_lease.c: the owner bounds the end of each lease in its own time on the slowest clock: 6.5 s at most, 4.5 s once the ownership was not confirmed for 1 s, and never later than 10.3 s after the sending of the last confirmed commit. Until now the arrival of the answer counted, which a paused process may read much later. - tenure.c: the fence row says what its writer promises: that bound, how long the leases of the owners before last, and which workers with runs it has not reached. Leases are given only once a commit was confirmed that was begun after the worker was reached, so a listed worker has none from that owner. The successor counts from the last heartbeat that it saw; one that only loads has given none. - node_tenure.c: a replaced owner that lives writes for how long its leases last (row "leases"), also what it learns later about those before it; a restarted owner gave no lease longer than one from now. - A row without promises, of the version before, counts 11 s of renewals and the longest lease. - Idle workers are polled each 60 s, since the bound needs their clock. - test_owner: a commit is begun a tick after the worker was reached, as starts need now. - test_lost plays heartbeats, fence rows and tellings; its bounds and faults are unchanged. Weighed: leases of 6.5 s from the last commit would need neither rows nor tellings, but outages of the store of 7 to 9 s would end all runs; a bound of 10.3 s keeps them. Asking at the recorded address and taking a refused connection as the end of the owner was not taken: a cut may refuse too. Left as it was: a worker that restarts under its id and then stays silent is waited for 10 s and its longest lease, since a late order may give the new life a lease.

--- a/src/cell.c
+++ b/src/cell.c
@@ -178,24 +178,34 @@
 }
 
 void
-cell_begin (cell_t *cell, bool previous_owner_gone)
+cell_begin (cell_t *cell, const cell_inheritance_t *inheritance)
 {
   cell->now_ms = clk_now_ms (cell->clock);
   cell->begun = true;
   cell->begun_ms = cell->now_ms;
-  cell->ownership_confirmed_ms = cell->now_ms;
-  cell->previous_renews_until_ms
-      = cell->now_ms
-        + (previous_owner_gone ? 0 : cell->options.renewal_grace_ms);
+  cell->inherited_end_ms = inheritance->leases_end_ms;
+  cell->unreached_end_ms = inheritance->unreached_end_ms;
+  for (const char *const *id = inheritance->unreached;
+       id != NULL && *id != NULL; id++)
+    {
+      cell_worker_t *worker = cell_find_worker (cell, *id);
+      if (worker != NULL)
+        worker->unreached_before = true;
+    }
   for (guint i = 0; i < cell->worker_list->len; i++)
-    if (has_restarted_since_record (cell->worker_list->pdata[i]))
-      cell_worker_crashed (cell, cell->worker_list->pdata[i], "recorded");
+    {
+      cell_worker_t *worker = cell->worker_list->pdata[i];
+      if (!has_restarted_since_record (worker))
+        continue;
+      cell_expect_late_orders (cell, worker);
+      cell_worker_crashed (cell, worker, "recorded");
+    }
 }
 
 void
-cell_ownership_confirmed (cell_t *cell, int64_t at_ms)
+cell_ownership_confirmed (cell_t *cell, int64_t sent_ms)
 {
-  cell->ownership_confirmed_ms = MAX (cell->ownership_confirmed_ms, at_ms);
+  cell->ownership_confirmed_ms = MAX (cell->ownership_confirmed_ms, sent_ms);
 }
 
 bool
--- a/src/cell.h
+++ b/src/cell.h
@@ -33,10 +33,7 @@
 
 typedef struct
 {
-  int64_t lease_ms; /* length of a lease, the longest that workers accept */
-  int64_t renewal_grace_ms; /* an owner renews leases for this long after its
-                          ownership was last confirmed, so a previous owner
-                          may do so for this long after a takeover */
+  int64_t max_lease_ms; /* the longest that workers accept */
   int64_t retention_ms; /* how long the state of an ended job can be queried */
 } cell_options_t;
 
@@ -202,14 +199,37 @@
 void cell_worker_listed (cell_t *cell, const worker_row_t *row);
 void cell_worker_unlisted (cell_t *cell, const char *id);
 
-/* Starts scheduling; everything stored has been loaded.  PREVIOUS_OWNER_GONE:
-   the previous owner is known to send nothing more.  */
-void cell_begin (cell_t *cell, bool previous_owner_gone);
-
-/* The save in flight has succeeded.  */
+/* What earlier owners have left behind, see tenure.h.  */
+typedef struct
+{
+  int64_t leases_end_ms;        /* their leases have ended by then ... */
+  int64_t unreached_end_ms;     /* ... and by then those of UNREACHED */
+  const char *const *unreached; /* ids of workers that the last one had not
+                                   reached; ends with a NULL; NULL: none */
+} cell_inheritance_t;
+
+/* Starts scheduling; everything stored has been loaded.  */
+void cell_begin (cell_t *cell, const cell_inheritance_t *inheritance);
+/* The leases of earlier owners have ended by LEASES_END_MS, as is known now;
+   has no effect if an earlier time is known.  */
+void cell_inherit (cell_t *cell, int64_t leases_end_ms);
+
+/* The save in flight has succeeded; after cell_ownership_confirmed.  */
 void cell_save_done (cell_t *cell);
-/* The store confirmed at AT_MS that this owner still owns the cell.  */
-void cell_ownership_confirmed (cell_t *cell, int64_t at_ms);
+/* The store has confirmed a commit of this owner that was first sent at
+   SENT_MS.  No lease is given before the first one.  */
+void cell_ownership_confirmed (cell_t *cell, int64_t sent_ms);
+/* Gives no more leases.  */
+void cell_stop_leases (cell_t *cell);
+/* By when the leases that this owner has given have ended; 0: it gave none. */
+int64_t cell_last_lease_end_ms (const cell_t *cell);
+/* The same with those of earlier owners.  */
+int64_t cell_leases_end_ms (const cell_t *cell);
+/* Calls EACH with the ids of the workers with runs that have not answered this
+   owner yet.  Returns the time by which their leases have ended.  */
+int64_t cell_each_unreached (const cell_t *cell,
+                             void (*each) (void *context, const char *worker),
+                             void *context);
 
 /* CLOCK_MS: the worker's clock in its answer, 0: not reported.  */
 void cell_start_answered (cell_t *cell, const char *worker, const char *task,
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -4,6 +4,7 @@
 #include "blame.h"
 #include "cell.h"
 #include "rank.h"
+#include "tenure.h"
 
 /* NAME
      cell_internal - structures shared by the cell's source files only
@@ -14,6 +15,9 @@
    An incarnation of a worker is the time between two of its starts: its clock
    and the numbers of its ends begin anew with each one.  */
 
+/* Workers' clocks may be slow by this share, as the platform documents.  */
+#define CLOCK_MAX_SLOW_SHARE 0.02
+
 typedef struct cell_job cell_job_t;
 typedef struct cell_group cell_group_t;
 typedef struct cell_task cell_task_t;
@@ -192,7 +196,10 @@
                                   earliest UNSAVED_POLL_PERIOD_MS later */
   int64_t sampled_ms;          /* when SAMPLED_CLOCK_MS arrived; 0: unknown */
   int64_t sampled_clock_ms;    /* worker's clock in its last report */
-  int64_t lease_until_ms;      /* highest lease end granted, worker's clock */
+  int64_t lease_end_ms;        /* no lease that it was given ends later */
+  int64_t reached_ms; /* when HAS_FENCING_TOKEN was last set by an answer; 0:
+                         never */
+  bool unreached_before; /* the owner before this one has not reached it */
   int64_t late_renewal_until_ms; /* until then, a delayed order sent before its
                                     restart may still extend its lease */
   int64_t awaited_until_ms; /* end of its leases that was logged last, while
@@ -252,8 +259,12 @@
   GArray *losses;            /* blame_loss_t of workers that crashed lately */
   resource_t room; /* capacity of all listed workers, in the last pass */
   int64_t begun_ms;
-  int64_t previous_renews_until_ms; /* the previous owner may renew leases
-                                       until then */
+  int64_t inherited_end_ms; /* the leases of earlier owners have ended by then;
+                               those of workers that the last of them had not
+                               reached by UNREACHED_END_MS */
+  int64_t unreached_end_ms;
+  int64_t last_lease_end_ms; /* of the leases that this owner has given */
+  bool leases_stopped;       /* it gives no more */
   int64_t next_save_ms;
   int64_t save_begun_ms; /* when the save in flight was begun */
   int64_t ownership_confirmed_ms;
@@ -364,9 +375,6 @@
 cell_worker_t *cell_find_worker (const cell_t *cell, const char *id);
 /* Notes that a call to WORKER has failed.  */
 void cell_worker_is_silent (cell_t *cell, cell_worker_t *worker);
-/* Returns the lease end to send to WORKER, in its clock, and remembers the
-   highest.  */
-int64_t cell_extend_lease (cell_worker_t *worker, const cell_t *cell);
 /* Detects a restart of WORKER, with which its clock begins anew.  CLOCK_MS:
    its clock in the answer to an order sent at SENT_MS.  */
 void cell_check_worker_clock (cell_t *cell, cell_worker_t *worker,
@@ -381,6 +389,23 @@
    */
 bool cell_worker_takes_starts (const cell_worker_t *worker);
 
+/* cell_lease.c */
+/* Gives WORKER a lease, and returns its end in the worker's clock; 0: none may
+   be given now.  */
+int64_t cell_give_lease (cell_t *cell, cell_worker_t *worker);
+bool cell_may_give_lease (const cell_t *cell, const cell_worker_t *worker);
+/* WORKER has answered, and refuses the orders of earlier owners from now on.
+ */
+void cell_worker_reached (cell_t *cell, cell_worker_t *worker);
+/* WORKER has restarted: late orders may give the new life leases.  */
+void cell_expect_late_orders (cell_t *cell, cell_worker_t *worker);
+/* Whether no lease of WORKER, which is silent, lasts any more.  Logs what its
+   runs wait for.  */
+bool cell_leases_have_ended (cell_t *cell, cell_worker_t *worker);
+/* Whether the next renewal of WORKER has to follow soon after the next
+   confirmation of the ownership.  */
+bool cell_renewal_is_urgent (const cell_t *cell, const cell_worker_t *worker);
+
 /* cell_rank.c: the objective and rank of jobs, see rank.h */
 /* Time from its acceptance in which a job should end, 0: no limit.  The runs
    of OCCURRENCE that have ended count as they were.  */
--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -430,7 +430,6 @@
 {
   cell->now_ms = clk_now_ms (cell->clock);
   cell->save_in_flight = false;
-  cell_ownership_confirmed (cell, cell->now_ms);
   for (guint i = 0; i < cell->jobs_in_save->len; i++)
     {
       cell_job_t *job = cell->jobs_in_save->pdata[i];
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -84,7 +84,7 @@
       = { .task = name,
           .run = task->run,
           .spec = group->job->work->spec,
-          .lease_until_ms = cell_extend_lease (worker, cell),
+          .lease_until_ms = cell_give_lease (cell, worker),
           .checkpoint = checkpoint != NULL ? checkpoint : "",
           .ticket = group->job->queue != NULL && group->job->queue->advised
                         ? cell_ticket (group, worker)
@@ -102,6 +102,7 @@
   bool advised = group->job->queue != NULL && group->job->queue->advised;
   /* Much may have changed during a slow save.  */
   if (!cell_worker_takes_starts (task->worker)
+      || !cell_may_give_lease (group->job->cell, task->worker)
       || task->worker_start_ms != task->worker->start_ms
       || (advised && cell_ticket (group, task->worker) == NULL))
     {
@@ -420,7 +421,7 @@
       || cell->now_ms - task->start_sent_ms < gap_ms)
     return;
   /* A worker that has crashed would carry out the order in its next life.  */
-  if (!worker->responsive)
+  if (!worker->responsive || !cell_may_give_lease (cell, worker))
     return;
   const queue_t *queue = task->group->job->queue;
   /* Where the order may no longer be repeated, a stop makes sure that the
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -16,9 +16,9 @@
 #define LOSSY_PERIOD_MS 5000
 /* Pause after a failed poll.  */
 #define POLL_RETRY_MS 200
-/* Workers' clocks may be slow by this share, as the platform documents.  */
-#define CLOCK_MAX_SLOW_SHARE 0.02
-#define LEASE_EXPIRY_MARGIN_MS 150
+/* An idle worker is polled this often.  Its clock is known no better than that
+   it is at most 2% slow, which shortens the lease of the next start.  */
+#define IDLE_POLL_PERIOD_MS 60000
 /* A worker has restarted if its clock is behind the slowest possible clock by
    more than this.  */
 #define RESTART_CLOCK_MARGIN_MS 100
@@ -105,13 +105,12 @@
   worker->start_ms = start_ms;
   worker->processed_end = worker->saved_end = worker->end_in_save = 0;
   worker->acknowledged_end = worker->acknowledging_end = 0;
-  worker->lease_until_ms = 0;
+  worker->lease_end_ms = 0;
   worker->sampled_ms = 0;
   worker->fail_streak = 0;
   worker->avoid_until_ms = 0;
   worker->has_fencing_token = false;
-  worker->late_renewal_until_ms
-      = cell->now_ms + cell->options.renewal_grace_ms;
+  cell_expect_late_orders (cell, worker);
   stop_unanswered_starts (worker);
 }
 
@@ -206,20 +205,6 @@
          && resource_fits (worker->used, worker->capacity);
 }
 
-int64_t
-cell_extend_lease (cell_worker_t *worker, const cell_t *cell)
-{
-  /* An unanswered order may still be carried out, so extending the lease of an
-     unresponsive worker would postpone its known expiry for ever.  */
-  if (!worker->responsive && worker->lease_until_ms > 0)
-    return worker->lease_until_ms;
-  int64_t until_ms = worker->sampled_clock_ms
-                     + (cell->now_ms - worker->sampled_ms)
-                     + cell->options.lease_ms;
-  worker->lease_until_ms = MAX (worker->lease_until_ms, until_ms);
-  return until_ms;
-}
-
 static bool
 serves_beside_fillers (const cell_worker_t *worker)
 {
@@ -246,15 +231,6 @@
   return false;
 }
 
-/* Whether ownership was confirmed recently enough to extend leases: the next
-   owner assumes that renewals go on for the same time after its takeover.  */
-static bool
-may_extend_leases (const cell_t *cell)
-{
-  return cell->now_ms - cell->ownership_confirmed_ms
-         < cell->options.renewal_grace_ms;
-}
-
 /* The end number to acknowledge with the next poll, 0 for none.  None is sent
    if the last poll was not answered or nothing new is to be acknowledged: the
    worker may have restarted, and the number would acknowledge ends of the new
@@ -274,9 +250,8 @@
   cell_worker_ref_t ref = { worker->id, worker->address };
   int64_t until_ms = 0;
   if (worker->has_fencing_token && worker->responsive
-      && worker->failed_polls == 0 && worker->sampled_ms != 0
-      && may_extend_leases (cell))
-    until_ms = cell_extend_lease (worker, cell);
+      && worker->failed_polls == 0)
+    until_ms = cell_give_lease (cell, worker);
   worker->poll_in_flight = true;
   worker->poll_sent_ms = cell->now_ms;
   worker->poll_wait_ms = wait_ms;
@@ -309,8 +284,9 @@
   int64_t wait_ms = POLL_WAIT_MS;
   if (serves_beside_fillers (worker))
     wait_ms = POLL_WAIT_PACED_MS;
-  if (cell->answer_lost_ms != 0
-      && cell->now_ms - cell->answer_lost_ms < LOSSY_PERIOD_MS)
+  if (cell_renewal_is_urgent (cell, worker)
+      || (cell->answer_lost_ms != 0
+          && cell->now_ms - cell->answer_lost_ms < LOSSY_PERIOD_MS))
     wait_ms = MIN (wait_ms, POLL_WAIT_LOSSY_MS);
   if (unsaved || worker->failed_polls > 0 || worker->sampled_ms == 0
       || has_confirmed_stop (worker) || worker->tasks->len == 0)
@@ -502,10 +478,8 @@
         worker_restarted (cell, worker, report->start_ms);
       worker->start_ms = report->start_ms;
     }
-  /* An earlier owner may have extended the lease until just now.  */
   if (!worker->has_fencing_token)
-    worker->lease_until_ms = MAX (worker->lease_until_ms,
-                                  report->clock_ms + cell->options.lease_ms);
+    cell_worker_reached (cell, worker);
   worker->responsive = true;
   worker->has_fencing_token = true;
   worker->sampled_ms = cell->now_ms;
@@ -560,61 +534,6 @@
     }
 }
 
-/* Returns the time by which every lease that WORKER may have been given has
-   expired, and sets *CAUSE to what that time is due to.  */
-static int64_t
-leases_end_ms (const cell_t *cell, const cell_worker_t *worker,
-               const char **cause)
-{
-  double max_slowdown = 1.0 / (1.0 - CLOCK_MAX_SLOW_SHARE);
-  if (!worker->has_fencing_token || worker->sampled_ms == 0)
-    {
-      *cause = worker->late_renewal_until_ms > cell->previous_renews_until_ms
-                   ? "late_order"
-                   : "former_owner";
-      return MAX (cell->previous_renews_until_ms,
-                  worker->late_renewal_until_ms)
-             + (int64_t)((double)cell->options.lease_ms * max_slowdown)
-             + LEASE_EXPIRY_MARGIN_MS;
-    }
-  double left_ms = (double)(worker->lease_until_ms - worker->sampled_clock_ms)
-                   * max_slowdown;
-  *cause = "lease";
-  return worker->sampled_ms + (int64_t)left_ms + LEASE_EXPIRY_MARGIN_MS;
-}
-
-/* Time since AT_MS; -1 if that is 0, which means never.  */
-static int64_t
-elapsed_ms (const cell_t *cell, int64_t at_ms)
-{
-  return at_ms == 0 ? -1 : cell->now_ms - at_ms;
-}
-
-/* Ends the runs of WORKER, which is silent, once its leases have expired.  */
-static void
-end_runs_without_lease (cell_t *cell, cell_worker_t *worker)
-{
-  const char *cause;
-  int64_t end_ms = leases_end_ms (cell, worker, &cause);
-  if (cell->now_ms > end_ms)
-    {
-      cell_log (cell, "lease_expired", worker->id,
-                "tasks=%u cause=%s answered_ago_ms=%lld silent_ms=%lld",
-                worker->tasks->len, cause,
-                (long long)elapsed_ms (cell, worker->sampled_ms),
-                (long long)elapsed_ms (cell, worker->silent_ms));
-      cell_worker_stayed_silent (cell, worker);
-      end_all_runs (worker, END_LAPSED);
-    }
-  else if (worker->awaited_until_ms != end_ms)
-    {
-      worker->awaited_until_ms = end_ms;
-      cell_log (cell, "runs_await_lease", worker->id,
-                "tasks=%u cause=%s left_ms=%lld", worker->tasks->len, cause,
-                (long long)(end_ms - cell->now_ms));
-    }
-}
-
 /* Stops the tasks on a draining worker shortly before it may leave, except
    those of gangs.  */
 static void
@@ -644,10 +563,18 @@
   for (guint i = 0; i < cell->worker_list->len;)
     {
       cell_worker_t *worker = cell->worker_list->pdata[i];
-      if (!worker->responsive && worker->tasks->len > 0)
-        end_runs_without_lease (cell, worker);
+      if (!worker->responsive && worker->tasks->len > 0
+          && cell_leases_have_ended (cell, worker))
+        {
+          cell_worker_stayed_silent (cell, worker);
+          end_all_runs (worker, END_LAPSED);
+        }
       if (worker->draining)
         evacuate (cell, worker);
+      worker->check_due
+          = worker->check_due
+            || (worker->listed && worker->sampled_ms != 0
+                && cell->now_ms - worker->sampled_ms > IDLE_POLL_PERIOD_MS);
       if (!worker->listed && worker->tasks->len == 0 && !worker->poll_in_flight
           && (!worker->responsive
               || worker->acknowledged_end >= worker->processed_end))
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -118,6 +118,11 @@
       node_heartbeat_changed (get_cell (node, part), value, length);
       return;
     }
+  if (part[0] != '\0' && strcmp (key, LEASES_KEY) == 0)
+    {
+      node_former_told (get_cell (node, part), value, length);
+      return;
+    }
   if (!g_str_has_prefix (key, ENTRY_PREFIX))
     return;
   const char *name = key + strlen (ENTRY_PREFIX);
@@ -129,6 +134,13 @@
         json_integer_value (json_object_get (entry, "cpu_millis")));
   else if (strcmp (name, node->platform->settings.name) != 0)
     node_member_remove (node, name);
+  GHashTableIter iterator;
+  gpointer cell;
+  g_hash_table_iter_init (&iterator, node->cells);
+  while (g_hash_table_iter_next (&iterator, NULL, &cell))
+    node_former_restarted (
+        cell, name,
+        json_string_value (json_object_get (entry, "incarnation")));
   json_decref (entry);
 }
 
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -90,6 +90,7 @@
   cell->inbox = NULL;
   cell_free (cell->scheduler);
   cell->scheduler = NULL;
+  node_former_free (cell);
 }
 
 void
@@ -112,6 +113,7 @@
 {
   log_event (LOG_WARN, "cell_lost", "cell", cell->name, "why", reason, NULL);
   cell->heartbeat_seen_ms = node_now (cell->node);
+  node_tenure_ended (cell);
   drop_ownership (cell);
   node_follow_workers (cell->node);
 }
@@ -239,18 +241,25 @@
   cell->state = CELL_OWNED;
   node_histogram_add (node, "magnoliadock_takeover_us",
                       node_now (node) - cell->claim_started_ms);
-  cell_begin (cell->scheduler, cell->previous_owner_gone);
+  const former_owner_t *former = &cell->former;
+  cell_inheritance_t inheritance
+      = { former->leases_end_ms, former->unreached_end_ms,
+          (const char *const *)former->unreached };
+  cell_begin (cell->scheduler, &inheritance);
   cell_totals_t totals;
   cell_totals (cell->scheduler, &totals);
   char jobs[16];
   char token[24];
   char took[24];
+  char leases[24];
+  g_snprintf (leases, sizeof leases, "%lld",
+              (long long)MAX (former->leases_end_ms - node_now (node), 0));
   g_snprintf (jobs, sizeof jobs, "%u", totals.jobs);
   g_snprintf (token, sizeof token, "%" G_GUINT64_FORMAT, cell->token);
   g_snprintf (took, sizeof took, "%lld",
               (long long)(node_now (node) - cell->claim_started_ms));
   log_event (LOG_INFO, "cell_owned", "cell", cell->name, "token", token,
-             "jobs", jobs, "took_ms", took, NULL);
+             "jobs", jobs, "took_ms", took, "former_leases_ms", leases, NULL);
   node->input_pending = true;
 }
 
@@ -334,7 +343,6 @@
 node_cell_claimed (node_cell_t *cell)
 {
   cell->state = CELL_LOADING;
-  cell->heartbeat_sent_ms = node_now (cell->node);
   node_counter_increment (cell->node, "magnoliadock_claims_total", NULL);
   node_follow_workers (cell->node);
   read_records (cell, NULL);
@@ -353,4 +361,5 @@
         }
     }
   node_commit (cell);
+  node_tenure_tell (cell);
 }
--- a/src/io/node_claim.c
+++ b/src/io/node_claim.c
@@ -95,6 +95,8 @@
   cell->seen_token = MAX (
       cell->seen_token,
       (uint64_t)json_integer_value (json_object_get (heartbeat, "token")));
+  cell->heartbeat_number
+      = (uint64_t)json_integer_value (json_object_get (heartbeat, "number"));
   parse_pending (cell, json_object_get (heartbeat, "pending"));
   json_decref (heartbeat);
 }
@@ -102,10 +104,15 @@
 char *
 node_fence_text (const node_cell_t *cell, const char *owner)
 {
-  return g_strdup_printf (
-      "{\"owner\":\"%s\",\"incarnation\":\"%s\",\"token\":%" G_GUINT64_FORMAT
-      ",\"number\":%" G_GUINT64_FORMAT "}",
-      owner, cell->node->incarnation, cell->token, cell->commit_number);
+  json_t *object = json_pack ("{s:s, s:s, s:I, s:I, s:I, s:o}", "owner", owner,
+                              "incarnation", cell->node->incarnation, "token",
+                              (json_int_t)cell->token, "number",
+                              (json_int_t)cell->commit_number, "beat",
+                              (json_int_t)cell->heartbeat_commit, "tenure",
+                              node_tenure_json (cell, owner[0] == '\0'));
+  char *text = json_dumps (object, JSON_COMPACT);
+  json_decref (object);
+  return text;
 }
 
 bool
@@ -177,6 +184,7 @@
     }
   cell->claim_failures = 0;
   cell->fence_version = version;
+  node_former_claimed (cell);
   node_cell_claimed (cell);
 }
 
@@ -195,18 +203,18 @@
             strlen (heartbeat) } };
   platform->ops->commit (platform, &expect, 1, writes, G_N_ELEMENTS (writes),
                          CLAIM_TIMEOUT_MS, on_claimed, claim_call_new (cell));
-  g_free (fence);
+  free (fence);
   free (heartbeat);
 }
 
-/* Whether the owner named in a fence or heartbeat row is known to be gone: it
-   released the cell, or its node has restarted since.  */
+/* Whether the node of an owner, as its fence or heartbeat row describes it,
+   has started again since.  */
 static bool
-owner_is_gone (const node_cell_t *cell, const char *owner,
-               const char *incarnation)
+owner_has_restarted (const node_cell_t *cell, const char *owner,
+                     const char *incarnation)
 {
   if (owner == NULL || owner[0] == '\0')
-    return true;
+    return false;
   char *key = g_strconcat (ENTRY_PREFIX, owner, NULL);
   size_t length;
   const char *text = replica_get (cell->node->cluster, "", key, &length);
@@ -216,9 +224,9 @@
   json_t *entry = json_loadb (text, length, 0, NULL);
   const char *current
       = json_string_value (json_object_get (entry, "incarnation"));
-  bool gone = current != NULL && g_strcmp0 (current, incarnation) > 0;
+  bool restarted = current != NULL && g_strcmp0 (current, incarnation) > 0;
   json_decref (entry);
-  return gone;
+  return restarted;
 }
 
 static void
@@ -237,7 +245,7 @@
       return;
     }
   uint64_t token = 0;
-  cell->previous_owner_gone = true;
+  node_former_free (cell);
   cell->fence_version = 0;
   for (uint32_t i = 0; i < reply->count; i++)
     {
@@ -245,9 +253,11 @@
       json_t *fence = json_loadb (row->value, row->length, 0, NULL);
       token = (uint64_t)json_integer_value (json_object_get (fence, "token"));
       cell->fence_version = row->version;
-      cell->previous_owner_gone = owner_is_gone (
-          cell, json_string_value (json_object_get (fence, "owner")),
-          json_string_value (json_object_get (fence, "incarnation")));
+      node_former_read (
+          cell, fence,
+          owner_has_restarted (
+              cell, json_string_value (json_object_get (fence, "owner")),
+              json_string_value (json_object_get (fence, "incarnation"))));
       json_decref (fence);
     }
   /* Another node has claimed the cell since the last heartbeat seen.  */
@@ -260,6 +270,8 @@
     }
   cell->token = token + 1;
   cell->commit_number = 0;
+  cell->heartbeat_commit = 0;
+  cell->commit_begun_ms = cell->heartbeat_sent_ms = node_now (cell->node);
   send_claim (cell, cell->fence_version);
 }
 
@@ -334,7 +346,8 @@
   bool owned_before_restart
       = !vacant && !owner_is_self (cell)
         && g_strcmp0 (cell->owner, node->platform->settings.name) == 0;
-  if (!vacant && owner_is_gone (cell, cell->owner, cell->owner_incarnation))
+  if (!vacant
+      && owner_has_restarted (cell, cell->owner, cell->owner_incarnation))
     vacant = true;
   /* Heartbeats arrive late when the store is slow.  */
   int64_t delay_ms = 0;
--- a/src/io/node_commit.c
+++ b/src/io/node_commit.c
@@ -13,9 +13,6 @@
    commit whose answer was lost is recognised when it is repeated.  One commit
    at a time.  */
 
-/* Time between two heartbeats.  Other nodes presume an owner lost after
-   several.  */
-#define HEARTBEAT_MS 200
 #define COMMIT_RETRY_S 0.03
 /* After a lost answer, a longer timeout would delay the next heartbeat too
    much.  */
@@ -80,7 +77,7 @@
       return;
     }
   if (cell->scheduler != NULL)
-    cell_ownership_confirmed (cell->scheduler, node_now (node));
+    cell_ownership_confirmed (cell->scheduler, cell->commit_begun_ms);
   if (cell->commit_removal_count > 0)
     g_ptr_array_remove_range (cell->expired_ids, 0,
                               cell->commit_removal_count);
@@ -198,7 +195,7 @@
   cell->commit_in_flight = true;
   node->platform->ops->commit (node->platform, &expect, 1, writes, count,
                                call->timeout_ms, on_committed, call);
-  g_free (fence);
+  free (fence);
   free (heartbeat);
 }
 
@@ -228,9 +225,15 @@
   cell->commit_has_heartbeat = heartbeat_due;
   cell->commit_removal_count = MIN (cell->expired_ids->len, MAX_REMOVALS);
   cell->commit_releases = cell->state == CELL_RELEASING && !cell->save_pending;
-  if (heartbeat_due)
-    cell->heartbeat_sent_ms = now_ms;
   cell->commit_number++;
+  cell->commit_begun_ms = now_ms;
+  if (heartbeat_due)
+    {
+      cell->heartbeat_sent_ms = now_ms;
+      cell->heartbeat_commit = cell->commit_number;
+    }
+  if (cell->commit_releases)
+    cell_stop_leases (cell->scheduler);
   send_commit (cell);
 }
 
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -7,6 +7,9 @@
 #include "node.h"
 #include "adaptive_timeout.h"
 #include "replica.h"
+#include "tenure.h"
+
+#include <jansson.h>
 
 /* NAME
      node_internal - structures shared by the node's source files only
@@ -19,8 +22,11 @@
      cluster, part CELL, key "beat": heartbeat of the cell's owner, with its
      name, incarnation and token and the pending jobs of each queue
 
+     cluster, part CELL, key "leases": token of an owner that was replaced, and
+     how long its leases last
+
      fence, part CELL, key "owner": owner, incarnation, token, number of its
-     last commit
+     last commit and of the last one with a heartbeat, tenure (see tenure.h)
 
      record, part CELL, key ID: state of a job and its runs
 
@@ -38,9 +44,14 @@
 #define INBOX_PART_NAME_BYTES 3 /* two digits and the NUL */
 #define HEARTBEAT_KEY "beat"
 #define FENCE_KEY "owner"
+#define LEASES_KEY "leases"
 #define ENTRY_PREFIX "entry/"
 #define CANCEL_SUFFIX "/c"
 
+/* Time between two heartbeats.  Other nodes presume an owner lost after
+   several.  */
+#define HEARTBEAT_MS 200
+
 /* Pause between an answer about the cluster table and the next call for its
    changes, so that one answer reports the heartbeats of several cells.  It
    is shorter on candidates: nodes that would be among the first to claim some
@@ -73,6 +84,30 @@
   CELL_RELEASING
 } node_cell_state_t;
 
+/* The owner before this node, as its fence row describes it.  */
+typedef struct
+{
+  char *owner; /* NULL: there was none */
+  char *incarnation;
+  tenure_row_t row;
+  bool restarted;           /* since it wrote the row */
+  int64_t heard_ms;         /* see tenure_view_t */
+  char **unreached;         /* workers that it had not reached */
+  int64_t unreached_end_ms; /* of their leases */
+  int64_t leases_end_ms;    /* of all leases */
+} former_owner_t;
+
+/* The last tenure of this node that has ended, of which its successor is to
+   be told.  */
+typedef struct
+{
+  uint64_t token;
+  int64_t own_end_ms;       /* of the leases that it gave */
+  int64_t inherited_end_ms; /* of those of the owners before it */
+  bool untold, in_flight;
+  int64_t next_ms; /* not told again before */
+} ended_tenure_t;
+
 struct node_cell
 {
   node_t *node;
@@ -86,6 +121,7 @@
   char *owner; /* "": none; NULL: no heartbeat was ever seen */
   char *owner_incarnation;
   uint64_t seen_token;       /* highest token in a heartbeat */
+  uint64_t heartbeat_number; /* number in the last heartbeat */
   int64_t heartbeat_seen_ms; /* when the heartbeat was last seen to change */
   /* Until then this node claims the cell without delay once it is released, as
      agreed with the owner.  */
@@ -96,10 +132,11 @@
   cell_t *scheduler;
   replica_t *inbox;
   uint64_t token, commit_number, fence_version;
-  bool previous_owner_gone; /* it released the cell or has restarted, or there
-                               was none */
-  GPtrArray *records;       /* stored_record_t, until scheduling begins */
-  GPtrArray *expired_ids;   /* char *, jobs whose record is to be removed */
+  former_owner_t former;
+  uint64_t heartbeat_commit;  /* number of the last commit with a heartbeat */
+  int64_t commit_begun_ms;    /* just before its first attempt was sent */
+  GPtrArray *records;         /* stored_record_t, until scheduling begins */
+  GPtrArray *expired_ids;     /* char *, jobs whose record is to be removed */
   GPtrArray *records_to_save; /* stored_record_t, of the pending save */
   bool save_pending;
   bool commit_in_flight, commit_has_records, commit_has_heartbeat,
@@ -115,6 +152,7 @@
   bool claim_unanswered;   /* the claim is to be sent again then */
   ev_timer commit_retry;
   uint8_t replay_pass; /* REPLAY_x of node_cell.c */
+  ended_tenure_t ended;
 };
 
 typedef struct
@@ -206,6 +244,25 @@
                          size_t length, uint64_t *number);
 char *node_fence_text (const node_cell_t *cell, const char *owner);
 
+/* node_tenure.c */
+/* What the next fence row promises.  RELEASES: it gives the cell up.  */
+json_t *node_tenure_json (const node_cell_t *cell, bool releases);
+/* Keeps what FENCE, the row of the owner before, promises.  RESTARTED: the
+   process of that owner has ended.  */
+void node_former_read (node_cell_t *cell, const json_t *fence, bool restarted);
+/* This node has claimed CELL.  */
+void node_former_claimed (node_cell_t *cell);
+void node_former_free (node_cell_t *cell);
+/* The row LEASES_KEY of CELL has changed.  */
+void node_former_told (node_cell_t *cell, const char *value, size_t length);
+/* Node NAME has started as INCARNATION.  */
+void node_former_restarted (node_cell_t *cell, const char *name,
+                            const char *incarnation);
+/* This node owns CELL no more and sends no orders; to be told.  */
+void node_tenure_ended (node_cell_t *cell);
+/* Tells it, if there is something to tell.  */
+void node_tenure_tell (node_cell_t *cell);
+
 /* node_delete.c */
 /* Removes the stored rows of an ended job; the record goes with a later
    commit.  */
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -7,6 +7,7 @@
 #define ORDER_TIMEOUT_MS 500
 #define FAULT_PERIOD_MS 100
 #define ADVICE_MS 20
+#define HEARTBEAT_PERIOD_MS 200
 
 int64_t
 fake_cell_now (const fake_cell_t *sim)
@@ -221,6 +222,7 @@
     {
       fake_event_t *again = fake_cell_event_new (sim, SAVE_MS, on_save_done);
       again->owner = event->owner;
+      again->sent_ms = event->sent_ms;
       again->texts = event->texts;
       event->texts = NULL;
       return;
@@ -234,12 +236,16 @@
                          g_strdup (event->texts->pdata[i + 1]));
   if (event->owner == sim->owner && sim->defect != DEFECT_START_BEFORE_SAVE
       && sim->defect != DEFECT_EARLY_ACK)
-    cell_save_done (sim->cell);
+    {
+      cell_ownership_confirmed (sim->cell, event->sent_ms);
+      cell_save_done (sim->cell);
+    }
 }
 
 static void
 on_saved_early (fake_cell_t *sim, fake_event_t *event)
 {
+  cell_ownership_confirmed (sim->cell, event->sent_ms);
   cell_save_done (sim->cell);
 }
 
@@ -338,6 +344,8 @@
   GHashTableIter iterator;
   gpointer key;
   gpointer value;
+  if (sim->cell != NULL)
+    sim->leases_end_ms = cell_leases_end_ms (sim->cell);
   cell_free (sim->cell);
   sim->owner++;
   sim->token++;
@@ -359,7 +367,10 @@
   g_hash_table_iter_init (&iterator, sim->cancelled);
   while (g_hash_table_iter_next (&iterator, &key, NULL))
     cell_cancel_job (sim->cell, key);
-  cell_begin (sim->cell, true);
+  /* A former owner sends nothing more, but its orders may arrive late.  */
+  cell_inheritance_t inheritance = { .leases_end_ms = sim->leases_end_ms,
+                                     .unreached_end_ms = sim->leases_end_ms };
+  cell_begin (sim->cell, &inheritance);
 }
 
 static void
@@ -390,9 +401,21 @@
     fake_cell_take_over (sim);
 }
 
+static void
+on_heartbeat_stored (fake_cell_t *sim, fake_event_t *event)
+{
+  if (fake_cell_now (sim) >= sim->store_down_until_ms)
+    cell_ownership_confirmed (sim->cell, event->sent_ms);
+}
+
 static void
 on_tick (fake_cell_t *sim, fake_event_t *event)
 {
+  if (fake_cell_now (sim) - sim->heartbeat_ms >= HEARTBEAT_PERIOD_MS)
+    {
+      sim->heartbeat_ms = fake_cell_now (sim);
+      fake_cell_event_new (sim, save_ms (sim), on_heartbeat_stored);
+    }
   fake_event_t *next = fake_cell_event_new (sim, CELL_TICK_MS, on_tick);
   next->owner = 0;
   if (cell_fenced (sim->cell))
@@ -488,9 +511,8 @@
   sim->random = g_rand_new_with_seed (seed);
   sim->faults = *faults;
   sim->defect = defect;
-  sim->options = (cell_options_t){ .lease_ms = LEASE_MS,
-                                   .renewal_grace_ms = 10000,
-                                   .retention_ms = 120000 };
+  sim->options
+      = (cell_options_t){ .max_lease_ms = LEASE_MS, .retention_ms = 120000 };
   sim->workers = g_ptr_array_new_with_free_func (fake_cell_worker_free);
   for (uint32_t i = 0; i < workers; i++)
     g_ptr_array_add (sim->workers, fake_cell_worker_new (i));
--- a/tests/fake_cell_internal.h
+++ b/tests/fake_cell_internal.h
@@ -117,6 +117,8 @@
   uint64_t last_call;
   queue_table_t *queues;
   int64_t store_down_until_ms;
+  int64_t leases_end_ms; /* of earlier owners */
+  int64_t heartbeat_ms;  /* when the last one was sent */
   char *violation;
   uint32_t starts;
   uint32_t start_orders;
--- a/tests/test.h
+++ b/tests/test.h
@@ -42,6 +42,8 @@
 extern CU_SuiteInfo test_crash_suites[];
 extern CU_SuiteInfo test_blame_suites[];
 extern CU_SuiteInfo test_lost_suites[];
+extern CU_SuiteInfo test_tenure_suites[];
+extern CU_SuiteInfo test_node_tenure_suites[];
 
 /* Seed of the random cases, from --seed; printed at the start.  */
 uint32_t test_seed (void);
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -244,7 +244,7 @@
 static cell_t *
 cell_with_job (uint32_t times)
 {
-  static const cell_options_t options = { 6000, 10000, 120000 };
+  static const cell_options_t options = { 6000, 120000 };
   cell_t *cell = cell_new (&options, fixed_clock (), &no_actions, NULL);
   work_job_t *job = work_job_new ("5c0e7a21d94b36f8", "queue", 2);
   uint32_t *after = g_new0 (uint32_t, 1);
@@ -267,7 +267,8 @@
       cell_load_record (cell, "5c0e7a21d94b36f8", text, length);
       cell_add_ended_job (cell, "6c0e7a21d94b36f8", text, length);
       cell_record_state (text, length);
-      cell_begin (cell, true);
+      static const cell_inheritance_t nothing = { 0 };
+      cell_begin (cell, &nothing);
       cell_run (cell, 2000);
       cell_free (cell);
     }
--- a/tests/test_lost.c
+++ b/tests/test_lost.c
@@ -1,4 +1,5 @@
 #include "cell.h"
+#include "tenure.h"
 #include "test.h"
 
 #include <glib.h>
@@ -18,6 +19,8 @@
 #define OLD_WORKER "i-9"
 #define NEW_WORKER "i-1"
 #define COMMIT_PERIOD_MS 200
+/* Other nodes see a heartbeat this much later.  */
+#define SEEN_AFTER_MS 100
 /* Until an owner that reaches the store again learns of its successor and has
    said so.  */
 #define TELL_MS 1000
@@ -42,7 +45,8 @@
   poll_t polls[2]; /* of OLD_WORKER and NEW_WORKER */
   bool start_pending, save_pending;
   bool connected; /* to the store */
-  int64_t committed_ms;
+  int64_t inherited_end_ms;
+  int64_t committed_ms, beat_ms;
 } owner_t;
 
 /* A fault and what follows, in ms after the loss of the old worker.  */
@@ -56,15 +60,25 @@
   bool owners_die; /* former owners never tell that they have stopped */
 } fault_t;
 
+/* The fence row.  */
+typedef struct
+{
+  tenure_row_t tenure;
+  int64_t beat_ms; /* when the last heartbeat was stored */
+  bool old_worker_unreached;
+} fence_t;
+
 struct world
 {
   clk_fake_t clock;
+  fence_t fence;
   const fault_t *fault;
   owner_t owners[MAX_OWNERS + 1];
   uint32_t owner_count;
   char record[512];       /* saved last */
   int64_t started_ms;     /* on NEW_WORKER; 0: not yet */
   int64_t lease_until_ms; /* longest lease of OLD_WORKER, its clock */
+  bool told;
 };
 
 /* Time since the loss of the old worker.  */
@@ -158,10 +172,53 @@
   cell_worker_listed (owner->cell, &row);
 }
 
+static void
+note_unreached (void *context, const char *worker)
+{
+  fence_t *fence = context;
+  fence->old_worker_unreached
+      = fence->old_worker_unreached || strcmp (worker, OLD_WORKER) == 0;
+}
+
+/* OWNER writes the fence row, with a heartbeat if BEATS.  */
+static void
+write_fence (owner_t *owner, bool beats)
+{
+  world_t *world = owner->world;
+  int64_t now_ms = clk_now_ms (&world->clock.base);
+  if (beats)
+    owner->beat_ms = now_ms;
+  world->fence = (fence_t){ .tenure = { .known = true,
+                                        .bound_ms = TENURE_BOUND_MS,
+                                        .lease_ms = TENURE_LEASE_MS },
+                            .beat_ms = owner->beat_ms };
+  world->fence.tenure.since_beat_ms = now_ms - owner->beat_ms;
+  world->fence.tenure.inherited_ms = MAX (owner->inherited_end_ms - now_ms, 0);
+  int64_t end_ms
+      = cell_each_unreached (owner->cell, note_unreached, &world->fence);
+  world->fence.tenure.unreached_ms = MAX (end_ms - now_ms, 0);
+}
+
+/* What the next owner inherits.  */
+static cell_inheritance_t
+inheritance_of (const world_t *world)
+{
+  static const char *const unreached[] = { OLD_WORKER, NULL };
+  const fence_t *fence = &world->fence;
+  tenure_view_t view = { .now_ms = clk_now_ms (&world->clock.base),
+                         .heard_ms = fence->beat_ms + SEEN_AFTER_MS,
+                         .max_lease_ms = world->fault->max_hold_ms };
+  return (cell_inheritance_t){
+    .leases_end_ms = tenure_leases_end_ms (&fence->tenure, &view),
+    .unreached_end_ms = tenure_unreached_end_ms (&fence->tenure, &view),
+    .unreached = fence->old_worker_unreached ? unreached : NULL
+  };
+}
+
 static void
 add_owner (world_t *world)
 {
-  cell_options_t options = { world->fault->max_hold_ms, 10000, 120000 };
+  cell_options_t options = { world->fault->max_hold_ms, 120000 };
   owner_t *owner = &world->owners[world->owner_count++];
   *owner = (owner_t){ .world = world, .connected = true };
   owner->cell = cell_new (&options, &world->clock.base, &actions, owner);
@@ -172,13 +229,16 @@
   job->steps[0].lasting = true;
   cell_add_job (owner->cell, job);
   list_worker (owner, OLD_WORKER);
+  cell_inheritance_t inheritance = { 0 };
   if (world->owner_count > 1)
     {
       list_worker (owner, NEW_WORKER);
       CU_ASSERT_TRUE (cell_load_record (owner->cell, JOB_ID, world->record,
                                         strlen (world->record)));
+      inheritance = inheritance_of (world);
     }
-  cell_begin (owner->cell, world->owner_count == 1);
+  owner->inherited_end_ms = inheritance.leases_end_ms;
+  cell_begin (owner->cell, &inheritance);
 }
 
 /* Whether the old worker answers OWNER.  */
@@ -228,11 +288,14 @@
   if (owner->connected && owner->save_pending)
     {
       owner->save_pending = false;
+      write_fence (owner, false);
+      cell_ownership_confirmed (owner->cell, now_ms);
       cell_save_done (owner->cell);
     }
   if (owner->connected && now_ms - owner->committed_ms >= COMMIT_PERIOD_MS)
     {
       owner->committed_ms = now_ms;
+      write_fence (owner, true);
       cell_ownership_confirmed (owner->cell, now_ms);
     }
   if (owner->start_pending && old_answers (world, owner))
@@ -263,6 +326,15 @@
       world->owners[claims].connected = false;
       add_owner (world);
     }
+  /* The former owners find themselves replaced.  */
+  if (claims > 0 && !fault->owners_die
+      && time_of (world) >= fault->calm_ms + TELL_MS && !world->told)
+    {
+      world->told = true;
+      for (uint32_t i = 0; i < claims; i++)
+        cell_inherit (world->owners[i + 1].cell,
+                      cell_leases_end_ms (world->owners[i].cell));
+    }
 }
 
 /* Returns when the task runs again, after the loss of the old worker; sets
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -27,8 +27,10 @@
   test_frame_suites,
   test_inquiry_suites,
   test_job_suites,
+  test_lost_suites,
   test_membership_suites,
   test_node_suites,
+  test_node_tenure_suites,
   test_option_suites,
   test_outcome_suites,
   test_outlier_suites,
@@ -41,12 +43,13 @@
   test_sched_suites,
   test_settings_suites,
   test_share_suites,
+  test_tenure_suites,
 };
 /* clang-format on */
 
 /* Suites with a test that fails because of a known fault, which KNOWN-RED.txt
    lists; they run only when they are named.  */
-static CU_SuiteInfo *const known_red_suites[] = { test_lost_suites, NULL };
+static CU_SuiteInfo *const known_red_suites[] = { NULL };
 
 static uint32_t seed = DEFAULT_SEED;
 
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -1,5 +1,6 @@
 #include "blame.h"
 #include "cell.h"
+#include "tenure.h"
 #include "test.h"
 
 #include <glib.h>
@@ -9,7 +10,6 @@
    Calls of the cell are recorded instead of sent.  */
 
 #define LEASE_MS 6000
-#define RENEWAL_GRACE_MS 10000
 #define JOB_ID "5c0e7a21d94b36f8"
 #define OTHER_JOB_ID "6d1f8b32e05c47a9"
 
@@ -135,19 +135,28 @@
 static void
 make (owner_t *owner)
 {
-  static const cell_options_t options = { LEASE_MS, RENEWAL_GRACE_MS, 120000 };
+  static const cell_options_t options = { LEASE_MS, 120000 };
   *owner = (owner_t){ 0 };
   clk_fake_init (&owner->clock, 100000);
   owner->cell = cell_new (&options, &owner->clock.base, &actions, owner);
 }
 
+/* The owner before was heard of just now.  */
+static void
+begin_cell (owner_t *owner)
+{
+  int64_t end_ms = clk_now_ms (&owner->clock.base) + TENURE_BOUND_MS;
+  cell_inheritance_t inheritance = { end_ms, end_ms, NULL };
+  cell_begin (owner->cell, &inheritance);
+}
+
 /* Begins an owner with the job JOB_ID; see add_job.  */
 static void
 begin (owner_t *owner, uint32_t count, const char *record)
 {
   make (owner);
   add_job (owner, JOB_ID, count, record);
-  cell_begin (owner->cell, false);
+  begin_cell (owner);
 }
 
 static void
@@ -160,6 +169,8 @@
       if (owner->save_pending)
         {
           owner->save_pending = false;
+          cell_ownership_confirmed (owner->cell,
+                                    clk_now_ms (&owner->clock.base));
           cell_save_done (owner->cell);
         }
     }
@@ -182,7 +193,7 @@
                        0);
   CU_ASSERT_TRUE (owner.poll_lease_ms > 0);
   /* No save is confirmed any more.  */
-  clk_fake_advance_ms (&owner.clock, RENEWAL_GRACE_MS);
+  clk_fake_advance_ms (&owner.clock, TENURE_BOUND_MS);
   uint32_t polls = owner.polls;
   answer_poll (&owner, "i-1", true);
   cell_run (owner.cell, clk_now_ms (&owner.clock.base));
@@ -205,7 +216,7 @@
   /* The run on i-9 may go on until its lease has expired.  */
   CU_ASSERT_EQUAL (owner.starts, 3);
   CU_ASSERT_STRING_EQUAL (owner.started_on, "i-1");
-  run_for (&owner, RENEWAL_GRACE_MS + LEASE_MS + 1000);
+  run_for (&owner, TENURE_BOUND_MS + 1000);
   CU_ASSERT_EQUAL (owner.starts, 4);
   CU_ASSERT_STRING_EQUAL (owner.started_on, "i-1");
   cell_free (owner.cell);
@@ -308,7 +319,7 @@
   make (&owner);
   for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
     add_job (&owner, ids[i], 1, suspected);
-  cell_begin (owner.cell, false);
+  begin_cell (&owner);
   list_worker (&owner, "i-1");
   run_for (&owner, 100);
   answer_poll (&owner, "i-1", false);
@@ -358,6 +369,7 @@
       list_worker (&owner, "i-1");
       run_for (&owner, 100);
       answer_poll (&owner, "i-1", false);
+      clk_fake_advance_ms (&owner.clock, CELL_TICK_MS);
       cell_run (owner.cell, clk_now_ms (&owner.clock.base));
       CU_ASSERT_TRUE (owner.save_pending);
       worker_row_t row = { .id = "i-1",
@@ -370,6 +382,7 @@
                            .start_ms = rows[i].start_ms };
       cell_worker_listed (owner.cell, &row);
       owner.save_pending = false;
+      cell_ownership_confirmed (owner.cell, clk_now_ms (&owner.clock.base));
       cell_save_done (owner.cell);
       CU_ASSERT_EQUAL (owner.starts, i == 0);
       run_for (&owner, 500);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -255,7 +255,7 @@
           CU_ASSERT_EQUAL (settings->stop_limit_ms, 6000);
           CU_ASSERT_EQUAL (settings->peer_port, 7380);
           CU_ASSERT_EQUAL (settings->cpu_millis, 500);
-          CU_ASSERT_EQUAL (settings->cells.lease_ms, 6000);
+          CU_ASSERT_EQUAL (settings->cells.max_lease_ms, 6000);
           CU_ASSERT_EQUAL (settings->cells.retention_ms, 120000);
           CU_ASSERT_STRING_EQUAL (platform.store_url,
                                   "http://10.200.1.7:8142");
