rank: put lasting tasks that have to run again before everything else

Cause, by reading and a test: late steps rank behind a lasting step, but steps of a more urgent queue that are in time rank before it, and while the workers are full there are always some. Change: a tier RANK_RESTART before all others, for lasting steps with a waiting task that has had a run. First runs keep their rank. Evidence: build/asan/unit-tests owner: the new test (one worker, 1,000 urgent steps in time, the lasting task in the least urgent queue) failed without the change to cell_rank.c and passes with it.

--- a/src/cell_rank.c
+++ b/src/cell_rank.c
@@ -87,6 +87,19 @@
   return objective_of_steps (job, steps);
 }
 
+/* Whether a task of GROUP waits that has had a run.  */
+static bool
+has_to_run_again (const cell_group_t *group)
+{
+  for (uint32_t i = 0; i < group->spec->count; i++)
+    {
+      const cell_task_t *task = &group->tasks[i];
+      if (task->run > 0 && task->state == RUN_WAITING && task->worker == NULL)
+        return true;
+    }
+  return false;
+}
+
 void
 cell_rank_group (cell_group_t *group)
 {
@@ -96,6 +109,11 @@
   uint32_t priority = queue != NULL ? queue->priority : 0;
   int64_t since_ms = job->work->times > 0 ? group->ready_ms : job->added_ms;
   rank_step_t steps[WORK_MAX_STEPS];
+  if (group->spec->lasting && has_to_run_again (group))
+    {
+      group->rank = rank_of_restart (priority, since_ms, now_ms);
+      return;
+    }
   if (group->spec->lasting || queue == NULL)
     {
       group->rank = rank_without_objective (priority, since_ms, now_ms);
--- a/src/rank.c
+++ b/src/rank.c
@@ -118,6 +118,12 @@
   return (rank_t){ RANK_ON_TIME, priority, since_ms - now_ms };
 }
 
+rank_t
+rank_of_restart (uint32_t priority, int64_t since_ms, int64_t now_ms)
+{
+  return (rank_t){ RANK_RESTART, priority, since_ms - now_ms };
+}
+
 void
 rank_defer (rank_t *rank, uint32_t highest_priority, int64_t objective_ms)
 {
--- a/src/rank.h
+++ b/src/rank.h
@@ -70,6 +70,8 @@
 /* Lower tiers go first.  */
 typedef enum
 {
+  RANK_RESTART, /* lasting, and ran before: has to run again within seconds,
+                   however full the workers are */
   RANK_ON_TIME,
   RANK_AT_RISK, /* in time only if it starts at once */
   RANK_LATE,
@@ -92,6 +94,8 @@
    sooner.  */
 rank_t rank_without_objective (uint32_t priority, int64_t since_ms,
                                int64_t now_ms);
+/* The same for a lasting step of which a task has to run again.  */
+rank_t rank_of_restart (uint32_t priority, int64_t since_ms, int64_t now_ms);
 /* Lets a step with much slack wait while a step of a queue with
    HIGHEST_PRIORITY waits.  */
 void rank_defer (rank_t *rank, uint32_t highest_priority,
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -445,6 +445,59 @@
   cell_free (owner.cell);
 }
 
+static void
+add_queue (queue_table_t *table, const char *name, uint32_t priority)
+{
+  queue_t *queue = queue_new ();
+  queue->name = g_strdup (name);
+  queue->host = g_strdup ("host");
+  queue->path_prefix = g_strdup ("/");
+  queue->service = g_strdup ("pool");
+  queue->priority = priority;
+  queue->max_attempts = 4;
+  queue->stretch = 2.0;
+  queue->target_ms = 1000;
+  g_ptr_array_add (table->queues, queue);
+}
+
+/* Guards against a lasting task that has lost its worker and stands behind
+   urgent steps in time, of which there are always some while the workers are
+   full.  */
+static void
+test_restart_goes_first (void)
+{
+  static const char waits[] = "1 R 0\ng 0 0 0 -\nt 0 w 1 0 - - 0 - 0 0 0 -\n";
+  owner_t owner;
+  queue_table_t *table = queue_table_new (1);
+  make (&owner);
+  add_queue (table, "urgent", 0);
+  add_queue (table, "last", 5);
+  cell_set_queues (owner.cell, table);
+  for (int lasting = 0; lasting < 2; lasting++)
+    {
+      const char *id = lasting ? JOB_ID : OTHER_JOB_ID;
+      work_job_t *job = work_job_new (id, lasting ? "last" : "urgent", 1);
+      job->spec = g_strdup ("x");
+      job->accepted_ms = clk_now_ms (&owner.clock.base);
+      job->steps[0].count = lasting ? 1 : 1000;
+      job->steps[0].lasting = lasting;
+      job->steps[0].need = (resource_t){ 16000, 1000, 0 };
+      job->steps[0].estimate_ms = 10000;
+      cell_add_job (owner.cell, job);
+    }
+  CU_ASSERT_TRUE (
+      cell_load_record (owner.cell, JOB_ID, waits, strlen (waits)));
+  begin_cell (&owner);
+  list_worker (&owner, "i-1");
+  run_for (&owner, 100);
+  answer_poll (&owner, "i-1", false);
+  run_for (&owner, 100);
+  CU_ASSERT_EQUAL (owner.starts, 1);
+  CU_ASSERT_STRING_EQUAL (owner.started_task, JOB_ID ".0.0.0");
+  queue_table_free (table);
+  cell_free (owner.cell);
+}
+
 static CU_TestInfo owner_tests[] = {
   { "leases after a pause", test_leases_after_pause },
   { "a worker that only a record names", test_worker_only_in_record },
@@ -456,6 +509,8 @@
   { "changes during the save before a start", test_changes_during_save },
   { "the capacity of a restarted worker", test_capacity_of_new_life },
   { "no start is repeated to a silent worker", test_start_to_silent_worker },
+  { "a lasting task that has to run again goes first",
+    test_restart_goes_first },
   CU_TEST_INFO_NULL,
 };
 
--- a/tests/test_rank.c
+++ b/tests/test_rank.c
@@ -87,6 +87,7 @@
   rank_t batch = rank_of_step (2, 0, 20000, 5000, 1000);
   rank_t batch_due = rank_of_step (2, 0, 20000, 5000, 12500);
   rank_t lasting = rank_without_objective (1, 0, 5000);
+  rank_t restart = rank_of_restart (7, 0, 10);
   rank_t batch_alone = batch;
   rank_defer (&batch, 0, 20000);
   rank_defer (&batch_due, 0, 20000);
@@ -94,6 +95,7 @@
   CU_ASSERT_EQUAL (batch.tier, RANK_CAN_WAIT);
   CU_ASSERT_EQUAL (batch_due.tier, RANK_ON_TIME);
   CU_ASSERT_EQUAL (batch_alone.tier, RANK_ON_TIME);
+  CU_ASSERT_TRUE (rank_compare (&restart, &urgent) < 0);
   CU_ASSERT_TRUE (rank_compare (&urgent, &lasting) < 0);
   CU_ASSERT_TRUE (rank_compare (&lasting, &batch_due) < 0);
   CU_ASSERT_TRUE (rank_compare (&batch_due, &urgent_late) < 0);
