tests: leases during an outage of the store

Guards the other side of the bound on leases: an outage of 9 s, the longest in the site files, and half a second until the next commit must not end the runs of a worker that answers.

--- a/tests/test_lost.c
+++ b/tests/test_lost.c
@@ -25,8 +25,8 @@
    said so.  */
 #define TELL_MS 1000
 #define MAX_OWNERS 5
-/* Of the old worker's clock, the slowest that is allowed.  */
-#define CLOCK_SPEED 0.98
+/* Speed of the slowest clock that a worker may have.  */
+#define SLOWEST_CLOCK 0.98
 #define START_MS 100000
 #define SEEDS 200
 
@@ -78,6 +78,7 @@
   char record[512];       /* saved last */
   int64_t started_ms;     /* on NEW_WORKER; 0: not yet */
   int64_t lease_until_ms; /* longest lease of OLD_WORKER, its clock */
+  double old_clock_speed;
   bool told;
 };
 
@@ -89,9 +90,10 @@
 }
 
 static int64_t
-old_clock_at (int64_t time_ms)
+old_clock_now (const world_t *world)
 {
-  return (int64_t)((double)(time_ms + START_MS) * CLOCK_SPEED);
+  return (int64_t)((double)clk_now_ms (&world->clock.base)
+                   * world->old_clock_speed);
 }
 
 static void
@@ -263,7 +265,7 @@
   report_run_t run = { TASK, 1, "", 100, 0 };
   worker_report_t report
       = { .sent_ms = poll->sent_ms,
-          .clock_ms = is_new ? now_ms : old_clock_at (time_of (world)),
+          .clock_ms = is_new ? now_ms : old_clock_now (world),
           .start_ms = 1,
           .runs = &run,
           .run_count
@@ -302,7 +304,7 @@
     {
       owner->start_pending = false;
       cell_start_answered (owner->cell, OLD_WORKER, TASK, 1, ORDER_ACCEPTED,
-                           old_clock_at (time_of (world)));
+                           old_clock_now (world));
     }
   for (int is_new = 0; is_new < 2; is_new++)
     answer_poll (owner, is_new);
@@ -346,6 +348,7 @@
   const int64_t most_ms = 60000;
   world_t *world = g_new0 (world_t, 1);
   world->fault = fault;
+  world->old_clock_speed = SLOWEST_CLOCK;
   clk_fake_init (&world->clock, START_MS - before_ms);
   add_owner (world);
   while (world->started_ms == 0 && time_of (world) < most_ms)
@@ -357,7 +360,7 @@
     }
   int64_t started_ms = world->started_ms;
   *lease_end_ms
-      = (int64_t)((double)world->lease_until_ms / CLOCK_SPEED) - START_MS;
+      = (int64_t)((double)world->lease_until_ms / SLOWEST_CLOCK) - START_MS;
   for (uint32_t i = 0; i < world->owner_count; i++)
     cell_free (world->owners[i].cell);
   g_free (world);
@@ -446,9 +449,50 @@
   g_rand_free (random);
 }
 
+/* Returns how long the old worker, which keeps to the rules but has no slow
+   clock, was without a lease in an outage of the store of OUTAGE_MS.  */
+static int64_t
+outage_without_lease_ms (int64_t max_hold_ms, int64_t outage_ms)
+{
+  fault_t fault = { .name = "outage",
+                    .max_hold_ms = max_hold_ms,
+                    .gone_ms = G_MAXINT64 };
+  int64_t without_ms = 0;
+  world_t *world = g_new0 (world_t, 1);
+  world->fault = &fault;
+  world->old_clock_speed = 1.0;
+  clk_fake_init (&world->clock, START_MS - 3000);
+  add_owner (world);
+  owner_t *owner = &world->owners[0];
+  while (time_of (world) < outage_ms + 3000)
+    {
+      clk_fake_advance_ms (&world->clock, CELL_TICK_MS);
+      owner->connected = time_of (world) < 0 || time_of (world) >= outage_ms;
+      run_owner (owner);
+      if (time_of (world) > 0
+          && world->lease_until_ms <= old_clock_now (world))
+        without_ms += CELL_TICK_MS;
+    }
+  cell_free (owner->cell);
+  g_free (world);
+  return without_ms;
+}
+
+/* Guards against an outage of the store that ends all runs: its usual length
+   is 9 s, and the next commit may take half a second.  An outage of 20 s shows
+   that the test can fail.  */
+static void
+test_store_outage (void)
+{
+  CU_ASSERT_EQUAL (outage_without_lease_ms (6000, 9500), 0);
+  CU_ASSERT_EQUAL (outage_without_lease_ms (10000, 9500), 0);
+  CU_ASSERT_TRUE (outage_without_lease_ms (6000, 20000) > 0);
+}
+
 static CU_TestInfo lost_tests[] = {
   { "a worker and its owner are lost", test_worker_and_owner_lost },
   { "random takeovers", test_random_takeovers },
+  { "an outage of the store", test_store_outage },
   CU_TEST_INFO_NULL,
 };
 
