--- a/src/io/bench_cell.c
+++ b/src/io/bench_cell.c
@@ -509,6 +509,8 @@
           site->save_done_ms = 0;
           cell_save_done (site->cell);
         }
+      /* Heartbeats confirm the ownership between saves.  */
+      cell_ownership_confirmed (site->cell, now_ms (site) - 1);
       deliver_orders (site);
       for (guint j = 0; j < site->workers->len; j++)
         {
@@ -627,9 +629,9 @@
 static void
 measure (const settings_t *settings)
 {
-  const cell_options_t cell_options = { .lease_ms = LEASE_MS,
-                                        .renewal_grace_ms = 10000,
-                                        .retention_ms = 60000 };
+  const cell_options_t cell_options
+      = { .max_lease_ms = LEASE_MS, .retention_ms = 60000 };
+  const cell_inheritance_t inheritance = { 0 };
   site_t site = { .settings = settings,
                   .random = g_rand_new_with_seed ((guint32)settings->seed),
                   .workers = g_ptr_array_new_with_free_func (site_worker_free),
@@ -643,7 +645,7 @@
   queue_table_free (queues);
   for (uint32_t i = 0; i < (uint32_t)settings->workers; i++)
     add_worker (&site, i);
-  cell_begin (site.cell, true);
+  cell_begin (site.cell, &inheritance);
   run_site (&site, WARM_UP_MS);
   cell_pass_stats_t from;
   cell_pass_stats (site.cell, &from);
--- a/tests/test_odd_rows.c
+++ b/tests/test_odd_rows.c
@@ -371,8 +371,12 @@
   for (int64_t done_ms = 0; done_ms < for_ms; done_ms += CELL_TICK_MS)
     {
       clk_fake_advance_ms (&owner->clock, CELL_TICK_MS);
+      int64_t now_ms = clk_now_ms (&owner->clock.base);
       for (size_t i = 0; i < G_N_ELEMENTS (owner->cells); i++)
-        cell_run (owner->cells[i].scheduler, clk_now_ms (&owner->clock.base));
+        {
+          cell_ownership_confirmed (owner->cells[i].scheduler, now_ms - 1);
+          cell_run (owner->cells[i].scheduler, now_ms);
+        }
       if (!owner->save_pending)
         continue;
       owner->save_pending = false;
@@ -407,7 +411,9 @@
 {
   static const platform_api_ops_t ops
       = { .parse_worker = platform_parse_worker };
-  static const cell_options_t options = { 6000, 10000, 120000 };
+  static const cell_options_t options
+      = { .max_lease_ms = 6000, .retention_ms = 120000 };
+  const cell_inheritance_t inheritance = { 0 };
   static const char *const names[] = { "s", "t" };
   *owner = (owner_t){ .platform.ops = &ops };
   clk_fake_init (&owner->clock, 100000);
@@ -424,7 +430,7 @@
       cell->scheduler
           = cell_new (&options, &owner->clock.base, &cell_actions, owner);
       g_hash_table_insert (owner->node.cells, cell->name, cell);
-      cell_begin (cell->scheduler, true);
+      cell_begin (cell->scheduler, &inheritance);
     }
   add_job (owner, JOB_ID);
   list_row (owner, WORKER, ready_row);
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -1,5 +1,6 @@
 #include "blame.h"
 #include "cell.h"
+#include "tenure.h"
 #include "test.h"
 
 #include <glib.h>
@@ -9,7 +10,6 @@
    Calls of the cell are recorded instead of sent.  */
 
 #define LEASE_MS 6000
-#define RENEWAL_GRACE_MS 10000
 #define JOB_ID "5c0e7a21d94b36f8"
 #define OTHER_JOB_ID "6d1f8b32e05c47a9"
 
@@ -139,19 +139,28 @@
 static void
 make (owner_t *owner)
 {
-  static const cell_options_t options = { LEASE_MS, RENEWAL_GRACE_MS, 120000 };
+  static const cell_options_t options = { LEASE_MS, 120000 };
   *owner = (owner_t){ 0 };
   clk_fake_init (&owner->clock, 100000);
   owner->cell = cell_new (&options, &owner->clock.base, &actions, owner);
 }
 
+/* The owner before was heard of just now.  */
+static void
+begin_cell (owner_t *owner)
+{
+  int64_t end_ms = clk_now_ms (&owner->clock.base) + TENURE_BOUND_MS;
+  cell_inheritance_t inheritance = { end_ms, end_ms, NULL };
+  cell_begin (owner->cell, &inheritance);
+}
+
 /* Begins an owner with the job JOB_ID; see add_job.  */
 static void
 begin (owner_t *owner, uint32_t count, const char *record)
 {
   make (owner);
   add_job (owner, JOB_ID, count, record);
-  cell_begin (owner->cell, false);
+  begin_cell (owner);
 }
 
 static void
@@ -164,6 +173,8 @@
       if (owner->save_pending)
         {
           owner->save_pending = false;
+          cell_ownership_confirmed (owner->cell,
+                                    clk_now_ms (&owner->clock.base));
           cell_save_done (owner->cell);
         }
     }
@@ -186,7 +197,7 @@
                        0);
   CU_ASSERT_TRUE (owner.poll_lease_ms > 0);
   /* No save is confirmed any more.  */
-  clk_fake_advance_ms (&owner.clock, RENEWAL_GRACE_MS);
+  clk_fake_advance_ms (&owner.clock, TENURE_BOUND_MS);
   uint32_t polls = owner.polls;
   answer_poll (&owner, "i-1", true);
   cell_run (owner.cell, clk_now_ms (&owner.clock.base));
@@ -209,7 +220,7 @@
   /* The run on i-9 may go on until its lease has expired.  */
   CU_ASSERT_EQUAL (owner.starts, 3);
   CU_ASSERT_STRING_EQUAL (owner.started_on, "i-1");
-  run_for (&owner, RENEWAL_GRACE_MS + LEASE_MS + 1000);
+  run_for (&owner, TENURE_BOUND_MS + 1000);
   CU_ASSERT_EQUAL (owner.starts, 4);
   CU_ASSERT_STRING_EQUAL (owner.started_on, "i-1");
   cell_free (owner.cell);
@@ -312,7 +323,7 @@
   make (&owner);
   for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
     add_job (&owner, ids[i], 1, suspected);
-  cell_begin (owner.cell, false);
+  begin_cell (&owner);
   list_worker (&owner, "i-1");
   run_for (&owner, 100);
   answer_poll (&owner, "i-1", false);
@@ -362,6 +373,7 @@
       list_worker (&owner, "i-1");
       run_for (&owner, 100);
       answer_poll (&owner, "i-1", false);
+      clk_fake_advance_ms (&owner.clock, CELL_TICK_MS);
       cell_run (owner.cell, clk_now_ms (&owner.clock.base));
       CU_ASSERT_TRUE (owner.save_pending);
       worker_row_t row = { .id = "i-1",
@@ -374,6 +386,7 @@
                            .start_ms = rows[i].start_ms };
       cell_worker_listed (owner.cell, &row);
       owner.save_pending = false;
+      cell_ownership_confirmed (owner.cell, clk_now_ms (&owner.clock.base));
       cell_save_done (owner.cell);
       CU_ASSERT_EQUAL (owner.starts, i == 0);
       run_for (&owner, 500);
@@ -470,6 +483,59 @@
   cell_free (owner.cell);
 }
 
+static void
+add_queue (queue_table_t *table, const char *name, uint32_t priority)
+{
+  queue_t *queue = queue_new ();
+  queue->name = g_strdup (name);
+  queue->host = g_strdup ("host");
+  queue->path_prefix = g_strdup ("/");
+  queue->service = g_strdup ("pool");
+  queue->priority = priority;
+  queue->max_attempts = 4;
+  queue->stretch = 2.0;
+  queue->target_ms = 1000;
+  g_ptr_array_add (table->queues, queue);
+}
+
+/* Guards against a lasting task that has lost its worker and stands behind
+   urgent steps in time, of which there are always some while the workers are
+   full.  */
+static void
+test_restart_goes_first (void)
+{
+  static const char waits[] = "1 R 0\ng 0 0 0 -\nt 0 w 1 0 - - 0 - 0 0 0 -\n";
+  owner_t owner;
+  queue_table_t *table = queue_table_new (1);
+  make (&owner);
+  add_queue (table, "urgent", 0);
+  add_queue (table, "last", 5);
+  cell_set_queues (owner.cell, table);
+  for (int lasting = 0; lasting < 2; lasting++)
+    {
+      const char *id = lasting ? JOB_ID : OTHER_JOB_ID;
+      work_job_t *job = work_job_new (id, lasting ? "last" : "urgent", 1);
+      job->spec = g_strdup ("x");
+      job->accepted_ms = clk_now_ms (&owner.clock.base);
+      job->steps[0].count = lasting ? 1 : 1000;
+      job->steps[0].lasting = lasting;
+      job->steps[0].need = (resource_t){ 16000, 1000, 0 };
+      job->steps[0].estimate_ms = 10000;
+      cell_add_job (owner.cell, job);
+    }
+  CU_ASSERT_TRUE (
+      cell_load_record (owner.cell, JOB_ID, waits, strlen (waits)));
+  begin_cell (&owner);
+  list_worker (&owner, "i-1");
+  run_for (&owner, 100);
+  answer_poll (&owner, "i-1", false);
+  run_for (&owner, 100);
+  CU_ASSERT_EQUAL (owner.starts, 1);
+  CU_ASSERT_STRING_EQUAL (owner.started_task, JOB_ID ".0.0.0");
+  queue_table_free (table);
+  cell_free (owner.cell);
+}
+
 static CU_TestInfo owner_tests[] = {
   { "times in the line about the end of a job", test_times_in_log },
   { "leases after a pause", test_leases_after_pause },
@@ -482,6 +548,8 @@
   { "changes during the save before a start", test_changes_during_save },
   { "the capacity of a restarted worker", test_capacity_of_new_life },
   { "no start is repeated to a silent worker", test_start_to_silent_worker },
+  { "a lasting task that has to run again goes first",
+    test_restart_goes_first },
   CU_TEST_INFO_NULL,
 };
 
--- a/tests/test_polls.c
+++ b/tests/test_polls.c
@@ -89,6 +89,7 @@
     {
       clk_fake_advance_ms (&fleet->clock, CELL_TICK_MS);
       int64_t now_ms = clk_now_ms (&fleet->clock.base);
+      cell_ownership_confirmed (fleet->cell, now_ms - 1);
       if (fleet->save_pending)
         {
           fleet->save_pending = false;
@@ -106,9 +107,9 @@
 static void
 begin (fleet_t *fleet, uint32_t count)
 {
-  static const cell_options_t options = { .lease_ms = 6000,
-                                          .renewal_grace_ms = 10000,
-                                          .retention_ms = 120000 };
+  static const cell_options_t options
+      = { .max_lease_ms = 6000, .retention_ms = 120000 };
+  const cell_inheritance_t inheritance = { 0 };
   *fleet = (fleet_t){ .count = count, .workers = g_new0 (polled_t, count) };
   clk_fake_init (&fleet->clock, 100000);
   fleet->cell = cell_new (&options, &fleet->clock.base, &actions, fleet);
@@ -131,7 +132,7 @@
   job->steps[0].need = (resource_t){ TASK_CPU_MILLIS, 1000, 0 };
   job->steps[0].estimate_ms = 60000;
   cell_add_job (fleet->cell, job);
-  cell_begin (fleet->cell, true);
+  cell_begin (fleet->cell, &inheritance);
   run_for (fleet, 3000);
 }
 
