httpc: read what has arrived before a call counts as timed out

When a process is late by more than a call's timeout (200 ms for an order, 300 ms above the wait for a poll, 350 ms for advice), libev calls its timers before its sockets, so a reply that lies in the socket counts as lost. The owner then orders it again, closes the connection and opens a new one, all of which makes it later still: work that grows with lateness.

The timer now reads the socket first, and sees a connection that was made meanwhile. A reply that is not there is late for certain.

--- a/src/io/httpc_direct.c
+++ b/src/io/httpc_direct.c
@@ -408,6 +408,14 @@
   return true;
 }
 
+static bool
+is_connected (const connection_t *connection)
+{
+  struct sockaddr_in peer;
+  socklen_t size = sizeof peer;
+  return getpeername (connection->fd, (struct sockaddr *)&peer, &size) == 0;
+}
+
 static void
 on_ready (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -432,11 +440,23 @@
 on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   direct_call_t *call = watcher->data;
+  connection_t *connection = call->connection;
   if (call->failure != ERR_OK)
     {
       finish_call (call, call->failure);
       return;
     }
+  /* A process that is late sees the timer before what has arrived meanwhile.
+     To count that as lost would make it call again, and be later still.  */
+  if (connection != NULL && connection->connecting
+      && now_ms () < call->deadline_ms && is_connected (connection))
+    {
+      if (finish_connecting (connection))
+        write_request (call);
+      return;
+    }
+  if (connection != NULL && !connection->connecting && !read_reply (call))
+    return;
   finish_call (call, call->was_sent ? ERR_TIMEOUT : ERR_CONNECT_FAILED);
 }
 
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -424,6 +424,34 @@
   server_stop ();
 }
 
+/* Guards against an answer that is counted as lost because the process reads
+   it only after its timeout: an owner that is late would order everything
+   again.  */
+static void
+test_late_process (void)
+{
+  static const act_t script[] = { ANSWER, ANSWER };
+  const int64_t timeout_ms = 50;
+  server_start (script, 1);
+  call (0, timeout_ms);
+  while (server.requests == 0)
+    ev_run (server.loop, EVRUN_ONCE);
+  if (server.finished == 0)
+    g_usleep (2 * timeout_ms * 1000);
+  run_until (1);
+  CU_ASSERT_EQUAL (server.results[0].kind, ERR_OK);
+  /* The same on a connection that is used again.  */
+  call (1, timeout_ms);
+  while (server.requests == 1)
+    ev_run (server.loop, EVRUN_ONCE);
+  if (server.finished == 1)
+    g_usleep (2 * timeout_ms * 1000);
+  run_until (2);
+  CU_ASSERT_EQUAL (server.results[1].kind, ERR_OK);
+  CU_ASSERT_EQUAL (server.accepted, 1);
+  server_stop ();
+}
+
 static CU_TestInfo tests[] = {
   { "replies in pieces", test_replies },
   { "head without end", test_endless_head },
@@ -431,6 +459,7 @@
   { "address that refuses connections", test_refused },
   { "calls that wait for a connection", test_waiting_calls },
   { "cancelled calls", test_cancel },
+  { "process that is late", test_late_process },
   CU_TEST_INFO_NULL,
 };
 
