cell: don't log a run as lost whose gang is done

What readers saw: lost= above 0 in lines about ends of jobs that lost nothing.

Cause: one end stands for all members of a gang. The runs of the other members are kept until their workers list them, and a worker that ended or went silent before that counted them as lost.

Change: only runs whose task is not done count. Scheduling is as it was.

Ruled out: a takeover by itself.

Evidence: build/asan/unit-tests owner on the old code: 1 failure in "a run of a gang that is done is not lost".

--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -266,7 +266,8 @@
   if (how == END_DONE || how == END_FAILED)
     cell_note_run_duration (task, how == END_FAILED);
   job->failed_runs += how == END_FAILED;
-  job->lost_runs += how == END_LAPSED || how == END_CRASHED;
+  job->lost_runs
+      += state != RUN_DONE && (how == END_LAPSED || how == END_CRASHED);
   if (worker != NULL)
     update_fail_streak (cell, worker, job->id, how);
   cell_release_task (task);
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -421,6 +421,61 @@
   cell_free (owner.cell);
 }
 
+static void
+answer_poll_with (owner_t *owner, const char *id, const report_run_t *runs,
+                  uint32_t run_count, const report_end_t *end)
+{
+  int64_t now_ms = clk_now_ms (&owner->clock.base);
+  worker_report_t report = { .sent_ms = now_ms,
+                             .clock_ms = now_ms,
+                             .start_ms = 1,
+                             .runs = runs,
+                             .run_count = run_count,
+                             .ends = end,
+                             .end_count = end != NULL };
+  cell_poll_answered (owner->cell, id, &report);
+}
+
+/* Guards against a run that the log counts as lost although its gang had done
+   its work: one end stands for all members, and the other member's worker is
+   replaced before it lists its own.  */
+static void
+test_done_run_is_not_lost (void)
+{
+  static const report_run_t members[] = { { JOB_ID ".0.0.0", 1, "", 10, 0 },
+                                          { JOB_ID ".0.0.1", 1, "", 10, 0 } };
+  static const report_end_t gang_end = { 1, JOB_ID ".0.0.0", 1, END_DONE, "" };
+  static const report_end_t last_end = { 1, JOB_ID ".0.1.0", 1, END_DONE, "" };
+  owner_t owner;
+  make (&owner);
+  work_job_t *job = work_job_new (JOB_ID, "queue", 2);
+  job->spec = g_strdup ("x");
+  job->steps[0].count = 2;
+  job->steps[0].gang = true;
+  job->steps[1].count = 1;
+  job->steps[1].after = g_new0 (uint32_t, 1);
+  job->steps[1].after_count = 1;
+  cell_add_job (owner.cell, job);
+  cell_begin (owner.cell, true);
+  list_worker (&owner, "i-1");
+  run_for (&owner, 100);
+  answer_poll_with (&owner, "i-1", NULL, 0, NULL);
+  run_for (&owner, 100);
+  CU_ASSERT_EQUAL (owner.starts, 2);
+  answer_poll_with (&owner, "i-1", members, 2, NULL);
+  run_for (&owner, 100);
+  answer_poll_with (&owner, "i-1", members + 1, 1, &gang_end);
+  cell_poll_failed (owner.cell, "i-1", ORDER_OTHER_WORKER);
+  list_worker (&owner, "i-2");
+  run_for (&owner, 100);
+  answer_poll_with (&owner, "i-2", NULL, 0, NULL);
+  run_for (&owner, 100);
+  CU_ASSERT_EQUAL (owner.starts, 3);
+  answer_poll_with (&owner, "i-2", NULL, 0, &last_end);
+  CU_ASSERT_PTR_NOT_NULL (strstr (owner.end_detail, "runs=3 failed=0 lost=0"));
+  cell_free (owner.cell);
+}
+
 /* Guards against a task that is placed by the capacity of the life before: the
    restarted worker answers before the list shows it.  */
 static void
@@ -472,6 +527,7 @@
 
 static CU_TestInfo owner_tests[] = {
   { "times in the line about the end of a job", test_times_in_log },
+  { "a run of a gang that is done is not lost", test_done_run_is_not_lost },
   { "leases after a pause", test_leases_after_pause },
   { "a worker that only a record names", test_worker_only_in_record },
   { "crashes in the record of an earlier owner", test_recorded_crashes },
