--- a/tests/test_lost.c
+++ b/tests/test_lost.c
@@ -372,12 +372,13 @@
 {
   int64_t lease_end_ms;
   int64_t started_ms = play (fault, &lease_end_ms);
-  bool in_time = started_ms > 0 && started_ms <= fault->calm_ms + CALM_MS;
+  int64_t limit_ms = fault->calm_ms + CALM_MS;
+  bool in_time = started_ms > 0 && started_ms <= limit_ms;
   if (!in_time || started_ms < lease_end_ms)
     printf ("\n  %s, hold %lld ms: runs again at %lld ms, in time until %lld, "
             "lease until %lld",
             fault->name, (long long)fault->max_hold_ms, (long long)started_ms,
-            (long long)(fault->calm_ms + CALM_MS), (long long)lease_end_ms);
+            (long long)limit_ms, (long long)lease_end_ms);
   CU_ASSERT_TRUE (in_time);
   CU_ASSERT_TRUE (started_ms >= lease_end_ms);
 }
--- a/tests/test_tenure.c
+++ b/tests/test_tenure.c
@@ -7,103 +7,106 @@
 #include <string.h>
 #include <xxhash.h>
 
+enum
+{
+  NOW = 100000
+};
+static const struct
+{
+  const char *name;
+  tenure_row_t row;
+  int64_t heard_ms;
+  bool restarted;
+  int64_t end_ms, unreached_end_ms;
+} former_owners[] = {
+  { "no promises: 11 s of renewals and a lease of 10 s",
+    { 0 },
+    NOW - 900,
+    false,
+    NOW + 21354,
+    NOW + 21354 },
+  { "no promises, restarted",
+    { 0 },
+    NOW - 900,
+    true,
+    NOW + 10354,
+    NOW + 10354 },
+  { "no promises, released",
+    { .released = true },
+    NOW - 900,
+    false,
+    NOW + 10354,
+    NOW + 10354 },
+  { "promises, last heartbeat seen",
+    { .known = true,
+      .since_beat_ms = 50,
+      .bound_ms = 10300,
+      .lease_ms = 6500 },
+    NOW - 900,
+    false,
+    NOW - 850 + 10450,
+    NOW - 850 },
+  { "promises, last heartbeat not seen",
+    { .known = true,
+      .since_beat_ms = 50,
+      .bound_ms = 10300,
+      .lease_ms = 6500 },
+    0,
+    false,
+    NOW + 10450,
+    NOW },
+  { "promises, restarted",
+    { .known = true, .bound_ms = 10300, .lease_ms = 6500 },
+    NOW - 900,
+    true,
+    NOW + 6650,
+    NOW - 900 },
+  { "promises, restarted long ago",
+    { .known = true, .bound_ms = 10300, .lease_ms = 6500 },
+    NOW - 9000,
+    true,
+    NOW + 1450,
+    NOW - 9000 },
+  { "gave no lease, inherited more",
+    { .known = true, .inherited_ms = 7000, .unreached_ms = 6000 },
+    NOW - 900,
+    false,
+    NOW + 6100,
+    NOW + 5100 },
+  { "restarted, inherited more",
+    { .known = true,
+      .bound_ms = 10300,
+      .lease_ms = 6500,
+      .inherited_ms = 9000,
+      .unreached_ms = 9000 },
+    NOW - 900,
+    true,
+    NOW + 8100,
+    NOW + 8100 },
+};
+
 /* Guards against a version without promises that is trusted with the shorter
    waits of this one, in a rolling upgrade, and against waits that count from
    the wrong moment.  */
 static void
 test_former_owners (void)
 {
-  enum
-  {
-    NOW = 100000
-  };
-  static const struct
-  {
-    const char *name;
-    tenure_row_t row;
-    int64_t heard_ms;
-    bool restarted;
-    int64_t end_ms, unreached_end_ms;
-  } rows[] = {
-    { "no promises: 11 s of renewals and a lease of 10 s",
-      { 0 },
-      NOW - 900,
-      false,
-      NOW + 21354,
-      NOW + 21354 },
-    { "no promises, restarted",
-      { 0 },
-      NOW - 900,
-      true,
-      NOW + 10354,
-      NOW + 10354 },
-    { "no promises, released",
-      { .released = true },
-      NOW - 900,
-      false,
-      NOW + 10354,
-      NOW + 10354 },
-    { "promises, last heartbeat seen",
-      { .known = true,
-        .since_beat_ms = 50,
-        .bound_ms = 10300,
-        .lease_ms = 6500 },
-      NOW - 900,
-      false,
-      NOW - 850 + 10450,
-      NOW - 850 },
-    { "promises, last heartbeat not seen",
-      { .known = true,
-        .since_beat_ms = 50,
-        .bound_ms = 10300,
-        .lease_ms = 6500 },
-      0,
-      false,
-      NOW + 10450,
-      NOW },
-    { "promises, restarted",
-      { .known = true, .bound_ms = 10300, .lease_ms = 6500 },
-      NOW - 900,
-      true,
-      NOW + 6650,
-      NOW - 900 },
-    { "promises, restarted long ago",
-      { .known = true, .bound_ms = 10300, .lease_ms = 6500 },
-      NOW - 9000,
-      true,
-      NOW + 1450,
-      NOW - 9000 },
-    { "gave no lease, inherited more",
-      { .known = true, .inherited_ms = 7000, .unreached_ms = 6000 },
-      NOW - 900,
-      false,
-      NOW + 6100,
-      NOW + 5100 },
-    { "restarted, inherited more",
-      { .known = true,
-        .bound_ms = 10300,
-        .lease_ms = 6500,
-        .inherited_ms = 9000,
-        .unreached_ms = 9000 },
-      NOW - 900,
-      true,
-      NOW + 8100,
-      NOW + 8100 },
-  };
-  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+  for (size_t i = 0; i < G_N_ELEMENTS (former_owners); i++)
     {
       tenure_view_t view = { .now_ms = NOW,
-                             .heard_ms = rows[i].heard_ms,
+                             .heard_ms = former_owners[i].heard_ms,
                              .max_lease_ms = 10000,
-                             .restarted = rows[i].restarted };
-      int64_t end_ms = tenure_leases_end_ms (&rows[i].row, &view);
-      int64_t unreached_end_ms = tenure_unreached_end_ms (&rows[i].row, &view);
-      if (end_ms != rows[i].end_ms
-          || unreached_end_ms != rows[i].unreached_end_ms)
-        printf ("\n  %s: %lld %lld", rows[i].name, (long long)(end_ms - NOW),
+                             .restarted = former_owners[i].restarted };
+      int64_t end_ms = tenure_leases_end_ms (&former_owners[i].row, &view);
+      int64_t unreached_end_ms
+          = tenure_unreached_end_ms (&former_owners[i].row, &view);
+      if (end_ms != former_owners[i].end_ms
+          || unreached_end_ms != former_owners[i].unreached_end_ms)
+        printf ("\n  %s: %lld %lld", former_owners[i].name,
+                (long long)(end_ms - NOW),
                 (long long)(unreached_end_ms - NOW));
-      CU_ASSERT_EQUAL (end_ms, rows[i].end_ms);
-      CU_ASSERT_EQUAL (unreached_end_ms, rows[i].unreached_end_ms);
+      CU_ASSERT_EQUAL (end_ms, former_owners[i].end_ms);
+      CU_ASSERT_EQUAL (unreached_end_ms, former_owners[i].unreached_end_ms);
     }
 }
 
