cell: bound the explanations of waiting steps, and test what a pass looks at

Cause: every step that waited over 1 s was explained each 2 s, with a look at every worker, so the cost was again waiting steps x workers. Change: at most 20 steps are explained in a second, the most urgent ones first. A test counts the workers that a pass looks at with 100 and with 300 waiting steps on 200 full workers, for five kinds of steps: one more step may add 1 look, or 60 if it holds 30 tickets. `bench cell` prints the part of the calls for advice whose tickets expired unused.

Tried and not kept: counting the tickets and calls in flight of steps that make no call against later steps.

--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -249,7 +249,9 @@
   bool new_ends;      /* ends were processed since the last save was begun */
   bool place_pending; /* a placement pass is due */
   int64_t next_place_ms;
-  GHashTable *room_lists; /* room_list_t of the current pass, owned */
+  GHashTable *room_lists;    /* room_list_t of the current pass, owned */
+  int64_t explain_second_ms; /* start of the second ... */
+  uint32_t explained;        /* ... in which so many steps were explained */
   uint64_t last_worker_number;
   uint64_t last_advice_search;
   cell_pass_stats_t pass_stats;
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -19,6 +19,9 @@
    again after each period.  */
 #define EXPLAIN_AFTER_MS 1000
 #define EXPLAIN_PERIOD_MS 2000
+/* Steps explained in one second, the most urgent ones: each costs a look at
+   every worker, and hundreds wait when the owner has least time for it.  */
+#define EXPLAIN_MAX_PER_S 20u
 
 resource_t
 cell_task_need (const work_step_t *step)
@@ -328,6 +331,21 @@
   g_ptr_array_unref (workers);
 }
 
+/* Whether it is time to log again why GROUP waits.  */
+static bool
+explanation_due (cell_t *cell, const cell_group_t *group)
+{
+  if (cell->now_ms < group->next_explain_ms
+      || cell->now_ms - group->ready_ms < EXPLAIN_AFTER_MS)
+    return false;
+  if (cell->now_ms >= cell->explain_second_ms + 1000)
+    {
+      cell->explain_second_ms = cell->now_ms;
+      cell->explained = 0;
+    }
+  return cell->explained++ < EXPLAIN_MAX_PER_S;
+}
+
 /* Logs why tasks of GROUP still wait: how many workers are excluded for which
    reason.  The field "silent" counts the workers that are unresponsive or no
    longer listed, "unfit" the others that are not eligible.  */
@@ -340,8 +358,7 @@
   uint32_t full = 0;
   uint32_t ticketless = 0;
   char name[WORK_NAME_BYTES];
-  if (cell->now_ms < group->next_explain_ms
-      || cell->now_ms - group->ready_ms < EXPLAIN_AFTER_MS)
+  if (!explanation_due (cell, group))
     return;
   group->next_explain_ms = cell->now_ms + EXPLAIN_PERIOD_MS;
   cell->pass_stats.workers_looked_at += cell->worker_list->len;
--- a/src/io/bench_cell.c
+++ b/src/io/bench_cell.c
@@ -168,16 +168,25 @@
   GPtrArray *workers; /* char *, owned */
 } call_t;
 
+/* An answered call.  */
+typedef struct
+{
+  int64_t answered_ms;
+  bool used; /* a task of its step started with one of its tickets */
+} answer_t;
+
 typedef struct
 {
   const settings_t *settings;
   clk_fake_t clock;
   GRand *random;
   cell_t *cell;
-  GPtrArray *workers; /* site_worker_t, owned */
-  GHashTable *by_id;  /* site_worker_t, borrowed */
-  GArray *orders;     /* order_t */
-  GArray *calls;      /* call_t */
+  GPtrArray *workers;  /* site_worker_t, owned */
+  GHashTable *by_id;   /* site_worker_t, borrowed */
+  GArray *orders;      /* order_t */
+  GArray *calls;       /* call_t */
+  GArray *answers;     /* answer_t */
+  GHashTable *tickets; /* "STEP WORKER", owned -> index of the last answer */
   int64_t save_done_ms;
   uint32_t jobs, lasting_jobs;
   uint64_t starts, advice_calls;
@@ -230,11 +239,30 @@
   g_array_append_val (site->orders, order);
 }
 
+static char *
+ticket_key (const char *step, const char *worker)
+{
+  return g_strconcat (step, " ", worker, NULL);
+}
+
+static void
+note_ticket_used (site_t *site, const char *task, const char *worker)
+{
+  char *step = g_strndup (task, (gsize)(strrchr (task, '.') - task));
+  char *key = ticket_key (step, worker);
+  gpointer at;
+  if (g_hash_table_lookup_extended (site->tickets, key, NULL, &at))
+    g_array_index (site->answers, answer_t, GPOINTER_TO_UINT (at)).used = true;
+  g_free (key);
+  g_free (step);
+}
+
 static void
 on_start (void *context, const cell_worker_ref_t *worker,
           const cell_start_order_t *order)
 {
   site_t *site = context;
+  note_ticket_used (site, order->task, worker->id);
   site->starts++;
   add_decision (site, order->task);
   add_decision (site, worker->id);
@@ -402,15 +430,22 @@
       if (call.at_ms > now_ms (site))
         continue;
       g_array_remove_index (site->calls, i - 1);
+      answer_t answer = { .answered_ms = now_ms (site) };
       GArray *rows = g_array_new (FALSE, FALSE, sizeof (advice_row_t));
       for (guint j = 0; j < call.workers->len; j++)
         {
           advice_row_t row = { call.workers->pdata[j], "ticket" };
           char *pair = g_strconcat (call.step, row.worker, NULL);
           if (g_str_hash (pair) / 7 % 2 == 0)
-            g_array_append_val (rows, row);
+            {
+              g_array_append_val (rows, row);
+              g_hash_table_insert (site->tickets,
+                                   ticket_key (call.step, row.worker),
+                                   GUINT_TO_POINTER (site->answers->len));
+            }
           g_free (pair);
         }
+      g_array_append_val (site->answers, answer);
       cell_advice_answered (site->cell, call.step, call.call, true,
                             (const advice_row_t *)(const void *)rows->data,
                             rows->len, TICKET_MS);
@@ -589,6 +624,25 @@
          / (double)MAX (totals.capacity.cpu_millis, 1);
 }
 
+/* Returns the part of the calls answered since FROM_MS whose tickets have
+   expired unused.  */
+static double
+useless_share (const site_t *site, int64_t from_ms)
+{
+  uint32_t expired = 0;
+  uint32_t useless = 0;
+  for (guint i = 0; i < site->answers->len; i++)
+    {
+      const answer_t *answer = &g_array_index (site->answers, answer_t, i);
+      if (answer->answered_ms < from_ms
+          || answer->answered_ms + TICKET_MS > now_ms (site))
+        continue;
+      expired++;
+      useless += !answer->used;
+    }
+  return (double)useless / (double)MAX (expired, 1u);
+}
+
 static void
 print_result (const site_t *site, const cell_pass_stats_t *from,
               uint64_t starts, uint64_t calls)
@@ -598,7 +652,8 @@
   double passes = MAX ((double)(to.passes - from->passes), 1.0);
   printf ("workers=%lld groups=%.0f callers=%lld passes=%.0f all_passes=%llu "
           "looked_at=%.0f us=%.0f cpu_in_use=%.2f starts=%llu calls=%llu "
-          "calls_per_start=%.3f jobs=%llu in_time=%llu decisions=%08x\n",
+          "calls_per_start=%.3f useless_calls=%.2f jobs=%llu in_time=%llu "
+          "decisions=%08x\n",
           (long long)site->settings->workers,
           (double)(to.groups - from->groups) / passes,
           (long long)site->settings->callers, passes,
@@ -607,6 +662,7 @@
           site->pass_us / passes, share_in_use (site),
           (unsigned long long)starts, (unsigned long long)calls,
           (double)calls / MAX ((double)starts, 1.0),
+          useless_share (site, now_ms (site) - site->settings->run_ms),
           (unsigned long long)site->jobs_ended,
           (unsigned long long)site->jobs_in_time, site->decisions);
 }
@@ -621,6 +677,8 @@
   g_ptr_array_unref (site->workers);
   g_array_unref (site->orders);
   g_array_unref (site->calls);
+  g_array_unref (site->answers);
+  g_hash_table_unref (site->tickets);
   g_rand_free (site->random);
 }
 
@@ -635,7 +693,10 @@
                   .workers = g_ptr_array_new_with_free_func (site_worker_free),
                   .by_id = g_hash_table_new (g_str_hash, g_str_equal),
                   .orders = g_array_new (FALSE, FALSE, sizeof (order_t)),
-                  .calls = g_array_new (FALSE, FALSE, sizeof (call_t)) };
+                  .calls = g_array_new (FALSE, FALSE, sizeof (call_t)),
+                  .answers = g_array_new (FALSE, FALSE, sizeof (answer_t)),
+                  .tickets = g_hash_table_new_full (g_str_hash, g_str_equal,
+                                                    g_free, NULL) };
   clk_fake_init (&site.clock, 1000);
   site.cell = cell_new (&cell_options, &site.clock.base, &actions, &site);
   queue_table_t *queues = make_queues ();
--- a/tests/test.h
+++ b/tests/test.h
@@ -15,6 +15,7 @@
 extern CU_SuiteInfo test_job_suites[];
 extern CU_SuiteInfo test_owner_suites[];
 extern CU_SuiteInfo test_pack_suites[];
+extern CU_SuiteInfo test_pass_suites[];
 extern CU_SuiteInfo test_rank_suites[];
 extern CU_SuiteInfo test_explore_suites[];
 extern CU_SuiteInfo test_contract_suites[];
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -34,6 +34,7 @@
   test_outlier_suites,
   test_owner_suites,
   test_pack_suites,
+  test_pass_suites,
   test_rank_suites,
   test_fuzz_suites,
   test_platform_suites,
