--- a/src/io/bench_cell.c
+++ b/src/io/bench_cell.c
@@ -21,7 +21,7 @@
 
 typedef struct
 {
-  int64_t workers, groups, callers, run_ms, seed;
+  int64_t workers, groups, callers, run_ms, look_ns, jobs_per_s, seed;
 } settings_t;
 
 #define FIELD(name) offsetof (settings_t, name)
@@ -57,6 +57,21 @@
     .min = 1,
     .max = 600000,
     .help = "simulated time after the warm-up" },
+  { .name = "look-ns",
+    .kind = OPTION_INTEGER,
+    .offset = FIELD (look_ns),
+    .default_text = "0",
+    .min = 0,
+    .max = 1000000,
+    .help = "simulated time that a pass takes for each worker it looks at, "
+            "in which the owner does nothing else" },
+  { .name = "jobs-per-s",
+    .kind = OPTION_INTEGER,
+    .offset = FIELD (jobs_per_s),
+    .default_text = "0",
+    .min = 0,
+    .max = 10000,
+    .help = "jobs submitted in a second; 0: as many as keep GROUPS waiting" },
   { .name = NULL },
 };
 
@@ -188,6 +203,8 @@
   GArray *answers;     /* answer_t */
   GHashTable *tickets; /* "STEP WORKER", owned -> index of the last answer */
   int64_t save_done_ms;
+  int64_t busy_until_ms; /* the owner is in a pass until then */
+  int64_t jobs_due;      /* in thousandths */
   uint32_t jobs, lasting_jobs;
   uint64_t starts, advice_calls;
   uint64_t jobs_ended, jobs_in_time;
@@ -430,7 +447,7 @@
       if (call.at_ms > now_ms (site))
         continue;
       g_array_remove_index (site->calls, i - 1);
-      answer_t answer = { .answered_ms = now_ms (site) };
+      answer_t answer = { .answered_ms = call.at_ms };
       GArray *rows = g_array_new (FALSE, FALSE, sizeof (advice_row_t));
       for (guint j = 0; j < call.workers->len; j++)
         {
@@ -448,7 +465,7 @@
       g_array_append_val (site->answers, answer);
       cell_advice_answered (site->cell, call.step, call.call, true,
                             (const advice_row_t *)(const void *)rows->data,
-                            rows->len, TICKET_MS);
+                            rows->len, call.at_ms + TICKET_MS - now_ms (site));
       g_array_unref (rows);
       g_ptr_array_unref (call.workers);
     }
@@ -528,8 +545,14 @@
   if (after.passes == before.passes)
     return;
   site->pass_us += took_us;
+  site->busy_until_ms
+      = now_ms (site)
+        + (int64_t)(after.workers_looked_at - before.workers_looked_at)
+              * site->settings->look_ns / 1000000;
   uint64_t waiting = after.groups - before.groups;
-  for (; waiting < (uint64_t)site->settings->groups; waiting++)
+  for (; site->settings->jobs_per_s == 0
+         && waiting < (uint64_t)site->settings->groups;
+       waiting++)
     submit_job (site);
 }
 
@@ -539,6 +562,13 @@
   for (int64_t i = 0; i < for_ms; i++)
     {
       clk_fake_advance_ms (&site->clock, 1);
+      for (guint j = 0; j < site->workers->len; j++)
+        end_runs (site, site->workers->pdata[j]);
+      for (site->jobs_due += site->settings->jobs_per_s;
+           site->jobs_due >= 1000; site->jobs_due -= 1000)
+        submit_job (site);
+      if (now_ms (site) < site->busy_until_ms)
+        continue;
       if (site->save_done_ms != 0 && now_ms (site) >= site->save_done_ms)
         {
           site->save_done_ms = 0;
@@ -546,10 +576,7 @@
         }
       deliver_orders (site);
       for (guint j = 0; j < site->workers->len; j++)
-        {
-          end_runs (site, site->workers->pdata[j]);
-          answer_poll (site, site->workers->pdata[j]);
-        }
+        answer_poll (site, site->workers->pdata[j]);
       answer_calls (site);
       run_cell (site);
     }
