--- a/src/io/bench_cell.c
+++ b/src/io/bench_cell.c
@@ -21,7 +21,7 @@
 
 typedef struct
 {
-  int64_t workers, groups, callers, run_ms, seed;
+  int64_t workers, groups, callers, run_ms, look_ns, jobs_per_s, seed;
 } settings_t;
 
 #define FIELD(name) offsetof (settings_t, name)
@@ -57,6 +57,21 @@
     .min = 1,
     .max = 600000,
     .help = "simulated time after the warm-up" },
+  { .name = "look-ns",
+    .kind = OPTION_INTEGER,
+    .offset = FIELD (look_ns),
+    .default_text = "0",
+    .min = 0,
+    .max = 1000000,
+    .help = "simulated time that a pass takes for each worker it looks at, "
+            "in which the owner does nothing else" },
+  { .name = "jobs-per-s",
+    .kind = OPTION_INTEGER,
+    .offset = FIELD (jobs_per_s),
+    .default_text = "0",
+    .min = 0,
+    .max = 10000,
+    .help = "jobs submitted in a second; 0: as many as keep GROUPS waiting" },
   { .name = NULL },
 };
 
@@ -168,17 +183,28 @@
   GPtrArray *workers; /* char *, owned */
 } call_t;
 
+/* An answered call.  */
+typedef struct
+{
+  int64_t answered_ms;
+  bool used; /* a task of its step started with one of its tickets */
+} answer_t;
+
 typedef struct
 {
   const settings_t *settings;
   clk_fake_t clock;
   GRand *random;
   cell_t *cell;
-  GPtrArray *workers; /* site_worker_t, owned */
-  GHashTable *by_id;  /* site_worker_t, borrowed */
-  GArray *orders;     /* order_t */
-  GArray *calls;      /* call_t */
+  GPtrArray *workers;  /* site_worker_t, owned */
+  GHashTable *by_id;   /* site_worker_t, borrowed */
+  GArray *orders;      /* order_t */
+  GArray *calls;       /* call_t */
+  GArray *answers;     /* answer_t */
+  GHashTable *tickets; /* "STEP WORKER", owned -> index of the last answer */
   int64_t save_done_ms;
+  int64_t busy_until_ms; /* the owner is in a pass until then */
+  int64_t jobs_due;      /* in thousandths */
   uint32_t jobs, lasting_jobs;
   uint64_t starts, advice_calls;
   uint64_t jobs_ended, jobs_in_time;
@@ -230,11 +256,30 @@
   g_array_append_val (site->orders, order);
 }
 
+static char *
+ticket_key (const char *step, const char *worker)
+{
+  return g_strconcat (step, " ", worker, NULL);
+}
+
+static void
+note_ticket_used (site_t *site, const char *task, const char *worker)
+{
+  char *step = g_strndup (task, (gsize)(strrchr (task, '.') - task));
+  char *key = ticket_key (step, worker);
+  gpointer at;
+  if (g_hash_table_lookup_extended (site->tickets, key, NULL, &at))
+    g_array_index (site->answers, answer_t, GPOINTER_TO_UINT (at)).used = true;
+  g_free (key);
+  g_free (step);
+}
+
 static void
 on_start (void *context, const cell_worker_ref_t *worker,
           const cell_start_order_t *order)
 {
   site_t *site = context;
+  note_ticket_used (site, order->task, worker->id);
   site->starts++;
   add_decision (site, order->task);
   add_decision (site, worker->id);
@@ -402,18 +447,25 @@
       if (call.at_ms > now_ms (site))
         continue;
       g_array_remove_index (site->calls, i - 1);
+      answer_t answer = { .answered_ms = call.at_ms };
       GArray *rows = g_array_new (FALSE, FALSE, sizeof (advice_row_t));
       for (guint j = 0; j < call.workers->len; j++)
         {
           advice_row_t row = { call.workers->pdata[j], "ticket" };
           char *pair = g_strconcat (call.step, row.worker, NULL);
           if (g_str_hash (pair) / 7 % 2 == 0)
-            g_array_append_val (rows, row);
+            {
+              g_array_append_val (rows, row);
+              g_hash_table_insert (site->tickets,
+                                   ticket_key (call.step, row.worker),
+                                   GUINT_TO_POINTER (site->answers->len));
+            }
           g_free (pair);
         }
+      g_array_append_val (site->answers, answer);
       cell_advice_answered (site->cell, call.step, call.call, true,
                             (const advice_row_t *)(const void *)rows->data,
-                            rows->len, TICKET_MS);
+                            rows->len, call.at_ms + TICKET_MS - now_ms (site));
       g_array_unref (rows);
       g_ptr_array_unref (call.workers);
     }
@@ -493,8 +545,14 @@
   if (after.passes == before.passes)
     return;
   site->pass_us += took_us;
+  site->busy_until_ms
+      = now_ms (site)
+        + (int64_t)(after.workers_looked_at - before.workers_looked_at)
+              * site->settings->look_ns / 1000000;
   uint64_t waiting = after.groups - before.groups;
-  for (; waiting < (uint64_t)site->settings->groups; waiting++)
+  for (; site->settings->jobs_per_s == 0
+         && waiting < (uint64_t)site->settings->groups;
+       waiting++)
     submit_job (site);
 }
 
@@ -504,6 +562,13 @@
   for (int64_t i = 0; i < for_ms; i++)
     {
       clk_fake_advance_ms (&site->clock, 1);
+      for (guint j = 0; j < site->workers->len; j++)
+        end_runs (site, site->workers->pdata[j]);
+      for (site->jobs_due += site->settings->jobs_per_s;
+           site->jobs_due >= 1000; site->jobs_due -= 1000)
+        submit_job (site);
+      if (now_ms (site) < site->busy_until_ms)
+        continue;
       if (site->save_done_ms != 0 && now_ms (site) >= site->save_done_ms)
         {
           site->save_done_ms = 0;
@@ -513,10 +578,7 @@
       cell_ownership_confirmed (site->cell, now_ms (site) - 1);
       deliver_orders (site);
       for (guint j = 0; j < site->workers->len; j++)
-        {
-          end_runs (site, site->workers->pdata[j]);
-          answer_poll (site, site->workers->pdata[j]);
-        }
+        answer_poll (site, site->workers->pdata[j]);
       answer_calls (site);
       run_cell (site);
     }
@@ -591,6 +653,25 @@
          / (double)MAX (totals.capacity.cpu_millis, 1);
 }
 
+/* Returns the part of the calls answered since FROM_MS whose tickets have
+   expired unused.  */
+static double
+useless_share (const site_t *site, int64_t from_ms)
+{
+  uint32_t expired = 0;
+  uint32_t useless = 0;
+  for (guint i = 0; i < site->answers->len; i++)
+    {
+      const answer_t *answer = &g_array_index (site->answers, answer_t, i);
+      if (answer->answered_ms < from_ms
+          || answer->answered_ms + TICKET_MS > now_ms (site))
+        continue;
+      expired++;
+      useless += !answer->used;
+    }
+  return (double)useless / (double)MAX (expired, 1u);
+}
+
 static void
 print_result (const site_t *site, const cell_pass_stats_t *from,
               uint64_t starts, uint64_t calls)
@@ -600,7 +681,8 @@
   double passes = MAX ((double)(to.passes - from->passes), 1.0);
   printf ("workers=%lld groups=%.0f callers=%lld passes=%.0f all_passes=%llu "
           "looked_at=%.0f us=%.0f cpu_in_use=%.2f starts=%llu calls=%llu "
-          "calls_per_start=%.3f jobs=%llu in_time=%llu decisions=%08x\n",
+          "calls_per_start=%.3f useless_calls=%.2f jobs=%llu in_time=%llu "
+          "decisions=%08x\n",
           (long long)site->settings->workers,
           (double)(to.groups - from->groups) / passes,
           (long long)site->settings->callers, passes,
@@ -609,6 +691,7 @@
           site->pass_us / passes, share_in_use (site),
           (unsigned long long)starts, (unsigned long long)calls,
           (double)calls / MAX ((double)starts, 1.0),
+          useless_share (site, now_ms (site) - site->settings->run_ms),
           (unsigned long long)site->jobs_ended,
           (unsigned long long)site->jobs_in_time, site->decisions);
 }
@@ -623,6 +706,8 @@
   g_ptr_array_unref (site->workers);
   g_array_unref (site->orders);
   g_array_unref (site->calls);
+  g_array_unref (site->answers);
+  g_hash_table_unref (site->tickets);
   g_rand_free (site->random);
 }
 
@@ -637,7 +722,10 @@
                   .workers = g_ptr_array_new_with_free_func (site_worker_free),
                   .by_id = g_hash_table_new (g_str_hash, g_str_equal),
                   .orders = g_array_new (FALSE, FALSE, sizeof (order_t)),
-                  .calls = g_array_new (FALSE, FALSE, sizeof (call_t)) };
+                  .calls = g_array_new (FALSE, FALSE, sizeof (call_t)),
+                  .answers = g_array_new (FALSE, FALSE, sizeof (answer_t)),
+                  .tickets = g_hash_table_new_full (g_str_hash, g_str_equal,
+                                                    g_free, NULL) };
   clk_fake_init (&site.clock, 1000);
   site.cell = cell_new (&cell_options, &site.clock.base, &actions, &site);
   queue_table_t *queues = make_queues ();
