--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -469,7 +469,8 @@
   job->steps[1].after = g_new0 (uint32_t, 1);
   job->steps[1].after_count = 1;
   cell_add_job (owner.cell, job);
-  cell_begin (owner.cell, true);
+  cell_inheritance_t inheritance = { 0 };
+  cell_begin (owner.cell, &inheritance);
   list_worker (&owner, "i-1");
   run_for (&owner, 100);
   answer_poll_with (&owner, "i-1", NULL, 0, NULL);
--- a/tests/test_pass.c
+++ b/tests/test_pass.c
@@ -144,7 +144,8 @@
 fixture_new (uint32_t workers)
 {
   const cell_options_t options
-      = { .lease_ms = 6000, .renewal_grace_ms = 10000, .retention_ms = 60000 };
+      = { .max_lease_ms = 6000, .retention_ms = 60000 };
+  const cell_inheritance_t inheritance = { 0 };
   fixture_t *fixture = g_new0 (fixture_t, 1);
   clk_fake_init (&fixture->clock, 1000);
   fixture->starts = g_array_new (FALSE, FALSE, sizeof (start_t));
@@ -157,7 +158,7 @@
   cell_set_queues (fixture->cell, table);
   queue_table_free (table);
   add_workers (fixture, workers);
-  cell_begin (fixture->cell, true);
+  cell_begin (fixture->cell, &inheritance);
   cell_run (fixture->cell, 1000);
   for (uint32_t i = 0; i < workers; i++)
     {
@@ -205,6 +206,7 @@
   cell_pass_stats_t after;
   cell_pass_stats (fixture->cell, &before);
   clk_fake_advance_ms (&fixture->clock, 1500);
+  cell_ownership_confirmed (fixture->cell, clk_now_ms (&fixture->clock.base));
   cell_run (fixture->cell, clk_wall_ms (&fixture->clock.base));
   cell_pass_stats (fixture->cell, &after);
   CU_ASSERT_EQUAL (after.passes - before.passes, 1);
