cell: don't rank a step before a lasting one as too late

Cause: a job with a lasting step has no objective, which the rank of its other steps took as an objective of 0, so they counted as too late at once and stood behind all other work; the lasting step waits for them. Change: they are ranked like lasting steps, by how long they wait.

--- a/src/cell_rank.c
+++ b/src/cell_rank.c
@@ -96,7 +96,8 @@
   uint32_t priority = queue != NULL ? queue->priority : 0;
   int64_t since_ms = job->work->times > 0 ? group->ready_ms : job->added_ms;
   rank_step_t steps[WORK_MAX_STEPS];
-  if (group->spec->lasting || queue == NULL)
+  /* A step before a lasting one has no objective either.  */
+  if (queue == NULL || work_job_has_lasting_step (job->work))
     {
       group->rank = rank_without_objective (priority, since_ms, now_ms);
       return;
@@ -112,10 +113,8 @@
     left_ms -= (int64_t)advice_ms (queue);
   if (group->spec->gang)
     left_ms += (int64_t)GANG_GATHER_MS * group->spec->count;
-  group->rank = rank_of_step (
-      priority, since_ms,
-      work_job_has_lasting_step (job->work) ? 0 : group->objective_ms, left_ms,
-      now_ms);
+  group->rank = rank_of_step (priority, since_ms, group->objective_ms, left_ms,
+                              now_ms);
 }
 
 void
