cell: bound the time of passes, and shed steps that are too late first

Cause: passes could follow each other without a pause however long they took, and an owner that can't keep up spent the same time on steps whose jobs have lost their value as on the others, calls for advice included. Change: the pause after a pass is as long as the pass was, up to 100 ms, by the clock passed in. While more than 100 steps wait, those that are too late get a pass each 250 ms only. Lasting steps, and those before them, never are too late.

Tests: "steps that are too late" (passes that look at them, of 12: all with 100 steps, 4 with 101), "lasting steps are not shed", "pause after a pass". The first and the last fail on the code before. Unit tests (asan): 172 passed.

--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -250,6 +250,7 @@
   bool place_pending; /* a placement pass is due */
   int64_t next_place_ms;
   GHashTable *room_lists;    /* room_list_t of the current pass, owned */
+  int64_t next_too_late_ms;  /* when steps that are too late are placed next */
   int64_t explain_second_ms; /* start of the second ... */
   uint32_t explained;        /* ... in which so many steps were explained */
   uint64_t last_worker_number;
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -4,9 +4,15 @@
 
 /* A pass looks at every waiting step and worker.  To leave processor time for
    network calls, passes are at least 1 ms apart for each GROUPS_PER_MS waiting
-   groups, up to MAX_PLACE_PERIOD_MS.  */
+   groups, up to MAX_PLACE_PERIOD_MS, and the pause after a pass is as long as
+   the pass was, up to the same.  */
 #define GROUPS_PER_MS 4u
-#define MAX_PLACE_PERIOD_MS 100u
+#define MAX_PLACE_PERIOD_MS 100
+/* While more than SHED_GROUPS steps wait, those whose jobs have lost their
+   value are left out of most passes: they get one each TOO_LATE_PERIOD_MS, so
+   that the others get the owner's time and the calls for advice.  */
+#define SHED_GROUPS 100u
+#define TOO_LATE_PERIOD_MS 250
 /* Tasks that are expected to end within this time count as free capacity when
    asking for advice: a call takes up to 1 s, its tickets last about 2 s.  */
 #define SOON_MS 1500
@@ -441,11 +447,10 @@
   return rank_compare (&left->rank, &right->rank);
 }
 
-void
-cell_place (cell_t *cell)
+/* Prepares the workers for a pass.  */
+static void
+begin_pass (cell_t *cell)
 {
-  GPtrArray *ranked = g_ptr_array_new ();
-  uint32_t highest_priority = G_MAXUINT32;
   cell->room = (resource_t){ 0 };
   for (guint i = 0; i < cell->worker_list->len; i++)
     {
@@ -456,6 +461,16 @@
       if (worker->listed)
         cell->room = resource_add (cell->room, worker->capacity);
     }
+  g_hash_table_remove_all (cell->queues_without_free_node);
+  g_hash_table_remove_all (cell->room_lists);
+}
+
+/* Returns the groups that wait, most urgent first (g_ptr_array_unref).  */
+static GPtrArray *
+rank_groups (cell_t *cell)
+{
+  GPtrArray *ranked = g_ptr_array_new ();
+  uint32_t highest_priority = G_MAXUINT32;
   for (guint i = 0; i < cell->ready_groups->len; i++)
     {
       cell_group_t *group = cell->ready_groups->pdata[i];
@@ -468,14 +483,39 @@
   for (guint i = 0; i < ranked->len; i++)
     defer_group (ranked->pdata[i], highest_priority);
   g_ptr_array_sort (ranked, compare_groups);
-  g_hash_table_remove_all (cell->queues_without_free_node);
-  g_hash_table_remove_all (cell->room_lists);
-  cell->next_place_ms
-      = cell->now_ms + MIN (ranked->len / GROUPS_PER_MS, MAX_PLACE_PERIOD_MS);
+  return ranked;
+}
+
+/* Whether the pass over WAITING groups leaves out those that are too late.  */
+static bool
+sheds_too_late (cell_t *cell, uint32_t waiting)
+{
+  if (waiting > SHED_GROUPS && cell->now_ms < cell->next_too_late_ms)
+    return true;
+  cell->next_too_late_ms = cell->now_ms + TOO_LATE_PERIOD_MS;
+  return false;
+}
+
+void
+cell_place (cell_t *cell)
+{
+  begin_pass (cell);
+  GPtrArray *ranked = rank_groups (cell);
+  bool sheds = sheds_too_late (cell, ranked->len);
+  uint32_t reserving_gangs = 0;
   cell->pass_stats.passes++;
   cell->pass_stats.groups += ranked->len;
-  uint32_t reserving_gangs = 0;
   for (guint i = 0; i < ranked->len; i++)
-    place_group (cell, ranked->pdata[i], &reserving_gangs);
+    {
+      cell_group_t *group = ranked->pdata[i];
+      if (!sheds || group->rank.tier != RANK_TOO_LATE)
+        place_group (cell, group, &reserving_gangs);
+    }
+  int64_t ended_ms = clk_now_ms (cell->clock);
+  int64_t by_groups_ms
+      = cell->now_ms + MIN (ranked->len / GROUPS_PER_MS, MAX_PLACE_PERIOD_MS);
+  int64_t by_duration_ms
+      = ended_ms + MIN (ended_ms - cell->now_ms, MAX_PLACE_PERIOD_MS);
+  cell->next_place_ms = MAX (by_groups_ms, by_duration_ms);
   g_ptr_array_unref (ranked);
 }
--- a/tests/test_pass.c
+++ b/tests/test_pass.c
@@ -179,15 +179,22 @@
   g_free (fixture);
 }
 
-static void
-add_job (fixture_t *fixture, const char *queue, uint32_t tasks,
-         int64_t cpu_millis, bool gang)
+static work_job_t *
+new_job (fixture_t *fixture, const char *queue, uint32_t steps)
 {
   char id[WORK_ID_LENGTH + 1];
   g_snprintf (id, sizeof id, "%016x", ++fixture->jobs);
-  work_job_t *job = work_job_new (id, queue, 1);
+  work_job_t *job = work_job_new (id, queue, steps);
   job->spec = g_strdup ("spec");
   job->accepted_ms = clk_wall_ms (&fixture->clock.base);
+  return job;
+}
+
+static void
+add_job (fixture_t *fixture, const char *queue, uint32_t tasks,
+         int64_t cpu_millis, bool gang)
+{
+  work_job_t *job = new_job (fixture, queue, 1);
   job->steps[0].count = tasks;
   job->steps[0].need = (resource_t){ cpu_millis, 100, 0 };
   job->steps[0].estimate_ms = 500;
@@ -290,8 +297,142 @@
     }
 }
 
+/* Runs COUNT passes, 120 ms apart, and returns how many look at a worker for
+   some step.  */
+static uint32_t
+passes_that_look (fixture_t *fixture, uint32_t count)
+{
+  uint32_t looking = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      cell_pass_stats_t before;
+      cell_pass_stats_t after;
+      cell_pass_stats (fixture->cell, &before);
+      clk_fake_advance_ms (&fixture->clock, 120);
+      cell_run (fixture->cell, clk_wall_ms (&fixture->clock.base));
+      cell_pass_stats (fixture->cell, &after);
+      CU_ASSERT_EQUAL (after.passes - before.passes, 1);
+      looking += after.workers_looked_at > before.workers_looked_at;
+    }
+  return looking;
+}
+
+/* Guards against an owner that can't keep up because of steps whose jobs have
+   lost their value: while many steps wait they are left out of most passes,
+   and while few wait of none.  */
+static void
+test_too_late_steps (void)
+{
+  static const struct
+  {
+    uint32_t steps;
+    uint32_t looking; /* passes of 12, 120 ms apart */
+  } rows[] = { { 100, 12 }, { 101, 4 } };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      fixture_t *fixture = fixture_new (20);
+      add_job (fixture, "fill", 20, WORKER_CORES * 1000 - 500, false);
+      run_pass (fixture);
+      for (uint32_t j = 0; j < rows[i].steps; j++)
+        add_job (fixture, "plain", 1, 1000, false);
+      /* The objective is 2 * 500 + 1000 ms.  */
+      clk_fake_advance_ms (&fixture->clock, 30000);
+      run_pass (fixture);
+      CU_ASSERT_EQUAL (passes_that_look (fixture, 12), rows[i].looking);
+      fixture_free (fixture);
+    }
+}
+
+/* Guards against shedding lasting tasks, and what has to be done before they
+   can start, however long they wait.  */
+static void
+test_lasting_is_not_shed (void)
+{
+  for (uint32_t steps = 1; steps <= 2; steps++)
+    {
+      fixture_t *fixture = fixture_new (20);
+      add_job (fixture, "fill", 20, WORKER_CORES * 1000 - 500, false);
+      run_pass (fixture);
+      for (uint32_t i = 0; i < 150; i++)
+        add_job (fixture, "plain", 1, 1000, false);
+      work_job_t *job = new_job (fixture, "fill", steps);
+      for (uint32_t i = 0; i < steps; i++)
+        job->steps[i] = (work_step_t){ .count = 1,
+                                       .need = { 1000, 100, 0 },
+                                       .estimate_ms = 500,
+                                       .lasting = i + 1 == steps };
+      if (steps == 2)
+        {
+          job->steps[1].after = g_new0 (uint32_t, 1);
+          job->steps[1].after_count = 1;
+        }
+      cell_add_job (fixture->cell, job);
+      clk_fake_advance_ms (&fixture->clock, 30000);
+      run_pass (fixture);
+      CU_ASSERT_EQUAL (passes_that_look (fixture, 12), 12);
+      fixture_free (fixture);
+    }
+}
+
+/* A clock of which each reading takes time.  */
+typedef struct
+{
+  clk_t base;
+  int64_t now_ms;
+  int64_t step_ms;
+} slow_clock_t;
+
+static struct timespec
+read_slow_clock (const clk_t *self)
+{
+  slow_clock_t *clock = (slow_clock_t *)(void *)self;
+  clock->now_ms += clock->step_ms;
+  return clk_from_ms (clock->now_ms);
+}
+
+/* Guards against an owner that spends all its time in passes: the pause after
+   a pass is as long as the pass, up to 100 ms.  */
+static void
+test_pause_after_pass (void)
+{
+  static const struct
+  {
+    int64_t pass_ms;
+    int64_t pause_ms;
+  } rows[] = { { 0, 0 }, { 40, 40 }, { 90, 90 }, { 300, 100 } };
+  const cell_options_t options = { .lease_ms = 6000 };
+  queue_table_t *queues = queue_table_new (1);
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      fixture_t fixture = { 0 };
+      slow_clock_t clock = { { read_slow_clock, read_slow_clock }, 1000, 0 };
+      cell_pass_stats_t stats;
+      cell_t *cell = cell_new (&options, &clock.base, &actions, &fixture);
+      cell_begin (cell, true);
+      clock.step_ms = rows[i].pass_ms;
+      cell_run (cell, 1000);
+      int64_t ended_ms = clock.now_ms;
+      clock.step_ms = 0;
+      for (int64_t pause_ms = 0; pause_ms <= rows[i].pause_ms; pause_ms++)
+        {
+          cell_pass_stats (cell, &stats);
+          CU_ASSERT_EQUAL (stats.passes, 1);
+          clock.now_ms = ended_ms + pause_ms;
+          cell_set_queues (cell, queues); /* makes a pass due */
+          cell_run (cell, 1000);
+        }
+      cell_pass_stats (cell, &stats);
+      CU_ASSERT_EQUAL (stats.passes, 2);
+      cell_free (cell);
+    }
+  queue_table_free (queues);
+}
+
 static CU_TestInfo tests[] = {
   { "looks of a pass by waiting steps", test_looks_by_waiting_steps },
+  { "steps that are too late", test_too_late_steps },
+  { "lasting steps are not shed", test_lasting_is_not_shed },
+  { "pause after a pass", test_pause_after_pass },
   CU_TEST_INFO_NULL,
 };
 
