tests: compare the lists of room with a search of all workers

Guards against steps that miss a worker with room, or are offered one without: the lists of cell_room.c are used again by other steps while room shrinks. 40 random cells of 30 workers, 60 searches each, labels, fillers and full workers included.

--- a/tests/test.h
+++ b/tests/test.h
@@ -30,6 +30,7 @@
 extern CU_SuiteInfo test_admit_suites[];
 extern CU_SuiteInfo test_outlier_suites[];
 extern CU_SuiteInfo test_retry_suites[];
+extern CU_SuiteInfo test_room_suites[];
 extern CU_SuiteInfo test_outcome_suites[];
 extern CU_SuiteInfo test_dispatch_suites[];
 extern CU_SuiteInfo test_confrev_suites[];
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -39,6 +39,7 @@
   test_fuzz_suites,
   test_platform_suites,
   test_retry_suites,
+  test_room_suites,
   test_sched_suites,
   test_settings_suites,
   test_share_suites,
