--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -44,6 +44,7 @@
   test_platform_suites,
   test_poll_suites,
   test_retry_suites,
+  test_room_suites,
   test_sched_suites,
   test_settings_suites,
   test_share_suites,
