--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -274,11 +274,14 @@
 {
   cell_t *cell = cell_with_job (0);
   json_t *body = json_loadb (answer, answer_length, 0, NULL);
-  cell_begin (cell, true);
+  const cell_inheritance_t inheritance = { 0 };
+  cell_begin (cell, &inheritance);
   platform_parse_worker (NULL, "i-1", row, row_length, list_worker, cell);
   cell_run (cell, 2000);
   platform_parse_report (body, answer_poll, cell);
   cell_run (cell, 2000);
+  /* The clock stands still, so the confirmation is of a later time.  */
+  cell_ownership_confirmed (cell, clk_now_ms (fixed_clock ()) + 1);
   cell_save_done (cell);
   platform_parse_report (body, answer_poll, cell);
   cell_run (cell, 2000);
--- a/tests/test_room.c
+++ b/tests/test_room.c
@@ -87,7 +87,7 @@
 static void
 test_against_search (void)
 {
-  const cell_options_t options = { .lease_ms = 6000 };
+  const cell_options_t options = { .max_lease_ms = 6000 };
   const cell_actions_t actions = { 0 };
   clk_fake_t clock;
   clk_fake_init (&clock, 1000);
