--- a/src/cell.c
+++ b/src/cell.c
@@ -216,15 +216,6 @@
   return cell->fenced;
 }
 
-static void
-note_pass (cell_t *cell)
-{
-  int64_t took_ms = clk_now_ms (cell->clock) - cell->now_ms;
-  cell->load.passes++;
-  cell->load.passes_ms += took_ms;
-  cell->load.longest_pass_ms = MAX (cell->load.longest_pass_ms, took_ms);
-}
-
 void
 cell_take_load (cell_t *cell, cell_load_t *load)
 {
@@ -256,7 +247,6 @@
     {
       cell->place_pending = false;
       cell_place (cell);
-      note_pass (cell);
     }
   cell_save_if_due (cell);
 }
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -496,6 +496,21 @@
   return false;
 }
 
+/* Ends a pass over WAITING groups.  */
+static void
+end_pass (cell_t *cell, uint32_t waiting)
+{
+  int64_t ended_ms = clk_now_ms (cell->clock);
+  int64_t took_ms = ended_ms - cell->now_ms;
+  int64_t by_groups_ms
+      = cell->now_ms + MIN (waiting / GROUPS_PER_MS, MAX_PLACE_PERIOD_MS);
+  int64_t by_duration_ms = ended_ms + MIN (took_ms, MAX_PLACE_PERIOD_MS);
+  cell->next_place_ms = MAX (by_groups_ms, by_duration_ms);
+  cell->load.passes++;
+  cell->load.passes_ms += took_ms;
+  cell->load.longest_pass_ms = MAX (cell->load.longest_pass_ms, took_ms);
+}
+
 void
 cell_place (cell_t *cell)
 {
@@ -514,11 +529,6 @@
       if (!sheds || group->rank.tier != RANK_TOO_LATE)
         place_group (cell, group, &reserving_gangs);
     }
-  int64_t ended_ms = clk_now_ms (cell->clock);
-  int64_t by_groups_ms
-      = cell->now_ms + MIN (ranked->len / GROUPS_PER_MS, MAX_PLACE_PERIOD_MS);
-  int64_t by_duration_ms
-      = ended_ms + MIN (ended_ms - cell->now_ms, MAX_PLACE_PERIOD_MS);
-  cell->next_place_ms = MAX (by_groups_ms, by_duration_ms);
+  end_pass (cell, ranked->len);
   g_ptr_array_unref (ranked);
 }
