--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -37,6 +37,31 @@
   return text != NULL && text[0] != '\0' ? text : "-";
 }
 
+/* Appends a space and NUMBER.  A save writes thousands of these, and printf
+   takes most of its time.  */
+static void
+append_number (GString *text, int64_t number)
+{
+  char digits[24];
+  size_t at = sizeof digits;
+  uint64_t left = number < 0 ? -(uint64_t)number : (uint64_t)number;
+  digits[--at] = '\0';
+  do
+    digits[--at] = (char)('0' + left % 10);
+  while ((left /= 10) > 0);
+  if (number < 0)
+    digits[--at] = '-';
+  digits[--at] = ' ';
+  g_string_append_len (text, digits + at, (gssize)(sizeof digits - 1 - at));
+}
+
+static void
+append_word (GString *text, const char *word)
+{
+  g_string_append_c (text, ' ');
+  g_string_append (text, or_dash (word));
+}
+
 static char
 task_letter (const cell_task_t *task)
 {
@@ -45,26 +70,36 @@
   return task->worker != NULL ? 'a' : 'w';
 }
 
+static void
+append_blame (GString *text, const cell_task_t *task)
+{
+  const cell_worker_t *worker = task->worker;
+  append_number (text, worker != NULL ? task->worker_start_ms : 0);
+  append_word (text, worker != NULL ? worker->address : NULL);
+  append_number (text, task->blame.suspected);
+  append_number (text, task->blame.crashes);
+  append_number (text, task->blame.losses);
+  g_string_append_c (text, ' ');
+  for (uint32_t i = 0; i < task->lapsed_count; i++)
+    g_string_append_printf (text, "%s%u", i > 0 ? "," : "",
+                            task->lapsed_runs[i]);
+  if (task->lapsed_count == 0)
+    g_string_append_c (text, '-');
+}
+
 static void
 append_task (GString *text, const cell_task_t *task)
 {
-  g_string_append_printf (text, "t %u %c %u %u %s %s", task->index,
-                          task_letter (task), task->run, task->failures,
-                          task->worker != NULL ? task->worker->id : "-",
-                          or_dash (task->checkpoint));
+  g_string_append_c (text, 't');
+  append_number (text, task->index);
+  g_string_append_c (text, ' ');
+  g_string_append_c (text, task_letter (task));
+  append_number (text, task->run);
+  append_number (text, task->failures);
+  append_word (text, task->worker != NULL ? task->worker->id : NULL);
+  append_word (text, task->checkpoint);
   if (task->worker != NULL || task->blame.losses > 0)
-    {
-      g_string_append_printf (
-          text, " %lld %s %u %u %u ",
-          (long long)(task->worker != NULL ? task->worker_start_ms : 0),
-          or_dash (task->worker != NULL ? task->worker->address : NULL),
-          task->blame.suspected, task->blame.crashes, task->blame.losses);
-      for (uint32_t i = 0; i < task->lapsed_count; i++)
-        g_string_append_printf (text, "%s%u", i > 0 ? "," : "",
-                                task->lapsed_runs[i]);
-      if (task->lapsed_count == 0)
-        g_string_append_c (text, '-');
-    }
+    append_blame (text, task);
   g_string_append_c (text, '\n');
 }
 
