node: tell of the leases of a tenure only if there was one

A node that is stopped while it claims a cell steps down as if it had owned it, and so tells the next owner when the leases of that tenure end. But it may have lost the token to another node that claimed at the same time, or its cell->token may still be that of an older tenure, whose end it told before and whose former owner it has forgotten: it then tells of 0 ms. The successor of that token takes the words as those of its predecessor and treats workers that it can't reach as free of leases, while they still run tasks: these run twice.

Seen by reading; shown by the test "a node that stops while it claims the cell", which fails without the change (told is {"token":6,"left_ms":0}). build/asan/unit-tests "node tenure"

--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -115,7 +115,9 @@
 {
   log_event (LOG_WARN, "cell_lost", "cell", cell->name, "why", reason, NULL);
   cell->heartbeat_seen_ms = node_now (cell->node);
-  node_tenure_ended (cell);
+  /* A node that only claimed the cell may have lost the token to another.  */
+  if (cell->state != CELL_CLAIMING)
+    node_tenure_ended (cell);
   drop_ownership (cell);
   node_follow_workers (cell->node);
 }
--- a/tests/test_node_tenure.c
+++ b/tests/test_node_tenure.c
@@ -218,11 +218,38 @@
   peer_clear (&reader);
 }
 
+/* Guards against a node that tells of a token it never owned: it stops while
+   it claims the cell, and another one has won that token and gives leases.  */
+static void
+test_stop_while_claiming (void)
+{
+  peer_t loser;
+  peer_init (&loser, "edge-1", 6);
+  loser.cell.pending_by_queue = g_hash_table_new (g_str_hash, g_str_equal);
+  loser.cell.records = g_ptr_array_new ();
+  loser.cell.records_to_save = g_ptr_array_new ();
+  loser.cell.expired_ids = g_ptr_array_new ();
+  loser.node.cells = g_hash_table_new (g_str_hash, g_str_equal);
+  loser.node.unreadable_workers = g_hash_table_new (g_str_hash, g_str_equal);
+  node_release (&loser.cell);
+  CU_ASSERT_EQUAL (loser.cell.state, CELL_IDLE);
+  node_tenure_tell (&loser.cell);
+  CU_ASSERT_STRING_EQUAL (loser.told, "");
+  g_hash_table_unref (loser.cell.pending_by_queue);
+  g_ptr_array_unref (loser.cell.records);
+  g_ptr_array_unref (loser.cell.records_to_save);
+  g_ptr_array_unref (loser.cell.expired_ids);
+  g_hash_table_unref (loser.node.cells);
+  g_hash_table_unref (loser.node.unreadable_workers);
+  peer_clear (&loser);
+}
+
 static CU_TestInfo node_tenure_tests[] = {
   { "what the fence row promises", test_fence_row },
   { "rows without promises", test_rows_without_promises },
   { "former owners tell when their leases end", test_telling },
   { "a former owner that has restarted", test_restarted_owner },
+  { "a node that stops while it claims the cell", test_stop_while_claiming },
   CU_TEST_INFO_NULL,
 };
 
