node: refuse promises about leases that are out of range

The durations of a fence row and of the row "leases" were added to the clock as they came: one near 2^63 overflows, which is undefined, and a negative since_beat_ms, lease_ms or unreached_ms makes leases count as ended that last. Such a row now counts as one without promises, and such words are ignored. No node writes them today.

--- a/src/io/node_tenure.c
+++ b/src/io/node_tenure.c
@@ -1,6 +1,7 @@
 #include "node_internal.h"
 
 #include "log.h"
+#include "number.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -57,28 +58,27 @@
       unreached);
 }
 
+/* Reads a promise, which a row of a version without them lacks.  */
+static bool
+read_promise (const json_t *tenure, const char *key, int64_t *ms)
+{
+  return number_read (json_object_get (tenure, key), 0, NUMBER_MAX_DURATION_MS,
+                      ms);
+}
+
 /* Reads the promises in FENCE, which may be of a version that makes none.  */
 static tenure_row_t
 row_of (const json_t *fence)
 {
   const json_t *tenure = json_object_get (fence, "tenure");
-  const json_t *bound = json_object_get (tenure, "bound_ms");
-  const json_t *lease = json_object_get (tenure, "lease_ms");
-  const json_t *inherited = json_object_get (tenure, "inherited_ms");
-  const json_t *unreached = json_object_get (tenure, "unreached_ms");
-  const json_t *since = json_object_get (tenure, "since_beat_ms");
   const char *owner = json_string_value (json_object_get (fence, "owner"));
-  return (tenure_row_t){
-    .known = json_is_integer (bound) && json_is_integer (lease)
-             && json_is_integer (inherited) && json_is_integer (unreached)
-             && json_is_integer (since),
-    .since_beat_ms = json_integer_value (since),
-    .released = owner == NULL || owner[0] == '\0',
-    .bound_ms = json_integer_value (bound),
-    .lease_ms = json_integer_value (lease),
-    .inherited_ms = json_integer_value (inherited),
-    .unreached_ms = json_integer_value (unreached),
-  };
+  tenure_row_t row = { .released = owner == NULL || owner[0] == '\0' };
+  row.known = read_promise (tenure, "bound_ms", &row.bound_ms)
+              && read_promise (tenure, "lease_ms", &row.lease_ms)
+              && read_promise (tenure, "inherited_ms", &row.inherited_ms)
+              && read_promise (tenure, "unreached_ms", &row.unreached_ms)
+              && read_promise (tenure, "since_beat_ms", &row.since_beat_ms);
+  return row;
 }
 
 static char **
@@ -173,11 +173,12 @@
 node_former_told (node_cell_t *cell, const char *value, size_t length)
 {
   json_t *row = value != NULL ? json_loadb (value, length, 0, NULL) : NULL;
-  const json_t *left = json_object_get (row, "left_ms");
   uint64_t token
       = (uint64_t)json_integer_value (json_object_get (row, "token"));
-  bool valid = json_is_integer (left);
-  int64_t end_ms = node_now (cell->node) + MAX (json_integer_value (left), 0);
+  int64_t left = 0;
+  bool valid = number_read (json_object_get (row, "left_ms"), 0,
+                            NUMBER_MAX_DURATION_MS, &left);
+  int64_t end_ms = node_now (cell->node) + left;
   json_decref (row);
   if (!valid)
     return;
--- a/tests/test_node_tenure.c
+++ b/tests/test_node_tenure.c
@@ -244,12 +244,65 @@
   peer_clear (&loser);
 }
 
+/* Guards against sums that overflow, and leases that count as ended, by a row
+   with numbers that no owner writes.  */
+static void
+test_numbers_out_of_range (void)
+{
+  static const struct
+  {
+    const char *bound, *lease, *inherited, *unreached, *since;
+  } rows[] = {
+    { "9223372036854775807", "6500", "0", "0", "0" },
+    { "-9223372036854775807", "6500", "0", "0", "0" },
+    { "10300", "9223372036854775807", "0", "0", "0" },
+    { "10300", "-1", "0", "0", "0" },
+    { "10300", "6500", "9223372036854775807", "0", "0" },
+    { "10300", "6500", "0", "-9000000000000000000", "0" },
+    { "10300", "6500", "0", "0", "9223372036854775807" },
+    { "10300", "6500", "0", "0", "-9000000000000000000" },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      peer_t reader;
+      peer_init (&reader, "edge-2", 6);
+      char *text = g_strdup_printf (
+          "{\"owner\":\"edge-1\",\"incarnation\":\"1\",\"token\":5,"
+          "\"beat\":4,\"tenure\":{\"bound_ms\":%s,\"lease_ms\":%s,"
+          "\"inherited_ms\":%s,\"unreached_ms\":%s,\"since_beat_ms\":%s,"
+          "\"unreached\":[]}}",
+          rows[i].bound, rows[i].lease, rows[i].inherited, rows[i].unreached,
+          rows[i].since);
+      json_t *fence = json_loads (text, 0, NULL);
+      reader.cell.seen_token = 5;
+      reader.cell.heartbeat_number = 4;
+      reader.cell.heartbeat_seen_ms = START_MS - 900;
+      node_former_read (&reader.cell, fence, false);
+      node_former_claimed (&reader.cell);
+      /* Like a row without promises.  */
+      CU_ASSERT_TRUE (reader.cell.former.leases_end_ms
+                      >= START_MS + 11000 + 10204);
+      CU_ASSERT_TRUE (reader.cell.former.unreached_end_ms
+                      >= START_MS + 11000 + 10204);
+      json_decref (fence);
+      g_free (text);
+      int64_t end_ms = reader.cell.former.leases_end_ms;
+      const char *told = "{\"token\":5,\"left_ms\":9223372036854775807}";
+      node_former_told (&reader.cell, told, strlen (told));
+      told = "{\"token\":5,\"left_ms\":-5}";
+      node_former_told (&reader.cell, told, strlen (told));
+      CU_ASSERT_EQUAL (reader.cell.former.leases_end_ms, end_ms);
+      peer_clear (&reader);
+    }
+}
+
 static CU_TestInfo node_tenure_tests[] = {
   { "what the fence row promises", test_fence_row },
   { "rows without promises", test_rows_without_promises },
   { "former owners tell when their leases end", test_telling },
   { "a former owner that has restarted", test_restarted_owner },
   { "a node that stops while it claims the cell", test_stop_while_claiming },
+  { "numbers out of range", test_numbers_out_of_range },
   CU_TEST_INFO_NULL,
 };
 
