cell: take reported runs as ended once their worker has restarted

A worker that starts anew under its id and then falls silent kept its runs: they waited for late orders (10 s) and the longest lease after that, 16.3 s in all, where users allow 7 s (LOST). Orders that were sent before a restart may be carried out after it, but that concerns only runs with a copy of their start under way. A run that the last report of the old life listed has ended with that life, and if its only start was answered, nothing can begin it again; it is treated as crashed at once. The other runs wait as before: those with an unanswered start, those confirmed since the last report, and those of a former owner.

--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -73,7 +73,7 @@
   bool start_unanswered; /* a start of this run got no answer, so it may be
                             carried out, also later */
   bool loaded;           /* from the record of an earlier owner */
-  bool reported;         /* listed in the report being processed */
+  bool reported;         /* listed in the last report of its worker */
 };
 
 /* What the advice service said about one worker for a group.  */
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -49,6 +49,7 @@
   task->stop_confirmed_ms = 0;
   task->stop_sent_ms = 0;
   task->start_confirmed_ms = 0;
+  task->reported = false;
   task->seen_running_ms = 0;
   task->worker_start_ms = worker->start_ms;
   task->verdict_pending = false;
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -100,11 +100,30 @@
     }
 }
 
+/* After a restart of WORKER: a run that the last report listed has ended with
+   the life that sent it, and if its only start was answered, no order that is
+   still under way can begin it again.  */
+static void
+end_reported_runs (cell_worker_t *worker)
+{
+  for (guint i = worker->tasks->len; i > 0; i--)
+    {
+      if (i > worker->tasks->len)
+        continue;
+      cell_task_t *task = worker->tasks->pdata[i - 1];
+      if (task->state == RUN_LIVE && task->reported
+          && task->start_confirmed_ms > 0 && !task->start_unanswered
+          && !task->start_in_flight)
+        cell_run_ended (task, END_STOPPED, NULL);
+    }
+}
+
 static void
 worker_restarted (cell_t *cell, cell_worker_t *worker, int64_t start_ms)
 {
   cell_log (cell, "worker_restarted", worker->id, "tasks=%u",
             worker->tasks->len);
+  bool life_known = worker->start_ms != 0;
   cell_worker_crashed (cell, worker, "restarted");
   worker->start_ms = start_ms;
   worker->processed_end = worker->saved_end = worker->end_in_save = 0;
@@ -115,6 +134,8 @@
   worker->avoid_until_ms = 0;
   worker->has_fencing_token = false;
   cell_expect_late_orders (cell, worker);
+  if (life_known)
+    end_reported_runs (worker);
   stop_unanswered_starts (worker);
 }
 
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -38,6 +38,7 @@
   test_owner_suites,
   test_pack_suites,
   test_rank_suites,
+  test_restart_suites,
   test_fuzz_suites,
   test_platform_suites,
   test_poll_suites,
