--- a/src/io/node.c
+++ b/src/io/node.c
@@ -305,6 +305,14 @@
   node_t *node = watcher->data;
   if (node->input_pending)
     run_cells (node);
+  node->wait_began_ns = clk_now_ns (node->clock);
+}
+
+static void
+on_after_wait (struct ev_loop *loop, ev_check *watcher, int events)
+{
+  node_t *node = watcher->data;
+  node->waited_ns += clk_now_ns (node->clock) - node->wait_began_ns;
 }
 
 static void
@@ -390,10 +398,13 @@
   ev_timer_init (&node->claim_timer, on_claim_check, CLAIM_CHECK_S,
                  CLAIM_CHECK_S);
   ev_prepare_init (&node->before_wait, on_before_wait);
-  node->tick.data = node->claim_timer.data = node->before_wait.data = node;
+  ev_check_init (&node->after_wait, on_after_wait);
+  node->tick.data = node->claim_timer.data = node->before_wait.data
+      = node->after_wait.data = node;
   ev_timer_start (node->loop, &node->tick);
   ev_timer_start (node->loop, &node->claim_timer);
   ev_prepare_start (node->loop, &node->before_wait);
+  ev_check_start (node->loop, &node->after_wait);
 }
 
 static bool
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -369,18 +369,21 @@
   int64_t since_ms = now_ms - cell->load_logged_ms;
   if (since_ms < LOAD_PERIOD_MS)
     return;
+  const int64_t ns_per_ms = 1000000;
   int64_t used_ms = processor_ms ();
   cell_load_t load;
   char detail[512];
   cell_take_load (cell->scheduler, &load);
   g_snprintf (
       detail, sizeof detail,
-      "period_ms=%lld processor_ms=%lld late_ms=%lld passes=%u passes_ms=%lld "
+      "period_ms=%lld processor_ms=%lld idle_ms=%lld late_ms=%lld passes=%u "
+      "passes_ms=%lld "
       "longest_pass_ms=%lld waiting_steps=%u too_late_steps=%u "
       "advice_calls=%u advice_answers=%u advice_mean_ms=%lld "
       "advice_failures=%u advice_busy=%u tickets=%u tickets_unused=%u "
       "starts=%u polls=%u saves=%u saved_records=%u",
       (long long)since_ms, (long long)(used_ms - cell->load_processor_ms),
+      (long long)((cell->node->waited_ns - cell->load_waited_ns) / ns_per_ms),
       (long long)load.late_ms, load.passes, (long long)load.passes_ms,
       (long long)load.longest_pass_ms, load.waiting_steps, load.too_late_steps,
       load.advice_calls, cell->advice_answers,
@@ -394,6 +397,7 @@
                NULL);
   cell->load_logged_ms = now_ms;
   cell->load_processor_ms = used_ms;
+  cell->load_waited_ns = cell->node->waited_ns;
   cell->advice_took_ms = 0;
   cell->advice_answers = 0;
 }
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -154,6 +154,7 @@
   uint8_t replay_pass; /* REPLAY_x of node_cell.c */
   int64_t load_logged_ms;
   int64_t load_processor_ms; /* processor time of the process then */
+  int64_t load_waited_ns;    /* node->waited_ns then */
   int64_t advice_took_ms;    /* of the calls answered since, in total */
   uint32_t advice_answers;
   ended_tenure_t ended;
@@ -187,6 +188,9 @@
   ev_timer tick;
   ev_timer claim_timer;
   ev_prepare before_wait;
+  ev_check after_wait;
+  int64_t wait_began_ns; /* the last wait of LOOP for events */
+  int64_t waited_ns;     /* in total */
   ev_signal terminate, interrupt, reload;
   bool input_pending; /* cells have input to process */
   bool stopping, registered;
