--- a/src/io/bench_cell.c
+++ b/src/io/bench_cell.c
@@ -245,8 +245,8 @@
 {
   order_t order = { .at_ms = now_ms (site) + CALL_MS,
                     .worker = g_hash_table_lookup (site->by_id, ref->id),
-                    .run = { .run = run },
                     .stop = stop };
+  order.run.run = run;
   g_strlcpy (order.run.task, task, sizeof order.run.task);
   if (task_ms > 0)
     order.run.end_ms
