cell: count only tickets that were taken as allowed

Cause: since the advice of a step is dropped when its job ends, so an answer that came later counted its tickets as allowed but none of its workers as named; the share of allowed workers of a queue crept up, above 1 in the end, and calls would expect more slots than they get. Change: both are counted from the advice that is still there. The test "answer after the end of its job" fails on the code before (20 allowed of 0 named).

--- a/src/cell_advice.c
+++ b/src/cell_advice.c
@@ -489,16 +489,18 @@
     group->next_ask_ms
         = cell->now_ms
           + backoff_ms (group->ask_failures, ASK_RETRY_MS, ASK_MAX_RETRY_MS);
-  else if (group->job->queue != NULL)
-    count_answer (cell, group->job->queue->name, named, count);
+  uint32_t allowed = 0;
   for (uint32_t i = 0; i < count; i++)
     {
       const cell_worker_t *worker = cell_find_worker (cell, rows[i].worker);
       advice_t *advice = worker != NULL ? find_advice (group, worker) : NULL;
       if (advice == NULL || !advice->answered || advice->ticket != NULL)
         continue;
+      allowed++;
       advice->ticket = g_strdup (rows[i].ticket);
       group->tickets_until_ms
           = MAX (group->tickets_until_ms, advice->valid_until_ms);
     }
+  if (ok && group->job->queue != NULL)
+    count_answer (cell, group->job->queue->name, named, allowed);
 }
--- a/tests/test_pass.c
+++ b/tests/test_pass.c
@@ -1,4 +1,4 @@
-#include "cell.h"
+#include "cell_internal.h"
 #include "test.h"
 
 #include <stdio.h>
@@ -374,6 +374,23 @@
     }
 }
 
+/* Guards against a share of allowed workers above 1, which calls for advice
+   would take for certain, after answers that come when their job has ended. */
+static void
+test_answer_after_end (void)
+{
+  fixture_t *fixture = fixture_new (20);
+  add_job (fixture, "advised", 1, 1000, false);
+  run_pass (fixture);
+  CU_ASSERT_EQUAL (fixture->asked->len, 1);
+  cell_cancel_job (fixture->cell, "0000000000000001");
+  answer_calls (fixture);
+  const advice_counts_t *counts
+      = g_hash_table_lookup (fixture->cell->advice_counts, "advised");
+  CU_ASSERT_TRUE (counts == NULL || counts->allowed <= counts->named);
+  fixture_free (fixture);
+}
+
 /* A clock of which each reading takes time.  */
 typedef struct
 {
@@ -433,6 +450,7 @@
   { "steps that are too late", test_too_late_steps },
   { "lasting steps are not shed", test_lasting_is_not_shed },
   { "pause after a pass", test_pause_after_pass },
+  { "answer after the end of its job", test_answer_after_end },
   CU_TEST_INFO_NULL,
 };
 
