node: pause before records are read again

A node that has claimed a cell reads its records again at once when a read fails. A store that turns the node away (503 or 429) answers within a millisecond, so the node reads as fast as it can until its next commit shows another owner, and logs a line each time; all calls are priced and all nodes share the rate of reads. READ_RETRY_S was defined for this and not used.

--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -56,6 +56,12 @@
   return record;
 }
 
+static void
+on_read_retry (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  read_records (watcher->data, NULL);
+}
+
 node_cell_t *
 node_cell_new (node_t *node, const char *name)
 {
@@ -70,7 +76,8 @@
   cell->expired_ids = g_ptr_array_new_with_free_func (g_free);
   cell->records_to_save = g_ptr_array_new_with_free_func (record_free);
   ev_init (&cell->commit_retry, node_commit_retry);
-  cell->commit_retry.data = cell;
+  ev_init (&cell->read_retry, on_read_retry);
+  cell->commit_retry.data = cell->read_retry.data = cell;
   return cell;
 }
 
@@ -84,6 +91,7 @@
   cell->commit_has_records = false;
   cell->save_pending = false;
   ev_timer_stop (cell->node->loop, &cell->commit_retry);
+  ev_timer_stop (cell->node->loop, &cell->read_retry);
   g_ptr_array_set_size (cell->records, 0);
   g_ptr_array_set_size (cell->records_to_save, 0);
   g_ptr_array_set_size (cell->expired_ids, 0);
@@ -316,7 +324,8 @@
     {
       log_event (LOG_WARN, "records_unread", "cell", cell->name, NULL);
       g_ptr_array_set_size (cell->records, 0);
-      read_records (cell, NULL);
+      ev_timer_set (&cell->read_retry, READ_RETRY_S, 0.0);
+      ev_timer_start (cell->node->loop, &cell->read_retry);
       return;
     }
   for (uint32_t i = 0; i < reply->count; i++)
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -151,6 +151,7 @@
   int64_t claim_due_ms;    /* no claim is begun or sent again before */
   bool claim_unanswered;   /* the claim is to be sent again then */
   ev_timer commit_retry;
+  ev_timer read_retry; /* of the records, while the cell is loaded */
   uint8_t replay_pass; /* REPLAY_x of node_cell.c */
   int64_t load_logged_ms;
   int64_t load_processor_ms; /* processor time of the process then */
--- a/tests/test_node_tenure.c
+++ b/tests/test_node_tenure.c
@@ -296,6 +296,49 @@
     }
 }
 
+static uint32_t refused_reads;
+
+static void
+refuse_read (platform_api_t *platform, const char *table, const char *part,
+             const char *from, const char *target, int64_t timeout_ms,
+             store_reply_done_t done, void *context)
+{
+  const uint32_t most = 100;
+  store_reply_t reply = { .result = STORE_REFUSED };
+  if (++refused_reads < most)
+    done (context, &reply);
+  else
+    g_free (context);
+}
+
+/* Guards against a node that reads without a pause while the store turns it
+   away: all calls are priced, and nodes share their rate.  */
+static void
+test_refused_reads (void)
+{
+  static const platform_api_ops_t ops = { .read = refuse_read };
+  peer_t peer;
+  peer_init (&peer, "edge-1", 6);
+  node_cell_t *cell = &peer.cell;
+  peer.platform.ops = &ops;
+  peer.node.loop = ev_loop_new (EVFLAG_AUTO);
+  peer.node.metrics = counter_registry_new ();
+  peer.node.cells = g_hash_table_new (g_str_hash, g_str_equal);
+  /* The list of workers is followed already.  */
+  peer.node.workers = (replica_t *)&peer;
+  cell->records = g_ptr_array_new ();
+  g_hash_table_insert (peer.node.cells, cell->name, cell);
+  refused_reads = 0;
+  node_cell_claimed (cell);
+  CU_ASSERT_EQUAL (refused_reads, 1);
+  ev_timer_stop (peer.node.loop, &cell->read_retry);
+  g_ptr_array_unref (cell->records);
+  g_hash_table_unref (peer.node.cells);
+  counter_registry_free (peer.node.metrics);
+  ev_loop_destroy (peer.node.loop);
+  peer_clear (&peer);
+}
+
 static CU_TestInfo node_tenure_tests[] = {
   { "what the fence row promises", test_fence_row },
   { "rows without promises", test_rows_without_promises },
@@ -303,6 +346,7 @@
   { "a former owner that has restarted", test_restarted_owner },
   { "a node that stops while it claims the cell", test_stop_while_claiming },
   { "numbers out of range", test_numbers_out_of_range },
+  { "reads that the store refuses", test_refused_reads },
   CU_TEST_INFO_NULL,
 };
 
