--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -362,16 +362,15 @@
       cell_worker_t *worker = cell->worker_list->pdata[i];
       GArray *ends = worker->unsaved_ends;
       guint saved = 0;
-      while (saved < ends->len
-             && !is_dirty (cell,
-                           g_array_index (ends, unsaved_end_t, saved).job))
+      while (
+          saved < ends->len
+          && !is_dirty (cell, g_array_index (ends, unsaved_end_t, saved).job))
         saved++;
       if (saved > 0)
         g_array_remove_range (ends, 0, saved);
       worker->end_in_save
-          = ends->len == 0
-                ? worker->processed_end
-                : g_array_index (ends, unsaved_end_t, 0).number - 1;
+          = ends->len == 0 ? worker->processed_end
+                           : g_array_index (ends, unsaved_end_t, 0).number - 1;
     }
 }
 
--- a/tests/test_acks.c
+++ b/tests/test_acks.c
@@ -24,9 +24,9 @@
   char task[WORK_NAME_BYTES]; /* "": none */
   uint32_t run;
   int64_t ends_ms;
-  GPtrArray *ended;       /* names of the tasks whose end is not acknowledged */
+  GPtrArray *ended; /* names of the tasks whose end is not acknowledged */
   uint64_t last_end, acknowledged;
-  int64_t acknowledged_ms; /* when an end was last acknowledged */
+  int64_t acknowledged_ms;             /* when an end was last acknowledged */
   int64_t poll_sent_ms, poll_until_ms; /* 0: no poll is in flight */
 } busy_worker_t;
 
@@ -200,13 +200,13 @@
     {
       busy_worker_t *worker = &crowd->workers[i];
       ends += worker->last_end;
-      longest_ms
-          = MAX (longest_ms, now_of (crowd) - worker->acknowledged_ms);
+      longest_ms = MAX (longest_ms, now_of (crowd) - worker->acknowledged_ms);
       g_ptr_array_unref (worker->ended);
     }
-  printf ("acks: %u records in the largest save, %u ends, longest time without "
-          "an acknowledgement %lld ms\n",
-          crowd->most_records, (unsigned)ends, (long long)longest_ms);
+  printf (
+      "acks: %u records in the largest save, %u ends, longest time without "
+      "an acknowledgement %lld ms\n",
+      crowd->most_records, (unsigned)ends, (long long)longest_ms);
   CU_ASSERT_TRUE (longest_ms <= ACK_MS);
   cell_free (crowd->cell);
   g_free (crowd);
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -35,7 +35,7 @@
   {
     int64_t sent_ms, wait_ms;
     bool pending;
-  } polls[2]; /* of OLD_WORKER and NEW_WORKER */
+  } polls[2];           /* of OLD_WORKER and NEW_WORKER */
   uint32_t run;         /* on the old worker; 0: none */
   bool start_pending;   /* its start has no answer yet */
   int64_t lease_end_ms; /* of the old worker's life, time of the test */
@@ -61,8 +61,7 @@
 renew (course_state_t *state, int64_t until_ms)
 {
   int64_t left_ms = MIN (until_ms - old_clock_ms (state), MAX_HOLD_MS);
-  state->lease_end_ms
-      = MAX (state->lease_end_ms, time_of (state) + left_ms);
+  state->lease_end_ms = MAX (state->lease_end_ms, time_of (state) + left_ms);
 }
 
 static bool
