cell: count only named workers as allowed

The answer to a call for advice of a step that has ended or was cancelled meanwhile added its tickets to the allowed workers of the queue, but no named ones, since the step's advice is dropped when it ends. The share of allowed workers rose too high, over 1 in the end, and steps expected more from calls than these yield.

--- a/src/cell_advice.c
+++ b/src/cell_advice.c
@@ -505,7 +505,7 @@
         = cell->now_ms
           + backoff_ms (group->ask_failures, ASK_RETRY_MS, ASK_MAX_RETRY_MS);
   else if (group->job->queue != NULL)
-    count_answer (cell, group->job->queue->name, named, count);
+    count_answer (cell, group->job->queue->name, named, MIN (count, named));
   for (uint32_t i = 0; i < count; i++)
     {
       const cell_worker_t *worker = cell_find_worker (cell, rows[i].worker);
--- a/tests/test_acks.c
+++ b/tests/test_acks.c
@@ -1,4 +1,4 @@
-#include "cell.h"
+#include "cell_internal.h"
 #include "test.h"
 
 #include <glib.h>
@@ -212,8 +212,42 @@
   g_free (crowd);
 }
 
+/* Guards against a share of allowed workers over 1: the answer to a call of a
+   step that has ended meanwhile names workers that nobody counted as named. */
+static void
+test_advice_after_end (void)
+{
+  static const cell_options_t options
+      = { .max_lease_ms = 6000, .retention_ms = 120000 };
+  const advice_row_t row = { "i-1", "ticket" };
+  clk_fake_t clock;
+  clk_fake_init (&clock, 100000);
+  cell_t *cell = cell_new (&options, &clock.base, &actions, NULL);
+  queue_table_t *table = queue_table_new (1);
+  queue_t *queue = queue_new ();
+  queue->name = g_strdup ("queue");
+  queue->host = g_strdup ("host");
+  queue->path_prefix = g_strdup ("/queue/");
+  queue->service = g_strdup ("pool");
+  queue->advised = true;
+  g_ptr_array_add (table->queues, queue);
+  cell_set_queues (cell, table);
+  work_job_t *job = work_job_new ("5c0e7a21d94b36f8", "queue", 1);
+  job->spec = g_strdup ("x");
+  job->steps[0].count = 1;
+  job->steps[0].need = (resource_t){ TASK_CPU_MILLIS, 1000, 0 };
+  cell_add_job (cell, job);
+  cell_advice_answered (cell, "5c0e7a21d94b36f8.0.0", 1, true, &row, 1, 2000);
+  const advice_counts_t *counts
+      = g_hash_table_lookup (cell->advice_counts, "queue");
+  CU_ASSERT_TRUE (counts == NULL || counts->allowed <= counts->named);
+  cell_free (cell);
+  queue_table_free (table);
+}
+
 static CU_TestInfo ack_tests[] = {
   { "acknowledgements while saves are full", test_acks_while_saves_are_full },
+  { "advice for a step that has ended", test_advice_after_end },
   CU_TEST_INFO_NULL,
 };
 
