--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -386,8 +386,7 @@
   g_snprintf (
       detail, sizeof detail,
       "period_ms=%lld processor_ms=%lld idle_ms=%lld late_ms=%lld passes=%u "
-      "passes_ms=%lld "
-      "longest_pass_ms=%lld waiting_steps=%u too_late_steps=%u "
+      "passes_ms=%lld longest_pass_ms=%lld waiting_steps=%u too_late_steps=%u "
       "advice_calls=%u advice_answers=%u advice_mean_ms=%lld "
       "advice_failures=%u advice_busy=%u tickets=%u tickets_unused=%u "
       "starts=%u polls=%u saves=%u saved_records=%u",
