--- a/tests/test_polls.c
+++ b/tests/test_polls.c
@@ -142,7 +142,7 @@
 static void
 test_polls_after_lost_answer (void)
 {
-  /* The polls that an owner of half a core can afford, docs/cells.md.  */
+  /* The bound that docs/cells.md states, whatever the size of the cell.  */
   const uint32_t lossy_polls_per_s = 800;
   static const uint32_t counts[] = { 50, 400, 1600 };
   for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
