--- a/review/standin.c
+++ b/review/standin.c
@@ -13,6 +13,11 @@
      POST /control/row?key=K         writes the body as row op/K (the operator)
      POST /control/crash?worker=K&down_ms=N   worker K loses all it runs, is
                                      silent for N ms and starts again
+     POST /control/late_hold?worker=K&after_ms=N  the next hold of worker K gets
+                                     no answer and is carried out N ms later
+     POST /control/cut?worker=K&for_ms=N&hold_ms=M  worker K is cut off from the
+                                     nodes for N ms and runs on; the cut begins
+                                     once a hold has waited M ms there
      POST /control/clock?worker=K&ahead_ms=N  the time of day on the machine of
                                      worker K is N ms ahead from now on
      GET /control/job?id=ID          what is known of the runs of a job
@@ -70,7 +75,7 @@
 typedef struct
 {
   httpd_exchange_t *exchange;
-  int64_t until_ms;
+  int64_t until_ms, since_ms;
 } hold_t;
 
 typedef struct
@@ -84,6 +89,11 @@
   int64_t down_until_ms, silent_since_ms, next_beat_ms, sequence;
   bool down, listed;
   int64_t token, lease_end_ms, last_end;
+  int64_t late_after_ms; /* of the next hold; 0: it is not late */
+  json_t *late_hold;     /* to be carried out at LATE_AT_MS; NULL: none */
+  int64_t late_at_ms;
+  int64_t cut_for_ms, cut_hold_ms; /* of a cut that is to begin; 0: none */
+  int64_t cut_until_ms;
   GPtrArray *runs, *ends;
   GHashTable *highest; /* task -> highest run that ended or was stopped */
   GArray *holds;
@@ -637,12 +647,19 @@
   g_free (step);
 }
 
+/* Whether no call reaches WORKER.  */
+static bool
+is_cut_off (const worker_t *worker)
+{
+  return worker->down || now_ms () < worker->cut_until_ms;
+}
+
 static void
 on_start (void *context, httpd_exchange_t *exchange,
           const httpd_request_t *request)
 {
   worker_t *worker = context;
-  if (worker->down)
+  if (is_cut_off (worker))
     return;
   json_t *body = json_loadb (request->body, request->body_length, 0, NULL);
   const char *task = text_of (body, "task");
@@ -684,7 +701,7 @@
          const httpd_request_t *request)
 {
   worker_t *worker = context;
-  if (worker->down)
+  if (is_cut_off (worker))
     return;
   json_t *body = json_loadb (request->body, request->body_length, 0, NULL);
   const char *task = text_of (body, "task");
@@ -723,17 +740,27 @@
          const httpd_request_t *request)
 {
   worker_t *worker = context;
-  if (worker->down)
+  if (is_cut_off (worker))
     return;
   json_t *body = json_loadb (request->body, request->body_length, 0, NULL);
   advance_runs (worker);
+  if (worker->late_after_ms > 0 && integer_of (body, "deadline_ms") > 0)
+    {
+      note ("hold of %s left unanswered, to be carried out %lld ms later",
+            worker->id, (long long)worker->late_after_ms);
+      worker->late_hold = body;
+      worker->late_at_ms = now_ms () + worker->late_after_ms;
+      worker->late_after_ms = 0;
+      return;
+    }
   if (!is_refused (worker, exchange, body))
     {
       extend_lease (worker, body);
       forget_ends (worker, integer_of (body, "last_seen"));
       hold_t hold = { exchange,
                       now_ms ()
-                          + MIN (integer_of (body, "wait_ms"), MAX_WAIT_MS) };
+                          + MIN (integer_of (body, "wait_ms"), MAX_WAIT_MS),
+                      now_ms () };
       g_array_append_val (worker->holds, hold);
       answer_holds (worker);
     }
@@ -787,6 +814,44 @@
   worker->down_until_ms = now_ms () + down_ms;
 }
 
+/* Carries out the late hold of WORKER, if it is time.  */
+static void
+carry_out_late_hold (worker_t *worker)
+{
+  if (worker->late_hold == NULL || now_ms () < worker->late_at_ms)
+    return;
+  bool fenced
+      = integer_of (worker->late_hold, "fencing_token") < worker->token;
+  if (!fenced)
+    {
+      extend_lease (worker, worker->late_hold);
+      forget_ends (worker, integer_of (worker->late_hold, "last_seen"));
+    }
+  note ("late hold of %s carried out%s, its lease lasts %lld ms more",
+        worker->id, fenced ? " (refused: fence)" : "",
+        (long long)(worker->lease_end_ms - clock_of (worker)));
+  json_decref (worker->late_hold);
+  worker->late_hold = NULL;
+}
+
+/* Cuts WORKER off once a hold has waited long enough there.  */
+static void
+begin_cut (worker_t *worker)
+{
+  for (guint i = 0; worker->cut_for_ms > 0 && i < worker->holds->len; i++)
+    {
+      hold_t hold = g_array_index (worker->holds, hold_t, i);
+      if (now_ms () - hold.since_ms < worker->cut_hold_ms)
+        continue;
+      note ("worker %s is cut off for %lld ms, a hold had waited %lld ms",
+            worker->id, (long long)worker->cut_for_ms,
+            (long long)(now_ms () - hold.since_ms));
+      worker->cut_until_ms = now_ms () + worker->cut_for_ms;
+      worker->cut_for_ms = 0;
+      g_array_set_size (worker->holds, 0); /* never answered */
+    }
+}
+
 static void
 on_tick (struct ev_loop *unused, ev_timer *timer, int events)
 {
@@ -805,6 +870,8 @@
       if (worker->down)
         continue;
       advance_runs (worker);
+      carry_out_late_hold (worker);
+      begin_cut (worker);
       answer_holds (worker);
       if (now_ms () >= worker->next_beat_ms)
         write_entry (worker);
@@ -839,6 +906,25 @@
   answer (exchange, 200, json_object ());
 }
 
+static void
+on_late_hold (void *context, httpd_exchange_t *exchange,
+              const httpd_request_t *request)
+{
+  queried_worker (exchange)->late_after_ms
+      = query_number (exchange, "after_ms");
+  answer (exchange, 200, json_object ());
+}
+
+static void
+on_cut (void *context, httpd_exchange_t *exchange,
+        const httpd_request_t *request)
+{
+  worker_t *worker = queried_worker (exchange);
+  worker->cut_hold_ms = query_number (exchange, "hold_ms");
+  worker->cut_for_ms = query_number (exchange, "for_ms");
+  answer (exchange, 200, json_object ());
+}
+
 static void
 on_clock (void *context, httpd_exchange_t *exchange,
           const httpd_request_t *request)
@@ -920,6 +1006,8 @@
         { "POST", "/control/row", on_row },
         { "POST", "/control/crash", on_crash },
         { "POST", "/control/clock", on_clock },
+        { "POST", "/control/late_hold", on_late_hold },
+        { "POST", "/control/cut", on_cut },
         { "GET", "/control/job", on_job },
         { "GET", "/control/used", on_used },
         { "GET", "/control/breaks", on_breaks },
