review: a late look from an earlier lifetime hides ends, and done tasks run again (TWICE)

Tried: KNOWN-RED 1 with real nodes: one hold of a busy worker carried out 4 s late, at a moment with an end that is not listed yet, after the worker has started again under its id. Eight workers, three nodes.

--- a/review/standin.c
+++ b/review/standin.c
@@ -13,8 +13,10 @@
      POST /control/row?key=K         writes the body as row op/K (the operator)
      POST /control/crash?worker=K&down_ms=N   worker K loses all it runs, is
                                      silent for N ms and starts again
-     POST /control/late_hold?worker=K&after_ms=N  the next hold of worker K gets
-                                     no answer and is carried out N ms later
+     POST /control/late_hold?worker=K&after_ms=N&with_end=0|1  the next hold of
+                                     worker K gets no answer and is carried out
+                                     N ms later; with_end: at the first moment
+                                     from then on when an end is not listed yet
      POST /control/cut?worker=K&for_ms=N&hold_ms=M  worker K is cut off from the
                                      nodes for N ms and runs on; the cut begins
                                      once a hold has waited M ms there
@@ -45,6 +47,11 @@
 #define SILENT_HEARTBEATS 3
 #define MAX_WORKERS 64
 #define MAX_WAIT_MS 2000
+/* A transaction takes 6 ms, and the store's answer 4 ms.  */
+#define TRANSACTION_MS 10
+/* A hold that is to be carried out beside an end that is not listed yet waits
+   this long for one.  */
+#define LATE_CHOICE_MS 1000
 
 typedef struct
 {
@@ -59,6 +66,14 @@
   int64_t after, until_ms;
 } feed_t;
 
+typedef struct
+{
+  httpd_exchange_t *exchange;
+  uint16_t status;
+  json_t *body;
+  int64_t due_ms;
+} slow_answer_t;
+
 typedef struct
 {
   char *task;
@@ -70,6 +85,7 @@
   int64_t number, run;
   char *task;
   const char *how;
+  bool listed; /* in a report */
 } end_t;
 
 typedef struct
@@ -92,6 +108,8 @@
   int64_t late_after_ms; /* of the next hold; 0: it is not late */
   json_t *late_hold;     /* to be carried out at LATE_AT_MS; NULL: none */
   int64_t late_at_ms;
+  bool late_needs_end; /* ... and an end is not listed yet */
+  uint32_t late_moments;
   int64_t cut_for_ms, cut_hold_ms; /* of a cut that is to begin; 0: none */
   int64_t cut_until_ms;
   GPtrArray *runs, *ends;
@@ -102,6 +120,7 @@
 static struct ev_loop *loop;
 static GHashTable *rows; /* "TABLE\nPART\nKEY" -> row_t */
 static GPtrArray *history, *feeds;
+static GQueue slow_answers = G_QUEUE_INIT; /* slow_answer_t, by DUE_MS */
 static int64_t version = 1;
 static worker_t workers[MAX_WORKERS];
 static int worker_count;
@@ -390,12 +409,28 @@
                      list == 1 ? text_of (entry, "value") : NULL);
           }
     }
-  answer (exchange, met ? 200 : 412, rows_reply (current, false));
+  slow_answer_t *slow = g_new (slow_answer_t, 1);
+  *slow = (slow_answer_t){ exchange, met ? 200 : 412,
+                           rows_reply (current, false),
+                           now_ms () + TRANSACTION_MS };
+  g_queue_push_tail (&slow_answers, slow);
   json_decref (body);
   if (met)
     serve_feeds ();
 }
 
+static void
+send_slow_answers (void)
+{
+  slow_answer_t *slow;
+  while ((slow = g_queue_peek_head (&slow_answers)) != NULL
+         && now_ms () >= slow->due_ms)
+    {
+      answer (slow->exchange, slow->status, slow->body);
+      g_free (g_queue_pop_head (&slow_answers));
+    }
+}
+
 static gint
 compare_rows (gconstpointer a, gconstpointer b)
 {
@@ -501,7 +536,8 @@
 {
   const run_t *run = worker->runs->pdata[at];
   end_t *end = g_new0 (end_t, 1);
-  *end = (end_t){ ++worker->last_end, run->run, g_strdup (run->task), how };
+  *end = (end_t){ ++worker->last_end, run->run, g_strdup (run->task), how,
+                  false };
   g_ptr_array_add (worker->ends, end);
   g_hash_table_replace (worker->highest, g_strdup (run->task),
                         GINT_TO_POINTER ((gint)run->run));
@@ -542,7 +578,8 @@
     }
   for (guint i = 0; i < worker->ends->len && i < 500; i++)
     {
-      const end_t *end = worker->ends->pdata[i];
+      end_t *end = worker->ends->pdata[i];
+      end->listed = true;
       json_array_append_new (ended,
                              json_pack ("[I, s, I, s, s]",
                                         (json_int_t)end->number, end->task,
@@ -746,8 +783,10 @@
   advance_runs (worker);
   if (worker->late_after_ms > 0 && integer_of (body, "deadline_ms") > 0)
     {
-      note ("hold of %s left unanswered, to be carried out %lld ms later",
-            worker->id, (long long)worker->late_after_ms);
+      note ("hold of %s with last_seen %lld left unanswered, to be carried out "
+            "%lld ms later",
+            worker->id, (long long)integer_of (body, "last_seen"),
+            (long long)worker->late_after_ms);
       worker->late_hold = body;
       worker->late_at_ms = now_ms () + worker->late_after_ms;
       worker->late_after_ms = 0;
@@ -814,21 +853,43 @@
   worker->down_until_ms = now_ms () + down_ms;
 }
 
+/* Whether a run has ended of which no report has told yet.  */
+static bool
+has_unlisted_end (const worker_t *worker)
+{
+  for (guint i = 0; i < worker->ends->len; i++)
+    if (!((const end_t *)worker->ends->pdata[i])->listed)
+      return true;
+  return false;
+}
+
 /* Carries out the late hold of WORKER, if it is time.  */
 static void
 carry_out_late_hold (worker_t *worker)
 {
   if (worker->late_hold == NULL || now_ms () < worker->late_at_ms)
     return;
+  worker->late_moments++;
+  if (worker->late_needs_end && !has_unlisted_end (worker)
+      && now_ms () < worker->late_at_ms + LATE_CHOICE_MS)
+    return;
   bool fenced
       = integer_of (worker->late_hold, "fencing_token") < worker->token;
+  guint listed = 0;
+  guint all = worker->ends->len;
+  for (guint i = 0; i < all; i++)
+    listed += ((end_t *)worker->ends->pdata[i])->listed;
   if (!fenced)
     {
       extend_lease (worker, worker->late_hold);
       forget_ends (worker, integer_of (worker->late_hold, "last_seen"));
     }
-  note ("late hold of %s carried out%s, its lease lasts %lld ms more",
+  note ("late hold of %s carried out%s: %lld ends so far, %u of them known, "
+        "%u of these listed before, %u known after, at moment %u; lease lasts "
+        "%lld ms more",
         worker->id, fenced ? " (refused: fence)" : "",
+        (long long)worker->last_end, all, listed, worker->ends->len,
+        worker->late_moments,
         (long long)(worker->lease_end_ms - clock_of (worker)));
   json_decref (worker->late_hold);
   worker->late_hold = NULL;
@@ -876,6 +937,7 @@
       if (now_ms () >= worker->next_beat_ms)
         write_entry (worker);
     }
+  send_slow_answers ();
   serve_feeds ();
 }
 
@@ -912,6 +974,8 @@
 {
   queried_worker (exchange)->late_after_ms
       = query_number (exchange, "after_ms");
+  queried_worker (exchange)->late_needs_end
+      = query_number (exchange, "with_end") != 0;
   answer (exchange, 200, json_object ());
 }
 
@@ -1105,7 +1169,7 @@
                     NULL);
   for (int i = 4; i < argc; i++)
     add_workers (argv[1], atoi (argv[2]), argv[i]);
-  ev_timer_init (&tick, on_tick, 0.01, 0.01);
+  ev_timer_init (&tick, on_tick, 0.002, 0.002);
   ev_timer_start (loop, &tick);
   ev_signal_init (&terminate, on_signal, SIGTERM);
   ev_signal_start (loop, &terminate);
