--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,10 +1,10 @@
 #!/bin/sh
-# A job of 1,200 small tasks is handed in beside small jobs.  TROUBLE=0 hands in
-# the same tasks as four jobs of 300.
+# A job of 1,800 small tasks is handed in beside small jobs.  TROUBLE=0 hands in
+# the same tasks as six jobs of 300.
 CASE_DIR=$(cd "$(dirname "$0")" && pwd)
 . "$CASE_DIR/../lib.sh"
-WIDE_TASKS=1200
-PARTS=4
+WIDE_TASKS=1800
+PARTS=6
 
 start_all "orders:/orders/:dispatch" dispatch:12:64000:131072
 
@@ -36,7 +36,7 @@
 
 # finish_s later every accepted job is asked for.  The capacity for a waiting
 # task is there twice over, and under half of the service's is in use: the
-# workers have 768 cores, all tasks together need 250.
+# workers have 768 cores, all tasks together need 190.
 sleep 14
 check_nodes
 check_workers
