--- a/review/lib.sh
+++ b/review/lib.sh
@@ -34,6 +34,8 @@
   exit "$1"
 }
 
+trap 'finish 2' INT TERM HUP
+
 cannot_run () {
   note "cannot run: $*"
   echo "cannot run: $*"
