--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,6 +2,8 @@
 # A job of 1,800 small tasks is handed in beside small jobs.  TROUBLE=0 hands in
 # the same tasks as six jobs of 300.
 CASE_DIR=$(cd "$(dirname "$0")" && pwd)
+# What was sent, answered and run; copied here when the script ends.
+RECORD_COPY=$CASE_DIR/record.txt
 . "$CASE_DIR/../lib.sh"
 WIDE_TASKS=1800
 PARTS=6
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,6 +2,8 @@
 # The operator moves a route to another service while its jobs run.  TROUBLE=0
 # writes the new version of the config without the move.
 CASE_DIR=$(cd "$(dirname "$0")" && pwd)
+# What was sent, answered and run; copied here when the script ends.
+RECORD_COPY=$CASE_DIR/record.txt
 . "$CASE_DIR/../lib.sh"
 
 start_all "orders:/orders/:dispatch other:/other/:vision" \
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,6 +2,8 @@
 # A gang whose tasks last and for which there is not enough room waits beside
 # small jobs.  TROUBLE=0 leaves it out.
 CASE_DIR=$(cd "$(dirname "$0")" && pwd)
+# What was sent, answered and run; copied here when the script ends.
+RECORD_COPY=$CASE_DIR/record.txt
 . "$CASE_DIR/../lib.sh"
 
 start_all "tally:/tally/:dispatch scan:/scan/:dispatch" dispatch:8:16000:65536
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,6 +1,6 @@
 # Shared by the scripts of the cases: starts the stand-in and the nodes, plays
-# clients, and ends all that was started.  The script sets CASE_DIR and calls
-# start_all with the pools of workers (see standin.c).
+# clients, and ends all that was started.  The script sets CASE_DIR and RECORD_COPY
+# and calls start_all with the pools of workers (see standin.c).
 set -u
 cd "$CASE_DIR/../.."
 TROUBLE=${TROUBLE:-1}
@@ -29,7 +29,7 @@
   for pid_file in "$WORK"/*.pid; do
     [ -e "$pid_file" ] && kill -KILL "$(cat "$pid_file")" 2>/dev/null
   done
-  cp "$RECORD" "$CASE_DIR/record.txt"
+  cp "$RECORD" "$RECORD_COPY"
   [ "${KEEP:-}" ] && echo "logs in $WORK" || rm -rf "$WORK"
   exit "$1"
 }
