cell: move saving out of the record's text format

cell_record.c held both the text of a record and what follows from saves: which jobs a save holds, when starts are sent and ends acknowledged.

Change: cell_save.c takes collecting, beginning and completing saves; cell_record.c keeps reading and writing of texts.

--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -332,6 +332,10 @@
 void cell_job_add_groups (cell_job_t *job, uint32_t occurrence);
 
 /* cell_record.c */
+/* Returns the text of the record of JOB (g_free).  */
+char *cell_encode_record (const cell_job_t *job);
+
+/* cell_save.c */
 /* Whether a placement pass may begin: just before a save, which then holds its
    assignments, or while a slow save is in flight, so that steps get their
    advice and their workers meanwhile.  */
