store: tell a refusal that cannot pass from one that may

Cause: platform/store.c took 400, 403, 413 and 507 for "no answer", so the owner repeated the same commit every 30 ms for good. The commit carried the heartbeat too, so another node claimed the cell, saved the same record and was stuck the same way. Ruled out: that the owner lacks room or workers (nothing else waits, workers are empty), and a lost answer (each call is answered with 400).

Change: STORE_INVALID is a result of its own from platform/ up. - A commit refused so is not repeated. The next one holds the fence and the heartbeat alone; if that is stored, the records are at fault and the cell is told (cell_save_refused), else it is repeated with growing pauses. - The cell saves the jobs of a refused save in halves, by turns with saves of other jobs, until the refused job is alone. That one starts nothing more, is tried again four times in about 4 s, and then fails with a record of one line. Log and counter name it: record_refused, record_abandoned, magnoliadock_commits_refused_total. - Ends that a refused save held stay unacknowledged until a save holds them; before, they left the list when a save began. - A submission or cancel that the store refuses so is answered at once: 400 if nothing was sent before it, else 504.

Tests: "refused" (six tests); with the old handling put back, the four that compile against it fail (no other job completes, refusals without an end).

--- a/src/cell.c
+++ b/src/cell.c
@@ -30,6 +30,8 @@
   cell->ready_groups = g_ptr_array_new ();
   cell->recurring_jobs = g_ptr_array_new ();
   cell->dirty_jobs = g_ptr_array_new ();
+  cell->suspects = g_queue_new ();
+  cell->held_jobs = g_ptr_array_new ();
   cell->ended_jobs = g_ptr_array_new ();
   cell->jobs_in_save = g_ptr_array_new ();
   cell->losses = g_array_new (FALSE, FALSE, sizeof (blame_loss_t));
@@ -53,6 +55,8 @@
   g_ptr_array_unref (cell->ready_groups);
   g_ptr_array_unref (cell->recurring_jobs);
   g_ptr_array_unref (cell->dirty_jobs);
+  g_queue_free_full (cell->suspects, (GDestroyNotify)g_ptr_array_unref);
+  g_ptr_array_unref (cell->held_jobs);
   g_ptr_array_unref (cell->ended_jobs);
   g_ptr_array_unref (cell->jobs_in_save);
   g_array_unref (cell->states_in_save);
@@ -75,7 +79,7 @@
 void
 cell_mark_dirty (cell_job_t *job)
 {
-  if (job->dirty)
+  if (job->dirty || job->abandoned)
     return;
   job->dirty = true;
   g_ptr_array_add (job->cell->dirty_jobs, job);
--- a/src/cell.h
+++ b/src/cell.h
@@ -61,7 +61,8 @@
 
 typedef struct
 {
-  /* Writes RECORDS; answered by cell_save_done.  One save at a time.  */
+  /* Writes RECORDS, all or none; answered by cell_save_done or
+     cell_save_refused.  One save at a time.  */
   void (*save) (void *context, const cell_record_t *records, uint32_t count);
   void (*start) (void *context, const cell_worker_ref_t *worker,
                  const cell_start_order_t *order);
@@ -216,6 +217,9 @@
 
 /* The save in flight has succeeded; after cell_ownership_confirmed.  */
 void cell_save_done (cell_t *cell);
+/* Nothing of the save in flight was written, and the same save would be
+   refused again, although the store takes other writes of this owner.  */
+void cell_save_refused (cell_t *cell);
 /* The store has confirmed a commit of this owner that was first sent at
    SENT_MS.  No lease is given before the first one.  */
 void cell_ownership_confirmed (cell_t *cell, int64_t sent_ms);
@@ -273,6 +277,7 @@
   uint32_t polls;
   uint32_t saves;
   uint32_t saved_records;
+  uint32_t refused_saves;
 } cell_load_t;
 void cell_take_load (cell_t *cell, cell_load_t *load);
 
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -155,9 +155,14 @@
   bool started;           /* a task has started */
   bool dirty;             /* the record differs from what was saved */
   bool start_awaits_save; /* a start waits for the next save */
+  uint32_t refusals;      /* of saves of this job alone */
+  int64_t next_save_ms;   /* while held: when it is saved again */
+  bool held;      /* the last save of it alone was refused: starts nothing */
+  bool reduced;   /* its record holds nothing but its state */
+  bool abandoned; /* is saved no more */
 };
 
-/* An end that was processed and whose job may not have been saved since.  */
+/* An end that was processed and is not acknowledged to be saved.  */
 typedef struct
 {
   uint64_t number;
@@ -200,7 +205,7 @@
   uint64_t processed_end;      /* were processed */
   uint64_t saved_end;          /* are covered by a completed save */
   uint64_t end_in_save;        /* are covered by the last save begun */
-  GArray *unsaved_ends;        /* unsaved_end_t, of those beyond END_IN_SAVE */
+  GArray *unsaved_ends;        /* unsaved_end_t, of those beyond SAVED_END */
   uint64_t acknowledged_end;   /* were acknowledged by an answered poll */
   uint64_t acknowledging_end;  /* are acknowledged by the last poll sent */
   int64_t polls_held_since_ms; /* when an end was last processed, or a poll
@@ -259,10 +264,14 @@
   GHashTable *queues; /* name -> queue_t, owned; also those removed since */
   GPtrArray *ready_groups;   /* cell_group_t that can run, not finished */
   GPtrArray *recurring_jobs; /* cell_job_t that may have occurrences to come */
-  GPtrArray *dirty_jobs;     /* cell_job_t to be saved */
-  GPtrArray *ended_jobs;     /* cell_job_t, in the order of their ends */
-  GPtrArray *jobs_in_save;   /* cell_job_t in the save in flight */
-  GArray *states_in_save;    /* cell_job_state_t of these */
+  GPtrArray *dirty_jobs;     /* cell_job_t to be saved, but for the next two */
+  GQueue *suspects;      /* GPtrArray of cell_job_t: jobs to be saved together,
+                            since a save that held them was refused; owned */
+  GPtrArray *held_jobs;  /* cell_job_t that wait for their next save */
+  bool suspects_next;    /* the next save may be one of SUSPECTS */
+  GPtrArray *ended_jobs; /* cell_job_t, in the order of their ends */
+  GPtrArray *jobs_in_save; /* cell_job_t in the save in flight */
+  GArray *states_in_save;  /* cell_job_state_t of these */
   bool begun, save_in_flight, fenced;
   bool new_ends;      /* ends were processed since the last save was begun */
   bool place_pending; /* a placement pass is due */
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -474,7 +474,7 @@
   for (guint i = 0; i < cell->ready_groups->len; i++)
     {
       cell_group_t *group = cell->ready_groups->pdata[i];
-      if (group->waiting == 0)
+      if (group->waiting == 0 || group->job->held)
         continue;
       cell_rank_group (group);
       highest_priority = MIN (highest_priority, group->rank.priority);
--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -128,7 +128,7 @@
   GString *text = g_string_sized_new (256);
   g_string_append_printf (text, "1 %c %u\n", state_letters[job->state],
                           job->finished_below);
-  for (guint i = 0; i < job->groups->len; i++)
+  for (guint i = 0; i < job->groups->len && !job->reduced; i++)
     append_group (text, job->groups->pdata[i]);
   return g_string_free (text, FALSE);
 }
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -89,6 +89,8 @@
   cell->state = CELL_IDLE;
   cell->commit_in_flight = false;
   cell->commit_has_records = false;
+  cell->records_suspected = false;
+  cell->commit_refusals = 0;
   cell->save_pending = false;
   ev_timer_stop (cell->node->loop, &cell->commit_retry);
   ev_timer_stop (cell->node->loop, &cell->read_retry);
--- a/src/io/node_commit.c
+++ b/src/io/node_commit.c
@@ -1,5 +1,6 @@
 #include "node_internal.h"
 
+#include "backoff.h"
 #include "log.h"
 
 #include <jansson.h>
@@ -11,9 +12,16 @@
    Every commit expects the fence row as this owner last wrote it, and writes
    it with the next number.  So a former owner cannot write anything, and a
    commit whose answer was lost is recognised when it is repeated.  One commit
-   at a time.  */
+   at a time.
+
+   A commit that the store refuses for good is not repeated: the next one has
+   no records.  If that one is stored, the records are at fault, and the cell
+   chooses what to save next; the heartbeat goes on meanwhile.  */
 
 #define COMMIT_RETRY_S 0.03
+/* First and longest pause after refused commits without records.  */
+#define REFUSED_RETRY_MS 30
+#define REFUSED_MAX_RETRY_MS 2000
 /* After a lost answer, a longer timeout would delay the next heartbeat too
    much.  */
 #define COMMIT_MAX_TIMEOUT_MS 1000
@@ -82,6 +90,15 @@
     g_ptr_array_remove_range (cell->expired_ids, 0,
                               cell->commit_removal_count);
   cell->commit_removal_count = 0;
+  cell->commit_refusals = 0;
+  if (cell->records_suspected)
+    {
+      cell->records_suspected = false;
+      cell->save_pending = false;
+      g_ptr_array_set_size (cell->records_to_save, 0);
+      cell_save_refused (cell->scheduler);
+      node->input_pending = true;
+    }
   if (cell->commit_has_records)
     {
       cell->commit_has_records = false;
@@ -93,6 +110,49 @@
   node_commit (cell);
 }
 
+static void
+log_refused_commit (const node_cell_t *cell)
+{
+  char rows[16];
+  char bytes[24];
+  size_t total = 0;
+  for (guint i = 0; cell->commit_has_records && i < cell->records_to_save->len;
+       i++)
+    total += ((stored_record_t *)cell->records_to_save->pdata[i])->length;
+  g_snprintf (rows, sizeof rows, "%u",
+              cell->commit_has_records ? cell->records_to_save->len : 0);
+  g_snprintf (bytes, sizeof bytes, "%zu", total);
+  log_event (LOG_ERROR, "commit_refused", "cell", cell->name, "records", rows,
+             "record_bytes", bytes, NULL);
+}
+
+/* Handles a commit that the store refuses whenever it is sent.  An earlier
+   attempt without an answer may still be applied; the next commit then finds
+   the fence row changed and is sent again.  */
+static void
+replace_refused_commit (node_cell_t *cell)
+{
+  node_counter_increment (cell->node, "magnoliadock_commits_refused_total",
+                          NULL);
+  log_refused_commit (cell);
+  cell->commit_removal_count = 0;
+  if (cell->commit_has_records)
+    {
+      cell->commit_has_records = false;
+      cell->records_suspected = true;
+      /* The refused commit may have held the last heartbeat.  */
+      cell->heartbeat_sent_ms = 0;
+      node_commit (cell);
+      return;
+    }
+  /* Not for the records, or not for them alone.  */
+  cell->records_suspected = false;
+  int64_t pause_ms = backoff_ms (++cell->commit_refusals, REFUSED_RETRY_MS,
+                                 REFUSED_MAX_RETRY_MS);
+  ev_timer_set (&cell->commit_retry, (double)pause_ms / 1000.0, 0.0);
+  ev_timer_start (cell->node->loop, &cell->commit_retry);
+}
+
 /* Handles a commit that the store rejected with a conflict.  The fence row in
    REPLY shows whether an earlier attempt was applied, the expected version was
    wrong, or another node owns the cell.  */
@@ -148,6 +208,9 @@
     case STORE_CONFLICT:
       resolve_conflict (cell, reply);
       return;
+    case STORE_INVALID:
+      replace_refused_commit (cell);
+      return;
     default:
       node_counter_increment (cell->node, "magnoliadock_commit_retries_total",
                               NULL);
@@ -221,7 +284,7 @@
   if (!cell->save_pending && !heartbeat_due)
     return;
   /* A commit is repeated with the same rows until its outcome is known.  */
-  cell->commit_has_records = cell->save_pending;
+  cell->commit_has_records = cell->save_pending && !cell->records_suspected;
   cell->commit_has_heartbeat = heartbeat_due;
   cell->commit_removal_count = MIN (cell->expired_ids->len, MAX_REMOVALS);
   cell->commit_releases = cell->state == CELL_RELEASING && !cell->save_pending;
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -141,6 +141,10 @@
   bool save_pending;
   bool commit_in_flight, commit_has_records, commit_has_heartbeat,
       commit_releases;
+  bool records_suspected; /* a commit with the pending records was refused, and
+                             one without them is to tell whether it was for
+                             them */
+  uint32_t commit_refusals;      /* in a row, of commits without records */
   uint32_t commit_removal_count; /* expired ids in the commit in flight */
   uint32_t commit_attempt; /* number of the last attempt to send the commit;
                               answers to earlier ones are ignored */
--- a/src/io/node_requests.c
+++ b/src/io/node_requests.c
@@ -112,6 +112,21 @@
   finish_write (write);
 }
 
+/* The store refuses the row whenever it is sent.  An earlier attempt without
+   an answer may have been stored all the same.  */
+static void
+refuse_write (inbox_write_t *write)
+{
+  node_counter_increment (write->node, "magnoliadock_refused_total",
+                          "reason=\"row_refused\"");
+  log_event (LOG_ERROR, "row_refused", "id", write->id, "row", write->key,
+             "unsure", write->outcome_unknown ? "1" : "0", NULL);
+  write->node->platform->ops->answer_error (
+      write->request, write->outcome_unknown ? ERR_TIMEOUT : ERR_BAD_REQUEST,
+      0);
+  finish_write (write);
+}
+
 static void
 handle_reply (inbox_write_t *write, const store_reply_t *reply)
 {
@@ -136,6 +151,11 @@
     }
   if (write->answered)
     return;
+  if (reply->result == STORE_INVALID)
+    {
+      refuse_write (write);
+      return;
+    }
   if (reply->result != STORE_BUSY)
     write->via_peer = true;
   write->failed_attempts++;
--- a/src/io/platform_api.h
+++ b/src/io/platform_api.h
@@ -29,6 +29,7 @@
   size_t length;
 } store_row_t;
 
+/* Nodes pass these numbers to one another.  */
 typedef enum
 {
   STORE_OK,
@@ -36,7 +37,8 @@
   STORE_REFUSED,      /* not applied */
   STORE_BUSY,         /* not applied: rate limit exceeded */
   STORE_HISTORY_LOST, /* the store no longer has the requested changes */
-  STORE_UNKNOWN       /* no answer: may be applied, also later */
+  STORE_UNKNOWN,      /* no answer: may be applied, also later */
+  STORE_INVALID       /* not applied; refused again whenever it is sent */
 } store_result_t;
 
 typedef struct
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -215,6 +215,17 @@
   return sim->faults.save_ms > 0 ? sim->faults.save_ms : SAVE_MS;
 }
 
+static bool
+store_takes (const fake_cell_t *sim, const GPtrArray *texts)
+{
+  for (guint i = 0; i + 1 < texts->len; i += 2)
+    if ((sim->faults.row_bytes > 0
+         && strlen (texts->pdata[i + 1]) > sim->faults.row_bytes)
+        || g_strcmp0 (sim->faults.refused_job, texts->pdata[i]) == 0)
+      return false;
+  return true;
+}
+
 static void
 on_save_done (fake_cell_t *sim, fake_event_t *event)
 {
@@ -231,6 +242,13 @@
      owner expects, so the store refuses the save of a replaced owner.  */
   if (event->owner != sim->owner && sim->defect != DEFECT_NO_FENCING)
     return;
+  if (!store_takes (sim, event->texts))
+    {
+      sim->refused_saves++;
+      if (event->owner == sim->owner)
+        cell_save_refused (sim->cell);
+      return;
+    }
   for (guint i = 0; i + 1 < event->texts->len; i += 2)
     g_hash_table_insert (sim->records, g_strdup (event->texts->pdata[i]),
                          g_strdup (event->texts->pdata[i + 1]));
@@ -570,6 +588,12 @@
   return sim->cell;
 }
 
+uint32_t
+fake_cell_refused_saves (const fake_cell_t *sim)
+{
+  return sim->refused_saves;
+}
+
 uint32_t
 fake_cell_starts (const fake_cell_t *sim)
 {
--- a/tests/fake_cell.h
+++ b/tests/fake_cell.h
@@ -44,6 +44,9 @@
   bool starts_invalid;         /* workers refuse each start as invalid */
   uint32_t answer_delay_ms;    /* most that an answer is delayed */
   uint32_t save_ms;            /* duration of each save; 0: 10 ms */
+  uint32_t row_bytes;          /* the store refuses a save with a longer text;
+                                  0: it takes any */
+  const char *refused_job;     /* id; each save that holds it is refused */
 } fake_faults_t;
 
 /* Defects of the simulation, to show that the checks notice their effect.  */
@@ -78,6 +81,8 @@
 const char *fake_cell_saved_state (const fake_cell_t *sim, const char *id);
 /* The cell of the current owner.  */
 cell_t *fake_cell_owner (fake_cell_t *sim);
+/* Saves that the store refused.  */
+uint32_t fake_cell_refused_saves (const fake_cell_t *sim);
 /* Runs that were started.  */
 uint32_t fake_cell_starts (const fake_cell_t *sim);
 /* Orders to start that workers received.  */
--- a/tests/fake_cell_internal.h
+++ b/tests/fake_cell_internal.h
@@ -124,6 +124,7 @@
   uint32_t start_orders;
   uint32_t advice_calls;
   uint32_t deadly_crashes;
+  uint32_t refused_saves;
   bool faults_stopped;
 };
 
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -403,6 +403,13 @@
   { "crashing workers that are down for a while",
     { .worker_crash = 20, .crash_down_ms = 3000, .crash_changes_id = true } },
   { "store outages", { .store_outage = 20, .owner_lost = 10 } },
+  /* Too short for about a third of the records.  */
+  { "refused records",
+    { .row_bytes = 400,
+      .owner_lost = 15,
+      .worker_crash = 10,
+      .answer_lost = 30,
+      .store_outage = 8 } },
   { "everything",
     { .answer_lost = 30,
       .order_late = 20,
--- /dev/null
+++ b/tests/test_refused.c
@@ -0,0 +1,344 @@
+#include "fake_cell.h"
+#include "node_internal.h"
+#include "platform_internal.h"
+#include "test.h"
+
+#include <string.h>
+
+/* What a store refuses for good: writes that it would refuse again.  */
+
+static work_job_t *
+job_new (uint32_t number, uint32_t count, int64_t work_ms)
+{
+  char id[WORK_ID_LENGTH + 1];
+  g_snprintf (id, sizeof id, "%016x", number);
+  work_job_t *job = work_job_new (id, "queue", 1);
+  job->spec = g_strdup ("spec");
+  job->accepted_ms = 1000;
+  job->steps[0].count = count;
+  job->steps[0].need = (resource_t){ 100, 10, 0 };
+  job->steps[0].estimate_ms = work_ms;
+  return job;
+}
+
+static uint32_t
+count_state (const fake_cell_t *sim, uint32_t jobs, const char *state)
+{
+  uint32_t count = 0;
+  for (uint32_t i = 1; i <= jobs; i++)
+    {
+      char id[WORK_ID_LENGTH + 1];
+      g_snprintf (id, sizeof id, "%016x", i);
+      count += strcmp (fake_cell_saved_state (sim, id), state) == 0;
+    }
+  return count;
+}
+
+/* Guards against a job whose record the store refuses that stops its whole
+   cell, at each owner in turn: the other jobs go on, and the job fails within
+   seconds.  */
+static void
+test_refused_record (void)
+{
+  const fake_faults_t faults = { .row_bytes = 400 };
+  const uint32_t jobs = 40;
+  fake_cell_t *sim = fake_cell_new (1, 12, &faults, DEFECT_NONE);
+  for (uint32_t i = 1; i <= jobs; i++)
+    {
+      fake_cell_submit (sim, job_new (i, i == 4 ? 60 : 2, 200));
+      fake_cell_run (sim, i < 20 ? 1 : 100);
+      if (i == 25)
+        fake_cell_take_over (sim);
+    }
+  fake_cell_run (sim, 1500);
+  CU_ASSERT_EQUAL (count_state (sim, jobs, "completed"), jobs - 1);
+  fake_cell_run (sim, 10000);
+  CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (sim, "0000000000000004"),
+                          "failed");
+  CU_ASSERT_TRUE (fake_cell_refused_saves (sim) > 0);
+  /* Two owners: at most seven halvings and five saves of the job alone.  */
+  CU_ASSERT_TRUE (fake_cell_refused_saves (sim) <= 24);
+  CU_ASSERT_PTR_NULL (fake_cell_violation (sim));
+  fake_cell_free (sim);
+}
+
+/* Guards against refused saves without an end, and against ends of other jobs
+   that are never acknowledged, if the store takes no record at all of a job
+   that runs.  */
+static void
+test_refused_job (void)
+{
+  const fake_faults_t faults = { .refused_job = "0000000000000002" };
+  const uint32_t jobs = 20;
+  fake_cell_t *sim = fake_cell_new (1, 2, &faults, DEFECT_NONE);
+  for (uint32_t i = 1; i <= jobs; i++)
+    fake_cell_submit (sim, job_new (i, 2, 200));
+  fake_cell_run (sim, 30000);
+  CU_ASSERT_EQUAL (count_state (sim, jobs, "completed"), jobs - 1);
+  CU_ASSERT_TRUE (fake_cell_refused_saves (sim) <= 12);
+  CU_ASSERT_PTR_NULL (fake_cell_violation (sim));
+  fake_cell_free (sim);
+}
+
+/* Guards against a refusal that can't pass the next time and counts as one
+   that can, or as no answer.  */
+static void
+test_statuses (void)
+{
+  static const struct
+  {
+    uint16_t status;
+    bool repeated; /* libcurl has sent the call twice */
+    store_result_t result;
+  } rows[] = {
+    { 200, false, STORE_OK },           { 412, false, STORE_CONFLICT },
+    { 410, false, STORE_HISTORY_LOST }, { 429, false, STORE_BUSY },
+    { 503, false, STORE_REFUSED },      { 429, true, STORE_UNKNOWN },
+    { 503, true, STORE_UNKNOWN },       { 400, false, STORE_INVALID },
+    { 403, false, STORE_INVALID },      { 404, false, STORE_INVALID },
+    { 413, false, STORE_INVALID },      { 422, false, STORE_INVALID },
+    { 507, false, STORE_INVALID },      { 400, true, STORE_UNKNOWN },
+    { 507, true, STORE_UNKNOWN },       { 408, false, STORE_UNKNOWN },
+    { 500, false, STORE_UNKNOWN },      { 502, false, STORE_UNKNOWN },
+    { 504, false, STORE_UNKNOWN },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      httpc_result_t reply = { .kind = ERR_OK,
+                               .status = rows[i].status,
+                               .repeated = rows[i].repeated };
+      CU_ASSERT_EQUAL (platform_store_result (&reply), rows[i].result);
+    }
+}
+
+enum
+{
+  MAX_COMMITS = 32
+};
+
+/* Records the commits, which the test answers, and the answer to a caller.  */
+typedef struct
+{
+  platform_api_t
+      platform; /* first: a platform_api_t * is a fake_platform_t * */
+  struct
+  {
+    store_reply_done_t done;
+    void *context;
+    uint32_t records;
+    bool heartbeat;
+  } commits[MAX_COMMITS];
+  uint32_t sent;
+  uint32_t answers;
+  err_kind_t answer;
+} fake_platform_t;
+
+static void
+record_commit (platform_api_t *platform, const store_row_t *expect,
+               uint32_t expect_count, const store_row_t *writes,
+               uint32_t write_count, int64_t timeout_ms,
+               store_reply_done_t done, void *context)
+{
+  fake_platform_t *fake = (fake_platform_t *)platform;
+  uint32_t at = fake->sent++ % MAX_COMMITS;
+  fake->commits[at].done = done;
+  fake->commits[at].context = context;
+  fake->commits[at].records = 0;
+  fake->commits[at].heartbeat = false;
+  for (uint32_t i = 0; i < write_count; i++)
+    {
+      fake->commits[at].records += strcmp (writes[i].table, "record") == 0;
+      fake->commits[at].heartbeat
+          = fake->commits[at].heartbeat || strcmp (writes[i].key, "beat") == 0;
+    }
+}
+
+static void
+answer_last (fake_platform_t *fake, store_result_t result)
+{
+  uint32_t at = (fake->sent - 1) % MAX_COMMITS;
+  store_reply_t reply = { .result = result, .version = fake->sent };
+  fake->commits[at].done (fake->commits[at].context, &reply);
+}
+
+static void
+record_answer (caller_request_t *request, err_kind_t kind, int64_t retry_ms)
+{
+  fake_platform_t *fake = (fake_platform_t *)request;
+  fake->answers++;
+  fake->answer = kind;
+}
+
+static void
+record_accepted (caller_request_t *request)
+{
+  record_answer (request, ERR_OK, 0);
+}
+
+static const platform_api_ops_t fake_ops
+    = { .commit = record_commit,
+        .answer_error = record_answer,
+        .answer_accepted = record_accepted };
+
+static void
+node_init (node_t *node, fake_platform_t *fake, clk_fake_t *clock)
+{
+  clk_fake_init (clock, 100000);
+  fake->platform.ops = &fake_ops;
+  fake->platform.settings.name = (char *)"edge-1";
+  fake->platform.settings.cells.max_lease_ms = 6000;
+  node->platform = &fake->platform;
+  node->clock = &clock->base;
+  node->loop = ev_loop_new (0);
+  node->metrics = counter_registry_new ();
+  node->cells = g_hash_table_new (g_str_hash, g_str_equal);
+  node->members = g_ptr_array_new ();
+  node->cluster_answered_ms = node_now (node);
+  adaptive_timeout_init (&node->store_timeout, 250, 2000);
+}
+
+static void
+node_clear (node_t *node)
+{
+  counter_registry_free (node->metrics);
+  g_hash_table_unref (node->cells);
+  g_ptr_array_unref (node->members);
+  ev_loop_destroy (node->loop);
+}
+
+/* An owned cell with a job whose first run is about to be saved.  */
+static node_cell_t *
+owned_cell (node_t *node)
+{
+  static const cell_inheritance_t nothing = { 0 };
+  node_cell_t *cell = node_cell_new (node, "pool");
+  cell_options_t options = { .max_lease_ms = 6000, .retention_ms = 120000 };
+  cell->scheduler = cell_new (&options, node->clock, &node_cell_actions, cell);
+  cell->state = CELL_OWNED;
+  cell_begin (cell->scheduler, &nothing);
+  cell_add_job (cell->scheduler, job_new (1, 1, 500));
+  cell_cancel_job (cell->scheduler, "0000000000000001");
+  return cell;
+}
+
+/* Guards against an owner whose heartbeat ends with a refused save: the next
+   commit after the refusal has the heartbeat and no records, and the records
+   are at fault only once it is stored.  */
+static void
+test_heartbeat_beside_refusal (void)
+{
+  fake_platform_t fake = { .sent = 0 };
+  node_t node = { 0 };
+  clk_fake_t clock;
+  node_init (&node, &fake, &clock);
+  node_cell_t *cell = owned_cell (&node);
+  cell_run (cell->scheduler, 1000);
+  CU_ASSERT_EQUAL (fake.sent, 1);
+  CU_ASSERT_EQUAL (fake.commits[0].records, 1);
+  answer_last (&fake, STORE_INVALID);
+  CU_ASSERT_EQUAL (fake.sent, 2);
+  CU_ASSERT_EQUAL (fake.commits[1].records, 0);
+  CU_ASSERT_TRUE (fake.commits[1].heartbeat);
+  answer_last (&fake, STORE_OK);
+  CU_ASSERT_FALSE (cell->save_pending);
+  /* For 20 s the heartbeat goes on and the record is refused: the save is
+     tried six times in all.  */
+  uint32_t refusals = 1;
+  uint32_t heartbeats = 0;
+  for (int i = 0; i < 1000; i++)
+    {
+      uint32_t before = fake.sent;
+      clk_fake_advance_ms (&clock, 20);
+      cell_run (cell->scheduler, 1000);
+      node_commit (cell);
+      if (fake.sent == before)
+        continue;
+      bool refused = fake.commits[(fake.sent - 1) % MAX_COMMITS].records > 0;
+      refusals += refused;
+      answer_last (&fake, refused ? STORE_INVALID : STORE_OK);
+      if (refused)
+        answer_last (&fake, STORE_OK);
+      heartbeats++;
+    }
+  CU_ASSERT_EQUAL (refusals, 6);
+  CU_ASSERT_TRUE (heartbeats >= 90);
+  node_cell_free (cell);
+  node_clear (&node);
+}
+
+/* Guards against an owner that sends a refused heartbeat again without a
+   pause, and against records that are blamed for it.  */
+static void
+test_refused_heartbeat (void)
+{
+  fake_platform_t fake = { .sent = 0 };
+  node_t node = { 0 };
+  clk_fake_t clock;
+  node_init (&node, &fake, &clock);
+  node_cell_t *cell = owned_cell (&node);
+  cell_run (cell->scheduler, 1000);
+  answer_last (&fake, STORE_INVALID);
+  answer_last (&fake, STORE_INVALID);
+  CU_ASSERT_EQUAL (fake.sent, 2);
+  CU_ASSERT_TRUE (ev_is_active (&cell->commit_retry));
+  node_commit (cell);
+  CU_ASSERT_EQUAL (fake.sent, 2);
+  CU_ASSERT_TRUE (cell->save_pending);
+  ev_timer_stop (node.loop, &cell->commit_retry);
+  node_commit_retry (node.loop, &cell->commit_retry, EV_TIMER);
+  answer_last (&fake, STORE_OK);
+  CU_ASSERT_EQUAL (fake.commits[3].records, 1);
+  node_cell_free (cell);
+  node_clear (&node);
+}
+
+/* Guards against a submission that is sent again for as long as its caller
+   waits although the store refuses it, and against an answer that does not
+   say that the job has not been accepted.  */
+static void
+test_refused_submission (void)
+{
+  static const struct
+  {
+    bool unanswered_before;
+    err_kind_t answer;
+  } rows[] = { { false, ERR_BAD_REQUEST }, { true, ERR_TIMEOUT } };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      fake_platform_t fake = { .sent = 0 };
+      node_t node = { 0 };
+      clk_fake_t clock;
+      queue_t queue = { .name = (char *)"queue", .service = (char *)"pool" };
+      node_init (&node, &fake, &clock);
+      node_cell_t *cell = node_cell_new (&node, "pool");
+      g_hash_table_insert (node.cells, cell->name, cell);
+      node_request_handlers.submit (&node, (caller_request_t *)&fake, &queue,
+                                    job_new (1, 1, 500), 3000);
+      if (rows[i].unanswered_before)
+        {
+          answer_last (&fake, STORE_UNKNOWN);
+          ev_sleep (0.04);
+          ev_run (node.loop, EVRUN_NOWAIT);
+        }
+      answer_last (&fake, STORE_INVALID);
+      CU_ASSERT_EQUAL (fake.answers, 1);
+      CU_ASSERT_EQUAL (fake.answer, rows[i].answer);
+      node_clear (&node);
+      node_cell_free (cell);
+    }
+}
+
+static CU_TestInfo refused_tests[] = {
+  { "a record that the store refuses", test_refused_record },
+  { "a job of which the store takes no record", test_refused_job },
+  { "statuses of the store", test_statuses },
+  { "heartbeat beside a refused record", test_heartbeat_beside_refusal },
+  { "a refused heartbeat", test_refused_heartbeat },
+  { "a refused submission", test_refused_submission },
+  CU_TEST_INFO_NULL,
+};
+
+CU_SuiteInfo test_refused_suites[] = {
+  { "refused", NULL, NULL, NULL, NULL, refused_tests },
+  CU_SUITE_INFO_NULL,
+};
