--- a/src/cell.c
+++ b/src/cell.c
@@ -35,7 +35,7 @@
   cell->ended_jobs = g_ptr_array_new ();
   cell->jobs_in_save = g_ptr_array_new ();
   cell->losses = g_array_new (FALSE, FALSE, sizeof (blame_loss_t));
-  cell->states_in_save = g_array_new (FALSE, FALSE, sizeof (cell_job_state_t));
+  cell->rows_in_save = g_array_new (FALSE, FALSE, sizeof (saved_row_t));
   return cell;
 }
 
@@ -59,7 +59,7 @@
   g_ptr_array_unref (cell->held_jobs);
   g_ptr_array_unref (cell->ended_jobs);
   g_ptr_array_unref (cell->jobs_in_save);
-  g_array_unref (cell->states_in_save);
+  g_array_unref (cell->rows_in_save);
   g_array_unref (cell->losses);
   g_free (cell);
 }
@@ -76,8 +76,8 @@
   g_free (detail);
 }
 
-void
-cell_mark_dirty (cell_job_t *job)
+static void
+add_dirty_job (cell_job_t *job)
 {
   if (job->dirty || job->abandoned)
     return;
@@ -85,6 +85,20 @@
   g_ptr_array_add (job->cell->dirty_jobs, job);
 }
 
+void
+cell_mark_dirty (cell_job_t *job)
+{
+  job->head_dirty = true;
+  add_dirty_job (job);
+}
+
+void
+cell_mark_task_dirty (const cell_task_t *task)
+{
+  cell_mark_task_segment (task);
+  add_dirty_job (task->group->job);
+}
+
 cell_task_t *
 cell_find_task (cell_t *cell, const char *name)
 {
--- a/src/cell.h
+++ b/src/cell.h
@@ -35,6 +35,7 @@
 {
   int64_t max_lease_ms; /* the longest that workers accept */
   int64_t retention_ms; /* how long the state of an ended job can be queried */
+  int64_t max_row_bytes; /* of a row of the store; 0: 64 KiB */
 } cell_options_t;
 
 typedef struct
@@ -53,9 +54,11 @@
   const char *ticket;     /* NULL: none */
 } cell_start_order_t;
 
+/* A row of a job's record.  The key of the first one is the job's id; others
+   have keys that begin with the id and a slash.  */
 typedef struct
 {
-  const char *id;   /* of the job */
+  const char *key;
   const char *text; /* NULL: remove */
 } cell_record_t;
 
@@ -186,15 +189,15 @@
 
 /* Adds a stored job and takes ownership of WORK.  Ignores known ids.  */
 void cell_add_job (cell_t *cell, work_job_t *work);
-/* Adds a job from its record TEXT alone if the record says that the job has
-   ended and no task can still be running.  Returns false, and does nothing,
-   for any other record.  */
-bool cell_add_ended_job (cell_t *cell, const char *id, const char *text,
-                         size_t length);
-/* Loads the record TEXT that an earlier owner saved of a job; called before
-   cell_begin.  Returns whether TEXT could be read.  */
-bool cell_load_record (cell_t *cell, const char *id, const char *text,
-                       size_t length);
+/* Adds the job ID from its record alone, all COUNT rows of it, if the record
+   says that the job has ended and no task can still be running.  Returns
+   false, and does nothing, for any other record.  */
+bool cell_add_ended_job (cell_t *cell, const char *id,
+                         const cell_record_t *rows, uint32_t count);
+/* Loads the record that an earlier owner saved of the job ID, all COUNT rows
+   of it; called before cell_begin.  Returns whether they could be read.  */
+bool cell_load_record (cell_t *cell, const char *id, const cell_record_t *rows,
+                       uint32_t count);
 void cell_cancel_job (cell_t *cell, const char *id);
 
 void cell_worker_listed (cell_t *cell, const worker_row_t *row);
--- a/src/cell_crash.c
+++ b/src/cell_crash.c
@@ -230,7 +230,7 @@
         continue;
       task->lapsed_runs[i] = task->lapsed_runs[--task->lapsed_count];
       task->blame.losses -= task->blame.losses > 0;
-      cell_mark_dirty (task->group->job);
+      cell_mark_task_dirty (task);
       return;
     }
 }
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -94,6 +94,7 @@
   uint32_t occurrence;
   uint32_t step;
   const work_step_t *spec; /* of STEP */
+  uint32_t first_task;     /* tasks of its occurrence in the steps before */
   cell_task_t *tasks;      /* spec->count */
   uint32_t waiting;        /* tasks in RUN_WAITING without a worker */
   uint32_t done;           /* tasks in RUN_DONE */
@@ -131,6 +132,14 @@
   JOB_STATE_NONE
 } cell_job_state_t;
 
+/* A row of a record that is split, see cell_segment.c.  */
+typedef struct
+{
+  uint64_t number;
+  bool dirty;  /* differs from the row, and is in DIRTY_SEGMENTS of its job */
+  bool stored; /* the row may be in the store */
+} cell_segment_t;
+
 struct cell_job
 {
   cell_t *cell;
@@ -140,7 +149,8 @@
   queue_t *queue;              /* owned copy; NULL: not configured */
   rank_durations_t *durations; /* of its queue; belongs to the cell */
   GPtrArray *groups;           /* cell_group_t, owned */
-  uint32_t next_occurrence;    /* first one without groups */
+  uint32_t tasks_per_occurrence;
+  uint32_t next_occurrence; /* first one without groups */
   uint32_t finished_below; /* occurrences below this are finished, their groups
                               freed */
   int64_t added_ms;        /* when accepted, converted from wall time */
@@ -152,16 +162,31 @@
                          worker was gone */
   cell_job_state_t state;
   cell_job_state_t saved_state;
-  bool started;           /* a task has started */
-  bool dirty;             /* the record differs from what was saved */
-  bool start_awaits_save; /* a start waits for the next save */
-  uint32_t refusals;      /* of saves of this job alone */
-  int64_t next_save_ms;   /* while held: when it is saved again */
+  bool started;         /* a task has started */
+  bool dirty;           /* the record differs from what was saved */
+  bool head_dirty;      /* its row under the id does */
+  bool closed;          /* it has ended, and no run of it is left */
+  GHashTable *segments; /* number -> cell_segment_t, owned; NULL: its record
+                           is one row */
+  GPtrArray *dirty_segments; /* cell_segment_t to be saved */
+  bool start_awaits_save;    /* a start waits for the next save */
+  uint32_t refusals;         /* of saves of this job alone */
+  int64_t next_save_ms;      /* while held: when it is saved again */
   bool held;      /* the last save of it alone was refused: starts nothing */
   bool reduced;   /* its record holds nothing but its state */
   bool abandoned; /* is saved no more */
 };
 
+/* A row in the save in flight.  */
+typedef struct
+{
+  cell_job_t *job;
+  cell_segment_t *segment; /* NULL: the row under the id of JOB */
+  bool whole;              /* that row holds all of the record */
+  bool removed;
+  cell_job_state_t state; /* of JOB when the save began */
+} saved_row_t;
+
 /* An end that was processed and is not acknowledged to be saved.  */
 typedef struct
 {
@@ -271,7 +296,7 @@
   bool suspects_next;    /* the next save may be one of SUSPECTS */
   GPtrArray *ended_jobs; /* cell_job_t, in the order of their ends */
   GPtrArray *jobs_in_save; /* cell_job_t in the save in flight */
-  GArray *states_in_save;  /* cell_job_state_t of these */
+  GArray *rows_in_save;    /* saved_row_t of these */
   bool begun, save_in_flight, fenced;
   bool new_ends;      /* ends were processed since the last save was begun */
   bool place_pending; /* a placement pass is due */
@@ -310,8 +335,11 @@
 /* cell.c */
 void cell_log (cell_t *cell, const char *event, const char *subject,
                const char *format, ...) G_GNUC_PRINTF (4, 5);
-/* Marks the record of JOB as to be saved.  */
+/* Marks the record of JOB as to be saved: its state and all that is not about
+   one task, ...  */
 void cell_mark_dirty (cell_job_t *job);
+/* ... and what it says of TASK.  */
+void cell_mark_task_dirty (const cell_task_t *task);
 /* Returns the task of this name, NULL if there is none.  */
 cell_task_t *cell_find_task (cell_t *cell, const char *name);
 void cell_task_name (const cell_task_t *task, char out[WORK_NAME_BYTES]);
@@ -341,8 +369,36 @@
 void cell_job_add_groups (cell_job_t *job, uint32_t occurrence);
 
 /* cell_record.c */
-/* Returns the text of the record of JOB (g_free).  */
+/* Returns the text of the row under the id of JOB (g_free).  */
 char *cell_encode_record (const cell_job_t *job);
+/* The same for SEGMENT; "" if it needs no row.  */
+char *cell_encode_segment (const cell_job_t *job,
+                           const cell_segment_t *segment);
+size_t cell_max_row_bytes (const cell_t *cell);
+
+/* cell_segment.c */
+/* Splits the record of JOB from now on.  */
+void cell_begin_segments (cell_job_t *job);
+/* Adds the segment if JOB does not have it.  */
+cell_segment_t *cell_get_segment (cell_job_t *job, uint64_t number);
+/* Marks segments as to be saved.  */
+void cell_mark_segment (cell_job_t *job, cell_segment_t *segment);
+void cell_mark_all_segments (cell_job_t *job);
+/* The same for those of GROUP, or of TASK, if the record of its job is split.
+ */
+void cell_mark_group_segments (cell_group_t *group);
+void cell_mark_task_segment (const cell_task_t *task);
+/* Calls EACH with each group of which SEGMENT holds tasks: those with indexes
+   from FROM to below TO.  */
+void cell_each_in_segment (const cell_job_t *job,
+                           const cell_segment_t *segment,
+                           void (*each) (void *context, cell_group_t *group,
+                                         uint32_t from, uint32_t to),
+                           void *context);
+/* Returns the key of the row of SEGMENT (g_free).  */
+char *cell_segment_key (const cell_job_t *job, const cell_segment_t *segment);
+/* Returns whether KEY is one, and sets *NUMBER.  */
+bool cell_parse_segment_key (const char *key, uint64_t *number);
 
 /* cell_save.c */
 /* Whether a placement pass may begin: just before a save, which then holds its
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -30,6 +30,11 @@
 void
 cell_job_free (cell_job_t *job)
 {
+  if (job->segments != NULL)
+    {
+      g_hash_table_unref (job->segments);
+      g_ptr_array_unref (job->dirty_segments);
+    }
   if (job->groups != NULL)
     g_ptr_array_unref (job->groups);
   work_job_free (job->work);
@@ -51,6 +56,7 @@
 void
 cell_job_add_groups (cell_job_t *job, uint32_t occurrence)
 {
+  uint32_t first_task = 0;
   for (uint32_t step = 0; step < job->work->step_count; step++)
     {
       cell_group_t *group = g_new0 (cell_group_t, 1);
@@ -58,6 +64,8 @@
       group->occurrence = occurrence;
       group->step = step;
       group->spec = &job->work->steps[step];
+      group->first_task = first_task;
+      first_task += group->spec->count;
       group->tasks = g_new0 (cell_task_t, group->spec->count);
       group->waiting = group->spec->count;
       group->advice = g_ptr_array_new_with_free_func (cell_advice_free);
@@ -115,8 +123,11 @@
             if (group->tasks[j].worker != NULL)
               return;
         }
+      for (uint32_t i = 0; i < steps; i++)
+        cell_mark_group_segments (job->groups->pdata[i]);
       g_ptr_array_remove_range (job->groups, 0, steps);
       job->finished_below++;
+      cell_mark_dirty (job);
     }
 }
 
@@ -151,6 +162,7 @@
   if (group->finished || group->done < group->spec->count)
     return;
   group->finished = true;
+  cell_mark_group_segments (group);
   cell_note_group_finished (group);
   g_ptr_array_remove_fast (group->job->cell->ready_groups, group);
   g_ptr_array_set_size (group->advice, 0);
@@ -258,6 +270,8 @@
   job->cell = cell;
   job->work = work;
   g_strlcpy (job->id, work->id, sizeof job->id);
+  for (uint32_t i = 0; i < work->step_count; i++)
+    job->tasks_per_occurrence += work->steps[i].count;
   job->groups = g_ptr_array_new_with_free_func (group_free);
   int64_t age_ms = clk_wall_ms (cell->clock) - work->accepted_ms;
   job->added_ms = cell->now_ms - CLAMP (age_ms, 0, MAX_AGE_WHEN_ADDED_MS);
@@ -291,6 +305,8 @@
 can_be_deleted (const cell_t *cell, const cell_job_t *job)
 {
   if (job->dirty || job->saved_state != job->state
+      || (job->segments != NULL && g_hash_table_size (job->segments) > 0
+          && !job->abandoned)
       || g_ptr_array_find (cell->jobs_in_save, job, NULL))
     return false;
   for (guint i = 0; i < job->groups->len; i++)
--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -15,7 +15,13 @@
    those of blame_history_t, LAPSED the numbers of lapsed runs among the lost
    ones, joined by commas.  Records of earlier versions lack these six.  A
    group all of whose tasks are done has the single line "f OCCURRENCE STEP".
- */
+
+   A record that is split, see cell_segment.c, has "2 STATE FINISHED_BELOW" as
+   its only line; the others stand in its segments.  */
+
+#define WHOLE_RECORD '1'
+#define HEAD_OF_SEGMENTS '2'
+#define DEFAULT_ROW_BYTES (64u * 1024u)
 
 /* By cell_job_state_t.  */
 static const char state_letters[] = "QRCFX";
@@ -76,9 +82,17 @@
     g_string_append_c (text, '-');
 }
 
+/* A text that is being written.  */
+typedef struct
+{
+  GString *text;
+  bool leaves_out_checkpoints;
+} writer_t;
+
 static void
-append_task (GString *text, const cell_task_t *task)
+append_task (const writer_t *writer, const cell_task_t *task)
 {
+  GString *text = writer->text;
   g_string_append_c (text, 't');
   append_number (text, task->index);
   g_string_append_c (text, ' ');
@@ -86,51 +100,76 @@
   append_number (text, task->run);
   append_number (text, task->failures);
   append_word (text, task->worker != NULL ? task->worker->id : NULL);
-  append_word (text, task->checkpoint);
+  append_word (text, writer->leaves_out_checkpoints ? NULL : task->checkpoint);
   if (task->worker != NULL || task->blame.losses > 0)
     append_blame (text, task);
   g_string_append_c (text, '\n');
 }
 
+/* Appends the lines of the tasks of GROUP from index FROM to below TO.  */
 static void
-append_group (GString *text, const cell_group_t *group)
+append_tasks (void *context, cell_group_t *group, uint32_t from, uint32_t to)
 {
-  if (group->finished)
-    {
-      g_string_append_printf (text, "f %u %u\n", group->occurrence,
-                              group->step);
-      return;
-    }
-  if (group->waiting == group->spec->count && group->gang_failures == 0
-      && group->tasks[0].run == 0 && group->done == 0)
-    {
-      bool never_run = true;
-      for (uint32_t i = 0; i < group->spec->count; i++)
-        never_run = never_run && group->tasks[i].run == 0;
-      if (never_run)
-        return;
-    }
-  g_string_append_printf (text, "g %u %u %u %s\n", group->occurrence,
-                          group->step, group->gang_failures,
-                          or_dash (group->gang_checkpoint));
-  for (uint32_t i = 0; i < group->spec->count; i++)
+  const writer_t *writer = context;
+  bool begun = false;
+  if (group->finished && from == 0)
+    g_string_append_printf (writer->text, "f %u %u\n", group->occurrence,
+                            group->step);
+  for (uint32_t i = from; i < to && !group->finished; i++)
     {
       const cell_task_t *task = &group->tasks[i];
       if (task->run == 0)
         continue;
-      append_task (text, task);
+      if (!begun)
+        g_string_append_printf (
+            writer->text, "g %u %u %u %s\n", group->occurrence, group->step,
+            group->gang_failures,
+            writer->leaves_out_checkpoints ? "-"
+                                           : or_dash (group->gang_checkpoint));
+      begun = true;
+      append_task (writer, task);
     }
 }
 
+size_t
+cell_max_row_bytes (const cell_t *cell)
+{
+  return cell->options.max_row_bytes > 0 ? (size_t)cell->options.max_row_bytes
+                                         : DEFAULT_ROW_BYTES;
+}
+
 char *
 cell_encode_record (const cell_job_t *job)
 {
-  GString *text = g_string_sized_new (256);
-  g_string_append_printf (text, "1 %c %u\n", state_letters[job->state],
-                          job->finished_below);
-  for (guint i = 0; i < job->groups->len && !job->reduced; i++)
-    append_group (text, job->groups->pdata[i]);
-  return g_string_free (text, FALSE);
+  writer_t writer = { g_string_sized_new (256), false };
+  bool in_segments = job->segments != NULL && !job->closed && !job->reduced;
+  g_string_append_printf (writer.text, "%c %c %u\n",
+                          in_segments ? HEAD_OF_SEGMENTS : WHOLE_RECORD,
+                          state_letters[job->state], job->finished_below);
+  for (guint i = 0;
+       i < job->groups->len && job->segments == NULL && !job->reduced; i++)
+    {
+      cell_group_t *group = job->groups->pdata[i];
+      append_tasks (&writer, group, 0, group->spec->count);
+    }
+  return g_string_free (writer.text, FALSE);
+}
+
+char *
+cell_encode_segment (const cell_job_t *job, const cell_segment_t *segment)
+{
+  writer_t writer = { g_string_new (NULL), false };
+  if (job->closed || job->reduced)
+    return g_string_free (writer.text, FALSE);
+  cell_each_in_segment (job, segment, append_tasks, &writer);
+  if (writer.text->len > cell_max_row_bytes (job->cell))
+    {
+      /* This costs progress only.  */
+      writer.leaves_out_checkpoints = true;
+      g_string_truncate (writer.text, 0);
+      cell_each_in_segment (job, segment, append_tasks, &writer);
+    }
+  return g_string_free (writer.text, FALSE);
 }
 
 /* Reads the fields that records of earlier versions lack.  */
@@ -158,8 +197,9 @@
     return false;
   cell_t *cell = group->job->cell;
   cell_task_t *task = &group->tasks[index];
-  if (task->loaded)
-    return false;
+  /* What a segment says is newer.  */
+  if (task->loaded || group->finished)
+    return group->job->segments != NULL;
   task->loaded = true;
   task->run = (uint32_t)g_ascii_strtoull (fields[3], NULL, 10);
   task->failures = (uint32_t)g_ascii_strtoull (fields[4], NULL, 10);
@@ -215,7 +255,7 @@
     {
       *group = find_loaded_group (job, fields);
       if (*group == NULL || (*group)->finished)
-        return false;
+        return *group != NULL && job->segments != NULL;
       for (uint32_t i = 0; i < (*group)->spec->count; i++)
         cell_set_task_state (&(*group)->tasks[i], RUN_DONE);
       (*group)->finished = true;
@@ -225,12 +265,17 @@
   if (count >= 5 && fields[0][0] == 'g')
     {
       *group = find_loaded_group (job, fields);
-      if (*group == NULL || (*group)->finished
-          || (*group)->gang_checkpoint != NULL)
+      if (*group == NULL)
+        return false;
+      /* The segments of a gang were written at different times; the checkpoint
+         of each is one of the gang.  */
+      if (((*group)->finished || (*group)->gang_checkpoint != NULL)
+          && job->segments == NULL)
         return false;
       (*group)->gang_failures
-          = (uint32_t)g_ascii_strtoull (fields[3], NULL, 10);
-      if (strcmp (fields[4], "-") != 0)
+          = MAX ((*group)->gang_failures,
+                 (uint32_t)g_ascii_strtoull (fields[3], NULL, 10));
+      if (strcmp (fields[4], "-") != 0 && (*group)->gang_checkpoint == NULL)
         (*group)->gang_checkpoint = g_strdup (fields[4]);
       return true;
     }
@@ -238,16 +283,39 @@
          && load_task (*group, fields);
 }
 
-/* Reads the first line.  Returns false if its format is unknown.  */
+/* Reads the lines of TEXT behind the first SKIPPED ones.  */
+static bool
+load_lines (cell_job_t *job, const char *text, uint32_t skipped)
+{
+  char **lines = g_strsplit (text, "\n", 0);
+  cell_group_t *group = NULL;
+  bool ok = true;
+  for (char **line = lines; ok && *line != NULL; line++)
+    {
+      if (skipped > 0 || **line == '\0')
+        {
+          skipped -= skipped > 0;
+          continue;
+        }
+      char **fields = g_strsplit (*line, " ", 0);
+      ok = load_line (job, &group, fields);
+      g_strfreev (fields);
+    }
+  g_strfreev (lines);
+  return ok;
+}
+
+/* Reads the first line of TEXT.  Returns false if its format is unknown.  */
 static bool
-load_head (cell_job_t *job, const char *line, cell_job_state_t *state)
+load_head (cell_job_t *job, const char *text, cell_job_state_t *state)
 {
   const char *letter
-      = strlen (line) >= 5 ? strchr (state_letters, line[2]) : NULL;
-  if (letter == NULL || line[0] != '1')
+      = strlen (text) >= 5 ? strchr (state_letters, text[2]) : NULL;
+  if (letter == NULL || *letter == '\0'
+      || (text[0] != WHOLE_RECORD && text[0] != HEAD_OF_SEGMENTS))
     return false;
-  guint64 finished_below = g_ascii_strtoull (line + 4, NULL, 10);
-  if (*letter == '\0' || finished_below > job->work->times)
+  guint64 finished_below = g_ascii_strtoull (text + 4, NULL, 10);
+  if (finished_below > job->work->times)
     return false;
   *state = (cell_job_state_t)(letter - state_letters);
   job->finished_below = (uint32_t)finished_below;
@@ -256,29 +324,40 @@
   return true;
 }
 
+/* Reads the segments among ROWS; those of a closed record are left to be
+   removed.  */
+static bool
+load_segments (cell_job_t *job, const cell_record_t *rows, uint32_t count)
+{
+  bool ok = true;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint64_t number;
+      if (!cell_parse_segment_key (rows[i].key, &number))
+        continue;
+      cell_begin_segments (job);
+      cell_get_segment (job, number)->stored = true;
+      if (!job->closed)
+        ok = load_lines (job, rows[i].text, 0) && ok;
+    }
+  return ok;
+}
+
 bool
-cell_load_record (cell_t *cell, const char *id, const char *text,
-                  size_t length)
+cell_load_record (cell_t *cell, const char *id, const cell_record_t *rows,
+                  uint32_t count)
 {
   cell_job_t *job = g_hash_table_lookup (cell->jobs, id);
-  if (job == NULL || job->work == NULL)
+  if (job == NULL || job->work == NULL || count == 0)
     return false;
-  char *copy = g_strndup (text, length);
-  char **lines = g_strsplit (copy, "\n", 0);
+  const char *head = strcmp (rows[0].key, id) == 0 ? rows[0].text : NULL;
+  bool whole = head != NULL && head[0] == WHOLE_RECORD;
   cell_job_state_t state = JOB_STATE_QUEUED;
-  bool ok = lines[0] != NULL && load_head (job, lines[0], &state);
-  cell_group_t *group = NULL;
-  for (char **line = lines + 1; ok && lines[0] != NULL && *line != NULL;
-       line++)
-    {
-      if (**line == '\0')
-        continue;
-      char **fields = g_strsplit (*line, " ", 0);
-      ok = load_line (job, &group, fields);
-      g_strfreev (fields);
-    }
-  g_strfreev (lines);
-  g_free (copy);
+  bool ok = head == NULL || load_head (job, head, &state);
+  job->closed = ok && whole && state > JOB_STATE_RUNNING && count > 1;
+  ok = ok && load_segments (job, rows, count);
+  if (ok && whole && !job->closed)
+    ok = load_lines (job, head, 1);
   job->started = state != JOB_STATE_QUEUED;
   job->saved_state = state;
   if (state > JOB_STATE_RUNNING)
@@ -288,23 +367,39 @@
       job->state = state;
       cell_job_advance (job);
     }
+  /* It was not split to its end, or its segments were not all removed.  */
+  if (job->segments != NULL && (head == NULL || whole))
+    {
+      cell_mark_all_segments (job);
+      cell_mark_dirty (job);
+    }
   return ok;
 }
 
+/* Whether a line of TEXT says that a task holds capacity, so that it may still
+   run.  */
+static bool
+names_holder (const char *text)
+{
+  for (const char *line = strchr (text, '\n'); line != NULL;
+       line = strchr (line + 1, '\n'))
+    if (line[1] == 't' && g_strstr_len (line + 1, 16, " a ") != NULL)
+      return true;
+  return false;
+}
+
 bool
-cell_add_ended_job (cell_t *cell, const char *id, const char *text,
-                    size_t length)
+cell_add_ended_job (cell_t *cell, const char *id, const cell_record_t *rows,
+                    uint32_t count)
 {
-  const char *letter = length >= 5 ? strchr (state_letters, text[2]) : NULL;
-  if (letter == NULL || *letter == '\0'
+  const char *head
+      = count > 0 && strcmp (rows[0].key, id) == 0 ? rows[0].text : "";
+  const char *letter
+      = strlen (head) >= 5 ? strchr (state_letters, head[2]) : NULL;
+  if (letter == NULL || *letter == '\0' || head[0] != WHOLE_RECORD
       || letter - state_letters <= JOB_STATE_RUNNING
-      || g_hash_table_contains (cell->jobs, id))
+      || g_hash_table_contains (cell->jobs, id) || names_holder (head))
     return false;
-  /* A task that holds capacity of a worker may still run there.  */
-  for (const char *line = memchr (text, '\n', length); line != NULL;
-       line = memchr (line + 1, '\n', length - (size_t)(line + 1 - text)))
-    if (line[1] == 't' && g_strstr_len (line + 1, 16, " a ") != NULL)
-      return false;
   cell_job_t *job = g_new0 (cell_job_t, 1);
   job->cell = cell;
   g_strlcpy (job->id, id, sizeof job->id);
@@ -314,5 +409,12 @@
   job->groups = g_ptr_array_new ();
   g_hash_table_insert (cell->jobs, job->id, job);
   g_ptr_array_add (cell->ended_jobs, job);
+  job->closed = true;
+  load_segments (job, rows, count);
+  if (job->segments != NULL)
+    {
+      cell_mark_all_segments (job);
+      cell_mark_dirty (job);
+    }
   return true;
 }
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -58,7 +58,7 @@
   cell_set_task_state (task, RUN_ASSIGNED);
   cell_note_isolation (task);
   group->job->start_awaits_save = true;
-  cell_mark_dirty (group->job);
+  cell_mark_task_dirty (task);
 }
 
 /* Undoes an assignment whose start was not sent or not carried out.  */
@@ -276,7 +276,7 @@
   if (worker != NULL)
     update_fail_streak (cell, worker, job->id, how);
   cell_release_task (task);
-  cell_mark_dirty (job);
+  cell_mark_task_dirty (task);
   if (state == RUN_DONE)
     return; /* set by the end of another member */
   if (how != END_DONE)
--- a/src/cell_save.c
+++ b/src/cell_save.c
@@ -21,8 +21,9 @@
 #define SLOW_SAVE_MS 40
 /* A transaction holds at most 100 entries; node_commit.c adds the fence row,
    the heartbeat row and up to 7 removals of expired jobs' records.  */
-#define SAVE_MAX_JOBS 90
-#define SAVE_MAX_BYTES (600 * 1024)
+#define SAVE_MAX_ROWS 90
+/* Takes a link of 10 Mbit/s about 0.3 s.  */
+#define SAVE_MAX_BYTES (256 * 1024)
 /* A job fails with its refused save of this number ...  */
 #define MAX_REFUSALS 5u
 /* ... after pauses that begin and end with these.  */
@@ -51,38 +52,177 @@
   cell->dirty_jobs = ordered;
 }
 
-/* Adds the record of JOB to the save that is about to begin.  Returns its
-   length.  */
-static size_t
-take_record (cell_t *cell, cell_job_t *job, GArray *records)
+/* A save that is about to begin.  */
+typedef struct
 {
-  job->dirty = false;
-  job->start_awaits_save = false;
+  cell_t *cell;
+  GArray *records; /* cell_record_t; keys and texts are owned */
+  size_t bytes;
+} new_save_t;
+
+static bool
+has_room (const new_save_t *save)
+{
+  return save->records->len < SAVE_MAX_ROWS && save->bytes < SAVE_MAX_BYTES;
+}
+
+/* Takes ownership of KEY and TEXT.  */
+static void
+add_row (new_save_t *save, const saved_row_t *row, char *key, char *text)
+{
+  cell_record_t record = { key, text };
+  save->bytes += text != NULL ? strlen (text) : 0;
+  g_array_append_val (save->records, record);
+  g_array_append_val (save->cell->rows_in_save, *row);
+}
+
+static void
+mark_in_save (void *context, cell_group_t *group, uint32_t from, uint32_t to)
+{
+  for (uint32_t i = from; i < to; i++)
+    if (group->tasks[i].state == RUN_ASSIGNED)
+      group->tasks[i].in_save = true;
+}
+
+/* Adds the row under the id of JOB.  */
+static void
+add_head (new_save_t *save, cell_job_t *job, char *text)
+{
+  saved_row_t row
+      = { .job = job, .whole = job->segments == NULL, .state = job->state };
+  job->head_dirty = false;
+  add_row (save, &row, g_strdup (job->id), text);
+}
+
+/* Adds changed segments of JOB: those with lines, or REMOVED ones, which have
+   none any more.  Leaves out the others and those that the save has no room
+   for.  */
+static void
+add_segments (new_save_t *save, cell_job_t *job, bool removed)
+{
+  guint kept = 0;
+  for (guint i = 0; i < job->dirty_segments->len; i++)
+    {
+      cell_segment_t *segment = job->dirty_segments->pdata[i];
+      char *text = has_room (save) ? cell_encode_segment (job, segment) : NULL;
+      if (text == NULL || (text[0] == '\0') != removed)
+        {
+          job->dirty_segments->pdata[kept++] = segment;
+          g_free (text);
+          continue;
+        }
+      segment->dirty = false;
+      if (removed)
+        g_clear_pointer (&text, g_free);
+      if (removed && !segment->stored)
+        {
+          g_hash_table_remove (job->segments, &segment->number);
+          continue;
+        }
+      saved_row_t row = { .job = job, .segment = segment, .removed = removed };
+      segment->stored = true;
+      cell_each_in_segment (job, segment, mark_in_save, NULL);
+      add_row (save, &row, cell_segment_key (job, segment), text);
+    }
+  g_ptr_array_set_size (job->dirty_segments, (gint)kept);
+}
+
+/* Whether a segment of JOB with lines is to be saved.  */
+static bool
+has_lines_to_save (const cell_job_t *job)
+{
+  bool found = false;
+  for (guint i = 0; i < job->dirty_segments->len && !found; i++)
+    {
+      char *text = cell_encode_segment (job, job->dirty_segments->pdata[i]);
+      found = text[0] != '\0';
+      g_free (text);
+    }
+  return found;
+}
+
+/* The runs of a job that has ended are of no interest once they are over.  */
+static void
+close_if_over (cell_job_t *job)
+{
+  if (job->closed || job->state <= JOB_STATE_RUNNING)
+    return;
   for (guint i = 0; i < job->groups->len; i++)
     {
-      cell_group_t *group = job->groups->pdata[i];
+      const cell_group_t *group = job->groups->pdata[i];
       for (uint32_t j = 0; j < group->spec->count; j++)
-        if (group->tasks[j].state == RUN_ASSIGNED)
-          group->tasks[j].in_save = true;
+        if (group->tasks[j].worker != NULL)
+          return;
+    }
+  job->closed = true;
+  job->head_dirty = true;
+  cell_mark_all_segments (job);
+}
+
+/* Adds the rows of a split record that have changed.  Returns false if some
+   are left.  */
+static bool
+take_segments (new_save_t *save, cell_job_t *job)
+{
+  close_if_over (job);
+  add_segments (save, job, false);
+  if (has_lines_to_save (job))
+    return false;
+  if (job->head_dirty)
+    {
+      if (!has_room (save))
+        return false;
+      add_head (save, job, cell_encode_record (job));
     }
+  add_segments (save, job, true);
+  return job->dirty_segments->len == 0;
+}
+
+/* Adds the record of JOB, which is split first if it has outgrown a row.
+   Returns false if some of its rows are left for a later save.  */
+static bool
+take_job (new_save_t *save, cell_job_t *job)
+{
   if (job->state == JOB_STATE_QUEUED && job->started)
     job->state = JOB_STATE_RUNNING;
-  cell_record_t record = { job->id, cell_encode_record (job) };
-  g_array_append_val (records, record);
-  g_ptr_array_add (cell->jobs_in_save, job);
-  g_array_append_val (cell->states_in_save, job->state);
-  return strlen (record.text);
+  g_ptr_array_add (save->cell->jobs_in_save, job);
+  if (job->segments == NULL)
+    {
+      char *text = cell_encode_record (job);
+      if (strlen (text) <= cell_max_row_bytes (save->cell))
+        {
+          for (guint i = 0; i < job->groups->len; i++)
+            {
+              cell_group_t *group = job->groups->pdata[i];
+              mark_in_save (NULL, group, 0, group->spec->count);
+            }
+          add_head (save, job, text);
+          return true;
+        }
+      cell_log (save->cell, "record_split", job->id, "bytes=%zu",
+                strlen (text));
+      g_free (text);
+      cell_begin_segments (job);
+      cell_mark_all_segments (job);
+      job->head_dirty = true;
+    }
+  return take_segments (save, job);
 }
 
-/* Moves jobs from FROM into the save that is about to begin, up to its limits.
- */
+/* Moves jobs from FROM into the save, up to its limits.  A job with rows left
+   goes to the end of FROM.  */
 static void
-collect_records (cell_t *cell, GPtrArray *from, GArray *records)
+take_jobs (new_save_t *save, GPtrArray *from)
 {
-  size_t bytes = 0;
-  while (from->len > 0 && records->len < SAVE_MAX_JOBS
-         && bytes < SAVE_MAX_BYTES)
-    bytes += take_record (cell, g_ptr_array_steal_index (from, 0), records);
+  for (guint i = from->len; i > 0 && has_room (save); i--)
+    {
+      cell_job_t *job = g_ptr_array_steal_index (from, 0);
+      job->dirty = !take_job (save, job);
+      if (job->dirty)
+        g_ptr_array_add (from, job);
+      else
+        job->start_awaits_save = false;
+    }
 }
 
 /* Queues the held jobs whose pause is over, each for a save of its own.  */
@@ -101,23 +241,24 @@
     }
 }
 
-/* Fills RECORDS with what the next save holds: changed jobs, by turns with a
-   batch of jobs that are suspected of the refusal of an earlier save.  */
+/* Fills SAVE: with changed jobs, or by turns with a batch of jobs that are
+   suspected of the refusal of an earlier save.  */
 static void
-choose_records (cell_t *cell, GArray *records)
+fill_save (new_save_t *save)
 {
+  cell_t *cell = save->cell;
   cell->suspects_next = !g_queue_is_empty (cell->suspects)
                         && (cell->suspects_next || cell->dirty_jobs->len == 0);
   if (!cell->suspects_next)
     {
-      if (cell->dirty_jobs->len > SAVE_MAX_JOBS)
+      if (cell->dirty_jobs->len > SAVE_MAX_ROWS)
         put_awaited_first (cell);
-      collect_records (cell, cell->dirty_jobs, records);
+      take_jobs (save, cell->dirty_jobs);
       cell->suspects_next = true;
       return;
     }
   GPtrArray *batch = g_queue_pop_head (cell->suspects);
-  collect_records (cell, batch, records);
+  take_jobs (save, batch);
   if (batch->len > 0)
     g_queue_push_tail (cell->suspects, batch);
   else
@@ -200,37 +341,59 @@
   cell->save_begun_ms = cell->now_ms;
   cell->next_save_ms = cell->now_ms + SAVE_PERIOD_MS;
   cell->new_ends = false;
-  GArray *records = g_array_new (FALSE, FALSE, sizeof (cell_record_t));
-  choose_records (cell, records);
+  new_save_t save
+      = { cell, g_array_new (FALSE, FALSE, sizeof (cell_record_t)), 0 };
+  fill_save (&save);
   mark_ends_in_save (cell);
   cell->load.saves++;
-  cell->load.saved_records += records->len;
-  cell->actions->save (cell->context, (cell_record_t *)(void *)records->data,
-                       records->len);
-  for (guint i = 0; i < records->len; i++)
-    g_free ((char *)g_array_index (records, cell_record_t, i).text);
-  g_array_unref (records);
+  cell->load.saved_records += save.records->len;
+  if (save.records->len > 0)
+    cell->actions->save (cell->context,
+                         (cell_record_t *)(void *)save.records->data,
+                         save.records->len);
+  for (guint i = 0; i < save.records->len; i++)
+    {
+      g_free ((char *)g_array_index (save.records, cell_record_t, i).key);
+      g_free ((char *)g_array_index (save.records, cell_record_t, i).text);
+    }
+  if (save.records->len == 0)
+    cell_save_done (cell);
+  g_array_unref (save.records);
 }
 
-/* Sends the starts of JOB that the completed save covers.  */
+/* Sends the starts that the completed save covers.  */
 static void
-send_saved_starts (cell_job_t *job)
+send_saved_starts (void *context, cell_group_t *group, uint32_t from,
+                   uint32_t to)
 {
-  for (guint i = 0; job->groups != NULL && i < job->groups->len; i++)
+  for (uint32_t i = from; i < to; i++)
     {
-      cell_group_t *group = job->groups->pdata[i];
-      for (uint32_t j = 0; j < group->spec->count; j++)
+      cell_task_t *task = &group->tasks[i];
+      if (task->state == RUN_ASSIGNED && task->in_save)
         {
-          cell_task_t *task = &group->tasks[j];
-          if (task->state == RUN_ASSIGNED && task->in_save)
-            {
-              task->in_save = false;
-              cell_order_start (task);
-            }
+          task->in_save = false;
+          cell_order_start (task);
         }
     }
 }
 
+static void
+row_saved (const saved_row_t *row)
+{
+  cell_job_t *job = row->job;
+  if (row->segment == NULL)
+    job->saved_state = row->state;
+  if (row->removed && !row->segment->dirty)
+    g_hash_table_remove (job->segments, &row->segment->number);
+  else if (row->segment != NULL)
+    cell_each_in_segment (job, row->segment, send_saved_starts, NULL);
+  for (guint i = 0; row->whole && i < job->groups->len; i++)
+    {
+      cell_group_t *group = job->groups->pdata[i];
+      send_saved_starts (NULL, group, 0, group->spec->count);
+    }
+}
+
 void
 cell_save_done (cell_t *cell)
 {
@@ -239,15 +402,13 @@
   for (guint i = 0; i < cell->jobs_in_save->len; i++)
     {
       cell_job_t *job = cell->jobs_in_save->pdata[i];
-      job->saved_state
-          = g_array_index (cell->states_in_save, cell_job_state_t, i);
-      if (job->held)
-        cell->place_pending = true;
+      cell->place_pending = cell->place_pending || job->held;
       job->held = false;
-      send_saved_starts (job);
     }
+  for (guint i = 0; i < cell->rows_in_save->len; i++)
+    row_saved (&g_array_index (cell->rows_in_save, saved_row_t, i));
   g_ptr_array_set_size (cell->jobs_in_save, 0);
-  g_array_set_size (cell->states_in_save, 0);
+  g_array_set_size (cell->rows_in_save, 0);
   acknowledge_saved_ends (cell);
 }
 
@@ -284,6 +445,33 @@
   job->cell->new_ends = true;
 }
 
+/* Logs the refusal of the save of JOB alone, which is tried again after
+   PAUSE_MS, with the longest of the rows that JOB has still to save.  */
+static void
+log_refusal (const cell_job_t *job, int64_t pause_ms)
+{
+  char *key = g_strdup (job->id);
+  char *text = cell_encode_record (job);
+  size_t bytes = strlen (text);
+  g_free (text);
+  for (guint i = 0; job->segments != NULL && i < job->dirty_segments->len; i++)
+    {
+      const cell_segment_t *segment = job->dirty_segments->pdata[i];
+      text = cell_encode_segment (job, segment);
+      if (strlen (text) > bytes)
+        {
+          bytes = strlen (text);
+          g_free (key);
+          key = cell_segment_key (job, segment);
+        }
+      g_free (text);
+    }
+  cell_log (job->cell, "record_refused", job->id,
+            "row=%s bytes=%zu refusals=%u of=%u next_ms=%lld", key, bytes,
+            job->refusals, MAX_REFUSALS, (long long)pause_ms);
+  g_free (key);
+}
+
 /* The store refuses a save of JOB alone.  */
 static void
 hold_job (cell_job_t *job)
@@ -299,20 +487,47 @@
     }
   int64_t pause_ms
       = backoff_ms (job->refusals, REFUSED_RETRY_MS, REFUSED_MAX_RETRY_MS);
-  char *text = cell_encode_record (job);
-  cell_log (cell, "record_refused", job->id,
-            "row=%s bytes=%zu refusals=%u of=%u next_ms=%lld", job->id,
-            strlen (text), job->refusals, MAX_REFUSALS, (long long)pause_ms);
-  g_free (text);
+  log_refusal (job, pause_ms);
   if (job->refusals == MAX_REFUSALS)
     {
       job->reduced = true;
+      if (job->segments != NULL)
+        cell_mark_all_segments (job);
       cell_job_end (job, JOB_STATE_FAILED);
     }
   job->next_save_ms = cell->now_ms + pause_ms;
   g_ptr_array_add (cell->held_jobs, job);
 }
 
+/* ROW was not written.  */
+static void
+unsave_row (const saved_row_t *row)
+{
+  if (row->segment != NULL)
+    cell_mark_segment (row->job, row->segment);
+  else
+    row->job->head_dirty = true;
+}
+
+/* Removes JOB from what is to be saved.  */
+static void
+withdraw_job (cell_t *cell, cell_job_t *job)
+{
+  g_ptr_array_remove (cell->dirty_jobs, job);
+  for (GList *link = cell->suspects->head; link != NULL;)
+    {
+      GList *next = link->next;
+      GPtrArray *batch = link->data;
+      g_ptr_array_remove (batch, job);
+      if (batch->len == 0)
+        {
+          g_ptr_array_unref (batch);
+          g_queue_delete_link (cell->suspects, link);
+        }
+      link = next;
+    }
+}
+
 static void
 add_suspects (cell_t *cell, const GPtrArray *jobs, guint from, guint to)
 {
@@ -329,7 +544,6 @@
   cell->now_ms = clk_now_ms (cell->clock);
   cell->save_in_flight = false;
   cell->jobs_in_save = g_ptr_array_new ();
-  g_array_set_size (cell->states_in_save, 0);
   for (guint i = 0; i < cell->worker_list->len; i++)
     {
       cell_worker_t *worker = cell->worker_list->pdata[i];
@@ -338,9 +552,12 @@
   for (guint i = 0; i < jobs->len; i++)
     {
       cell_job_t *job = jobs->pdata[i];
-      g_ptr_array_remove (cell->dirty_jobs, job);
+      withdraw_job (cell, job);
       job->dirty = true;
     }
+  for (guint i = 0; i < cell->rows_in_save->len; i++)
+    unsave_row (&g_array_index (cell->rows_in_save, saved_row_t, i));
+  g_array_set_size (cell->rows_in_save, 0);
   cell->load.refused_saves++;
   if (jobs->len == 1)
     hold_job (jobs->pdata[0]);
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -36,16 +36,16 @@
 record_free (void *data)
 {
   stored_record_t *record = data;
-  g_free (record->id);
+  g_free (record->key);
   g_free (record->text);
   g_free (record);
 }
 
 static stored_record_t *
-record_new (const char *id, const char *text, size_t length)
+record_new (const char *key, const char *text, size_t length)
 {
   stored_record_t *record = g_new0 (stored_record_t, 1);
-  record->id = g_strdup (id);
+  record->key = g_strdup (key);
   record->length = length;
   if (text != NULL)
     {
@@ -140,7 +140,7 @@
   for (uint32_t i = 0; i < count; i++)
     g_ptr_array_add (
         cell->records_to_save,
-        record_new (records[i].id, records[i].text,
+        record_new (records[i].key, records[i].text,
                     records[i].text != NULL ? strlen (records[i].text) : 0));
   cell->save_pending = true;
   node_commit (cell);
@@ -205,31 +205,58 @@
     node_cell_add_row (context, key, value, length);
 }
 
-/* Ended jobs need only their record, not their inbox row.  */
+static bool
+same_job (const stored_record_t *one, const stored_record_t *other)
+{
+  size_t length = strcspn (one->key, "/");
+  return length == strcspn (other->key, "/")
+         && strncmp (one->key, other->key, length) == 0;
+}
+
+/* Calls LOAD with all rows of each record, which are sorted by key, and drops
+   the records that it has loaded.  */
 static void
-load_ended_jobs (node_cell_t *cell)
+load_records (node_cell_t *cell,
+              bool (*load) (cell_t *scheduler, const char *id,
+                            const cell_record_t *rows, uint32_t count))
 {
-  for (guint i = cell->records->len; i > 0; i--)
+  GPtrArray *all = cell->records;
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (cell_record_t));
+  cell->records = g_ptr_array_new_with_free_func (record_free);
+  for (guint from = 0; from < all->len;)
     {
-      const stored_record_t *record = cell->records->pdata[i - 1];
-      if (cell_add_ended_job (cell->scheduler, record->id, record->text,
-                              record->length))
-        g_ptr_array_remove_index_fast (cell->records, i - 1);
+      const stored_record_t *first = all->pdata[from];
+      guint to = from;
+      g_array_set_size (rows, 0);
+      for (; to < all->len && same_job (first, all->pdata[to]); to++)
+        {
+          const stored_record_t *record = all->pdata[to];
+          cell_record_t row = { record->key, record->text };
+          g_array_append_val (rows, row);
+        }
+      char *id = g_strndup (first->key, strcspn (first->key, "/"));
+      bool loaded = load (cell->scheduler, id,
+                          (const cell_record_t *)(const void *)rows->data,
+                          rows->len);
+      for (; from < to; from++)
+        if (loaded)
+          record_free (all->pdata[from]);
+        else
+          g_ptr_array_add (cell->records, all->pdata[from]);
+      g_free (id);
     }
+  g_array_unref (rows);
+  g_ptr_array_set_free_func (all, NULL);
+  g_ptr_array_unref (all);
 }
 
 static void
-load_job_records (node_cell_t *cell)
+log_unreadable_records (const node_cell_t *cell)
 {
   for (guint i = 0; i < cell->records->len; i++)
-    {
-      const stored_record_t *record = cell->records->pdata[i];
-      if (!cell_load_record (cell->scheduler, record->id, record->text,
-                             record->length))
-        log_event (LOG_ERROR, "record_unreadable", "id", record->id, "cell",
-                   cell->name, NULL);
-    }
-  g_ptr_array_set_size (cell->records, 0);
+    log_event (LOG_ERROR, "record_unreadable", "row",
+               ((const stored_record_t *)cell->records->pdata[i])->key, "cell",
+               cell->name, NULL);
 }
 
 void
@@ -244,11 +271,14 @@
                               &node_cell_actions, cell);
   if (node->queues != NULL)
     cell_set_queues (cell->scheduler, node->queues);
-  load_ended_jobs (cell);
+  /* Ended jobs need only their record, not their inbox row.  */
+  load_records (cell, cell_add_ended_job);
   cell->replay_pass = REPLAY_JOBS;
   replica_replay (cell->inbox);
   replica_replay (node->workers);
-  load_job_records (cell);
+  load_records (cell, cell_load_record);
+  log_unreadable_records (cell);
+  g_ptr_array_set_size (cell->records, 0);
   cell->replay_pass = REPLAY_CANCELS;
   replica_replay (cell->inbox);
   cell->replay_pass = REPLAY_DONE;
--- a/src/io/node_commit.c
+++ b/src/io/node_commit.c
@@ -247,7 +247,7 @@
     {
       const stored_record_t *record = cell->records_to_save->pdata[i];
       writes[count++]
-          = (store_row_t){ RECORD_TABLE, cell->name,    record->id, 0,
+          = (store_row_t){ RECORD_TABLE, cell->name,    record->key, 0,
                            record->text, record->length };
     }
   commit_call_t *call = g_new (commit_call_t, 1);
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -28,7 +28,8 @@
      fence, part CELL, key "owner": owner, incarnation, token, number of its
      last commit and of the last one with a heartbeat, tenure (see tenure.h)
 
-     record, part CELL, key ID: state of a job and its runs
+     record, part CELL, key ID: state of a job and its runs; keys ID/NUMBER:
+     runs of a wide job
 
      inbox.CELL, part of the job's id, key ID: a job as submitted; key ID/c:
      the job is cancelled  */
@@ -165,9 +166,10 @@
   ended_tenure_t ended;
 };
 
+/* A row of the table of records; one whose TEXT is NULL is to be removed.  */
 typedef struct
 {
-  char *id;
+  char *key;
   char *text;
   size_t length;
 } stored_record_t;
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -8,6 +8,8 @@
 #define FAULT_PERIOD_MS 100
 #define ADVICE_MS 20
 #define HEARTBEAT_PERIOD_MS 200
+/* Of one transaction.  */
+#define STORE_MAX_ROWS 100
 
 int64_t
 fake_cell_now (const fake_cell_t *sim)
@@ -218,10 +220,14 @@
 static bool
 store_takes (const fake_cell_t *sim, const GPtrArray *texts)
 {
+  /* The owner adds a few rows of its own.  */
+  if (texts->len / 2 > STORE_MAX_ROWS - 10)
+    return false;
   for (guint i = 0; i + 1 < texts->len; i += 2)
-    if ((sim->faults.row_bytes > 0
+    if ((sim->faults.row_bytes > 0 && texts->pdata[i + 1] != NULL
          && strlen (texts->pdata[i + 1]) > sim->faults.row_bytes)
-        || g_strcmp0 (sim->faults.refused_job, texts->pdata[i]) == 0)
+        || (sim->faults.refused_job != NULL
+            && g_str_has_prefix (texts->pdata[i], sim->faults.refused_job)))
       return false;
   return true;
 }
@@ -250,8 +256,11 @@
       return;
     }
   for (guint i = 0; i + 1 < event->texts->len; i += 2)
-    g_hash_table_insert (sim->records, g_strdup (event->texts->pdata[i]),
-                         g_strdup (event->texts->pdata[i + 1]));
+    if (event->texts->pdata[i + 1] != NULL)
+      g_hash_table_insert (sim->records, g_strdup (event->texts->pdata[i]),
+                           g_strdup (event->texts->pdata[i + 1]));
+    else
+      g_hash_table_remove (sim->records, event->texts->pdata[i]);
   if (event->owner == sim->owner && sim->defect != DEFECT_START_BEFORE_SAVE
       && sim->defect != DEFECT_EARLY_ACK)
     {
@@ -278,7 +287,7 @@
   event->texts = g_ptr_array_new_with_free_func (g_free);
   for (uint32_t i = 0; i < count; i++)
     {
-      g_ptr_array_add (event->texts, g_strdup (records[i].id));
+      g_ptr_array_add (event->texts, g_strdup (records[i].key));
       g_ptr_array_add (event->texts, g_strdup (records[i].text));
     }
   if (early)
@@ -289,8 +298,14 @@
 act_delete (void *context, const char *id)
 {
   fake_cell_t *sim = context;
+  GHashTableIter iterator;
+  gpointer key;
   g_hash_table_remove (sim->records, id);
   g_hash_table_remove (sim->jobs, id);
+  g_hash_table_iter_init (&iterator, sim->records);
+  while (g_hash_table_iter_next (&iterator, &key, NULL))
+    if (g_str_has_prefix (key, id))
+      fake_cell_violate (sim, "%s is left of a deleted job", (char *)key);
 }
 
 static void
@@ -330,11 +345,10 @@
     }
 }
 
-static void
-add_stored_job (fake_cell_t *sim, const char *id)
+static gint
+compare_keys (gconstpointer a, gconstpointer b)
 {
-  const char *text = g_hash_table_lookup (sim->jobs, id);
-  cell_add_job (sim->cell, work_job_decode (text, strlen (text), NULL));
+  return strcmp (a, b);
 }
 
 static bool
@@ -345,6 +359,44 @@
          && strcmp (state, "running") != 0;
 }
 
+/* Loads the records: those of jobs that have ended, or the others.  */
+static void
+load_records (fake_cell_t *sim, bool ended)
+{
+  GList *keys
+      = g_list_sort (g_hash_table_get_keys (sim->records), compare_keys);
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (cell_record_t));
+  for (const GList *link = keys; link != NULL;)
+    {
+      char *id = g_strndup (link->data, WORK_ID_LENGTH);
+      g_array_set_size (rows, 0);
+      for (; link != NULL && g_str_has_prefix (link->data, id);
+           link = link->next)
+        {
+          cell_record_t row
+              = { link->data, g_hash_table_lookup (sim->records, link->data) };
+          g_array_append_val (rows, row);
+        }
+      const cell_record_t *first = (cell_record_t *)(void *)rows->data;
+      if (ended)
+        cell_add_ended_job (sim->cell, id, first, rows->len);
+      else if (!has_ended (sim, id)
+               && !cell_load_record (sim->cell, id, first, rows->len))
+        fake_cell_violate (sim, "%s: record cannot be read: %s", id,
+                           first->text);
+      g_free (id);
+    }
+  g_array_unref (rows);
+  g_list_free (keys);
+}
+
+static void
+add_stored_job (fake_cell_t *sim, const char *id)
+{
+  const char *text = g_hash_table_lookup (sim->jobs, id);
+  cell_add_job (sim->cell, work_job_decode (text, strlen (text), NULL));
+}
+
 void
 fake_cell_disconnect_busy (fake_cell_t *sim, int64_t for_ms)
 {
@@ -361,7 +413,6 @@
 {
   GHashTableIter iterator;
   gpointer key;
-  gpointer value;
   if (sim->cell != NULL)
     sim->leases_end_ms = cell_leases_end_ms (sim->cell);
   cell_free (sim->cell);
@@ -370,18 +421,11 @@
   sim->cell = cell_new (&sim->options, &sim->clock.base, &actions, sim);
   cell_set_queues (sim->cell, sim->queues);
   fake_cell_list_workers (sim);
-  g_hash_table_iter_init (&iterator, sim->records);
-  while (g_hash_table_iter_next (&iterator, &key, &value))
-    cell_add_ended_job (sim->cell, key, value, strlen (value));
+  load_records (sim, true);
   g_hash_table_iter_init (&iterator, sim->jobs);
   while (g_hash_table_iter_next (&iterator, &key, NULL))
     add_stored_job (sim, key);
-  g_hash_table_iter_init (&iterator, sim->records);
-  while (g_hash_table_iter_next (&iterator, &key, &value))
-    if (!has_ended (sim, key)
-        && !cell_load_record (sim->cell, key, value, strlen (value)))
-      fake_cell_violate (sim, "%s: record cannot be read: %s", (char *)key,
-                         (char *)value);
+  load_records (sim, false);
   g_hash_table_iter_init (&iterator, sim->cancelled);
   while (g_hash_table_iter_next (&iterator, &key, NULL))
     cell_cancel_job (sim->cell, key);
@@ -529,8 +573,9 @@
   sim->random = g_rand_new_with_seed (seed);
   sim->faults = *faults;
   sim->defect = defect;
-  sim->options
-      = (cell_options_t){ .max_lease_ms = LEASE_MS, .retention_ms = 120000 };
+  sim->options = (cell_options_t){ .max_lease_ms = LEASE_MS,
+                                   .retention_ms = 120000,
+                                   .max_row_bytes = faults->known_row_bytes };
   sim->workers = g_ptr_array_new_with_free_func (fake_cell_worker_free);
   for (uint32_t i = 0; i < workers; i++)
     g_ptr_array_add (sim->workers, fake_cell_worker_new (i));
--- a/tests/fake_cell.h
+++ b/tests/fake_cell.h
@@ -46,6 +46,7 @@
   uint32_t save_ms;            /* duration of each save; 0: 10 ms */
   uint32_t row_bytes;          /* the store refuses a save with a longer text;
                                   0: it takes any */
+  uint32_t known_row_bytes;    /* limit that the cell is told; 0: none */
   const char *refused_job;     /* id; each save that holds it is refused */
 } fake_faults_t;
 
--- a/tests/fake_cell_worker.c
+++ b/tests/fake_cell_worker.c
@@ -173,7 +173,9 @@
       work_name_t other;
       used = resource_add (used, running->need);
       work_name_parse (running->task, &other);
-      same_step += strcmp (other.id, name.id) == 0 && other.step == name.step;
+      same_step += strcmp (other.id, name.id) == 0
+                   && other.occurrence == name.occurrence
+                   && other.step == name.step;
     }
   if (!resource_fits (used, worker->capacity))
     fake_cell_violate (sim, "%s run %u: over the capacity of %s", task, run,
@@ -187,7 +189,8 @@
       for (uint32_t j = 0; j < job->steps[step->after[i]].count; j++)
         {
           char before[WORK_NAME_BYTES];
-          work_name_format (before, name.id, 0, step->after[i], j);
+          work_name_format (before, name.id, name.occurrence, step->after[i],
+                            j);
           if (!job->steps[step->after[i]].gang
               && !facts_of (sim, before)->done)
             fake_cell_violate (sim, "%s: starts before %s is done", task,
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -328,6 +328,27 @@
   fake_cell_free (sim);
 }
 
+/* A job of up to 300 tasks, in one run or in up to four that overlap.  */
+static work_job_t *
+random_wide_job (GRand *random, uint32_t number)
+{
+  work_job_t *job = job_new (number, (uint32_t)g_rand_int_range (random, 1, 4),
+                             (uint32_t)g_rand_int_range (random, 1, 100),
+                             g_rand_int_range (random, 50, 3000));
+  for (uint32_t i = 0; i < job->step_count; i++)
+    {
+      job->steps[i].need = (resource_t){ 20, 10, 0 };
+      job->steps[i].gang = g_rand_int_range (random, 0, 4) == 0;
+    }
+  if (g_rand_int_range (random, 0, 3) == 0)
+    {
+      job->times = (uint32_t)g_rand_int_range (random, 1, 5);
+      job->first_due_ms = 1000;
+      job->interval_ms = g_rand_int_range (random, 1, 500);
+    }
+  return job;
+}
+
 static work_job_t *
 random_job (GRand *random, uint32_t number)
 {
@@ -358,7 +379,9 @@
   char id[WORK_ID_LENGTH + 1];
   for (uint32_t i = 1; i <= JOBS_PER_SCENARIO; i++)
     {
-      fake_cell_submit (sim, random_job (random, i));
+      fake_cell_submit (sim, faults->known_row_bytes > 0 && i % 8 == 3
+                                 ? random_wide_job (random, i)
+                                 : random_job (random, i));
       fake_cell_run (sim, g_rand_int_range (random, 100, 900));
     }
   fake_cell_stop_faults (sim);
@@ -403,6 +426,24 @@
   { "crashing workers that are down for a while",
     { .worker_crash = 20, .crash_down_ms = 3000, .crash_changes_id = true } },
   { "store outages", { .store_outage = 20, .owner_lost = 10 } },
+  /* Records of a few dozen tasks take several rows.  */
+  { "records of several rows",
+    { .row_bytes = 4000, .known_row_bytes = 4000 } },
+  { "records of several rows, takeovers",
+    { .row_bytes = 4000,
+      .known_row_bytes = 4000,
+      .owner_lost = 40,
+      .answer_lost = 30,
+      .worker_crash = 10,
+      .store_outage = 10 } },
+  { "records of several rows, failing runs, disconnected workers",
+    { .row_bytes = 4000,
+      .known_row_bytes = 4000,
+      .owner_lost = 15,
+      .run_fails = 20,
+      .order_late = 20,
+      .worker_disconnect = 20,
+      .save_ms = 200 } },
   /* Too short for about a third of the records.  */
   { "refused records",
     { .row_bytes = 400,
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -240,7 +240,8 @@
 static cell_t *
 cell_with_job (uint32_t times)
 {
-  static const cell_options_t options = { 6000, 120000 };
+  static const cell_options_t options
+      = { .max_lease_ms = 6000, .retention_ms = 120000 };
   cell_t *cell = cell_new (&options, fixed_clock (), &no_actions, NULL);
   work_job_t *job = work_job_new ("5c0e7a21d94b36f8", "queue", 2);
   uint32_t *after = g_new0 (uint32_t, 1);
@@ -354,8 +355,12 @@
   for (uint32_t times = 0; times <= 2; times += 2)
     {
       cell_t *cell = cell_with_job (times);
-      cell_load_record (cell, "5c0e7a21d94b36f8", text, length);
-      cell_add_ended_job (cell, "6c0e7a21d94b36f8", text, length);
+      char *copy = g_strndup (text, length);
+      cell_record_t row = { "5c0e7a21d94b36f8", copy };
+      cell_load_record (cell, row.key, &row, 1);
+      row.key = "6c0e7a21d94b36f8";
+      cell_add_ended_job (cell, row.key, &row, 1);
+      g_free (copy);
       cell_record_state (text, length);
       static const cell_inheritance_t nothing = { 0 };
       cell_begin (cell, &nothing);
--- a/tests/test_lost.c
+++ b/tests/test_lost.c
@@ -220,7 +220,8 @@
 static void
 add_owner (world_t *world)
 {
-  cell_options_t options = { world->fault->max_hold_ms, 120000 };
+  cell_options_t options
+      = { .max_lease_ms = world->fault->max_hold_ms, .retention_ms = 120000 };
   owner_t *owner = &world->owners[world->owner_count++];
   *owner = (owner_t){ .world = world, .connected = true };
   owner->cell = cell_new (&options, &world->clock.base, &actions, owner);
@@ -235,8 +236,8 @@
   if (world->owner_count > 1)
     {
       list_worker (owner, NEW_WORKER);
-      CU_ASSERT_TRUE (cell_load_record (owner->cell, JOB_ID, world->record,
-                                        strlen (world->record)));
+      cell_record_t row = { JOB_ID, world->record };
+      CU_ASSERT_TRUE (cell_load_record (owner->cell, JOB_ID, &row, 1));
       inheritance = inheritance_of (world);
     }
   owner->inherited_end_ms = inheritance.leases_end_ms;
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -131,15 +131,16 @@
   job->steps[0].need = (resource_t){ 1000, 1000, 0 };
   job->steps[0].estimate_ms = 10000;
   cell_add_job (owner->cell, job);
+  cell_record_t row = { id, record };
   if (record != NULL)
-    CU_ASSERT_TRUE (
-        cell_load_record (owner->cell, id, record, strlen (record)));
+    CU_ASSERT_TRUE (cell_load_record (owner->cell, id, &row, 1));
 }
 
 static void
 make (owner_t *owner)
 {
-  static const cell_options_t options = { LEASE_MS, 120000 };
+  static const cell_options_t options
+      = { .max_lease_ms = LEASE_MS, .retention_ms = 120000 };
   *owner = (owner_t){ 0 };
   clk_fake_init (&owner->clock, 100000);
   owner->cell = cell_new (&options, &owner->clock.base, &actions, owner);
@@ -579,8 +580,8 @@
       job->steps[0].estimate_ms = 10000;
       cell_add_job (owner.cell, job);
     }
-  CU_ASSERT_TRUE (
-      cell_load_record (owner.cell, JOB_ID, waits, strlen (waits)));
+  cell_record_t row = { JOB_ID, waits };
+  CU_ASSERT_TRUE (cell_load_record (owner.cell, JOB_ID, &row, 1));
   begin_cell (&owner);
   list_worker (&owner, "i-1");
   run_for (&owner, 100);
--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -62,6 +62,147 @@
   fake_cell_free (sim);
 }
 
+/* Guards against a record that outgrows a row of the store: a job as wide as
+   one may be is saved in several rows, runs on at the next owner, and leaves
+   no row behind.  */
+static void
+test_wide_job (void)
+{
+  const fake_faults_t faults = { .row_bytes = 65536 };
+  const uint32_t jobs = 20;
+  fake_cell_t *sim = fake_cell_new (1, 20, &faults, DEFECT_NONE);
+  for (uint32_t i = 1; i <= jobs; i++)
+    {
+      fake_cell_submit (sim,
+                        job_new (i, i == 1 ? WORK_MAX_STEP_TASKS : 2, 3000));
+      fake_cell_run (sim, 100);
+    }
+  fake_cell_take_over (sim);
+  fake_cell_run (sim, 8000);
+  CU_ASSERT_EQUAL (fake_cell_refused_saves (sim), 0);
+  CU_ASSERT_EQUAL (count_state (sim, jobs, "completed"), jobs);
+  CU_ASSERT_EQUAL (fake_cell_starts (sim),
+                   WORK_MAX_STEP_TASKS + 2 * (jobs - 1));
+  CU_ASSERT_PTR_NULL (fake_cell_violation (sim));
+  fake_cell_run (sim, 200000);
+  CU_ASSERT_STRING_EQUAL (fake_cell_saved_state (sim, "0000000000000001"),
+                          "queued"); /* deleted */
+  CU_ASSERT_PTR_NULL (fake_cell_violation (sim));
+  fake_cell_free (sim);
+}
+
+/* The rows that an owner has saved of one job.  */
+typedef struct
+{
+  GHashTable *rows; /* key -> text, owned */
+  size_t longest;
+  size_t longest_save;
+  uint32_t most_rows;
+  bool pending;
+} saved_t;
+
+static void
+keep_rows (void *context, const cell_record_t *records, uint32_t count)
+{
+  saved_t *saved = context;
+  size_t bytes = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      size_t length = records[i].text != NULL ? strlen (records[i].text) : 0;
+      saved->longest = MAX (saved->longest, length);
+      bytes += length;
+      if (records[i].text != NULL)
+        g_hash_table_insert (saved->rows, g_strdup (records[i].key),
+                             g_strdup (records[i].text));
+      else
+        g_hash_table_remove (saved->rows, records[i].key);
+    }
+  saved->longest_save = MAX (saved->longest_save, bytes);
+  saved->most_rows = MAX (saved->most_rows, count);
+  saved->pending = true;
+}
+
+static void
+ignore_poll (void *context, const cell_worker_ref_t *worker,
+             int64_t lease_until_ms, uint64_t acknowledged_end,
+             int64_t wait_ms)
+{
+}
+
+static void
+ignore_stop (void *context, const cell_worker_ref_t *worker, const char *task,
+             uint32_t run)
+{
+}
+
+static void
+ignore_log (void *context, const char *event, const char *subject,
+            const char *detail)
+{
+}
+
+/* Guards against rows and transactions beyond the store's limits with the
+   longest ids, addresses and checkpoints that there can be.  */
+static void
+test_longest_rows (void)
+{
+  static const cell_actions_t actions = { .save = keep_rows,
+                                          .poll = ignore_poll,
+                                          .stop = ignore_stop,
+                                          .log = ignore_log };
+  static const cell_options_t options
+      = { .max_lease_ms = 6000, .retention_ms = 120000 };
+  /* The runs count as alive until then.  */
+  static const cell_inheritance_t leases
+      = { .leases_end_ms = 102000, .unreached_end_ms = 102000 };
+  saved_t saved = { .rows = g_hash_table_new_full (g_str_hash, g_str_equal,
+                                                   g_free, g_free) };
+  clk_fake_t clock;
+  char *long_text = g_strnfill (200, 'x');
+  GString *record = g_string_new ("1 R 0\ng 0 0 3 -\n");
+  for (uint32_t i = 0; i < WORK_MAX_STEP_TASKS; i++)
+    g_string_append_printf (
+        record,
+        "t %u a 4294967295 4294967295 %s %s 1764950400000 "
+        "255.255.255.255:65535 4294967295 4294967295 4294967295 "
+        "4294967291,4294967292,4294967293,4294967294,4294967295\n",
+        i, long_text, long_text);
+  clk_fake_init (&clock, 100000);
+  cell_t *cell = cell_new (&options, &clock.base, &actions, &saved);
+  work_job_t *job = job_new (1, WORK_MAX_STEP_TASKS, 500);
+  cell_record_t row = { "0000000000000001", record->str };
+  cell_add_job (cell, job);
+  CU_ASSERT_TRUE (cell_load_record (cell, row.key, &row, 1));
+  cell_begin (cell, &leases);
+  cell_cancel_job (cell, row.key);
+  for (int i = 0; i < 200; i++)
+    {
+      clk_fake_advance_ms (&clock, 20);
+      cell_run (cell, 100000);
+      cell_ownership_confirmed (cell, 100000 + i * 20);
+      if (saved.pending)
+        cell_save_done (cell);
+      saved.pending = false;
+      if (i != 50)
+        continue;
+      CU_ASSERT_EQUAL (g_hash_table_size (saved.rows),
+                       1 + (WORK_MAX_STEP_TASKS + 31) / 32);
+      CU_ASSERT_STRING_EQUAL (g_hash_table_lookup (saved.rows, row.key),
+                              "2 X 0\n");
+    }
+  CU_ASSERT_TRUE (saved.longest <= 65536);
+  CU_ASSERT_TRUE (saved.most_rows <= 90);
+  /* In base64, with names and the other rows of the owner.  */
+  CU_ASSERT_TRUE (saved.longest_save / 3 * 4 + 200000 < 1000000);
+  CU_ASSERT_EQUAL (g_hash_table_size (saved.rows), 1);
+  CU_ASSERT_STRING_EQUAL (g_hash_table_lookup (saved.rows, row.key),
+                          "1 X 0\n");
+  cell_free (cell);
+  g_hash_table_unref (saved.rows);
+  g_string_free (record, TRUE);
+  g_free (long_text);
+}
+
 /* Guards against refused saves without an end, and against ends of other jobs
    that are never acknowledged, if the store takes no record at all of a job
    that runs.  */
@@ -288,6 +429,7 @@
   node_commit_retry (node.loop, &cell->commit_retry, EV_TIMER);
   answer_last (&fake, STORE_OK);
   CU_ASSERT_EQUAL (fake.commits[3].records, 1);
+  answer_last (&fake, STORE_UNKNOWN);
   node_cell_free (cell);
   node_clear (&node);
 }
@@ -330,6 +472,8 @@
 
 static CU_TestInfo refused_tests[] = {
   { "a record that the store refuses", test_refused_record },
+  { "a record of several rows", test_wide_job },
+  { "the longest rows", test_longest_rows },
   { "a job of which the store takes no record", test_refused_job },
   { "statuses of the store", test_statuses },
   { "heartbeat beside a refused record", test_heartbeat_beside_refusal },
