tests: let the wide job outgrow its row also with short ids

With rows of 16,384 bytes it fails as said (with the split taken out: the job fails and its row is refused), and passes with it.

--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -68,7 +68,9 @@
 static void
 test_wide_job (void)
 {
-  const fake_faults_t faults = { .row_bytes = 65536 };
+  /* The workers have short ids and addresses.  */
+  const fake_faults_t faults
+      = { .row_bytes = 16384, .known_row_bytes = 16384 };
   const uint32_t jobs = 20;
   fake_cell_t *sim = fake_cell_new (1, 20, &faults, DEFECT_NONE);
   for (uint32_t i = 1; i <= jobs; i++)
