node: refuse a job at once that is too large for a row

What callers saw: a submission whose description outgrows a row of the store (64 steps with long labels are enough) was sent to the store until the caller's time was nearly over, and then answered 504.

Cause: nothing compared the encoded job with platform.row_bytes; the body may have 256 KiB.

Change: such a job is answered 413 before anything is sent, counted as magnoliadock_refused_total{reason="too_large"} and logged as job_too_large. cell_row_limit is the one place that knows the default of 64 KiB.

--- a/src/cell.c
+++ b/src/cell.c
@@ -3,6 +3,15 @@
 #include <stdarg.h>
 #include <string.h>
 
+#define DEFAULT_ROW_BYTES (64u * 1024u)
+
+size_t
+cell_row_limit (const cell_options_t *options)
+{
+  return options->max_row_bytes > 0 ? (size_t)options->max_row_bytes
+                                    : DEFAULT_ROW_BYTES;
+}
+
 cell_t *
 cell_new (const cell_options_t *options, const clk_t *clock,
           const cell_actions_t *actions, void *context)
--- a/src/cell.h
+++ b/src/cell.h
@@ -38,6 +38,9 @@
   int64_t max_row_bytes; /* of a row of the store; 0: 64 KiB */
 } cell_options_t;
 
+/* Returns the limit of a row in bytes.  */
+size_t cell_row_limit (const cell_options_t *options);
+
 typedef struct
 {
   const char *id;
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -374,8 +374,6 @@
 /* The same for SEGMENT; "" if it needs no row.  */
 char *cell_encode_segment (const cell_job_t *job,
                            const cell_segment_t *segment);
-size_t cell_max_row_bytes (const cell_t *cell);
-
 /* cell_segment.c */
 /* Splits the record of JOB from now on.  */
 void cell_begin_segments (cell_job_t *job);
--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -21,7 +21,6 @@
 
 #define WHOLE_RECORD '1'
 #define HEAD_OF_SEGMENTS '2'
-#define DEFAULT_ROW_BYTES (64u * 1024u)
 
 /* By cell_job_state_t.  */
 static const char state_letters[] = "QRCFX";
@@ -131,13 +130,6 @@
     }
 }
 
-size_t
-cell_max_row_bytes (const cell_t *cell)
-{
-  return cell->options.max_row_bytes > 0 ? (size_t)cell->options.max_row_bytes
-                                         : DEFAULT_ROW_BYTES;
-}
-
 char *
 cell_encode_record (const cell_job_t *job)
 {
@@ -162,7 +154,7 @@
   if (job->closed || job->reduced)
     return g_string_free (writer.text, FALSE);
   cell_each_in_segment (job, segment, append_tasks, &writer);
-  if (writer.text->len > cell_max_row_bytes (job->cell))
+  if (writer.text->len > cell_row_limit (&job->cell->options))
     {
       /* This costs progress only.  */
       writer.leaves_out_checkpoints = true;
--- a/src/cell_save.c
+++ b/src/cell_save.c
@@ -189,7 +189,7 @@
   if (job->segments == NULL)
     {
       char *text = cell_encode_record (job);
-      if (strlen (text) <= cell_max_row_bytes (save->cell))
+      if (strlen (text) <= cell_row_limit (&save->cell->options))
         {
           for (guint i = 0; i < job->groups->len; i++)
             {
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -235,9 +235,9 @@
           g_array_append_val (rows, row);
         }
       char *id = g_strndup (first->key, strcspn (first->key, "/"));
-      bool loaded = load (cell->scheduler, id,
-                          (const cell_record_t *)(const void *)rows->data,
-                          rows->len);
+      bool loaded
+          = load (cell->scheduler, id,
+                  (const cell_record_t *)(const void *)rows->data, rows->len);
       for (; from < to; from++)
         if (loaded)
           record_free (all->pdata[from]);
--- a/src/io/node_requests.c
+++ b/src/io/node_requests.c
@@ -254,6 +254,18 @@
   return ((node_t *)context)->queues;
 }
 
+/* The store would refuse the row whenever it is sent.  */
+static void
+refuse_too_large (inbox_write_t *write)
+{
+  node_counter_increment (write->node, "magnoliadock_refused_total",
+                          "reason=\"too_large\"");
+  log_event (LOG_WARN, "job_too_large", "id", write->id, NULL);
+  write->node->platform->ops->answer_error (write->request, ERR_TOO_LARGE, 0);
+  finish_write (write);
+  free_if_finished (write);
+}
+
 static void
 handle_submit (void *context, caller_request_t *request, const queue_t *queue,
                work_job_t *job, int64_t wait_ms)
@@ -267,6 +279,11 @@
   write->value = g_strdup (value);
   free (value);
   work_job_free (job);
+  if (strlen (write->value) > cell_row_limit (&node->platform->settings.cells))
+    {
+      refuse_too_large (write);
+      return;
+    }
   send_write (write);
 }
 
--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -472,6 +472,29 @@
     }
 }
 
+/* Guards against a job that is too large for a row and is sent to the store
+   until its caller gives up: it is refused before anything is sent.  */
+static void
+test_too_large_submission (void)
+{
+  fake_platform_t fake = { .sent = 0 };
+  node_t node = { 0 };
+  clk_fake_t clock;
+  queue_t queue = { .name = (char *)"queue", .service = (char *)"pool" };
+  node_init (&node, &fake, &clock);
+  node_cell_t *cell = node_cell_new (&node, "pool");
+  g_hash_table_insert (node.cells, cell->name, cell);
+  work_job_t *job = job_new (1, 1, 500);
+  job->steps[0].image = g_strnfill (70000, 'x');
+  node_request_handlers.submit (&node, (caller_request_t *)&fake, &queue, job,
+                                3000);
+  CU_ASSERT_EQUAL (fake.sent, 0);
+  CU_ASSERT_EQUAL (fake.answers, 1);
+  CU_ASSERT_EQUAL (fake.answer, ERR_TOO_LARGE);
+  node_clear (&node);
+  node_cell_free (cell);
+}
+
 static CU_TestInfo refused_tests[] = {
   { "a record that the store refuses", test_refused_record },
   { "a record of several rows", test_wide_job },
@@ -481,6 +504,7 @@
   { "heartbeat beside a refused record", test_heartbeat_beside_refusal },
   { "a refused heartbeat", test_refused_heartbeat },
   { "a refused submission", test_refused_submission },
+  { "a submission that is too large", test_too_large_submission },
   CU_TEST_INFO_NULL,
 };
 
