node: bound the fence and heartbeat rows of an owner

What callers would see: a cell without an owner. By reading and by test, not seen in a run of nodes: the fence row lists the workers that the owner has not reached, the heartbeat the pending jobs of each queue.

Change: - Over 16 KiB of ids the list of unreached workers is left out, and the time that all leases take to end is raised to that of the unreached ones. A node that does not own the cell answers 503 for a queue that is not listed, since only the owner knows its count.

--- a/src/io/node_claim.c
+++ b/src/io/node_claim.c
@@ -98,6 +98,8 @@
   cell->heartbeat_number
       = (uint64_t)json_integer_value (json_object_get (heartbeat, "number"));
   parse_pending (cell, json_object_get (heartbeat, "pending"));
+  cell->pending_cut
+      = json_is_true (json_object_get (heartbeat, "pending_cut"));
   json_decref (heartbeat);
 }
 
--- a/src/io/node_commit.c
+++ b/src/io/node_commit.c
@@ -25,6 +25,10 @@
 /* After a lost answer, a longer timeout would delay the next heartbeat too
    much.  */
 #define COMMIT_MAX_TIMEOUT_MS 1000
+/* Longest list of pending jobs in a heartbeat, which is one row; a count and
+   its punctuation have at most PENDING_COUNT_BYTES.  */
+#define MAX_PENDING_BYTES ((size_t)32 * 1024)
+#define PENDING_COUNT_BYTES 16
 /* The store's limit of rows in a transaction.  */
 #define MAX_WRITES 100
 /* Records of expired jobs that one commit removes, beside up to 90 records
@@ -40,33 +44,50 @@
   int64_t timeout_ms;
 } commit_call_t;
 
+/* Pending jobs by queue, for a heartbeat.  */
+typedef struct
+{
+  json_t *counts;
+  size_t bytes;
+  bool cut;
+} pending_list_t;
+
 static void
 append_pending (void *context, const char *queue, uint32_t pending)
 {
-  json_object_set_new (context, queue, json_integer (pending));
+  pending_list_t *list = context;
+  list->bytes += strlen (queue) + PENDING_COUNT_BYTES;
+  list->cut = list->cut || list->bytes > MAX_PENDING_BYTES;
+  if (!list->cut)
+    json_object_set_new (list->counts, queue, json_integer (pending));
 }
 
 static void
-append_heartbeat_pending (void *queue, void *count, void *pending)
+append_heartbeat_pending (void *queue, void *count, void *list)
 {
-  append_pending (pending, queue, GPOINTER_TO_UINT (count));
+  append_pending (list, queue, GPOINTER_TO_UINT (count));
 }
 
 char *
 node_heartbeat_text (const node_cell_t *cell, const char *owner)
 {
-  json_t *pending = json_object ();
+  pending_list_t list = { .counts = json_object (), .cut = false };
   /* Until the jobs are loaded, the counts in the previous owner's heartbeat
      are repeated.  */
   if (cell->state == CELL_OWNED || cell->state == CELL_RELEASING)
-    cell_each_pending (cell->scheduler, append_pending, pending);
+    cell_each_pending (cell->scheduler, append_pending, &list);
   else
-    g_hash_table_foreach (cell->pending_by_queue, append_heartbeat_pending,
-                          pending);
+    {
+      g_hash_table_foreach (cell->pending_by_queue, append_heartbeat_pending,
+                            &list);
+      list.cut = list.cut || cell->pending_cut;
+    }
   json_t *object = json_pack (
       "{s:s, s:s, s:I, s:I, s:o}", "owner", owner, "incarnation",
       cell->node->incarnation, "token", (json_int_t)cell->token, "number",
-      (json_int_t)cell->commit_number, "pending", pending);
+      (json_int_t)cell->commit_number, "pending", list.counts);
+  if (list.cut)
+    json_object_set_new (object, "pending_cut", json_true ());
   char *text = json_dumps (object, JSON_COMPACT);
   json_decref (object);
   return text;
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -128,6 +128,7 @@
      agreed with the owner.  */
   int64_t agreed_until_ms;
   GHashTable *pending_by_queue; /* queue -> count, from the heartbeat */
+  bool pending_cut;             /* the heartbeat leaves out some queues */
 
   /* While this node owns the cell.  */
   cell_t *scheduler;
--- a/src/io/node_requests.c
+++ b/src/io/node_requests.c
@@ -446,11 +446,19 @@
   node_t *node = context;
   const node_cell_t *cell = node_cell_for_queue (node, queue);
   pending_sum_t sum = { queue->name, 0 };
+  gpointer count = NULL;
   if (cell->state == CELL_OWNED && cell->scheduler != NULL)
     cell_each_pending (cell->scheduler, add_pending, &sum);
-  else
-    sum.pending = GPOINTER_TO_UINT (
-        g_hash_table_lookup (cell->pending_by_queue, queue->name));
+  else if (g_hash_table_lookup_extended (cell->pending_by_queue, queue->name,
+                                         NULL, &count))
+    sum.pending = GPOINTER_TO_UINT (count);
+  else if (cell->pending_cut)
+    {
+      /* Only the owner knows.  */
+      node->platform->ops->answer_error (request, ERR_STORE_UNAVAILABLE,
+                                         RETRY_AFTER_MS);
+      return;
+    }
   node->platform->ops->answer_pending (request, sum.pending);
 }
 
--- a/src/io/node_tenure.c
+++ b/src/io/node_tenure.c
@@ -13,6 +13,9 @@
    that lives adds when its leases end, in the row LEASES_KEY, so that its
    successor need not wait for the longest that the promises allow.  */
 
+/* With more ids the fence row could outgrow a row of the store.  The next
+   owner then waits for all workers as for those that this one has reached.  */
+#define MAX_UNREACHED_BYTES ((size_t)16 * 1024)
 #define TELL_TIMEOUT_MS 500
 #define TELL_RETRY_MS 100
 
@@ -29,6 +32,16 @@
   return end_ms == 0 ? 0 : MAX (end_ms - from_ms, 0);
 }
 
+/* Bytes of the ids in LIST.  */
+static size_t
+length_of_ids (const json_t *list)
+{
+  size_t length = 0;
+  for (size_t i = 0; i < json_array_size (list); i++)
+    length += json_string_length (json_array_get (list, i));
+  return length;
+}
+
 json_t *
 node_tenure_json (const node_cell_t *cell, bool releases)
 {
@@ -48,6 +61,11 @@
   for (char **id = former->unreached;
        cell->scheduler == NULL && id != NULL && *id != NULL; id++)
     append_unreached (unreached, *id);
+  if (length_of_ids (unreached) > MAX_UNREACHED_BYTES)
+    {
+      json_array_clear (unreached);
+      end_ms = MAX (end_ms, unreached_end_ms);
+    }
   return json_pack (
       "{s:I, s:I, s:I, s:I, s:I, s:o}", "since_beat_ms",
       (json_int_t)(cell->commit_begun_ms - cell->heartbeat_sent_ms),
--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -273,6 +273,7 @@
   } commits[MAX_COMMITS];
   uint32_t sent;
   uint32_t answers;
+  uint32_t pending;
   err_kind_t answer;
 } fake_platform_t;
 
@@ -318,10 +319,19 @@
   record_answer (request, ERR_OK, 0);
 }
 
+static void
+record_pending (caller_request_t *request, uint32_t pending)
+{
+  fake_platform_t *fake = (fake_platform_t *)request;
+  record_answer (request, ERR_OK, 0);
+  fake->pending = pending;
+}
+
 static const platform_api_ops_t fake_ops
     = { .commit = record_commit,
         .answer_error = record_answer,
-        .answer_accepted = record_accepted };
+        .answer_accepted = record_accepted,
+        .answer_pending = record_pending };
 
 static void
 node_init (node_t *node, fake_platform_t *fake, clk_fake_t *clock)
@@ -495,6 +505,76 @@
   node_cell_free (cell);
 }
 
+/* Guards against heartbeats that outgrow a row, so that the cell loses each of
+   its owners, and against a count of 0 for a queue that was left out.  */
+static void
+test_many_queues (void)
+{
+  fake_platform_t fake = { .sent = 0 };
+  node_t node = { 0 };
+  clk_fake_t clock;
+  char name[128];
+  queue_t queue = { .name = name, .service = (char *)"pool" };
+  uint32_t unknown = 0;
+  node_init (&node, &fake, &clock);
+  node_cell_t *cell = node_cell_new (&node, "pool");
+  g_hash_table_insert (node.cells, cell->name, cell);
+  for (int i = 0; i < 2000; i++)
+    g_hash_table_insert (cell->pending_by_queue,
+                         g_strdup_printf ("queue-%0100d", i),
+                         GUINT_TO_POINTER (i + 1));
+  cell->state = CELL_CLAIMING;
+  char *text = node_heartbeat_text (cell, "edge-2");
+  CU_ASSERT_TRUE (strlen (text) <= 65536);
+  cell->state = CELL_IDLE;
+  node_heartbeat_changed (cell, text, strlen (text));
+  for (int i = 0; i < 2000; i++)
+    {
+      fake.pending = 0;
+      g_snprintf (name, sizeof name, "queue-%0100d", i);
+      node_request_handlers.pending (&node, (caller_request_t *)&fake, &queue);
+      CU_ASSERT_TRUE (fake.answer != ERR_OK
+                      || fake.pending == (uint32_t)i + 1);
+      unknown += fake.answer == ERR_STORE_UNAVAILABLE;
+    }
+  CU_ASSERT_EQUAL (fake.answers, 2000);
+  CU_ASSERT_TRUE (unknown > 0 && unknown < 2000);
+  free (text);
+  node_clear (&node);
+  node_cell_free (cell);
+}
+
+/* Guards against a fence row that outgrows a row because the owner has not
+   reached thousands of workers yet, and against a next owner that then waits
+   too short for them.  */
+static void
+test_many_unreached (void)
+{
+  fake_platform_t fake = { .sent = 0 };
+  node_t node = { 0 };
+  clk_fake_t clock;
+  node_init (&node, &fake, &clock);
+  node_cell_t *cell = node_cell_new (&node, "pool");
+  cell->former.unreached = g_new0 (char *, 1001);
+  for (int i = 0; i < 1000; i++)
+    cell->former.unreached[i] = g_strdup_printf ("worker-%0100d", i);
+  cell->former.leases_end_ms = node_now (&node) + 3000;
+  cell->former.unreached_end_ms = node_now (&node) + 7000;
+  cell->commit_begun_ms = cell->heartbeat_sent_ms = node_now (&node);
+  cell->state = CELL_LOADING;
+  char *text = node_fence_text (cell, "edge-1");
+  CU_ASSERT_TRUE (strlen (text) <= 65536);
+  json_t *fence = json_loads (text, 0, NULL);
+  node_cell_t *next = node_cell_new (&node, "pool");
+  node_former_read (next, fence, false);
+  CU_ASSERT_TRUE (next->former.leases_end_ms >= node_now (&node) + 7000);
+  json_decref (fence);
+  free (text);
+  node_cell_free (next);
+  node_cell_free (cell);
+  node_clear (&node);
+}
+
 static CU_TestInfo refused_tests[] = {
   { "a record that the store refuses", test_refused_record },
   { "a record of several rows", test_wide_job },
@@ -505,6 +585,8 @@
   { "a refused heartbeat", test_refused_heartbeat },
   { "a refused submission", test_refused_submission },
   { "a submission that is too large", test_too_large_submission },
+  { "pending jobs of many queues", test_many_queues },
+  { "many workers that were not reached", test_many_unreached },
   CU_TEST_INFO_NULL,
 };
 
