node: pause between attempts to register

Cause: on_registered called register_node at once after any failure.

Change: node_register.c registers when it is due, after pauses of 50 ms to 1 s. The check runs with the claim timer, each 50 ms, with the node's clock.

Test: "a node that the store refuses to register" counts 200 calls in 10 s without the pause, at most 16 with it, for each kind of failure.

--- a/src/io/node.c
+++ b/src/io/node.c
@@ -27,7 +27,6 @@
 #define STORE_LAG_DECAY_DIVISOR 3
 #define TICK_S (CELL_TICK_MS / 1000.0)
 #define CLAIM_CHECK_S 0.05
-#define REGISTER_TIMEOUT_MS 1500
 /* The platform stops sending new connections after two failed readiness
    checks, one per second.  */
 #define MIN_DRAIN_MS 2300
@@ -230,36 +229,6 @@
 static const replica_events_t config_events
     = { on_config_changed, NULL, on_table_answered };
 
-static void on_registered (void *context, const store_reply_t *reply);
-
-/* Writes this node's row, so that others find it.  */
-static void
-register_node (node_t *node)
-{
-  const platform_api_settings_t *settings = &node->platform->settings;
-  char *key = g_strconcat (ENTRY_PREFIX, settings->name, NULL);
-  char *value = g_strdup_printf (
-      "{\"address\":\"%s:%u\",\"zone\":\"%s\",\"incarnation\":\"%s\","
-      "\"cpu_millis\":%lld}",
-      settings->ip, settings->peer_port, settings->zone, node->incarnation,
-      (long long)settings->cpu_millis);
-  store_row_t row = { CLUSTER_TABLE, "", key, 0, value, strlen (value) };
-  node->platform->ops->commit (node->platform, NULL, 0, &row, 1,
-                               REGISTER_TIMEOUT_MS, on_registered, node);
-  g_free (key);
-  g_free (value);
-}
-
-static void
-on_registered (void *context, const store_reply_t *reply)
-{
-  node_t *node = context;
-  if (reply->result == STORE_OK)
-    node->registered = true;
-  else
-    register_node (node);
-}
-
 static void
 follow_cluster (node_t *node)
 {
@@ -273,7 +242,7 @@
   node->cluster = replica_new (node->platform, node->loop, &options,
                                &cluster_events, node);
   g_free (parts);
-  register_node (node);
+  node_register_if_due (node);
 }
 
 static void
@@ -352,6 +321,7 @@
   node_t *node = watcher->data;
   if (node->cluster == NULL)
     return;
+  node_register_if_due (node);
   node_claim_check (node);
   check_readiness (node);
 }
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -201,7 +201,9 @@
   int64_t waited_ns;     /* in total */
   ev_signal terminate, interrupt, reload;
   bool input_pending; /* cells have input to process */
-  bool stopping, registered;
+  bool stopping, registered, register_in_flight;
+  uint32_t register_failures; /* in a row */
+  int64_t next_register_ms;   /* this node does not register before */
   int64_t stopping_since_ms;
   int64_t store_lag_ms; /* recent delay of the store's long polls beyond their
                            wait_ms */
@@ -225,6 +227,11 @@
  */
 uint32_t node_cells_held (const node_t *node);
 
+/* node_register.c */
+/* Registers this node if it is not registered yet and no call or pause is
+   under way.  */
+void node_register_if_due (node_t *node);
+
 /* node_cell.c */
 /* Starts scheduling once the records, the inbox and the list of workers are
    loaded.  */
--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -575,6 +575,38 @@
   node_clear (&node);
 }
 
+/* Guards against a node that registers again as fast as the store refuses it:
+   within 10 s, at most 16 calls, and one within a second once it is back.  */
+static void
+test_refused_registration (void)
+{
+  static const store_result_t failures[]
+      = { STORE_REFUSED, STORE_BUSY, STORE_INVALID, STORE_UNKNOWN };
+  for (size_t f = 0; f < G_N_ELEMENTS (failures); f++)
+    {
+      fake_platform_t fake = { .sent = 0 };
+      node_t node = { 0 };
+      clk_fake_t clock;
+      node_init (&node, &fake, &clock);
+      fake.platform.settings.ip = fake.platform.settings.zone = (char *)"z";
+      for (int i = 0; i < 200; i++)
+        {
+          uint32_t before = fake.sent;
+          node_register_if_due (&node);
+          if (fake.sent > before)
+            answer_last (&fake, failures[f]);
+          clk_fake_advance_ms (&clock, 50);
+        }
+      CU_ASSERT_TRUE (fake.sent > 8);
+      CU_ASSERT_TRUE (fake.sent <= 16);
+      clk_fake_advance_ms (&clock, 1000);
+      node_register_if_due (&node);
+      answer_last (&fake, STORE_OK);
+      CU_ASSERT_TRUE (node.registered);
+      node_clear (&node);
+    }
+}
+
 static CU_TestInfo refused_tests[] = {
   { "a record that the store refuses", test_refused_record },
   { "a record of several rows", test_wide_job },
@@ -585,6 +617,7 @@
   { "a refused heartbeat", test_refused_heartbeat },
   { "a refused submission", test_refused_submission },
   { "a submission that is too large", test_too_large_submission },
+  { "a node that the store refuses to register", test_refused_registration },
   { "pending jobs of many queues", test_many_queues },
   { "many workers that were not reached", test_many_unreached },
   CU_TEST_INFO_NULL,
