node: bound the questions to an owner in all

What callers would see: while the store is slow, each write without an answer asks the owner every 300 ms whether it has read the row.

Change: at most 16 questions of a node are on their way; a write that finds none free asks 300 ms later, and its own answer ends it in any case.

Test: "many questions to an owner": 200 at once without the bound, 16 with it.

--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -210,6 +210,7 @@
   int64_t cluster_answered_ms; /* time of the last answer about the cluster */
   adaptive_timeout_t store_timeout; /* wait for an answer to a transaction */
   uint32_t next_member;             /* where node_member_next continues */
+  uint32_t questions;     /* to owners about jobs that wait for an answer */
   int64_t idle_since_ms;  /* while stopping: start of the time without open
                              requests and held cells; 0: there are some */
   int64_t wall_offset_ms; /* wall time minus the clock's time */
--- a/src/io/node_notify.c
+++ b/src/io/node_notify.c
@@ -15,6 +15,9 @@
 
 #define NOTIFY_TIMEOUT_MS 500
 #define ASK_TIMEOUT_MS 250
+/* Questions of this node that wait for an answer: while the store is slow,
+   hundreds of writes wait, and the owner has other things to do.  */
+#define MAX_QUESTIONS 16u
 
 /* Returns the node that owns CELL, NULL if that is not known or this one.  */
 static const node_member_t *
@@ -86,6 +89,7 @@
 
 typedef struct
 {
+  node_t *node;
   node_asked_t done;
   void *context;
 } ask_call_t;
@@ -94,6 +98,7 @@
 on_answered (void *context, const httpc_result_t *result)
 {
   ask_call_t *call = context;
+  call->node->questions--;
   call->done (call->context, result->kind == ERR_OK && result->status == 200);
   g_free (call);
 }
@@ -116,8 +121,14 @@
       done (context, has_job (cell, id));
       return;
     }
+  if (node->questions >= MAX_QUESTIONS)
+    {
+      done (context, false);
+      return;
+    }
+  node->questions++;
   ask_call_t *call = g_new (ask_call_t, 1);
-  *call = (ask_call_t){ done, context };
+  *call = (ask_call_t){ node, done, context };
   char *url = g_strdup_printf ("http://%s/peer/job/%s/%s", owner->address,
                                cell->name, id);
   httpc_call (node->peer_client, "GET", url, NULL, ASK_TIMEOUT_MS, on_answered,
--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -345,7 +345,7 @@
   node->loop = ev_loop_new (0);
   node->metrics = counter_registry_new ();
   node->cells = g_hash_table_new (g_str_hash, g_str_equal);
-  node->members = g_ptr_array_new ();
+  node->members = g_ptr_array_new_with_free_func (node_member_free);
   node->cluster_answered_ms = node_now (node);
   adaptive_timeout_init (&node->store_timeout, 250, 2000);
 }
@@ -607,6 +607,40 @@
     }
 }
 
+static void
+count_answer (void *context, bool knows)
+{
+  *(uint32_t *)context += !knows;
+}
+
+/* Guards against an owner that gets as many questions as writes wait while the
+   store is slow: a node has 16 at most on their way.  */
+static void
+test_many_questions (void)
+{
+  fake_platform_t fake = { .sent = 0 };
+  node_t node = { 0 };
+  clk_fake_t clock;
+  uint32_t answers = 0;
+  node_init (&node, &fake, &clock);
+  node_cell_t *cell = node_cell_new (&node, "pool");
+  cell->owner = g_strdup ("edge-2");
+  node_member_set (&node, "edge-2", "127.0.0.1:1", 250);
+  httpc_options_t options
+      = { .max_connections_per_host = 4, .connect_timeout_ms = 300 };
+  node.peer_client = httpc_new (node.loop, &options);
+  for (int i = 0; i < 200; i++)
+    node_ask_owner (cell, "0000000000000001", count_answer, &answers);
+  CU_ASSERT_EQUAL (node.questions, 16);
+  CU_ASSERT_EQUAL (answers, 200 - 16);
+  while (answers < 200 && ev_run (node.loop, EVRUN_ONCE))
+    ;
+  CU_ASSERT_EQUAL (node.questions, 0);
+  httpc_free (node.peer_client);
+  node_cell_free (cell);
+  node_clear (&node);
+}
+
 static CU_TestInfo refused_tests[] = {
   { "a record that the store refuses", test_refused_record },
   { "a record of several rows", test_wide_job },
@@ -618,6 +652,7 @@
   { "a refused submission", test_refused_submission },
   { "a submission that is too large", test_too_large_submission },
   { "a node that the store refuses to register", test_refused_registration },
+  { "many questions to an owner", test_many_questions },
   { "pending jobs of many queues", test_many_queues },
   { "many workers that were not reached", test_many_unreached },
   CU_TEST_INFO_NULL,
