node: pause longer on calls that the store would refuse again

The reading of records was repeated each 100 ms, a table was followed each 100 ms, and a former owner told of its leases each 100 ms, without an end.

Change: the reading of records pauses 100 to 800 ms, a table that may not be followed 1 s, and what a former owner tells is given up: its successor then waits for the longest that the promises allow.

--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -1,5 +1,6 @@
 #include "node_internal.h"
 
+#include "backoff.h"
 #include "log.h"
 
 #include <string.h>
@@ -8,7 +9,9 @@
      node_cell - life cycle of a cell on this node: load, run, step down  */
 
 #define READ_TIMEOUT_MS 3000
-#define READ_RETRY_S 0.1
+/* First and longest pause after reads of the records that failed.  */
+#define READ_RETRY_MS 100
+#define READ_MAX_RETRY_MS 800
 #define INBOX_WAIT_MS 1000
 #define INBOX_SLACK_MS 1200
 /* Period of the line "owner_load".  */
@@ -356,7 +359,9 @@
     {
       log_event (LOG_WARN, "records_unread", "cell", cell->name, NULL);
       g_ptr_array_set_size (cell->records, 0);
-      ev_timer_set (&cell->read_retry, READ_RETRY_S, 0.0);
+      int64_t pause_ms = backoff_ms (++cell->read_failures, READ_RETRY_MS,
+                                     READ_MAX_RETRY_MS);
+      ev_timer_set (&cell->read_retry, (double)pause_ms / 1000.0, 0.0);
       ev_timer_start (cell->node->loop, &cell->read_retry);
       return;
     }
@@ -389,6 +394,7 @@
 node_cell_claimed (node_cell_t *cell)
 {
   cell->state = CELL_LOADING;
+  cell->read_failures = 0;
   node_counter_increment (cell->node, "magnoliadock_claims_total", NULL);
   node_follow_workers (cell->node);
   read_records (cell, NULL);
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -158,6 +158,7 @@
   bool claim_unanswered;   /* the claim is to be sent again then */
   ev_timer commit_retry;
   ev_timer read_retry; /* of the records, while the cell is loaded */
+  uint32_t read_failures;
   uint8_t replay_pass; /* REPLAY_x of node_cell.c */
   int64_t load_logged_ms;
   int64_t load_processor_ms; /* processor time of the process then */
--- a/src/io/node_tenure.c
+++ b/src/io/node_tenure.c
@@ -243,6 +243,9 @@
   if (reply->result == STORE_OK && ended->token == call->token
       && ended->inherited_end_ms == call->inherited_end_ms)
     ended->untold = false;
+  /* The successor waits for the longest that the promises allow.  */
+  if (reply->result == STORE_INVALID)
+    ended->untold = false;
   g_free (call);
 }
 
--- a/src/io/replica.c
+++ b/src/io/replica.c
@@ -5,8 +5,10 @@
 
 #include <string.h>
 
-/* Pause after a call that failed.  */
+/* Pause after a call that failed, and after one that the store would refuse
+   again.  */
 #define RETRY_S 0.1
+#define INVALID_RETRY_S 1.0
 /* Timeout of a read, which returns up to 1 MB.  */
 #define READ_TIMEOUT_MS 3000
 
@@ -237,7 +239,7 @@
 
 /* Called at the end of each answer, since this may free the replica.  */
 static void
-finish_call (replica_t *replica, bool ok)
+finish_call (replica_t *replica, bool ok, store_result_t result)
 {
   replica->calls_in_flight--;
   if (replica->freed)
@@ -247,7 +249,8 @@
       return;
     }
   if (!ok)
-    schedule_next (replica, RETRY_S);
+    schedule_next (replica,
+                   result == STORE_INVALID ? INVALID_RETRY_S : RETRY_S);
   else if (replica->reading || replica->gap_ms == 0)
     make_due_calls (replica);
   else
@@ -267,7 +270,7 @@
         apply_page (reader, reply);
       report_result (replica, ok, -1);
     }
-  finish_call (replica, ok);
+  finish_call (replica, ok, reply->result);
 }
 
 static void
@@ -303,7 +306,7 @@
                      reply->count == 0 ? MAX (took_ms - replica->wait_ms, 0)
                                        : -1);
     }
-  finish_call (replica, ok);
+  finish_call (replica, ok, reply->result);
 }
 
 static void
