cell: bound the occurrences of a job that are kept at a time

What callers would see: an accepted job with many occurrences that are all due (a start time in the past, a short interval) takes the memory of each owner in turn, and with it the cell.

Change: a job has at most 1,000 open occurrences, and 20,000 tasks in them; later ones are added as the oldest finish. Its record, which holds only open occurrences, is bounded with them.

Test: "many occurrences that are due": with 200,000 due occurrences of five tasks the cell keeps at most 5,010 waiting tasks, and starts go on beside and after a takeover.

--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -10,6 +10,11 @@
    repeated submission may arrive seconds after the first.  */
 #define RETENTION_MARGIN_MS 30000
 #define DELETE_BATCH_JOBS 16
+/* Occurrences of one job, and their tasks, that are kept at a time, so that a
+   job whose occurrences are all due at once does not take all of the owner's
+   memory.  Later ones wait until the oldest is finished.  */
+#define MAX_OPEN_OCCURRENCES 1000u
+#define MAX_OPEN_TASKS 20000u
 
 static void
 group_free (void *data)
@@ -336,6 +341,17 @@
     }
 }
 
+/* Whether JOB has as many occurrences as are kept at a time.  */
+static bool
+is_full (const cell_job_t *job)
+{
+  uint32_t open = job->next_occurrence - job->finished_below;
+  return open >= MAX_OPEN_OCCURRENCES
+         || (open > 0
+             && (uint64_t)(open + 1) * job->tasks_per_occurrence
+                    > MAX_OPEN_TASKS);
+}
+
 void
 cell_add_due_occurrences (cell_t *cell)
 {
@@ -343,7 +359,7 @@
     {
       cell_job_t *job = cell->recurring_jobs->pdata[i];
       while (job->state <= JOB_STATE_RUNNING
-             && job->next_occurrence < job->work->times
+             && job->next_occurrence < job->work->times && !is_full (job)
              && job->work->first_due_ms
                         + job->next_occurrence * job->work->interval_ms
                     <= cell->wall_ms)
--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -93,6 +93,37 @@
   fake_cell_free (sim);
 }
 
+/* Guards against one accepted job that takes all of the memory of each owner
+   in turn: 200,000 occurrences that are due at once.  */
+static void
+test_many_occurrences (void)
+{
+  const fake_faults_t no_faults = { 0 };
+  fake_cell_t *sim = fake_cell_new (1, 4, &no_faults, DEFECT_NONE);
+  work_job_t *job = job_new (1, 5, 100);
+  job->times = 200000;
+  job->first_due_ms = 1;
+  fake_cell_submit (sim, job);
+  for (uint32_t i = 2; i <= 5; i++)
+    fake_cell_submit (sim, job_new (i, 2, 100));
+  uint32_t most_waiting = 0;
+  for (int i = 0; i < 20; i++)
+    {
+      cell_totals_t totals;
+      fake_cell_run (sim, 50);
+      cell_totals (fake_cell_owner (sim), &totals);
+      most_waiting = MAX (most_waiting, totals.waiting_tasks);
+    }
+  CU_ASSERT_TRUE (most_waiting <= 5010);
+  CU_ASSERT_TRUE (fake_cell_starts (sim) > 1000);
+  CU_ASSERT_PTR_NULL (fake_cell_violation (sim));
+  fake_cell_take_over (sim);
+  fake_cell_run (sim, 1000);
+  CU_ASSERT_TRUE (fake_cell_starts (sim) > 4000);
+  CU_ASSERT_PTR_NULL (fake_cell_violation (sim));
+  fake_cell_free (sim);
+}
+
 /* The rows that an owner has saved of one job.  */
 typedef struct
 {
@@ -645,6 +676,7 @@
   { "a record that the store refuses", test_refused_record },
   { "a record of several rows", test_wide_job },
   { "the longest rows", test_longest_rows },
+  { "many occurrences that are due", test_many_occurrences },
   { "a job of which the store takes no record", test_refused_job },
   { "statuses of the store", test_statuses },
   { "heartbeat beside a refused record", test_heartbeat_beside_refusal },
