cell: pause before a lasting task that ended at once runs again

Each start is a commit, an order and a poll.

Cause: restarts of lasting tasks go before everything else (RANK_RESTART) and had no pause of their own.

Change: a run that ended by itself within 1 s of its start makes the task pause, 50 ms first and 2 s at most, which is below the 3 s that users allow. A run that lasted longer clears it.

The simulation now ends lasting runs that are told to fail.

--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -52,6 +52,8 @@
                                 the run was ordered; 0: unknown */
   int64_t progress_ms;       /* when PERCENT last rose */
   int64_t failed_runs_ms;    /* total duration of its failed runs */
+  int64_t next_start_ms;     /* it gets no run before */
+  uint32_t quick_ends; /* runs in a row that have ended at once; lasting */
   uint32_t index;
   uint32_t run; /* number of the last run, 0: none yet */
   uint32_t failures;
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -192,7 +192,8 @@
   for (uint32_t i = 0; i < group->spec->count && group->waiting > 0; i++)
     {
       cell_task_t *task = &group->tasks[i];
-      if (task->state != RUN_WAITING || task->worker != NULL)
+      if (task->state != RUN_WAITING || task->worker != NULL
+          || group->job->cell->now_ms < task->next_start_ms)
         continue;
       cell_worker_t *worker = best_worker (task, workers, NULL);
       /* A suspected task leaves out workers that others may still use.  */
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -19,6 +19,12 @@
    has to run again within 3 s where there is free capacity.  */
 #define AVOID_FAIL_STREAK 3
 #define AVOID_AFTER_FAILURES_MS 2000
+/* A run of a lasting task that has ended this soon after its start has ended
+   quickly.  Such a task pauses before its next run, since its restarts go
+   before all urgent work; it has to run again within 7 s.  */
+#define QUICK_END_MS 1000
+#define QUICK_RETRY_MS 50
+#define QUICK_MAX_RETRY_MS 2000
 
 static cell_worker_ref_t
 worker_ref (const cell_worker_t *worker)
@@ -245,6 +251,23 @@
             worker->fail_streak, AVOID_AFTER_FAILURES_MS);
 }
 
+/* The run of TASK, which lasts, has ended by itself.  */
+static void
+pause_after_quick_end (cell_task_t *task)
+{
+  cell_group_t *group = task->group;
+  int64_t now_ms = group->job->cell->now_ms;
+  bool quick = now_ms - task->start_sent_ms < QUICK_END_MS;
+  task->quick_ends = quick ? task->quick_ends + 1 : 0;
+  if (!quick)
+    return;
+  task->next_start_ms
+      = now_ms
+        + backoff_ms (task->quick_ends, QUICK_RETRY_MS, QUICK_MAX_RETRY_MS);
+  if (group->spec->gang)
+    group->next_start_ms = MAX (group->next_start_ms, task->next_start_ms);
+}
+
 /* By end_kind_t.  */
 static const char *const end_names[]
     = { "done", "failed", "stopped", "lapsed", "broken", "alone", "crashed" };
@@ -295,6 +318,8 @@
                        job_has_ended (task) ? RUN_JOB_ENDED : RUN_WAITING);
   if (job_has_ended (task))
     return;
+  if (group->spec->lasting && (how == END_FAILED || how == END_DONE))
+    pause_after_quick_end (task);
   if (how == END_FAILED)
     count_failure (task);
   else if (lost)
--- a/tests/fake_cell_worker.c
+++ b/tests/fake_cell_worker.c
@@ -240,7 +240,7 @@
   if (sim->faults.failing_job != NULL
       && g_str_has_prefix (event->task, sim->faults.failing_job))
     run->fails = true;
-  run->end_ms = step->gang || step->lasting
+  run->end_ms = step->gang || (step->lasting && !run->fails)
                     ? 0
                     : fake_cell_now (sim) + step->estimate_ms;
   g_ptr_array_add (worker->runs, run);
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -268,6 +268,27 @@
   fake_cell_free (sim);
 }
 
+/* Guards against lasting tasks that fail at once and are started again as fast
+   as they fail, before all urgent work: within 20 s, 25 starts of each are
+   enough to run again within 3 s once it works.  */
+static void
+test_quick_restarts (void)
+{
+  fake_faults_t faults = { .failing_job = "0000000000000001" };
+  fake_cell_t *sim = fake_cell_new (1, 4, &faults, DEFECT_NONE);
+  work_job_t *job = job_new (1, 1, 6, 5);
+  job->steps[0].lasting = true;
+  fake_cell_submit (sim, job);
+  fake_cell_run (sim, 20000);
+  CU_ASSERT_TRUE (fake_cell_starts (sim) > 6 * 8);
+  CU_ASSERT_TRUE (fake_cell_starts (sim) <= 6 * 25);
+  uint32_t starts = fake_cell_starts (sim);
+  fake_cell_run (sim, 3000);
+  CU_ASSERT_TRUE (fake_cell_starts (sim) >= starts + 6);
+  CU_ASSERT_PTR_NULL (fake_cell_violation (sim));
+  fake_cell_free (sim);
+}
+
 /* Guards against useless calls for advice: while no worker has free capacity,
    waiting steps must leave the nodes to steps that can start.  */
 static void
@@ -555,6 +576,7 @@
   { "an end reported after its lease", test_end_after_lease_expiry },
   { "no node is free to call for advice", test_busy_nodes },
   { "attempts that keep failing", test_failing_attempts },
+  { "lasting tasks that fail at once", test_quick_restarts },
   { "regressions", test_regressions },
   { "random scenarios with faults", test_random_scenarios },
   { "injected defects are caught", test_injected_defects },
