soak: limits of the store, wide jobs and a refused record

It now refuses with 400 what the platform's store refuses (rows over row_bytes, over 100 entries or 1 MB, several parts), and counts that as a violation. Rows have 16 KiB, one job in 25 has 600 tasks, whose record needs about 40 rows, and of one job the store takes no record over 60 bytes: it has to fail, and all others to complete.

--- a/tests/site_standin.c
+++ b/tests/site_standin.c
@@ -13,6 +13,9 @@
 #define ADVICE_MS 10
 #define FOLLOW_CHECK_S 0.05
 #define HISTORY_ROWS 4000
+/* Limits of a transaction.  */
+#define MAX_ENTRIES 100u
+#define MAX_CALL_BYTES ((size_t)1000 * 1000)
 
 typedef enum
 {
@@ -49,12 +52,15 @@
   uint32_t lost_commits_per_1000; /* applied and not answered */
   uint32_t lost_answers_per_1000;
   uint32_t violations;
+  size_t row_bytes;
+  char *refused_job; /* rows of its record over REFUSED_BYTES are refused */
+  size_t refused_bytes;
   GRand *random;
 } platform;
 
 typedef struct
 {
-  int64_t port, workers, seed;
+  int64_t port, workers, seed, row_bytes;
 } settings_t;
 
 static const option_t options[] = {
@@ -64,6 +70,8 @@
     1000, NULL, "Number of workers" },
   { "seed", OPTION_INTEGER, offsetof (settings_t, seed), "1", false, 0,
     G_MAXUINT32, NULL, "Seed of the injected faults" },
+  { "row-bytes", OPTION_INTEGER, offsetof (settings_t, row_bytes), "65536",
+    false, 1, 1 << 20, NULL, "Longest value of a row" },
   { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
 };
 
@@ -272,6 +280,62 @@
     }
 }
 
+/* Bytes of a value in base64.  */
+static size_t
+value_bytes (const char *value)
+{
+  size_t length = strlen (value);
+  size_t padding = g_str_has_suffix (value, "==")  ? 2
+                   : g_str_has_suffix (value, "=") ? 1
+                                                   : 0;
+  return length / 4 * 3 - padding;
+}
+
+/* Whether the row ENTRY is over the length that is taken of the job chosen by
+   POST /control/refuse.  */
+static bool
+is_refused_record (const json_t *entry)
+{
+  return platform.refused_job != NULL
+         && strcmp (text_of (entry, "table"), "record") == 0
+         && g_str_has_prefix (text_of (entry, "key"), platform.refused_job)
+         && value_bytes (text_of (entry, "value")) > platform.refused_bytes;
+}
+
+/* Why the store refuses the transaction BODY of LENGTH bytes whenever it is
+   sent, NULL if it does not.  A refusal that the test has not asked for is a
+   violation.  */
+static const char *
+refusal_of (const json_t *body, size_t length)
+{
+  static const char *const lists[] = { "expect", "writes", "remove" };
+  const char *part = NULL;
+  size_t entries = 0;
+  const char *why = length > MAX_CALL_BYTES ? "call too long" : NULL;
+  for (size_t l = 0; l < G_N_ELEMENTS (lists); l++)
+    {
+      const json_t *list = json_object_get (body, lists[l]);
+      entries += json_array_size (list);
+      for (size_t i = 0; i < json_array_size (list); i++)
+        {
+          const json_t *entry = json_array_get (list, i);
+          if (is_refused_record (entry))
+            return "refused as asked";
+          if (value_bytes (text_of (entry, "value")) > platform.row_bytes)
+            why = "row too long";
+          if (part != NULL && strcmp (part, text_of (entry, "part")) != 0)
+            why = "several parts";
+          part = text_of (entry, "part");
+        }
+    }
+  if (entries > MAX_ENTRIES)
+    why = "too many entries";
+  if (why != NULL)
+    site_violation ("a transaction of part %s is refused: %s",
+                    part != NULL ? part : "", why);
+  return why;
+}
+
 static void
 on_commit (void *context, httpd_exchange_t *exchange,
            const httpd_request_t *request)
@@ -279,6 +343,13 @@
   if (!store_serves (exchange))
     return;
   json_t *body = json_loadb (request->body, request->body_length, 0, NULL);
+  const char *refusal = refusal_of (body, request->body_length);
+  if (refusal != NULL)
+    {
+      site_answer_json (exchange, 400, json_pack ("{s:s}", "error", refusal));
+      json_decref (body);
+      return;
+    }
   const json_t *expects = json_object_get (body, "expect");
   json_t *current = json_array ();
   bool met = true;
@@ -426,6 +497,15 @@
   return text != NULL ? atoll (text) : 0;
 }
 
+/* POST /control/refuse?job=ID&over=BYTES.  */
+static void
+refuse_job (const char *id, int64_t over_bytes)
+{
+  g_free (platform.refused_job);
+  platform.refused_job = g_strdup (id);
+  platform.refused_bytes = (size_t)over_bytes;
+}
+
 /* POST /control/store?mode=busy|silent&for_ms=N, /control/lose?commits=N&
    answers=N (of 1000), /control/crash?worker=N, /control/mute?worker=N&
    for_ms=N, /control/load?to=ADDRESS&jobs_per_s=N (0 ends it).  */
@@ -454,6 +534,9 @@
   else if (strcmp (what, "mute") == 0)
     site_worker_silence ((uint32_t)query_number (exchange, "worker"),
                          query_number (exchange, "for_ms"));
+  else if (strcmp (what, "refuse") == 0)
+    refuse_job (httpd_query (exchange, "job"),
+                query_number (exchange, "over"));
   else if (strcmp (what, "load") == 0)
     site_load (httpd_query (exchange, "to"),
                (uint32_t)query_number (exchange, "jobs_per_s"));
@@ -512,6 +595,7 @@
     return 2;
   platform.loop = ev_default_loop (0);
   platform.random = g_rand_new_with_seed ((guint32)settings.seed);
+  platform.row_bytes = (size_t)settings.row_bytes;
   platform.rows
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
   platform.history = g_ptr_array_new_with_free_func (row_free);
--- a/tests/soak_node.sh
+++ b/tests/soak_node.sh
@@ -4,10 +4,11 @@
 # Nodes are killed, stopped, paused and restarted by signals, workers crash or
 # do not answer, the store refuses calls, does not answer or loses answers,
 # while jobs are submitted and queried.  One job in six has a task that crashes
-# the worker that starts it.  At the end every such job has to be reported as
-# failed and every other accepted one as completed, unless two workers or more
-# crashed with one of its tasks, and the stand-in must have counted no
-# violation.  A
+# the worker that starts it, one in 25 has 600 tasks, and of one the store takes
+# no record but the shortest.  At the end the deadly jobs and the refused one
+# have to be reported as failed and every other accepted one as completed,
+# unless two workers or more crashed with one of its tasks, and the stand-in
+# must have counted no violation; a call over the store's limits is one.  A
 # process that ends by itself, or whose log has a report of a sanitizer, fails
 # the soak.
 set -u
@@ -17,6 +18,7 @@
 NODES=${3:-3}
 PORT=${PORT:-25000}
 WORKERS=8
+WIDE_TASKS=600
 BUILD=${BUILD:-build/release}
 WORK=$(mktemp -d "${TMPDIR:-/tmp}/magnoliadock.XXXXXX")
 CONTROL=http://127.0.0.1:$PORT/control
@@ -55,6 +57,7 @@
 listen_addresses.front=127.0.0.$((10 + $1)):$((PORT + 401))
 listen_addresses.readiness=127.0.0.$((10 + $1)):$((PORT + 402))
 platform.address=127.0.0.1:$PORT
+platform.row_bytes=16384
 advice=127.0.0.1:$PORT
 limits.cpu_share=1
 limits.cores=1
@@ -97,10 +100,10 @@
 
 control () { curl -s -m 3 -X POST "$CONTROL/$1" >/dev/null; }
 
-submit () { # NODE ID CPU_MILLIS WORK_MS [" deadly"]; prints the status
+submit () { # NODE ID CPU_MILLIS WORK_MS KIND [COUNT]; prints the status
   curl -s -m 3 -o /dev/null -w '%{http_code}' -H "$HOST_HEADER" \
     -H 'Content-Type: application/json' -X POST "$(job_url "$1" "$2")" \
-    -d "{\"spec\":\"$3 $4${5:-}\",\"steps\":[{\"count\":3,\"cpu\":$3,\"mem_mb\":10,\"estimated_ms\":$4},{\"count\":2,\"cpu\":$3,\"mem_mb\":10,\"estimated_ms\":$4,\"after\":[0]}]}"
+    -d "{\"spec\":\"$3 $4$5\",\"steps\":[{\"count\":${6:-3},\"cpu\":$3,\"mem_mb\":10,\"estimated_ms\":$4},{\"count\":2,\"cpu\":$3,\"mem_mb\":10,\"estimated_ms\":$4,\"after\":[0]}]}"
 }
 
 # Whether two workers or more crashed with a run of one task of job $1: such a
@@ -141,7 +144,7 @@
 }
 
 "$BUILD/site-standin" --port "$PORT" --workers $WORKERS --seed "$SEED" \
-  2>"$WORK/standin.log" &
+  --row-bytes 16384 2>"$WORK/standin.log" &
 echo $! >"$WORK/standin.pid"
 for node in $(seq 1 "$NODES"); do
   write_settings "$node"
@@ -169,8 +172,15 @@
   work_ms=$((100 + RANDOM_NUMBER * 100))
   kind=
   expected=completed
+  count=3
   [ $((number % 6)) = 3 ] && kind=' deadly' && expected=failed
-  status=$(submit "$node" "$id" $cpu $work_ms "$kind")
+  # Its record needs several rows.
+  [ $((number % 25)) = 11 ] && cpu=50 && count=$WIDE_TASKS
+  if [ $number = 20 ]; then
+    control "refuse?job=$id&over=60"
+    expected=failed
+  fi
+  status=$(submit "$node" "$id" $cpu $work_ms "$kind" $count)
   [ "$status" = 200 ] && echo "$id $expected" >>"$WORK/accepted"
   draw 4
   [ "$RANDOM_NUMBER" = 0 ] && inject
