cell: keep the terms of a job's queue with the job

What callers would see: once its route has gone, a job fails with the first failed run of a task, and its starts carry no ticket, so that workers of an advised queue refuse them.

Cause: priority, attempts, objective and advice were looked up by the name of the queue in the configuration. The owner remembered dropped queues; its successor knew none, and treated an unknown queue as one attempt and no ticket.

Change: the row of a job holds what its queue was configured as when it was accepted. While the configuration has the queue, that is in force, also after its route has moved to another service; else the terms of the row are, at every owner alike.

--- a/src/cell.c
+++ b/src/cell.c
@@ -164,30 +164,37 @@
   task->group->job->cell->place_pending = true;
 }
 
+void
+cell_choose_queue (cell_job_t *job)
+{
+  const queue_t *queue
+      = g_hash_table_lookup (job->cell->queues, job->work->queue);
+  if (queue == NULL)
+    queue = job->work->terms;
+  if (queue == NULL)
+    return;
+  queue_free (job->queue);
+  job->queue = queue_copy (queue);
+}
+
 void
 cell_set_queues (cell_t *cell, const queue_table_t *table)
 {
+  g_hash_table_remove_all (cell->queues);
   for (guint i = 0; i < table->queues->len; i++)
     {
       queue_t *queue = queue_copy (table->queues->pdata[i]);
       g_hash_table_replace (cell->queues, queue->name, queue);
     }
-  /* Jobs hold copies, since a replaced queue is freed.  Queues that TABLE no
-     longer has stay in cell->queues, for the jobs that they have.  */
+  /* Jobs hold copies, since a replaced queue is freed.  */
   GHashTableIter iterator;
   gpointer value;
   g_hash_table_iter_init (&iterator, cell->jobs);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
       cell_job_t *job = value;
-      if (job->work == NULL)
-        continue;
-      const queue_t *queue
-          = g_hash_table_lookup (cell->queues, job->work->queue);
-      if (queue == NULL)
-        continue;
-      queue_free (job->queue);
-      job->queue = queue_copy (queue);
+      if (job->work != NULL)
+        cell_choose_queue (job);
     }
   cell->place_pending = true;
 }
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -285,10 +285,10 @@
   const cell_actions_t *actions;
   void *context;
   int64_t now_ms, wall_ms;
-  GHashTable *jobs;       /* id -> cell_job_t, owned */
-  GHashTable *workers;    /* id -> cell_worker_t, owned */
-  GPtrArray *worker_list; /* borrowed, in the order of appearance */
-  GHashTable *queues; /* name -> queue_t, owned; also those removed since */
+  GHashTable *jobs;          /* id -> cell_job_t, owned */
+  GHashTable *workers;       /* id -> cell_worker_t, owned */
+  GPtrArray *worker_list;    /* borrowed, in the order of appearance */
+  GHashTable *queues;        /* name -> queue_t as configured now, owned */
   GPtrArray *ready_groups;   /* cell_group_t that can run, not finished */
   GPtrArray *recurring_jobs; /* cell_job_t that may have occurrences to come */
   GPtrArray *dirty_jobs;     /* cell_job_t to be saved, but for the next two */
@@ -342,6 +342,9 @@
 void cell_mark_dirty (cell_job_t *job);
 /* ... and what it says of TASK.  */
 void cell_mark_task_dirty (const cell_task_t *task);
+/* Gives JOB its queue as it is configured now; if it is not, as it was when
+   JOB was accepted; if that is not known, as the job knew it last.  */
+void cell_choose_queue (cell_job_t *job);
 /* Returns the task of this name, NULL if there is none.  */
 cell_task_t *cell_find_task (cell_t *cell, const char *name);
 void cell_task_name (const cell_task_t *task, char out[WORK_NAME_BYTES]);
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -283,9 +283,7 @@
   job->state = JOB_STATE_QUEUED;
   job->saved_state = JOB_STATE_QUEUED;
   job->durations = cell_durations_of (cell, work->queue);
-  const queue_t *queue = g_hash_table_lookup (cell->queues, work->queue);
-  if (queue != NULL)
-    job->queue = queue_copy (queue);
+  cell_choose_queue (job);
   g_hash_table_insert (cell->jobs, job->id, job);
   if (work->times > 0)
     {
--- a/src/work.c
+++ b/src/work.c
@@ -30,6 +30,7 @@
       g_free (step->image);
     }
   g_free (job->steps);
+  queue_free (job->terms);
   g_free (job->queue);
   g_free (job->spec);
   g_free (job);
@@ -146,6 +147,24 @@
   return object;
 }
 
+static json_t *
+terms_to_json (const queue_t *terms)
+{
+  json_t *object = json_object ();
+  set_integer (object, "priority", terms->priority);
+  set_integer (object, "max_attempts", terms->max_attempts);
+  json_object_set_new (object, "stretch", json_real (terms->stretch));
+  set_integer (object, "target_ms", terms->target_ms);
+  if (!terms->advised)
+    return object;
+  set_flag (object, "advised", true);
+  json_object_set_new (object, "advice_ms", json_real (terms->advice_ms));
+  json_object_set_new (object, "advice_each_ms",
+                       json_real (terms->advice_each_ms));
+  set_integer (object, "ticket_validity_ms", terms->ticket_validity_ms);
+  return object;
+}
+
 char *
 work_job_encode (const work_job_t *job)
 {
@@ -157,6 +176,8 @@
   set_integer (object, "first_due_ms", job->first_due_ms);
   set_integer (object, "interval_ms", job->interval_ms);
   set_integer (object, "accepted_ms", job->accepted_ms);
+  if (job->terms != NULL)
+    json_object_set_new (object, "terms", terms_to_json (job->terms));
   json_t *steps = json_array ();
   for (uint32_t i = 0; i < job->step_count; i++)
     json_array_append_new (steps, step_to_json (&job->steps[i]));
@@ -235,6 +256,35 @@
                            &job->accepted_ms);
 }
 
+#define MAX_STRETCH 1e6
+
+/* Returns NULL if OBJECT, which rows of earlier versions lack, can't be read.
+ */
+static queue_t *
+terms_from_json (const json_t *object, const char *name)
+{
+  const double most_ms = (double)NUMBER_MAX_DURATION_MS;
+  queue_t *terms = queue_new ();
+  terms->name = g_strdup (name);
+  terms->advised = get_flag (object, "advised");
+  if (json_is_object (object)
+      && number_member_u32 (object, "priority", &terms->priority)
+      && number_member_u32 (object, "max_attempts", &terms->max_attempts)
+      && number_member_real (object, "stretch", 0, MAX_STRETCH,
+                             &terms->stretch)
+      && number_member (object, "target_ms", 0, NUMBER_MAX_DURATION_MS,
+                        &terms->target_ms)
+      && number_member_real (object, "advice_ms", 0, most_ms,
+                             &terms->advice_ms)
+      && number_member_real (object, "advice_each_ms", 0, most_ms,
+                             &terms->advice_each_ms)
+      && number_member (object, "ticket_validity_ms", 0,
+                        NUMBER_MAX_DURATION_MS, &terms->ticket_validity_ms))
+    return terms;
+  queue_free (terms);
+  return NULL;
+}
+
 work_job_t *
 work_job_decode (const char *text, size_t length, GError **error)
 {
@@ -251,6 +301,7 @@
     }
   job = work_job_new (id, queue, (uint32_t)json_array_size (steps));
   job->spec = get_text (object, "spec");
+  job->terms = terms_from_json (json_object_get (object, "terms"), queue);
   bool ok = occurrences_from_json (job, object);
   for (uint32_t i = 0; ok && i < job->step_count; i++)
     ok = step_from_json (&job->steps[i], json_array_get (steps, i));
--- a/src/work.h
+++ b/src/work.h
@@ -2,6 +2,7 @@
 #define MAGNOLIADOCK_WORK_H
 
 #include "error.h"
+#include "queues.h"
 #include "resource.h"
 
 #include <jansson.h>
@@ -58,6 +59,8 @@
   int64_t first_due_ms; /* wall time of occurrence 0 */
   int64_t interval_ms;  /* between two occurrences */
   int64_t accepted_ms;  /* wall time of its acceptance */
+  queue_t *terms;       /* its queue as configured then, without the fields
+                           that are about requests; owned; NULL: unknown */
 } work_job_t;
 
 /* The parts of a task's name.  */
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -564,6 +564,14 @@
   return table;
 }
 
+void
+fake_cell_drop_queues (fake_cell_t *sim)
+{
+  queue_table_free (sim->queues);
+  sim->queues = queue_table_new (2);
+  cell_set_queues (sim->cell, sim->queues);
+}
+
 fake_cell_t *
 fake_cell_new (uint32_t seed, uint32_t workers, const fake_faults_t *faults,
                fake_defect_t defect)
--- a/tests/fake_cell.h
+++ b/tests/fake_cell.h
@@ -94,6 +94,8 @@
 void fake_cell_take_over (fake_cell_t *sim);
 /* Makes the workers that run something unreachable for FOR_MS; they run on. */
 void fake_cell_disconnect_busy (fake_cell_t *sim, int64_t for_ms);
+/* Puts a configuration without any queue into force, for later owners too.  */
+void fake_cell_drop_queues (fake_cell_t *sim);
 /* Crashes all workers of the rack of a worker that runs something.  */
 void fake_cell_crash_rack (fake_cell_t *sim);
 void fake_cell_crash_all (fake_cell_t *sim);
--- a/tests/test.h
+++ b/tests/test.h
@@ -26,6 +26,7 @@
 extern CU_SuiteInfo test_membership_suites[];
 extern CU_SuiteInfo test_odd_row_suites[];
 extern CU_SuiteInfo test_option_suites[];
+extern CU_SuiteInfo test_home_suites[];
 extern CU_SuiteInfo test_httpc_suites[];
 extern CU_SuiteInfo test_inquiry_suites[];
 extern CU_SuiteInfo test_share_suites[];
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -26,6 +26,7 @@
   test_doc_suites,
   test_explore_suites,
   test_frame_suites,
+  test_home_suites,
   test_httpc_suites,
   test_inquiry_suites,
   test_job_suites,
