--- a/src/io/node.c
+++ b/src/io/node.c
@@ -74,14 +74,16 @@
                  (uint64_t)(MAX (took_ms, 0) * us_per_ms));
 }
 
-static node_cell_t *
-get_cell (node_t *node, const char *name)
+node_cell_t *
+node_get_cell (node_t *node, const char *name)
 {
   node_cell_t *cell = g_hash_table_lookup (node->cells, name);
   if (cell == NULL)
     {
       cell = node_cell_new (node, name);
       g_hash_table_insert (node->cells, cell->name, cell);
+      if (node->cluster != NULL)
+        replica_add_part (node->cluster, name);
     }
   return cell;
 }
@@ -89,7 +91,7 @@
 node_cell_t *
 node_cell_for_queue (node_t *node, const queue_t *queue)
 {
-  return get_cell (node, queue->service);
+  return node_get_cell (node, queue->service);
 }
 
 static void
@@ -109,12 +111,12 @@
   node_t *node = context;
   if (part[0] != '\0' && strcmp (key, HEARTBEAT_KEY) == 0)
     {
-      node_heartbeat_changed (get_cell (node, part), value, length);
+      node_heartbeat_changed (node_get_cell (node, part), value, length);
       return;
     }
   if (part[0] != '\0' && strcmp (key, LEASES_KEY) == 0)
     {
-      node_former_told (get_cell (node, part), value, length);
+      node_former_told (node_get_cell (node, part), value, length);
       return;
     }
   if (!g_str_has_prefix (key, ENTRY_PREFIX))
@@ -217,11 +219,11 @@
   log_event (LOG_INFO, "config_in_force", "version", version, NULL);
   queue_table_free (node->queues);
   node->queues = table;
-  for (guint i = 0; i < table->services->len; i++)
-    get_cell (node, table->services->pdata[i]);
-  for_each_cell (node, apply_queues);
   if (node->cluster == NULL)
     follow_cluster (node);
+  for (guint i = 0; i < table->services->len; i++)
+    node_get_cell (node, table->services->pdata[i]);
+  for_each_cell (node, apply_queues);
   check_readiness (node);
   node->input_pending = true;
 }
@@ -232,16 +234,11 @@
 static void
 follow_cluster (node_t *node)
 {
-  const queue_table_t *table = node->queues;
-  const char **parts = g_new0 (const char *, table->services->len + 2);
-  parts[0] = "";
-  for (guint i = 0; i < table->services->len; i++)
-    parts[i + 1] = table->services->pdata[i];
+  static const char *const parts[] = { "", NULL };
   replica_options_t options = { CLUSTER_TABLE, parts, CLUSTER_WAIT_MS,
                                 CLUSTER_SLACK_MS, NODE_CANDIDATE_GAP_MS };
   node->cluster = replica_new (node->platform, node->loop, &options,
                                &cluster_events, node);
-  g_free (parts);
   node_register_if_due (node);
 }
 
@@ -322,6 +319,7 @@
   if (node->cluster == NULL)
     return;
   node_register_if_due (node);
+  node_list_cells_if_due (node);
   node_claim_check (node);
   check_readiness (node);
 }
--- a/src/io/node_delete.c
+++ b/src/io/node_delete.c
@@ -5,9 +5,9 @@
 /* NAME
      node_delete - removes the rows of jobs that ended long ago
 
-   The inbox rows are removed first and the record with a later commit: a job
-   without a record would be run again.  Rows that remain are removed by the
-   next owner.  */
+   The inbox rows and the home are removed first and the record with a later
+   commit: a job without a record would be run again.  Rows that remain are
+   removed by the next owner.  */
 
 #define DELETE_TIMEOUT_MS 2000
 
@@ -40,7 +40,8 @@
   char *cancel = g_strconcat (id, CANCEL_SUFFIX, NULL);
   node_inbox_part (id, part);
   store_row_t writes[] = { { cell->inbox_table, part, id, 0, NULL, 0 },
-                           { cell->inbox_table, part, cancel, 0, NULL, 0 } };
+                           { cell->inbox_table, part, cancel, 0, NULL, 0 },
+                           { HOME_TABLE, part, id, 0, NULL, 0 } };
   delete_call_t *call = g_new (delete_call_t, 1);
   *call = (delete_call_t){ cell, cell->epoch, g_strdup (id) };
   platform->ops->commit (platform, NULL, 0, writes, G_N_ELEMENTS (writes),
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -32,11 +32,14 @@
      runs of a wide job
 
      inbox.CELL, part of the job's id, key ID: a job as submitted; key ID/c:
-     the job is cancelled  */
+     the job is cancelled
+
+     home, the same part, key ID: the cell of the job, over all cells  */
 
 #define CLUSTER_TABLE "cluster"
 #define FENCE_TABLE "fence"
 #define RECORD_TABLE "record"
+#define HOME_TABLE "home"
 /* Jobs are spread over the parts by the first two digits of their id: a part
    takes its writes one after another, only three a second while the store is
    60 times slower than usual, and a burst in the larger deployments brings 100
@@ -203,6 +206,8 @@
   ev_signal terminate, interrupt, reload;
   bool input_pending; /* cells have input to process */
   bool stopping, registered, register_in_flight;
+  bool cells_listed, list_in_flight;
+  int64_t next_list_ms;       /* the cells are not listed before */
   uint32_t register_failures; /* in a row */
   int64_t next_register_ms;   /* this node does not register before */
   int64_t stopping_since_ms;
@@ -220,6 +225,8 @@
 /* node.c */
 int64_t node_now (const node_t *node);
 node_cell_t *node_cell_for_queue (node_t *node, const queue_t *queue);
+/* Returns the cell NAME, which is added if it is not known yet.  */
+node_cell_t *node_get_cell (node_t *node, const char *name);
 void node_counter_increment (node_t *node, const char *name,
                              const char *labels);
 /* Adds a duration to the histogram NAME.  */
@@ -359,10 +366,11 @@
 /* node_store.c */
 /* Whether the store has not answered this node for too long.  */
 bool node_store_unreachable (const node_t *node);
-/* Writes one row if the row of EXPECT has the expected version.  VIA_PEER:
-   through another node if there is one.  */
+/* Writes rows of one part if those of EXPECT have the expected versions.
+   VIA_PEER: through another node if there is one.  */
 void node_store_commit (node_t *node, bool via_peer, const store_row_t *expect,
-                        const store_row_t *write, int64_t timeout_ms,
+                        uint32_t expect_count, const store_row_t *writes,
+                        uint32_t write_count, int64_t timeout_ms,
                         store_reply_done_t done, void *context);
 /* Reads the rows with FROM <= key < TO; VIA_PEER as above.  */
 void node_store_read (node_t *node, bool via_peer, const char *table,
@@ -382,6 +390,24 @@
 void node_cell_add_row (node_cell_t *cell, const char *key, const char *value,
                         size_t length);
 
+/* node_find.c */
+typedef struct
+{
+  store_result_t result;  /* STORE_OK: the search came to its end */
+  node_cell_t *cell;      /* NULL: there is no such job */
+  const char *state;      /* of its record, "queued" if it has none */
+  uint64_t inbox_version; /* of its row, if WANTS_STATE was false */
+} found_job_t;
+typedef void (*node_found_t) (void *context, const found_job_t *found);
+/* Finds the cell of the job ID; FIRST is where it is most likely.  FOUND lives
+   until DONE returns.  */
+void node_find_job (node_t *node, node_cell_t *first, const char *id,
+                    bool wants_state, node_found_t done, void *context);
+
+/* Adds the cells that ever had an owner, once after the start: one whose
+   service the configuration has dropped may have jobs that need an owner.  */
+void node_list_cells_if_due (node_t *node);
+
 /* node_notify.c */
 /* Tells the owner of CELL about the inbox row KEY, which is stored.  */
 void node_notify_owner (node_cell_t *cell, const char *key, const char *value);
--- a/src/io/node_requests.c
+++ b/src/io/node_requests.c
@@ -8,11 +8,12 @@
      node_requests - callers' requests: submit, state, cancel, pending
 
    Any node accepts a job by writing its inbox row, where the cell's owner
-   finds it.  A write with an unknown outcome is repeated until the outcome is
-   known or the caller's deadline has passed; the caller then gets
-   ERR_TIMEOUT, never an error that says that nothing was stored.  While the
-   store is slow the owner may have read the row before the answer to the write
-   arrives, so it is asked meanwhile.  */
+   finds it, and its home, which names that cell; no other node can then store
+   the same id in another cell.  A write with an unknown outcome is repeated
+   until the outcome is known or the caller's deadline has passed; the caller
+   then gets ERR_TIMEOUT, never an error that says that nothing was stored.
+   While the store is slow the owner may have read the row before the answer to
+   the write arrives, so it is asked meanwhile.  */
 
 #define RETRY_S 0.03
 /* Retries of a write that was certainly not applied.  */
@@ -32,11 +33,12 @@
 {
   node_t *node;
   caller_request_t *request;
-  char *table;
   char *key;
   char *value;
   char *id;
   node_cell_t *cell;
+  uint64_t home_version; /* of a home that a deleted job has left; 0: none */
+  uint64_t job_version;  /* of the row of the job that is cancelled */
   int64_t deadline_ms;
   int64_t started_ms;
   int64_t sent_ms;
@@ -59,7 +61,6 @@
 {
   if (!write->answered || write->open_calls > 0)
     return;
-  g_free (write->table);
   g_free (write->key);
   g_free (write->value);
   g_free (write->id);
@@ -127,6 +128,97 @@
   finish_write (write);
 }
 
+/* The last attempt of WRITE was not applied, or had no answer: sends it again
+   after a pause, or gives it up.  */
+static void
+retry_write (inbox_write_t *write)
+{
+  int64_t now_ms = node_now (write->node);
+  write->failed_attempts++;
+  if (now_ms >= write->deadline_ms - MIN_ATTEMPT_MS
+      || (!write->outcome_unknown
+          && write->failed_attempts > MAX_REFUSED_RETRIES))
+    {
+      fail_write (write);
+      return;
+    }
+  ev_timer_set (&write->retry, RETRY_S, 0.0);
+  ev_timer_start (write->node->loop, &write->retry);
+}
+
+/* Returns the row KEY of TABLE in REPLY, NULL if it is absent.  */
+static const store_row_t *
+row_in (const store_reply_t *reply, const char *table, const char *key)
+{
+  for (uint32_t i = 0; i < reply->count; i++)
+    if (strcmp (reply->rows[i].table, table) == 0
+        && strcmp (reply->rows[i].key, key) == 0
+        && reply->rows[i].value != NULL)
+      return &reply->rows[i];
+  return NULL;
+}
+
+/* A row that the submission expected to be absent is there.  Returns whether
+   it is the job; else it is only a home that a node of an earlier version has
+   left of a deleted job, and the next attempt replaces it.  */
+static bool
+submission_is_stored (inbox_write_t *write, const store_reply_t *reply)
+{
+  const store_row_t *home = row_in (reply, HOME_TABLE, write->id);
+  for (uint32_t i = 0; i < reply->count; i++)
+    if (reply->rows[i].value != NULL
+        && strcmp (reply->rows[i].table, HOME_TABLE) != 0)
+      return true;
+  write->home_version = home != NULL ? home->version : 0;
+  if (home != NULL)
+    {
+      /* The next attempt expects the job to be absent there too.  */
+      char *name = g_strndup (home->value, home->length);
+      node_get_cell (write->node, name);
+      g_free (name);
+    }
+  return false;
+}
+
+/* Answers a cancel of which a row was not as expected, if that tells what has
+   become of it.  Returns whether it did; else the row of the job was written
+   again, and the next attempt expects it so.  */
+static bool
+resolve_cancel (inbox_write_t *write, const store_reply_t *reply)
+{
+  const char *table = write->cell->inbox_table;
+  const store_row_t *job = row_in (reply, table, write->id);
+  if (row_in (reply, table, write->key) != NULL)
+    answer_written (write, true);
+  else if (job == NULL)
+    {
+      write->node->platform->ops->answer_no_job (write->request);
+      finish_write (write);
+    }
+  else
+    write->job_version = job->version;
+  return write->answered;
+}
+
+/* The store has applied WRITE, or found a row of it in conflict.  */
+static void
+handle_outcome (inbox_write_t *write, const store_reply_t *reply)
+{
+  if (reply->result == STORE_OK)
+    {
+      node_notify_owner (write->cell, write->key, write->value);
+      if (!write->answered)
+        answer_written (write, false);
+      return;
+    }
+  if (write->answered)
+    return;
+  if (!write->is_cancel && submission_is_stored (write, reply))
+    answer_written (write, true);
+  else if (!write->is_cancel || !resolve_cancel (write, reply))
+    retry_write (write);
+}
+
 static void
 handle_reply (inbox_write_t *write, const store_reply_t *reply)
 {
@@ -137,10 +229,7 @@
       if (!write->via_peer)
         adaptive_timeout_answered (&node->store_timeout,
                                    now_ms - write->sent_ms);
-      if (reply->result == STORE_OK)
-        node_notify_owner (write->cell, write->key, write->value);
-      if (!write->answered)
-        answer_written (write, reply->result == STORE_CONFLICT);
+      handle_outcome (write, reply);
       return;
     }
   if (reply->result == STORE_UNKNOWN)
@@ -158,16 +247,7 @@
     }
   if (reply->result != STORE_BUSY)
     write->via_peer = true;
-  write->failed_attempts++;
-  if (now_ms >= write->deadline_ms - MIN_ATTEMPT_MS
-      || (!write->outcome_unknown
-          && write->failed_attempts > MAX_REFUSED_RETRIES))
-    {
-      fail_write (write);
-      return;
-    }
-  ev_timer_set (&write->retry, RETRY_S, 0.0);
-  ev_timer_start (node->loop, &write->retry);
+  retry_write (write);
 }
 
 static void
@@ -207,22 +287,77 @@
   send_write (watcher->data);
 }
 
+/* Cells that a submission expects not to have the job: all that this node
+   knows, since jobs that an earlier version has stored have no home.  */
+#define MAX_EXPECTED_CELLS 90u
+
+/* Appends the rows of a submission in PART to EXPECT, an array of store_row_t,
+   and sets the two that it WRITES.  */
+static void
+submission_rows (const inbox_write_t *write, const char *part, GArray *expect,
+                 store_row_t writes[2])
+{
+  GHashTableIter iterator;
+  gpointer value;
+  store_row_t home
+      = { HOME_TABLE, part, write->id, write->home_version, NULL, 0 };
+  store_row_t own = { write->cell->inbox_table, part, write->id, 0, NULL, 0 };
+  g_array_append_val (expect, home);
+  g_array_append_val (expect, own);
+  g_hash_table_iter_init (&iterator, write->node->cells);
+  while (g_hash_table_iter_next (&iterator, NULL, &value)
+         && expect->len < MAX_EXPECTED_CELLS)
+    {
+      const node_cell_t *cell = value;
+      store_row_t other = { cell->inbox_table, part, write->id, 0, NULL, 0 };
+      if (cell != write->cell)
+        g_array_append_val (expect, other);
+    }
+  writes[0] = own;
+  writes[0].value = write->value;
+  writes[0].length = strlen (write->value);
+  writes[1] = home;
+  writes[1].value = write->cell->name;
+  writes[1].length = strlen (write->cell->name);
+}
+
+/* The same for a cancel, which writes one row.  */
+static void
+cancel_rows (const inbox_write_t *write, const char *part, GArray *expect,
+             store_row_t writes[1])
+{
+  const char *table = write->cell->inbox_table;
+  store_row_t job = { table, part, write->id, write->job_version, NULL, 0 };
+  store_row_t cancel = { table, part, write->key, 0, NULL, 0 };
+  g_array_append_val (expect, job);
+  g_array_append_val (expect, cancel);
+  writes[0] = cancel;
+  writes[0].value = write->value;
+  writes[0].length = strlen (write->value);
+}
+
 static void
 send_write (inbox_write_t *write)
 {
   node_t *node = write->node;
   char part[INBOX_PART_NAME_BYTES];
+  store_row_t writes[2];
+  GArray *expect = g_array_new (FALSE, FALSE, sizeof (store_row_t));
   node_inbox_part (write->id, part);
-  store_row_t expect = { write->table, part, write->key, 0, NULL, 0 };
-  store_row_t row = { write->table,         part, write->key, 0, write->value,
-                      strlen (write->value) };
+  if (write->is_cancel)
+    cancel_rows (write, part, expect, writes);
+  else
+    submission_rows (write, part, expect, writes);
   write->sent_ms = node_now (node);
   write->timeout_ms = CLAMP (
       write->deadline_ms - write->sent_ms, MIN_ATTEMPT_MS,
       adaptive_timeout_with_lag (&node->store_timeout, node->store_lag_ms));
   write->open_calls++;
-  node_store_commit (node, write->via_peer, &expect, &row, write->timeout_ms,
-                     on_written, write);
+  node_store_commit (node, write->via_peer,
+                     (const store_row_t *)(const void *)expect->data,
+                     expect->len, writes, write->is_cancel ? 1 : 2,
+                     write->timeout_ms, on_written, write);
+  g_array_unref (expect);
 }
 
 static inbox_write_t *
@@ -233,7 +368,6 @@
   write->node = node;
   write->request = request;
   write->cell = cell;
-  write->table = g_strdup (cell->inbox_table);
   write->id = g_strdup (id);
   write->started_ms = node_now (node);
   write->deadline_ms = node_now (node)
@@ -288,29 +422,19 @@
   send_write (write);
 }
 
-/* A query about one job, answered from the store: from its record, or without
-   one from its inbox row.  */
+/* A query about one job that is answered from the store.  */
 typedef struct
 {
   node_t *node;
   caller_request_t *request;
-  node_cell_t *cell;
   char *id;
-  bool is_cancel;
-  bool via_peer;
-  bool reads_inbox; /* instead of the record */
 } job_query_t;
 
 static job_query_t *
-query_new (node_t *node, caller_request_t *request, const queue_t *queue,
-           const char *id)
-{
-  job_query_t *query = g_new0 (job_query_t, 1);
-  query->node = node;
-  query->request = request;
-  query->cell = node_cell_for_queue (node, queue);
-  query->id = g_strdup (id);
-  query->via_peer = node_store_unreachable (node);
+query_new (node_t *node, caller_request_t *request, const char *id)
+{
+  job_query_t *query = g_new (job_query_t, 1);
+  *query = (job_query_t){ node, request, g_strdup (id) };
   return query;
 }
 
@@ -321,82 +445,45 @@
   g_free (query);
 }
 
-static void on_row_read (void *context, const store_reply_t *reply);
-
-static void
-read_row (job_query_t *query)
+/* Answers QUERY if there is no job to do something with.  Returns whether it
+   did.  */
+static bool
+answer_without_job (const job_query_t *query, const found_job_t *found)
 {
-  char part[INBOX_PART_NAME_BYTES];
-  /* Lies below the key of the cancel, so that the range holds only ID.  */
-  char *to = g_strconcat (query->id, "\x01", NULL);
-  node_inbox_part (query->id, part);
-  if (query->reads_inbox)
-    node_store_read (query->node, query->via_peer, query->cell->inbox_table,
-                     part, query->id, to, on_row_read, query);
+  const platform_api_ops_t *ops = query->node->platform->ops;
+  if (found->result == STORE_OK && found->cell != NULL)
+    return false;
+  if (found->result == STORE_OK)
+    ops->answer_no_job (query->request);
   else
-    node_store_read (query->node, query->via_peer, RECORD_TABLE,
-                     query->cell->name, query->id, to, on_row_read, query);
-  g_free (to);
-}
-
-static void
-store_cancel (node_t *node, caller_request_t *request, node_cell_t *cell,
-              const char *id)
-{
-  inbox_write_t *write = write_new (node, request, cell, id, 0);
-  write->is_cancel = true;
-  write->key = g_strconcat (id, CANCEL_SUFFIX, NULL);
-  write->value = g_strdup ("cancelled");
-  send_write (write);
+    ops->answer_error (query->request, ERR_STORE_UNAVAILABLE, RETRY_AFTER_MS);
+  return true;
 }
 
 static void
-answer_from_inbox (job_query_t *query, bool found)
+on_state_found (void *context, const found_job_t *found)
 {
-  const platform_api_ops_t *ops = query->node->platform->ops;
-  if (!found)
-    ops->answer_no_job (query->request);
-  else if (query->is_cancel)
-    store_cancel (query->node, query->request, query->cell, query->id);
-  else
-    ops->answer_state (query->request, "queued");
+  job_query_t *query = context;
+  if (!answer_without_job (query, found))
+    query->node->platform->ops->answer_state (query->request, found->state);
   query_free (query);
 }
 
-static void
-on_row_read (void *context, const store_reply_t *reply)
+/* Returns the state of the job ID if this node owns its cell, else NULL.  */
+static const char *
+owned_state (const node_t *node, const char *id)
 {
-  job_query_t *query = context;
-  const platform_api_ops_t *ops = query->node->platform->ops;
   const char *state = NULL;
-  if (reply->result != STORE_OK && !query->via_peer)
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init (&iterator, node->cells);
+  while (state == NULL && g_hash_table_iter_next (&iterator, NULL, &value))
     {
-      query->via_peer = true;
-      read_row (query);
-      return;
+      const node_cell_t *cell = value;
+      if (cell->state == CELL_OWNED && cell->scheduler != NULL)
+        state = cell_state (cell->scheduler, id);
     }
-  if (reply->result != STORE_OK)
-    {
-      ops->answer_error (query->request, ERR_STORE_UNAVAILABLE,
-                         RETRY_AFTER_MS);
-      query_free (query);
-      return;
-    }
-  if (query->reads_inbox)
-    {
-      answer_from_inbox (query, reply->count > 0);
-      return;
-    }
-  if (reply->count > 0)
-    state = cell_record_state (reply->rows[0].value, reply->rows[0].length);
-  if (state == NULL)
-    {
-      query->reads_inbox = true;
-      read_row (query);
-      return;
-    }
-  ops->answer_state (query->request, state);
-  query_free (query);
+  return state;
 }
 
 static void
@@ -404,16 +491,29 @@
               const char *id)
 {
   node_t *node = context;
-  node_cell_t *cell = node_cell_for_queue (node, queue);
-  const char *state = cell->state == CELL_OWNED && cell->scheduler != NULL
-                          ? cell_state (cell->scheduler, id)
-                          : NULL;
+  const char *state = owned_state (node, id);
   if (state != NULL)
+    node->platform->ops->answer_state (request, state);
+  else
+    node_find_job (node, node_cell_for_queue (node, queue), id, true,
+                   on_state_found, query_new (node, request, id));
+}
+
+static void
+on_cancel_found (void *context, const found_job_t *found)
+{
+  job_query_t *query = context;
+  if (!answer_without_job (query, found))
     {
-      node->platform->ops->answer_state (request, state);
-      return;
+      inbox_write_t *write
+          = write_new (query->node, query->request, found->cell, query->id, 0);
+      write->is_cancel = true;
+      write->job_version = found->inbox_version;
+      write->key = g_strconcat (query->id, CANCEL_SUFFIX, NULL);
+      write->value = g_strdup ("cancelled");
+      send_write (write);
     }
-  read_row (query_new (node, request, queue, id));
+  query_free (query);
 }
 
 static void
@@ -421,10 +521,8 @@
                const char *id)
 {
   node_t *node = context;
-  job_query_t *query = query_new (node, request, queue, id);
-  query->is_cancel = true;
-  query->reads_inbox = true;
-  read_row (query);
+  node_find_job (node, node_cell_for_queue (node, queue), id, false,
+                 on_cancel_found, query_new (node, request, id));
 }
 
 typedef struct
@@ -441,26 +539,39 @@
     sum->pending += pending;
 }
 
+/* Adds the pending jobs of a queue in CELL to SUM.  Returns false if only the
+   owner of CELL knows them.  */
+static bool
+add_pending_of (const node_cell_t *cell, pending_sum_t *sum)
+{
+  gpointer count = NULL;
+  if (cell->state == CELL_OWNED && cell->scheduler != NULL)
+    cell_each_pending (cell->scheduler, add_pending, sum);
+  else if (g_hash_table_lookup_extended (cell->pending_by_queue, sum->queue,
+                                         NULL, &count))
+    sum->pending += GPOINTER_TO_UINT (count);
+  else
+    return !cell->pending_cut;
+  return true;
+}
+
+/* Jobs of a queue are in several cells once its route has moved.  */
 static void
 handle_pending (void *context, caller_request_t *request, const queue_t *queue)
 {
   node_t *node = context;
-  const node_cell_t *cell = node_cell_for_queue (node, queue);
+  const platform_api_ops_t *ops = node->platform->ops;
   pending_sum_t sum = { queue->name, 0 };
-  gpointer count = NULL;
-  if (cell->state == CELL_OWNED && cell->scheduler != NULL)
-    cell_each_pending (cell->scheduler, add_pending, &sum);
-  else if (g_hash_table_lookup_extended (cell->pending_by_queue, queue->name,
-                                         NULL, &count))
-    sum.pending = GPOINTER_TO_UINT (count);
-  else if (cell->pending_cut)
-    {
-      /* Only the owner knows.  */
-      node->platform->ops->answer_error (request, ERR_STORE_UNAVAILABLE,
-                                         RETRY_AFTER_MS);
-      return;
-    }
-  node->platform->ops->answer_pending (request, sum.pending);
+  bool known = true;
+  GHashTableIter iterator;
+  gpointer cell;
+  g_hash_table_iter_init (&iterator, node->cells);
+  while (g_hash_table_iter_next (&iterator, NULL, &cell))
+    known = add_pending_of (cell, &sum) && known;
+  if (known)
+    ops->answer_pending (request, sum.pending);
+  else
+    ops->answer_error (request, ERR_STORE_UNAVAILABLE, RETRY_AFTER_MS);
 }
 
 const caller_request_handlers_t node_request_handlers
--- a/src/io/node_store.c
+++ b/src/io/node_store.c
@@ -152,18 +152,20 @@
 
 void
 node_store_commit (node_t *node, bool via_peer, const store_row_t *expect,
-                   const store_row_t *write, int64_t timeout_ms,
+                   uint32_t expect_count, const store_row_t *writes,
+                   uint32_t write_count, int64_t timeout_ms,
                    store_reply_done_t done, void *context)
 {
   if (via_peer
       && forward_to_peer (node, "/peer/commit",
                           json_pack ("{s:o, s:o}", "expect",
-                                     rows_to_json (expect, 1), "writes",
-                                     rows_to_json (write, 1)),
+                                     rows_to_json (expect, expect_count),
+                                     "writes",
+                                     rows_to_json (writes, write_count)),
                           timeout_ms, done, context))
     return;
-  node->platform->ops->commit (node->platform, expect, 1, write, 1, timeout_ms,
-                               done, context);
+  node->platform->ops->commit (node->platform, expect, expect_count, writes,
+                               write_count, timeout_ms, done, context);
 }
 
 void
--- a/src/io/platform_api.h
+++ b/src/io/platform_api.h
@@ -108,6 +108,10 @@
   void (*read) (platform_api_t *api, const char *table, const char *part,
                 const char *from, const char *to, int64_t timeout_ms,
                 store_reply_done_t done, void *context);
+  /* The parts of a table: the keys of the rows in the reply, in order, from
+     the one behind AFTER on; NULL: from the first one.  */
+  void (*parts) (platform_api_t *api, const char *table, const char *after,
+                 int64_t timeout_ms, store_reply_done_t done, void *context);
   /* Changes after version AFTER; waits up to WAIT_MS for one.  */
   void (*follow) (platform_api_t *api, const char *table, uint64_t after,
                   int64_t wait_ms, int64_t timeout_ms, store_reply_done_t done,
--- a/src/io/replica.c
+++ b/src/io/replica.c
@@ -36,8 +36,7 @@
   platform_api_t *platform;
   struct ev_loop *loop;
   char *table;
-  reader_t *readers;
-  uint32_t reader_count;
+  GPtrArray *readers;    /* reader_t, owned */
   uint32_t unread_parts; /* parts not yet read to their end */
   int64_t wait_ms, slack_ms, gap_ms;
   replica_events_t events;
@@ -49,7 +48,7 @@
   uint64_t read_version;  /* smallest version in the answers of this read */
   uint32_t read_round;
   uint32_t calls_in_flight;
-  bool loaded, reading, freed, failing;
+  bool loaded, reading, following, freed, failing;
 };
 
 static void
@@ -62,6 +61,23 @@
   g_free (copy);
 }
 
+static void
+reader_free (void *data)
+{
+  reader_t *reader = data;
+  g_free (reader->part);
+  g_free (reader->next_key);
+  g_free (reader);
+}
+
+static void
+add_reader (replica_t *replica, const char *part)
+{
+  reader_t *reader = g_new0 (reader_t, 1);
+  *reader = (reader_t){ .replica = replica, .part = g_strdup (part) };
+  g_ptr_array_add (replica->readers, reader);
+}
+
 static char *
 row_name (const char *part, const char *key)
 {
@@ -154,11 +170,12 @@
   replica->reading = true;
   replica->read_round++;
   replica->read_version = G_MAXUINT64;
-  replica->unread_parts = replica->reader_count;
-  for (uint32_t i = 0; i < replica->reader_count; i++)
+  replica->unread_parts = replica->readers->len;
+  for (guint i = 0; i < replica->readers->len; i++)
     {
-      g_clear_pointer (&replica->readers[i].next_key, g_free);
-      replica->readers[i].done = false;
+      reader_t *reader = replica->readers->pdata[i];
+      g_clear_pointer (&reader->next_key, g_free);
+      reader->done = false;
     }
 }
 
@@ -171,9 +188,12 @@
       follow (replica);
       return;
     }
-  for (uint32_t i = 0; i < replica->reader_count; i++)
-    if (!replica->readers[i].done && !replica->readers[i].in_flight)
-      read_part (&replica->readers[i]);
+  for (guint i = 0; i < replica->readers->len; i++)
+    {
+      reader_t *reader = replica->readers->pdata[i];
+      if (!reader->done && !reader->in_flight)
+        read_part (reader);
+    }
 }
 
 static void
@@ -206,13 +226,8 @@
 static void
 replica_destroy (replica_t *replica)
 {
-  for (uint32_t i = 0; i < replica->reader_count; i++)
-    {
-      g_free (replica->readers[i].part);
-      g_free (replica->readers[i].next_key);
-    }
   g_hash_table_unref (replica->rows);
-  g_free (replica->readers);
+  g_ptr_array_unref (replica->readers);
   g_free (replica->table);
   g_free (replica);
 }
@@ -289,10 +304,12 @@
 {
   replica_t *replica = context;
   bool ok = reply->result == STORE_OK;
+  replica->following = false;
   if (!replica->freed && reply->result == STORE_HISTORY_LOST)
     {
       log_event (LOG_WARN, "history_lost", "table", replica->table, NULL);
-      begin_reading (replica);
+      if (!replica->reading)
+        begin_reading (replica);
       ok = true;
     }
   else if (!replica->freed)
@@ -312,6 +329,9 @@
 static void
 follow (replica_t *replica)
 {
+  if (replica->following)
+    return;
+  replica->following = true;
   replica->calls_in_flight++;
   replica->follow_sent_ms = clk_now_ms (loop_clock ());
   replica->platform->ops->follow (replica->platform, replica->table,
@@ -329,12 +349,9 @@
   replica->platform = platform;
   replica->loop = loop;
   replica->table = g_strdup (options->table);
-  for (; options->parts[replica->reader_count] != NULL;)
-    replica->reader_count++;
-  replica->readers = g_new0 (reader_t, replica->reader_count);
-  for (uint32_t i = 0; i < replica->reader_count; i++)
-    replica->readers[i] = (reader_t){ replica, g_strdup (options->parts[i]),
-                                      NULL, false, false };
+  replica->readers = g_ptr_array_new_with_free_func (reader_free);
+  for (const char *const *part = options->parts; *part != NULL; part++)
+    add_reader (replica, *part);
   replica->wait_ms = options->wait_ms;
   replica->slack_ms = options->slack_ms;
   replica->gap_ms = options->gap_ms;
@@ -360,6 +377,22 @@
     replica_destroy (replica);
 }
 
+void
+replica_add_part (replica_t *replica, const char *part)
+{
+  for (guint i = 0; i < replica->readers->len; i++)
+    if (strcmp (((reader_t *)replica->readers->pdata[i])->part, part) == 0)
+      return;
+  add_reader (replica, part);
+  /* A read that is under way takes the new part too: beginning another one
+     would mix the pages of both.  */
+  if (replica->reading)
+    replica->unread_parts++;
+  else
+    begin_reading (replica);
+  make_due_calls (replica);
+}
+
 void
 replica_set_gap (replica_t *replica, int64_t gap_ms)
 {
--- a/src/io/replica.h
+++ b/src/io/replica.h
@@ -28,7 +28,7 @@
 typedef struct
 {
   const char *table;
-  const char *const *parts; /* ends with a NULL */
+  const char *const *parts; /* ends with a NULL; see replica_add_part */
   int64_t wait_ms;          /* longest wait of a call for changes */
   int64_t slack_ms;         /* beyond the wait, until the call times out */
   int64_t gap_ms; /* between an answer and the next call, so that changes are
@@ -41,6 +41,8 @@
 /* Answers to calls in flight are ignored.  NULL is allowed.  */
 void replica_free (replica_t *replica);
 
+/* Reads and follows PART too, if the replica does not have it yet.  */
+void replica_add_part (replica_t *replica, const char *part);
 /* Changes the gap between an answer and the next call.  */
 void replica_set_gap (replica_t *replica, int64_t gap_ms);
 bool replica_is_loaded (const replica_t *replica);
--- a/tests/site_standin.c
+++ b/tests/site_standin.c
@@ -52,7 +52,11 @@
   uint32_t lost_commits_per_1000; /* applied and not answered */
   uint32_t lost_answers_per_1000;
   uint32_t violations;
+  uint32_t reads,
+      inbox_writes; /* calls; of jobs and cancels by their tables */
   size_t row_bytes;
+  uint32_t services;
+  uint32_t config_version;
   char *refused_job; /* rows of its record over REFUSED_BYTES are refused */
   size_t refused_bytes;
   GRand *random;
@@ -60,7 +64,7 @@
 
 typedef struct
 {
-  int64_t port, workers, seed, row_bytes;
+  int64_t port, workers, seed, row_bytes, services;
 } settings_t;
 
 static const option_t options[] = {
@@ -72,6 +76,8 @@
     G_MAXUINT32, NULL, "Seed of the injected faults" },
   { "row-bytes", OPTION_INTEGER, offsetof (settings_t, row_bytes), "65536",
     false, 1, 1 << 20, NULL, "Longest value of a row" },
+  { "services", OPTION_INTEGER, offsetof (settings_t, services), "1", false, 1,
+    SITE_MAX_SERVICES, NULL, "Services that share the workers" },
   { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
 };
 
@@ -343,6 +349,9 @@
   if (!store_serves (exchange))
     return;
   json_t *body = json_loadb (request->body, request->body_length, 0, NULL);
+  const json_t *first = json_array_get (json_object_get (body, "writes"), 0);
+  platform.inbox_writes
+      += g_str_has_prefix (text_of (first, "table"), "inbox");
   const char *refusal = refusal_of (body, request->body_length);
   if (refusal != NULL)
     {
@@ -385,12 +394,43 @@
   return strcmp ((*(row_t *const *)a)->key, (*(row_t *const *)b)->key);
 }
 
+/* GET /api/rows-parts, without its pages.  */
+static void
+on_parts (void *context, httpd_exchange_t *exchange,
+          const httpd_request_t *request)
+{
+  if (!store_serves (exchange))
+    return;
+  const char *table = httpd_query (exchange, "table");
+  const char *after = httpd_query (exchange, "after");
+  GHashTable *parts = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init (&iterator, platform.rows);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const row_t *row = value;
+      if (g_strcmp0 (row->table, table) == 0
+          && (after == NULL || strcmp (row->part, after) > 0))
+        g_hash_table_add (parts, row->part);
+    }
+  json_t *list = json_array ();
+  GList *keys
+      = g_list_sort (g_hash_table_get_keys (parts), (GCompareFunc)strcmp);
+  for (const GList *link = keys; link != NULL; link = link->next)
+    json_array_append_new (list, json_string (link->data));
+  site_answer_json (exchange, 200, json_pack ("{s:o}", "parts", list));
+  g_list_free (keys);
+  g_hash_table_unref (parts);
+}
+
 static void
 on_read (void *context, httpd_exchange_t *exchange,
          const httpd_request_t *request)
 {
   if (!store_serves (exchange))
     return;
+  platform.reads++;
   const char *table = httpd_query (exchange, "table");
   const char *part = httpd_query (exchange, "part");
   const char *from = httpd_query (exchange, "from");
@@ -470,12 +510,13 @@
 on_check (void *context, httpd_exchange_t *exchange,
           const httpd_request_t *request)
 {
-  site_answer_json (exchange, 200,
-                    json_pack ("{s:i, s:i, s:i, s:i}", "violations",
-                               (int)platform.violations, "starts",
-                               (int)site_starts (), "running",
-                               (int)site_running (), "accepted",
-                               (int)site_load_accepted ()));
+  site_answer_json (
+      exchange, 200,
+      json_pack (
+          "{s:i, s:i, s:i, s:i, s:i, s:i}", "reads", (int)platform.reads,
+          "inbox_writes", (int)platform.inbox_writes, "violations",
+          (int)platform.violations, "starts", (int)site_starts (), "running",
+          (int)site_running (), "accepted", (int)site_load_accepted ()));
 }
 
 /* GET /control/crashes?job=ID  */
@@ -497,6 +538,32 @@
   return text != NULL ? atoll (text) : 0;
 }
 
+/* Writes the next version of the configuration, in which the only route leads
+   to SERVICE; NULL: in which there is no route.  */
+static void
+put_config (const char *service)
+{
+  json_t *services = json_array ();
+  json_t *routes = json_array ();
+  for (uint32_t i = 0; i < platform.services; i++)
+    json_array_append_new (services,
+                           json_pack ("{s:s}", "name", site_services[i]));
+  if (service != NULL)
+    json_array_append_new (
+        routes,
+        json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:f, s:{s:i, s:f, "
+                   "s:i}}",
+                   "name", "queue", "host", "host", "path_prefix", "/queue/",
+                   "service", service, "priority", 0, "max_attempts", 3,
+                   "target_latency_ms", 500, "stretch", 2.0, "advice",
+                   "decision_ms", ADVICE_MS, "per_worker_ms", 0.1,
+                   "validity_ms", TICKET_VALIDITY_MS));
+  site_put_row ("op", "config",
+                json_pack ("{s:i, s:o, s:o}", "version",
+                           (int)++platform.config_version, "routes", routes,
+                           "services", services));
+}
+
 /* POST /control/refuse?job=ID&over=BYTES.  */
 static void
 refuse_job (const char *id, int64_t over_bytes)
@@ -508,7 +575,8 @@
 
 /* POST /control/store?mode=busy|silent&for_ms=N, /control/lose?commits=N&
    answers=N (of 1000), /control/crash?worker=N, /control/mute?worker=N&
-   for_ms=N, /control/load?to=ADDRESS&jobs_per_s=N (0 ends it).  */
+   for_ms=N, /control/route?service=NAME (none: drops the route),
+   /control/load?to=ADDRESS&jobs_per_s=N (0 ends it).  */
 static void
 on_control (void *context, httpd_exchange_t *exchange,
             const httpd_request_t *request)
@@ -537,6 +605,8 @@
   else if (strcmp (what, "refuse") == 0)
     refuse_job (httpd_query (exchange, "job"),
                 query_number (exchange, "over"));
+  else if (strcmp (what, "route") == 0)
+    put_config (httpd_query (exchange, "service"));
   else if (strcmp (what, "load") == 0)
     site_load (httpd_query (exchange, "to"),
                (uint32_t)query_number (exchange, "jobs_per_s"));
@@ -546,6 +616,7 @@
 static const httpd_route_t routes[] = {
   { "POST", "/api/rows-tx", on_commit },
   { "GET", "/api/rows-get", on_read },
+  { "GET", "/api/rows-parts", on_parts },
   { "GET", "/api/rows-feed", on_follow },
   { "POST", "/api/advise", on_advise },
   { "GET", "/control/check", on_check },
@@ -554,22 +625,6 @@
   { NULL, NULL, NULL },
 };
 
-static void
-put_config (void)
-{
-  json_t *advice
-      = json_pack ("{s:i, s:f, s:i}", "decision_ms", ADVICE_MS,
-                   "per_worker_ms", 0.1, "validity_ms", TICKET_VALIDITY_MS);
-  json_t *route
-      = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:f, s:o}", "name",
-                   "queue", "host", "host", "path_prefix", "/queue/",
-                   "service", "pool", "priority", 0, "max_attempts", 3,
-                   "target_latency_ms", 500, "stretch", 2.0, "advice", advice);
-  site_put_row ("op", "config",
-                json_pack ("{s:i, s:[o], s:[{s:s}]}", "version", 1, "routes",
-                           route, "services", "name", "pool"));
-}
-
 static void
 on_follow_check (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -596,6 +651,7 @@
   platform.loop = ev_default_loop (0);
   platform.random = g_rand_new_with_seed ((guint32)settings.seed);
   platform.row_bytes = (size_t)settings.row_bytes;
+  platform.services = (uint32_t)settings.services;
   platform.rows
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
   platform.history = g_ptr_array_new_with_free_func (row_free);
@@ -607,14 +663,14 @@
                              .max_body_bytes = 2 * 1024 * 1024 };
   platform.server = httpd_new (platform.loop, &server, &error);
   if (platform.server == NULL
-      || !site_workers_start ((uint32_t)settings.workers,
+      || !site_workers_start ((uint32_t)settings.workers, platform.services,
                               (uint16_t)(settings.port + 1), &error))
     {
       fprintf (stderr, "site-standin: %s\n", error->message);
       return 1;
     }
   httpd_add_routes (platform.server, routes, NULL);
-  put_config ();
+  put_config (site_services[0]);
   ev_timer_init (&check, on_follow_check, FOLLOW_CHECK_S, FOLLOW_CHECK_S);
   ev_timer_start (platform.loop, &check);
   ev_signal_init (&terminate, on_signal, SIGTERM);
--- a/tests/site_standin.h
+++ b/tests/site_standin.h
@@ -27,9 +27,13 @@
 void site_answer_json (httpd_exchange_t *exchange, uint16_t status,
                        json_t *body);
 
+/* Names of the services; the workers are divided between the first SERVICES.
+ */
+#define SITE_MAX_SERVICES 2u
+extern const char *const site_services[SITE_MAX_SERVICES];
 /* Starts WORKERS workers on ports from FIRST_PORT.  */
-bool site_workers_start (uint32_t workers, uint16_t first_port,
-                         GError **error);
+bool site_workers_start (uint32_t workers, uint32_t services,
+                         uint16_t first_port, GError **error);
 /* Drops all that a worker runs and restarts it under its id.  */
 void site_worker_crash (uint32_t index);
 /* A worker does not answer for FOR_MS.  */
--- a/tests/site_worker.c
+++ b/tests/site_worker.c
@@ -54,6 +54,7 @@
   char id[16];
   char address[32];
   char rack[16];
+  const char *service;
   httpd_t *server;
   uint32_t row_sequence;
   int64_t start_monotonic_ms;
@@ -66,6 +67,8 @@
   GArray *waiting;         /* waiting_poll_t */
 } worker_t;
 
+const char *const site_services[SITE_MAX_SERVICES] = { "pool", "pool-2" };
+
 static struct
 {
   GPtrArray *workers;
@@ -394,10 +397,11 @@
 {
   json_t *row = json_pack (
       "{s:s, s:s, s:s, s:{s:i, s:i, s:i}, s:[s, s], s:s, s:I, s:i}", "service",
-      "pool", "address", worker->address, "state", "ready", "capacity", "cpu",
-      CPU_MILLIS, "mem_mb", MEMORY_MB, "gpu", 0, "labels", "a", worker->rack,
-      "machine", worker->id, "born", (json_int_t)worker->start_wall_ms,
-      "sequence", (int)++worker->row_sequence);
+      worker->service, "address", worker->address, "state", "ready",
+      "capacity", "cpu", CPU_MILLIS, "mem_mb", MEMORY_MB, "gpu", 0, "labels",
+      "a", worker->rack, "machine", worker->id, "born",
+      (json_int_t)worker->start_wall_ms, "sequence",
+      (int)++worker->row_sequence);
   site_put_row ("servers", worker->id, row);
 }
 
@@ -489,7 +493,8 @@
 }
 
 bool
-site_workers_start (uint32_t workers, uint16_t first_port, GError **error)
+site_workers_start (uint32_t workers, uint32_t services, uint16_t first_port,
+                    GError **error)
 {
   state.workers = g_ptr_array_new ();
   state.done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -505,6 +510,7 @@
                   first_port + i);
       g_snprintf (worker->rack, sizeof worker->rack, "r1-%u",
                   i / WORKERS_PER_RACK);
+      worker->service = site_services[i * services / workers];
       worker->runs = g_ptr_array_new_with_free_func (run_free);
       worker->ends = g_ptr_array_new_with_free_func (end_free);
       worker->waiting = g_array_new (FALSE, FALSE, sizeof (waiting_poll_t));
--- a/tests/soak_node.sh
+++ b/tests/soak_node.sh
@@ -2,13 +2,15 @@
 # Randomised soak of real nodes against the stand-in of the platform.
 #   tests/soak_node.sh [SEED [SECONDS [NODES]]]
 # Nodes are killed, stopped, paused and restarted by signals, workers crash or
-# do not answer, the store refuses calls, does not answer or loses answers,
-# while jobs are submitted and queried.  One job in six has a task that crashes
+# do not answer, the store refuses calls, does not answer or loses answers, and
+# the route moves between two services or is dropped, while jobs are submitted, submitted
+# again, cancelled and queried.  One job in six has a task that crashes
 # the worker that starts it, one in 25 has 600 tasks, and of one the store takes
 # no record but the shortest.  At the end the deadly jobs and the refused one
 # have to be reported as failed and every other accepted one as completed,
 # unless two workers or more crashed with one of its tasks, and the stand-in
-# must have counted no violation; a call over the store's limits is one.  A
+# must have counted no violation; a call over the store's limits is one.  No
+# accepted job may be answered 410.  A
 # process that ends by itself, or whose log has a report of a sanitizer, fails
 # the soak.
 set -u
@@ -17,7 +19,7 @@
 SOAK_SECONDS=${2:-20}
 NODES=${3:-3}
 PORT=${PORT:-25000}
-WORKERS=8
+WORKERS=12
 WIDE_TASKS=600
 BUILD=${BUILD:-build/release}
 WORK=$(mktemp -d "${TMPDIR:-/tmp}/magnoliadock.XXXXXX")
@@ -118,11 +120,43 @@
 
 state () { curl -s -m 3 -H "$HOST_HEADER" "$(job_url "$1" "$2")"; }
 
+# Chooses a line of file $1; fails if it is empty.
+draw_line () {
+  lines=$(wc -l <"$1")
+  [ "$lines" -gt 0 ] || return 1
+  draw "$lines"
+  LINE=$(sed -n "$((RANDOM_NUMBER + 1))p" "$1")
+}
+
+# A request with the id of an accepted job arrives again, at any node.
+submit_again () {
+  draw_line "$WORK/submitted" || return 0
+  draw "$NODES"
+  # shellcheck disable=SC2086
+  set -- $LINE
+  submit "$((RANDOM_NUMBER + 1))" "$1" "$2" "$3" "${5:+ $5}" "$4" >/dev/null
+  not_gone "$1" "$(curl -s -m 3 -o /dev/null -w '%{http_code}' \
+    -H "$HOST_HEADER" "$(job_url "$((RANDOM_NUMBER + 1))" "$1")")"
+}
+
+# Fails if $2 says that there is no job $1, which was accepted.
+not_gone () { [ "$2" != 410 ] || fail "accepted job $1 is answered 410"; }
+
+# Cancels the job that was accepted last; it may end in any way from then on.
+cancel_one () {
+  id=$(tail -n 1 "$WORK/accepted" | cut -d' ' -f1)
+  [ "$id" ] || return 0
+  draw "$NODES"
+  not_gone "$id" "$(curl -s -m 3 -o /dev/null -w '%{http_code}' -X DELETE \
+    -H "$HOST_HEADER" "$(job_url "$((RANDOM_NUMBER + 1))" "$id")")"
+  sed -i '$d' "$WORK/accepted"
+}
+
 # One fault on a node or on the platform.
 inject () {
   draw "$NODES"
   victim=$((RANDOM_NUMBER + 1))
-  draw 9
+  draw 12
   case $RANDOM_NUMBER in
     0 | 1) end_node KILL "$victim" ;;
     2) end_node TERM "$victim" ;;
@@ -132,6 +166,9 @@
     6) control "store?mode=busy&for_ms=2000" ;;
     7) control "store?mode=silent&for_ms=2000" ;;
     8) control "lose?commits=200&answers=50" ;;
+    9) control "route?service=pool" ;;
+    10) control "route?service=pool-2" ;;
+    11) control "route" ;;
   esac
 }
 
@@ -144,7 +181,7 @@
 }
 
 "$BUILD/site-standin" --port "$PORT" --workers $WORKERS --seed "$SEED" \
-  --row-bytes 16384 2>"$WORK/standin.log" &
+  --row-bytes 16384 --services 2 2>"$WORK/standin.log" &
 echo $! >"$WORK/standin.pid"
 for node in $(seq 1 "$NODES"); do
   write_settings "$node"
@@ -161,6 +198,7 @@
 end=$(($(date +%s) + SOAK_SECONDS))
 number=0
 : >"$WORK/accepted"
+: >"$WORK/submitted"
 while [ "$(date +%s)" -lt "$end" ]; do
   number=$((number + 1))
   id=$(printf '%016x' $number)
@@ -181,7 +219,13 @@
     expected=failed
   fi
   status=$(submit "$node" "$id" $cpu $work_ms "$kind" $count)
-  [ "$status" = 200 ] && echo "$id $expected" >>"$WORK/accepted"
+  if [ "$status" = 200 ]; then
+    echo "$id $expected" >>"$WORK/accepted"
+    echo "$id $cpu $work_ms $count$kind" >>"$WORK/submitted"
+  fi
+  draw 3
+  [ "$RANDOM_NUMBER" = 0 ] && submit_again
+  [ $((number % 9)) = 6 ] && cancel_one
   draw 4
   [ "$RANDOM_NUMBER" = 0 ] && inject
   draw 6
@@ -189,6 +233,7 @@
   sleep 0.1
 done
 control "lose?commits=0&answers=0"
+control "route?service=pool-2"
 recover_nodes
 
 # Without further faults all accepted jobs have to complete within about 40 s:
--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -1,7 +1,9 @@
 #include "fake_cell.h"
+#include "fake_rows.h"
 #include "test.h"
 
 #include <glib.h>
+#include <stdio.h>
 #include <string.h>
 
 /* Where a job belongs, and under which terms, once the route that it came by
@@ -108,10 +110,426 @@
   fake_cell_free (sim);
 }
 
+/* Two nodes on one store.  */
+typedef struct
+{
+  fake_rows_t rows;
+  clk_fake_t clock;
+  fake_site_t sites[2];
+  node_t nodes[2];
+} two_nodes_t;
+
+static void
+two_nodes_init (two_nodes_t *two)
+{
+  clk_fake_init (&two->clock, 100000);
+  fake_rows_init (&two->rows);
+  fake_site_init (&two->sites[0], &two->nodes[0], &two->rows, "edge-1",
+                  &two->clock.base);
+  fake_site_init (&two->sites[1], &two->nodes[1], &two->rows, "edge-2",
+                  &two->clock.base);
+  for (int i = 0; i < 2; i++)
+    {
+      node_get_cell (&two->nodes[i], "old");
+      node_get_cell (&two->nodes[i], "new");
+    }
+}
+
+static void
+two_nodes_clear (two_nodes_t *two)
+{
+  fake_site_clear (&two->nodes[0]);
+  fake_site_clear (&two->nodes[1]);
+  fake_rows_clear (&two->rows);
+}
+
+static void
+route_both (two_nodes_t *two, const char *service)
+{
+  fake_site_route (&two->nodes[0], service);
+  fake_site_route (&two->nodes[1], service);
+}
+
+static const queue_t *
+queue_of (const node_t *node)
+{
+  return node->queues->queues->pdata[0];
+}
+
+/* The part of JOB_ID.  */
+#define PART "00"
+
+static void
+send_submission (node_t *node, fake_caller_t *caller)
+{
+  *caller = (fake_caller_t){ 0 };
+  node_request_handlers.submit (node, (caller_request_t *)caller,
+                                queue_of (node), job_new (NULL), 3000);
+}
+
+static fake_caller_t
+submit (two_nodes_t *two, int node)
+{
+  fake_caller_t caller;
+  send_submission (&two->nodes[node], &caller);
+  fake_rows_settle (&two->rows);
+  return caller;
+}
+
+static fake_caller_t
+ask (two_nodes_t *two, int node)
+{
+  fake_caller_t caller = { 0 };
+  node_request_handlers.state (&two->nodes[node], (caller_request_t *)&caller,
+                               queue_of (&two->nodes[node]), JOB_ID);
+  fake_rows_settle (&two->rows);
+  return caller;
+}
+
+static fake_caller_t
+cancel (two_nodes_t *two, int node)
+{
+  fake_caller_t caller = { 0 };
+  node_request_handlers.cancel (&two->nodes[node], (caller_request_t *)&caller,
+                                queue_of (&two->nodes[node]), JOB_ID);
+  fake_rows_settle (&two->rows);
+  return caller;
+}
+
+static bool
+is_stored (const two_nodes_t *two, const char *cell)
+{
+  char *table = g_strconcat ("inbox.", cell, NULL);
+  bool stored = fake_rows_get (&two->rows, table, PART, JOB_ID) != NULL;
+  g_free (table);
+  return stored;
+}
+
+static void
+expect_one_job (two_nodes_t *two, const char *cell)
+{
+  CU_ASSERT_EQUAL (is_stored (two, "old"), strcmp (cell, "old") == 0);
+  CU_ASSERT_EQUAL (is_stored (two, "new"), strcmp (cell, "new") == 0);
+}
+
+/* Guards against a job that is accepted a second time, not found, or not
+   cancelled, because its route names another service than when it was
+   accepted: moved, moved and back, dropped and added again.  */
+static void
+test_moved_route (void)
+{
+  static const struct
+  {
+    const char *at_acceptance;
+    const char *later[3]; /* services; "-": the route is dropped */
+    const char *record;   /* of the owner; NULL: none yet */
+    const char *state;
+  } rows[] = {
+    { "old", { "new" }, NULL, "queued" },
+    { "old", { "new" }, "1 R 0\n", "running" },
+    { "old", { "new", "old" }, "1 R 0\n", "running" },
+    { "old", { "new", "old", "new" }, "1 C 0\n", "completed" },
+    { "old", { "-", "old" }, NULL, "queued" },
+    { "old", { "-", "new" }, "1 R 0\n", "running" },
+    { "new", { "old", "-", "new" }, "1 F 0\n", "failed" },
+    { "old", { "third" }, "1 R 0\n", "running" },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      two_nodes_t two;
+      two_nodes_init (&two);
+      route_both (&two, rows[i].at_acceptance);
+      CU_ASSERT_EQUAL (submit (&two, 0).kind, ERR_OK);
+      fake_rows_put (&two.rows, "record", rows[i].at_acceptance, JOB_ID,
+                     rows[i].record);
+      for (size_t j = 0; j < 3 && rows[i].later[j] != NULL; j++)
+        route_both (&two, strcmp (rows[i].later[j], "-") == 0
+                              ? NULL
+                              : rows[i].later[j]);
+      for (int node = 0; node < 2; node++)
+        {
+          fake_caller_t caller = ask (&two, node);
+          CU_ASSERT_EQUAL (caller.kind, ERR_OK);
+          CU_ASSERT_STRING_EQUAL (caller.state, rows[i].state);
+          CU_ASSERT_EQUAL (submit (&two, node).kind, ERR_OK);
+          expect_one_job (&two, rows[i].at_acceptance);
+        }
+      CU_ASSERT_EQUAL (cancel (&two, 1).kind, ERR_OK);
+      char *table = g_strconcat ("inbox.", rows[i].at_acceptance, NULL);
+      CU_ASSERT_PTR_NOT_NULL (
+          fake_rows_get (&two.rows, table, PART, JOB_ID "/c"));
+      g_free (table);
+      two_nodes_clear (&two);
+    }
+}
+
+/* Guards against a job that a node of the build before has stored, which is
+   accepted again or not found once its route has moved.  */
+static void
+test_job_without_home (void)
+{
+  two_nodes_t two;
+  two_nodes_init (&two);
+  route_both (&two, "new");
+  fake_rows_put (&two.rows, "inbox.old", PART, JOB_ID, "{}");
+  CU_ASSERT_EQUAL (submit (&two, 0).kind, ERR_OK);
+  expect_one_job (&two, "old");
+  CU_ASSERT_STRING_EQUAL (ask (&two, 1).state, "queued");
+  fake_rows_put (&two.rows, "record", "old", JOB_ID, "1 R 0\n");
+  CU_ASSERT_STRING_EQUAL (ask (&two, 1).state, "running");
+  CU_ASSERT_EQUAL (cancel (&two, 1).kind, ERR_OK);
+  CU_ASSERT_PTR_NOT_NULL (
+      fake_rows_get (&two.rows, "inbox.old", PART, JOB_ID "/c"));
+  two_nodes_clear (&two);
+}
+
+/* Guards against an id that counts as known for good although its job was
+   deleted after its retention, by this build or, with the home left behind, by
+   the build before; and against its deletion in the wrong cell.  */
+static void
+test_deleted_job (void)
+{
+  for (int leaves_home = 0; leaves_home <= 1; leaves_home++)
+    {
+      two_nodes_t two;
+      two_nodes_init (&two);
+      route_both (&two, "old");
+      CU_ASSERT_EQUAL (submit (&two, 0).kind, ERR_OK);
+      route_both (&two, "new");
+      if (leaves_home)
+        fake_rows_put (&two.rows, "inbox.old", PART, JOB_ID, NULL);
+      else
+        node_delete_job (node_get_cell (&two.nodes[1], "old"), JOB_ID);
+      fake_rows_settle (&two.rows);
+      CU_ASSERT_EQUAL (fake_rows_get (&two.rows, "home", PART, JOB_ID) != NULL,
+                       leaves_home == 1);
+      CU_ASSERT_TRUE (ask (&two, 0).no_job);
+      CU_ASSERT_TRUE (cancel (&two, 0).no_job);
+      fake_caller_t caller;
+      send_submission (&two.nodes[1], &caller);
+      for (int i = 0; i < 10 && caller.answers == 0; i++)
+        {
+          fake_rows_settle (&two.rows);
+          ev_run (two.nodes[1].loop,
+                  caller.answers == 0 ? EVRUN_ONCE : EVRUN_NOWAIT);
+        }
+      CU_ASSERT_EQUAL (caller.kind, ERR_OK);
+      expect_one_job (&two, "new");
+      CU_ASSERT_STRING_EQUAL (fake_rows_get (&two.rows, "home", PART, JOB_ID),
+                              "new");
+      CU_ASSERT_STRING_EQUAL (ask (&two, 0).state, "queued");
+      two_nodes_clear (&two);
+    }
+}
+
+/* Guards against a cancel that is stored, and answered as done, although the
+   job has been deleted since it was found.  */
+static void
+test_cancel_of_deleted_job (void)
+{
+  two_nodes_t two;
+  fake_caller_t caller = { 0 };
+  two_nodes_init (&two);
+  route_both (&two, "old");
+  submit (&two, 0);
+  node_request_handlers.cancel (&two.nodes[0], (caller_request_t *)&caller,
+                                queue_of (&two.nodes[0]), JOB_ID);
+  fake_rows_deliver (&two.rows, 0, DELIVERED); /* the search */
+  fake_rows_put (&two.rows, "inbox.old", PART, JOB_ID, NULL);
+  fake_rows_settle (&two.rows);
+  CU_ASSERT_TRUE (caller.no_job);
+  CU_ASSERT_PTR_NULL (
+      fake_rows_get (&two.rows, "inbox.old", PART, JOB_ID "/c"));
+  two_nodes_clear (&two);
+}
+
+/* Guards against "no such job" while the store is away.  */
+static void
+test_store_away (void)
+{
+  two_nodes_t two;
+  two_nodes_init (&two);
+  route_both (&two, "old");
+  submit (&two, 0);
+  route_both (&two, "new");
+  /* Each of the calls of a search fails in turn, twice.  */
+  for (guint failing = 0; failing < 4; failing++)
+    {
+      fake_caller_t caller = { 0 };
+      node_request_handlers.state (&two.nodes[1], (caller_request_t *)&caller,
+                                   queue_of (&two.nodes[1]), JOB_ID);
+      for (guint i = 0; i < failing; i++)
+        fake_rows_deliver (&two.rows, 0, DELIVERED);
+      while (two.rows.calls->len > 0)
+        fake_rows_deliver (&two.rows, 0, REFUSED);
+      CU_ASSERT_EQUAL (caller.answers, 1);
+      CU_ASSERT_EQUAL (caller.kind, ERR_STORE_UNAVAILABLE);
+    }
+  CU_ASSERT_STRING_EQUAL (ask (&two, 1).state, "queued");
+  two_nodes_clear (&two);
+}
+
+/* Guards against a count that leaves out the jobs which wait where the route
+   led before.  */
+static void
+test_pending_of_moved_route (void)
+{
+  two_nodes_t two;
+  fake_caller_t caller = { 0 };
+  static const char old_beat[]
+      = "{\"owner\":\"edge-2\",\"pending\":{\"queue\":3,\"other\":9}}";
+  static const char new_beat[]
+      = "{\"owner\":\"edge-2\",\"pending\":{\"queue\":2}}";
+  two_nodes_init (&two);
+  route_both (&two, "new");
+  node_heartbeat_changed (node_get_cell (&two.nodes[0], "old"), old_beat,
+                          strlen (old_beat));
+  node_heartbeat_changed (node_get_cell (&two.nodes[0], "new"), new_beat,
+                          strlen (new_beat));
+  node_request_handlers.pending (&two.nodes[0], (caller_request_t *)&caller,
+                                 queue_of (&two.nodes[0]));
+  CU_ASSERT_EQUAL (caller.pending, 5);
+  two_nodes_clear (&two);
+}
+
+/* The choices of one run of an exploration, and how many there were each time;
+   the next run differs in the last choice that has another option.  */
+typedef struct
+{
+  guint chosen[64], options[64];
+  guint length, at;
+} choices_t;
+
+static guint
+choose (choices_t *choices, guint options)
+{
+  if (choices->at == choices->length)
+    {
+      choices->chosen[choices->at] = 0;
+      choices->length++;
+    }
+  choices->options[choices->at] = options;
+  return choices->chosen[choices->at++];
+}
+
+static bool
+next_choices (choices_t *choices)
+{
+  while (choices->length > 0
+         && choices->chosen[choices->length - 1] + 1
+                >= choices->options[choices->length - 1])
+    choices->length--;
+  if (choices->length == 0)
+    return false;
+  choices->chosen[choices->length - 1]++;
+  choices->at = 0;
+  return true;
+}
+
+/* Delivers the calls that wait in a chosen order; LOSSES of them, at chosen
+   moments, have no answer, and of these some are carried out at the end.  */
+static void
+deliver_chosen (two_nodes_t *two, choices_t *choices, guint *losses)
+{
+  while (two->rows.calls->len > 0)
+    {
+      guint index = choose (choices, two->rows.calls->len);
+      fake_delivery_t delivery = DELIVERED;
+      if (*losses > 0)
+        {
+          static const fake_delivery_t kinds[]
+              = { DELIVERED, ANSWER_LOST, CARRIED_OUT_LATE };
+          delivery = kinds[choose (choices, G_N_ELEMENTS (kinds))];
+          *losses -= delivery != DELIVERED;
+        }
+      fake_rows_deliver (&two->rows, index, delivery);
+      CU_ASSERT_FALSE (is_stored (two, "old") && is_stored (two, "new"));
+      if (is_stored (two, "old") || is_stored (two, "new"))
+        CU_ASSERT_STRING_EQUAL (
+            fake_rows_get (&two->rows, "home", PART, JOB_ID),
+            is_stored (two, "old") ? "old" : "new");
+    }
+}
+
+/* Runs the loops of the nodes until no retry waits.  */
+static void
+run_retries (two_nodes_t *two, choices_t *choices, guint *losses,
+             const fake_caller_t *callers, guint count)
+{
+  bool open = true;
+  while (open)
+    {
+      open = false;
+      for (guint i = 0; i < count; i++)
+        open = open || callers[i].answers == 0;
+      if (open)
+        for (int i = 0; i < 2; i++)
+          ev_run (two->nodes[i].loop, EVRUN_NOWAIT);
+      deliver_chosen (two, choices, losses);
+    }
+}
+
+/* Guards against any order of calls in which a job is stored in two cells, is
+   answered as accepted and is not stored, or as not accepted and is, or in
+   which a cancel is answered as done and is not stored: two nodes, of which
+   one has not seen the new configuration yet, accept the same id while a third
+   caller cancels it, and one answer of the store is lost or one call is late.
+ */
+static void
+test_all_orders (void)
+{
+  choices_t choices = { .length = 0 };
+  uint32_t runs = 0;
+  do
+    {
+      two_nodes_t two;
+      fake_caller_t callers[3] = { { 0 } };
+      guint losses = 1;
+      two_nodes_init (&two);
+      fake_site_route (&two.nodes[0], "old");
+      fake_site_route (&two.nodes[1], "new");
+      send_submission (&two.nodes[0], &callers[0]);
+      send_submission (&two.nodes[1], &callers[1]);
+      node_request_handlers.cancel (&two.nodes[1],
+                                    (caller_request_t *)&callers[2],
+                                    queue_of (&two.nodes[1]), JOB_ID);
+      run_retries (&two, &choices, &losses, callers, G_N_ELEMENTS (callers));
+      fake_rows_deliver_late (&two.rows);
+      const char *cell = is_stored (&two, "old") ? "old" : "new";
+      expect_one_job (&two, cell);
+      for (guint i = 0; i < G_N_ELEMENTS (callers); i++)
+        CU_ASSERT_EQUAL (callers[i].answers, 1);
+      CU_ASSERT_EQUAL (callers[0].kind, ERR_OK);
+      CU_ASSERT_EQUAL (callers[1].kind, ERR_OK);
+      char *inbox = g_strconcat ("inbox.", cell, NULL);
+      bool cancelled
+          = fake_rows_get (&two.rows, inbox, PART, JOB_ID "/c") != NULL;
+      /* A cancel may come before the job, and be without an answer.  */
+      if (callers[2].kind == ERR_OK)
+        CU_ASSERT_TRUE (cancelled);
+      if (callers[2].no_job)
+        CU_ASSERT_FALSE (cancelled);
+      CU_ASSERT_STRING_EQUAL (ask (&two, 0).state, "queued");
+      CU_ASSERT_STRING_EQUAL (ask (&two, 1).state, "queued");
+      g_free (inbox);
+      two_nodes_clear (&two);
+      runs++;
+    }
+  while (next_choices (&choices));
+  printf ("home: %u orders of calls\n", runs);
+}
+
 static CU_TestInfo home_tests[] = {
   { "terms in the row of a job", test_terms_in_row },
   { "attempts of a job without a route", test_attempts_without_route },
   { "tickets of a job without a route", test_tickets_without_route },
+  { "a route that moves", test_moved_route },
+  { "a job without a home", test_job_without_home },
+  { "a deleted job", test_deleted_job },
+  { "a cancel of a deleted job", test_cancel_of_deleted_job },
+  { "a search while the store is away", test_store_away },
+  { "pending jobs of a route that moved", test_pending_of_moved_route },
+  { "all orders of two submissions", test_all_orders },
   CU_TEST_INFO_NULL,
 };
 
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -43,6 +43,7 @@
   test_pass_suites,
   test_rank_suites,
   test_refused_suites,
+  test_replica_suites,
   test_restart_suites,
   test_fuzz_suites,
   test_platform_suites,
