node: keep the record of an id that is used again

What callers would see: a job that is submitted again after its deletion loses its record to the late removal of the old one, and the next owner runs it anew.

Change: a commit does not remove the record of an id that the cell has again; the new job's first save replaces it.

Test: "an id that is used again" fails without it.

--- a/src/io/node_commit.c
+++ b/src/io/node_commit.c
@@ -289,6 +289,16 @@
   send_commit (watcher->data);
 }
 
+/* Keeps the records of ids that are used again from being removed; the next
+   save of the new job replaces them.  */
+static void
+keep_reused_records (node_cell_t *cell)
+{
+  for (guint i = cell->expired_ids->len; cell->scheduler != NULL && i > 0; i--)
+    if (cell_state (cell->scheduler, cell->expired_ids->pdata[i - 1]) != NULL)
+      g_ptr_array_remove_index (cell->expired_ids, i - 1);
+}
+
 void
 node_commit (node_cell_t *cell)
 {
@@ -307,6 +317,7 @@
   /* A commit is repeated with the same rows until its outcome is known.  */
   cell->commit_has_records = cell->save_pending && !cell->records_suspected;
   cell->commit_has_heartbeat = heartbeat_due;
+  keep_reused_records (cell);
   cell->commit_removal_count = MIN (cell->expired_ids->len, MAX_REMOVALS);
   cell->commit_releases = cell->state == CELL_RELEASING && !cell->save_pending;
   cell->commit_number++;
--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -322,6 +322,34 @@
     }
 }
 
+/* Guards against a job that is submitted again after its deletion and loses
+   its record, so that the next owner starts it anew, to the late removal of
+   the old one.  */
+static void
+test_id_used_again (void)
+{
+  static const cell_options_t options = { .max_lease_ms = 6000 };
+  static const cell_inheritance_t nothing = { 0 };
+  two_nodes_t two;
+  two_nodes_init (&two);
+  node_cell_t *cell = node_get_cell (&two.nodes[0], "old");
+  cell->scheduler
+      = cell_new (&options, &two.clock.base, &node_cell_actions, cell);
+  cell_begin (cell->scheduler, &nothing);
+  cell->state = CELL_OWNED;
+  fake_rows_put (&two.rows, "record", "old", JOB_ID, "1 R 0\n");
+  fake_rows_put (&two.rows, "record", "old", "0000000000000002", "1 C 0\n");
+  g_ptr_array_add (cell->expired_ids, g_strdup (JOB_ID));
+  g_ptr_array_add (cell->expired_ids, g_strdup ("0000000000000002"));
+  cell_add_job (cell->scheduler, job_new (NULL));
+  node_commit (cell);
+  fake_rows_settle (&two.rows);
+  CU_ASSERT_PTR_NOT_NULL (fake_rows_get (&two.rows, "record", "old", JOB_ID));
+  CU_ASSERT_PTR_NULL (
+      fake_rows_get (&two.rows, "record", "old", "0000000000000002"));
+  two_nodes_clear (&two);
+}
+
 /* Guards against a cancel that is stored, and answered as done, although the
    job has been deleted since it was found.  */
 static void
@@ -526,6 +554,7 @@
   { "a route that moves", test_moved_route },
   { "a job without a home", test_job_without_home },
   { "a deleted job", test_deleted_job },
+  { "an id that is used again", test_id_used_again },
   { "a cancel of a deleted job", test_cancel_of_deleted_job },
   { "a search while the store is away", test_store_away },
   { "pending jobs of a route that moved", test_pending_of_moved_route },
