cell: bound the room that is kept for waiting gangs

Cause: each pass kept room for up to ten waiting gangs against all steps behind them, whether or not a gang could ever fit, in part if not all of it was there, and until its result had no value, which a lasting one never reaches.

Change (cell_reserve.c): room is kept only for a gang that fits once all work that ends has ended, for all its members or none, while it is expected to start within its hold; holds and the time that a worker is kept in a row are bounded and followed by pauses; lasting tasks take kept room after 2 s, and while less than half of the room is in use, work that ends before the gang starts takes it at once. Gangs that do not fit take no place among the ten, defer nobody, and hold no workers for suspected tasks.

--- a/src/cell.c
+++ b/src/cell.c
@@ -43,6 +43,7 @@
   cell->held_jobs = g_ptr_array_new ();
   cell->ended_jobs = g_ptr_array_new ();
   cell->jobs_in_save = g_ptr_array_new ();
+  cell->kept_workers = g_ptr_array_new ();
   cell->losses = g_array_new (FALSE, FALSE, sizeof (blame_loss_t));
   cell->rows_in_save = g_array_new (FALSE, FALSE, sizeof (saved_row_t));
   return cell;
@@ -68,6 +69,7 @@
   g_ptr_array_unref (cell->held_jobs);
   g_ptr_array_unref (cell->ended_jobs);
   g_ptr_array_unref (cell->jobs_in_save);
+  g_ptr_array_unref (cell->kept_workers);
   g_array_unref (cell->rows_in_save);
   g_array_unref (cell->losses);
   g_free (cell);
@@ -85,6 +87,21 @@
   g_free (detail);
 }
 
+void
+cell_log_group (const cell_group_t *group, const char *event,
+                const char *format, ...)
+{
+  const cell_t *cell = group->job->cell;
+  char name[WORK_NAME_BYTES];
+  va_list args;
+  va_start (args, format);
+  char *detail = g_strdup_vprintf (format, args);
+  va_end (args);
+  work_step_name_format (name, group->job->id, group->occurrence, group->step);
+  cell->actions->log (cell->context, event, name, detail);
+  g_free (detail);
+}
+
 static void
 add_dirty_job (cell_job_t *job)
 {
@@ -158,6 +175,7 @@
   worker->used
       = resource_sub (worker->used, cell_task_need (task->group->spec));
   g_ptr_array_remove_fast (worker->tasks, task);
+  task->group->job->cell->fit_epoch += task->group->spec->lasting;
   task->group->waiting -= is_waiting (task);
   task->worker = NULL;
   task->group->waiting += is_waiting (task);
--- a/src/cell.h
+++ b/src/cell.h
@@ -284,6 +284,11 @@
   uint32_t saves;
   uint32_t saved_records;
   uint32_t refused_saves;
+  /* In the last pass: gangs for which room is kept, how much, and for how long
+     for the one that has had it longest; gangs that do not fit at all.  */
+  uint32_t holding_steps, misfit_steps;
+  int64_t kept_cpu_millis, kept_accelerators;
+  int64_t longest_hold_ms;
 } cell_load_t;
 void cell_take_load (cell_t *cell, cell_load_t *load);
 
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -120,6 +120,19 @@
   int64_t next_start_ms;   /* none of its tasks is placed before */
   int64_t tickets_until_ms; /* when the last ticket expires */
   int64_t next_explain_ms;  /* when to log again why it waits */
+  /* Of a gang, see cell_reserve.c.  */
+  int64_t hold_since_ms; /* since when room is kept for it; 0: none is */
+  int64_t hold_until_ms; /* latest end of that hold */
+  int64_t hold_ended_ms; /* end of the last one; 0: there was none */
+  int64_t next_hold_ms;  /* no room is kept for it before */
+  int64_t next_hold_log_ms;
+  bool hold_logged;
+  bool misfit; /* it would not fit if all that ends had ended, as was found ...
+                */
+  uint64_t misfit_epoch; /* ... at that FIT_EPOCH of the cell */
+  int64_t next_fit_ms;   /* and is not found out again before */
+  int64_t kept_out_ms;   /* since when only kept room keeps a task of the group
+                            from starting; 0: nothing does */
   GPtrArray *advice; /* advice_t, owned, by the number of their worker; empty
                         unless the group is in ready_groups */
 };
@@ -262,7 +275,16 @@
   const cell_job_t *recent_job;   /* a job with a recent start; NULL: none */
   bool several_recent_jobs;       /* there are others */
   resource_t reserved;            /* for gangs, in the current pass */
-  resource_t free_soon; /* free now or within SOON_MS, in the current pass */
+  resource_t lasting_use;         /* of tasks that do not end by themselves */
+  uint32_t planned_tasks; /* of the gang for which room is being chosen */
+  uint64_t kept_pass;     /* the last pass that kept room here */
+  int64_t kept_since_ms;  /* without an interruption; 0: not kept */
+  int64_t kept_limit_ms;  /* latest end of that time */
+  int64_t kept_until_ms;  /* the first gang for which it is kept is expected to
+                             start */
+  int64_t open_until_ms;  /* no room is kept here before */
+  bool kept_room_open;    /* to the group that is being placed */
+  resource_t free_soon;   /* free now or within SOON_MS, in the current pass */
   resource_t expected_use; /* part of FREE_SOON that the steps that asked for
                               advice so far are expected to take */
   /* In the search for workers to name in a call, see cell_advice.c.  */
@@ -316,7 +338,13 @@
   GHashTable *advice_counts; /* name of a queue -> advice_counts_t, owned */
   GHashTable *durations;     /* name of a queue -> rank_durations_t, owned */
   GArray *losses;            /* blame_loss_t of workers that crashed lately */
-  resource_t room; /* capacity of all listed workers, in the last pass */
+  resource_t room;   /* capacity of all listed workers, in the last pass */
+  resource_t in_use; /* of ROOM */
+  resource_t kept;   /* for gangs, in the current pass */
+  GPtrArray *kept_workers; /* cell_worker_t with kept room in this pass */
+  uint32_t misfits;        /* found in this pass */
+  uint64_t fit_epoch; /* changes with what gangs may ever fit on: workers, and
+                         the room of tasks that last */
   int64_t begun_ms;
   int64_t inherited_end_ms; /* the leases of earlier owners have ended by then;
                                those of workers that the last of them had not
@@ -337,6 +365,9 @@
 /* cell.c */
 void cell_log (cell_t *cell, const char *event, const char *subject,
                const char *format, ...) G_GNUC_PRINTF (4, 5);
+/* The same about the step GROUP.  */
+void cell_log_group (const cell_group_t *group, const char *event,
+                     const char *format, ...) G_GNUC_PRINTF (3, 4);
 /* Marks the record of JOB as to be saved: its state and all that is not about
    one task, ...  */
 void cell_mark_dirty (cell_job_t *job);
@@ -525,6 +556,28 @@
 uint32_t cell_spread_left (const cell_group_t *group,
                            const cell_worker_t *worker);
 
+/* How long the run of TASK, which is live, is expected to take in all.  */
+int64_t cell_run_length_ms (const cell_task_t *task);
+
+/* cell_reserve.c: room that is kept for gangs */
+/* Begins and ends the keeping of a pass.  */
+void cell_begin_holds (cell_t *cell);
+void cell_end_holds (cell_t *cell);
+/* Whether GROUP, a gang, would fit if all that ends had ended.  */
+bool cell_gang_fits_at_last (cell_t *cell, cell_group_t *group);
+/* Keeps room for GROUP on WORKERS against the groups after it in the pass.
+   Returns whether it did.  */
+bool cell_keep_room (cell_t *cell, cell_group_t *group,
+                     const GPtrArray *workers);
+/* Whether less than half of the room of the kind that GROUP needs is in use.
+ */
+bool cell_under_half_in_use (const cell_t *cell, const cell_group_t *group);
+/* Ends the hold of GROUP, if it has one, for the reason WHY (a word).  */
+void cell_end_hold (cell_group_t *group, const char *why);
+/* Opens the kept room that GROUP may use, until cell_close_kept_room.  */
+void cell_open_kept_room (cell_t *cell, cell_group_t *group);
+void cell_close_kept_room (cell_t *cell);
+
 /* cell_room.c: room that is left in the current pass */
 GHashTable *cell_room_lists_new (void);
 /* The room on WORKER that no task holds and that is not reserved.  */
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -252,32 +252,41 @@
   return placed || place_gang_on (group, workers, NULL);
 }
 
+int64_t
+cell_run_length_ms (const cell_task_t *task)
+{
+  if (task->percent < PROGRESS_MIN_PERCENT)
+    return task->group->spec->estimate_ms;
+  return (task->progress_ms - task->start_confirmed_ms) * 100 / task->percent;
+}
+
 static bool
 ends_soon (const cell_t *cell, const cell_task_t *task)
 {
-  const work_step_t *step = task->group->spec;
   if (task->state == RUN_STOPPING || task->state == RUN_DONE)
     return true;
-  if (task->state != RUN_LIVE || step->lasting)
-    return false;
-  int64_t total_ms = step->estimate_ms;
-  if (task->percent >= PROGRESS_MIN_PERCENT)
-    total_ms
-        = (task->progress_ms - task->start_confirmed_ms) * 100 / task->percent;
-  return task->start_confirmed_ms + total_ms <= cell->now_ms + SOON_MS;
+  return task->state == RUN_LIVE && !task->group->spec->lasting
+         && task->start_confirmed_ms + cell_run_length_ms (task)
+                <= cell->now_ms + SOON_MS;
 }
 
-static resource_t
-free_soon (const cell_t *cell, const cell_worker_t *worker)
+/* Finds out what WORKER has free soon, and what its lasting tasks hold.  */
+static void
+find_expected_room (const cell_t *cell, cell_worker_t *worker)
 {
   resource_t free = resource_sub (worker->capacity, worker->used);
+  resource_t lasting = { 0 };
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       const cell_task_t *task = worker->tasks->pdata[i];
+      const work_step_t *step = task->group->spec;
       if (ends_soon (cell, task))
-        free = resource_add (free, cell_task_need (task->group->spec));
+        free = resource_add (free, cell_task_need (step));
+      else if (step->lasting)
+        lasting = resource_add (lasting, cell_task_need (step));
     }
-  return free;
+  worker->free_soon = free;
+  worker->lasting_use = lasting;
 }
 
 /* Collects the eligible workers for GROUP, however full; if the queue needs
@@ -302,42 +311,6 @@
   return found;
 }
 
-/* Reserves capacity for a waiting gang against the groups after it in the
-   pass: one task at a time, on the eligible worker with the most free capacity
-   soon; if the queue needs advice, only on workers where the gang was
-   allowed.  */
-static void
-reserve_capacity (cell_t *cell, cell_group_t *group)
-{
-  resource_t need = cell_task_need (group->spec);
-  GPtrArray *workers = collect_reservable (cell, group);
-  for (uint32_t left = group->spec->count; left > 0; left--)
-    {
-      cell_worker_t *best = NULL;
-      double best_share = -INFINITY;
-      cell->pass_stats.workers_looked_at += workers->len;
-      for (guint i = 0; i < workers->len; i++)
-        {
-          cell_worker_t *worker = workers->pdata[i];
-          if (!resource_fits (resource_add (worker->reserved, need),
-                              worker->capacity))
-            continue;
-          double share = resource_dominant_share (
-              resource_sub (worker->free_soon, worker->reserved),
-              worker->capacity);
-          if (share > best_share)
-            {
-              best = worker;
-              best_share = share;
-            }
-        }
-      if (best == NULL)
-        break;
-      best->reserved = resource_add (best->reserved, need);
-    }
-  g_ptr_array_unref (workers);
-}
-
 /* Whether it is time to log again why GROUP waits.  */
 static bool
 explanation_due (cell_t *cell, const cell_group_t *group)
@@ -408,26 +381,44 @@
     place_gang (group, workers);
   else
     place_tasks (group, workers);
-  if (group->waiting > 0)
+  if (group->waiting > 0 && !group->misfit)
     cell_hold_workers (cell, group, workers);
   g_ptr_array_unref (workers);
 }
 
+/* Whether room is to be kept for GROUP if it can't start now.  */
+static bool
+keeps_room (cell_t *cell, cell_group_t *group, uint32_t reserving_gangs)
+{
+  return group->spec->gang && group->waiting == group->spec->count
+         && reserving_gangs < RESERVING_MAX_GANGS
+         && cell->now_ms >= group->next_hold_ms
+         && (group->rank.tier != RANK_TOO_LATE
+             || cell_under_half_in_use (cell, group))
+         && cell_gang_fits_at_last (cell, group);
+}
+
 static void
 place_group (cell_t *cell, cell_group_t *group, uint32_t *reserving_gangs)
 {
   bool advised = needs_ticket (group);
+  bool reserve = false;
+  if (cell->kept_workers->len > 0)
+    cell_open_kept_room (cell, group);
   place_now (cell, group);
-  bool reserve = group->spec->gang && group->waiting == group->spec->count
-                 && *reserving_gangs < RESERVING_MAX_GANGS
-                 && group->rank.tier != RANK_TOO_LATE;
+  if (group->waiting > 0)
+    reserve = keeps_room (cell, group, *reserving_gangs);
   if (group->waiting > 0 && advised)
     cell_ask_advice (cell, group, reserve);
+  cell_close_kept_room (cell);
   if (reserve)
     {
-      reserve_capacity (cell, group);
-      ++*reserving_gangs;
+      GPtrArray *workers = collect_reservable (cell, group);
+      *reserving_gangs += cell_keep_room (cell, group, workers);
+      g_ptr_array_unref (workers);
     }
+  else
+    cell_end_hold (group, group->waiting > 0 ? "given_up" : "started");
   if (group->waiting > 0)
     log_wait_reasons (cell, group);
 }
@@ -452,16 +443,19 @@
 static void
 begin_pass (cell_t *cell)
 {
-  cell->room = (resource_t){ 0 };
+  cell->room = cell->in_use = (resource_t){ 0 };
   for (guint i = 0; i < cell->worker_list->len; i++)
     {
       cell_worker_t *worker = cell->worker_list->pdata[i];
       worker->reserved = worker->expected_use = (resource_t){ 0 };
-      worker->free_soon = free_soon (cell, worker);
+      find_expected_room (cell, worker);
       cell_find_isolation (cell, worker);
-      if (worker->listed)
-        cell->room = resource_add (cell->room, worker->capacity);
+      if (!worker->listed)
+        continue;
+      cell->room = resource_add (cell->room, worker->capacity);
+      cell->in_use = resource_add (cell->in_use, worker->used);
     }
+  cell_begin_holds (cell);
   g_hash_table_remove_all (cell->queues_without_free_node);
   g_hash_table_remove_all (cell->room_lists);
 }
@@ -478,7 +472,8 @@
       if (group->waiting == 0 || group->job->held)
         continue;
       cell_rank_group (group);
-      highest_priority = MIN (highest_priority, group->rank.priority);
+      if (!group->misfit)
+        highest_priority = MIN (highest_priority, group->rank.priority);
       g_ptr_array_add (ranked, group);
     }
   for (guint i = 0; i < ranked->len; i++)
@@ -521,15 +516,18 @@
   uint32_t reserving_gangs = 0;
   cell->load.waiting_steps = ranked->len;
   cell->load.too_late_steps = 0;
+  cell->load.misfit_steps = 0;
   cell->pass_stats.passes++;
   cell->pass_stats.groups += ranked->len;
   for (guint i = 0; i < ranked->len; i++)
     {
       cell_group_t *group = ranked->pdata[i];
       cell->load.too_late_steps += group->rank.tier == RANK_TOO_LATE;
+      cell->load.misfit_steps += group->misfit;
       if (!sheds || group->rank.tier != RANK_TOO_LATE)
         place_group (cell, group, &reserving_gangs);
     }
+  cell_end_holds (cell);
   end_pass (cell, ranked->len);
   g_ptr_array_unref (ranked);
 }
--- a/src/cell_room.c
+++ b/src/cell_room.c
@@ -6,8 +6,9 @@
    Room only shrinks during a pass.  So for each label, and each need rounded
    down to powers of two, a list of the workers with that much room is made
    when a step first asks for it; a worker without the room any more leaves the
-   list for the rest of the pass.  A step that fits nowhere then looks at few
-   workers or none, instead of at all.  */
+   list for the rest of the pass.  Kept room is no room, but for a step to
+   which it is open.  A step that fits nowhere then looks at few workers or
+   none, instead of at all.  */
 
 struct room_list
 {
@@ -58,15 +59,15 @@
 resource_t
 cell_room_now (const cell_worker_t *worker)
 {
-  return resource_sub (resource_sub (worker->capacity, worker->used),
-                       worker->reserved);
+  resource_t room = resource_sub (worker->capacity, worker->used);
+  return worker->kept_room_open ? room : resource_sub (room, worker->reserved);
 }
 
 resource_t
 cell_room_soon (const cell_worker_t *worker)
 {
-  return resource_sub (worker->free_soon,
-                       resource_add (worker->reserved, worker->expected_use));
+  resource_t room = resource_sub (worker->free_soon, worker->expected_use);
+  return worker->kept_room_open ? room : resource_sub (room, worker->reserved);
 }
 
 static resource_t
@@ -164,4 +165,12 @@
         g_ptr_array_add (found, worker);
     }
   g_ptr_array_set_size (list->workers, (gint)kept);
+  for (guint i = 0; i < cell->kept_workers->len; i++)
+    {
+      cell_worker_t *worker = cell->kept_workers->pdata[i];
+      if (worker->kept_room_open
+          && resource_fits (need, room_of (worker, soon))
+          && !g_ptr_array_find (found, worker, NULL))
+        g_ptr_array_add (found, worker);
+    }
 }
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -47,6 +47,8 @@
   group->job->cell->pass_stats.placed++;
   group->waiting -= 1;
   task->worker = worker;
+  worker->kept_since_ms = group->spec->gang ? 0 : worker->kept_since_ms;
+  group->job->cell->fit_epoch += group->spec->lasting;
   task->run++;
   task->start_unanswered = false;
   task->in_save = false;
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -183,6 +183,11 @@
   g_hash_table_remove_all (worker->labels);
   for (uint32_t i = 0; i < row->label_count; i++)
     g_hash_table_add (worker->labels, g_strdup (row->labels[i]));
+  cell->fit_epoch
+      += !worker->listed || worker->draining != row->draining
+         || worker->listed_start_ms != row->start_ms
+         || memcmp (&worker->capacity, &row->capacity, sizeof worker->capacity)
+                != 0;
   worker->capacity = row->capacity;
   worker->listed = true;
   worker->draining = row->draining;
@@ -208,6 +213,7 @@
   if (worker == NULL || !worker->listed)
     return;
   worker->listed = false;
+  cell->fit_epoch++;
   cell_log (cell, "worker_unlisted", id, "tasks=%u draining=%d",
             worker->tasks->len, worker->draining);
 }
@@ -219,6 +225,7 @@
     return;
   worker->silent_ms = cell->now_ms;
   worker->responsive = false;
+  cell->fit_epoch++;
   cell_check_rack (cell, worker);
 }
 
@@ -533,6 +540,7 @@
     }
   if (!worker->has_fencing_token)
     cell_worker_reached (cell, worker);
+  cell->fit_epoch += !worker->responsive;
   worker->responsive = true;
   worker->has_fencing_token = true;
   worker->sampled_ms = cell->now_ms;
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -84,6 +84,24 @@
   return cell;
 }
 
+static void
+set_gauge (const node_cell_t *cell, const char *name, int64_t value)
+{
+  char *labels = g_strdup_printf ("cell=\"%s\"", cell->name);
+  counter_set (counter_gauge (cell->node->metrics, name, labels), value);
+  g_free (labels);
+}
+
+static void
+show_kept_room (const node_cell_t *cell, const cell_load_t *load)
+{
+  set_gauge (cell, "magnoliadock_holding_steps", load->holding_steps);
+  set_gauge (cell, "magnoliadock_misfit_steps", load->misfit_steps);
+  set_gauge (cell, "magnoliadock_kept_cpu_millis", load->kept_cpu_millis);
+  set_gauge (cell, "magnoliadock_kept_accelerators", load->kept_accelerators);
+  set_gauge (cell, "magnoliadock_longest_hold_ms", load->longest_hold_ms);
+}
+
 /* Frees everything that belongs to the ownership.  */
 static void
 drop_ownership (node_cell_t *cell)
@@ -104,6 +122,8 @@
   replica_free (cell->inbox);
   cell->inbox = NULL;
   cell_free (cell->scheduler);
+  if (cell->scheduler != NULL)
+    show_kept_room (cell, &(cell_load_t){ 0 });
   cell->scheduler = NULL;
   node_former_free (cell);
 }
@@ -419,7 +439,7 @@
   const int64_t ns_per_ms = 1000000;
   int64_t used_ms = processor_ms ();
   cell_load_t load;
-  char detail[512];
+  char detail[640];
   cell_take_load (cell->scheduler, &load);
   g_snprintf (
       detail, sizeof detail,
@@ -427,7 +447,9 @@
       "passes_ms=%lld longest_pass_ms=%lld waiting_steps=%u too_late_steps=%u "
       "advice_calls=%u advice_answers=%u advice_mean_ms=%lld "
       "advice_failures=%u advice_busy=%u tickets=%u tickets_unused=%u "
-      "starts=%u polls=%u saves=%u saved_records=%u",
+      "starts=%u polls=%u saves=%u saved_records=%u refused_saves=%u "
+      "holding_steps=%u kept_cpu_millis=%lld kept_accelerators=%lld "
+      "longest_hold_ms=%lld misfit_steps=%u",
       (long long)since_ms, (long long)(used_ms - cell->load_processor_ms),
       (long long)((cell->node->waited_ns - cell->load_waited_ns) / ns_per_ms),
       (long long)load.late_ms, load.passes, (long long)load.passes_ms,
@@ -436,7 +458,10 @@
       (long long)(cell->advice_took_ms / MAX (cell->advice_answers, 1)),
       load.advice_failures, load.advice_busy, load.tickets,
       load.tickets_unused, load.starts, load.polls, load.saves,
-      load.saved_records);
+      load.saved_records, load.refused_saves, load.holding_steps,
+      (long long)load.kept_cpu_millis, (long long)load.kept_accelerators,
+      (long long)load.longest_hold_ms, load.misfit_steps);
+  show_kept_room (cell, &load);
   /* The first period began with an earlier ownership.  */
   if (cell->load_logged_ms != 0)
     log_event (LOG_INFO, "owner_load", "cell", cell->name, "detail", detail,
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -184,7 +184,8 @@
         break;
       /* Each step may run on about two thirds of the workers, always the same
          ones.  */
-      if ((g_str_hash (event->task) + g_str_hash (row.worker)) % 3 != 0)
+      if (sim->faults.advice_allows_all
+          || (g_str_hash (event->task) + g_str_hash (row.worker)) % 3 != 0)
         g_array_append_val (rows, row);
     }
   cell_advice_answered (sim->cell, event->task, event->run,
@@ -312,6 +313,10 @@
 act_log (void *context, const char *event, const char *subject,
          const char *detail)
 {
+  fake_cell_t *sim = context;
+  guint lines = GPOINTER_TO_UINT (g_hash_table_lookup (sim->logged, event));
+  g_hash_table_insert (sim->logged, g_strdup (event),
+                       GUINT_TO_POINTER (lines + 1));
   if (g_getenv ("FAKE_CELL_LOG") != NULL)
     g_print ("%lld %s %s %s\n",
              (long long)fake_cell_now ((fake_cell_t *)context), event, subject,
@@ -397,6 +402,13 @@
   cell_add_job (sim->cell, work_job_decode (text, strlen (text), NULL));
 }
 
+void
+fake_cell_disconnect (fake_cell_t *sim, uint32_t at, int64_t for_ms)
+{
+  fake_worker_t *worker = sim->workers->pdata[at];
+  worker->disconnected_until_ms = fake_cell_now (sim) + for_ms;
+}
+
 void
 fake_cell_disconnect_busy (fake_cell_t *sim, int64_t for_ms)
 {
@@ -546,6 +558,22 @@
   sim->faults_stopped = true;
 }
 
+/* A queue that is less urgent and needs no advice.  */
+static queue_t *
+low_queue_new (void)
+{
+  queue_t *queue = queue_new ();
+  queue->name = g_strdup ("low");
+  queue->host = g_strdup ("host");
+  queue->path_prefix = g_strdup ("/low/");
+  queue->service = g_strdup ("pool");
+  queue->priority = 1;
+  queue->max_attempts = MAX_ATTEMPTS;
+  queue->stretch = 2.0;
+  queue->target_ms = 1000;
+  return queue;
+}
+
 static queue_table_t *
 queues_new (const fake_faults_t *faults)
 {
@@ -561,6 +589,7 @@
   queue->advised = faults->ticket_validity_ms > 0;
   queue->advice_ms = ADVICE_MS;
   g_ptr_array_add (table->queues, queue);
+  g_ptr_array_add (table->queues, low_queue_new ());
   return table;
 }
 
@@ -597,6 +626,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sim->facts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sim->calls = g_hash_table_new (NULL, NULL);
+  sim->logged = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   sim->queues = queues_new (faults);
   fake_cell_take_over (sim);
   fake_cell_event_new (sim, 0, on_tick)->owner = 0;
@@ -616,6 +646,7 @@
   g_hash_table_unref (sim->records);
   g_hash_table_unref (sim->facts);
   g_hash_table_unref (sim->calls);
+  g_hash_table_unref (sim->logged);
   g_ptr_array_unref (sim->workers);
   queue_table_free (sim->queues);
   g_free (sim->violation);
@@ -665,6 +696,77 @@
   return sim->advice_calls;
 }
 
+uint32_t
+fake_cell_logged (const fake_cell_t *sim, const char *event)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (sim->logged, event));
+}
+
+uint32_t
+fake_cell_running_of (const fake_cell_t *sim, const char *id)
+{
+  uint32_t count = 0;
+  for (guint i = 0; i < sim->workers->len; i++)
+    {
+      const fake_worker_t *worker = sim->workers->pdata[i];
+      for (guint j = 0; j < worker->runs->len; j++)
+        count += g_str_has_prefix (
+            ((const fake_run_t *)worker->runs->pdata[j])->task, id);
+    }
+  return count;
+}
+
+int64_t
+fake_cell_time_ms (const fake_cell_t *sim)
+{
+  return fake_cell_now (sim);
+}
+
+int64_t
+fake_cell_first_start_ms (const fake_cell_t *sim, const char *name)
+{
+  const fake_task_facts_t *facts = g_hash_table_lookup (sim->facts, name);
+  return facts != NULL ? facts->first_start_ms : 0;
+}
+
+static resource_t
+used_on (const fake_worker_t *worker)
+{
+  resource_t used = { 0 };
+  for (guint i = 0; i < worker->runs->len; i++)
+    used = resource_add (used,
+                         ((const fake_run_t *)worker->runs->pdata[i])->need);
+  return used;
+}
+
+uint32_t
+fake_cell_slots (const fake_cell_t *sim, resource_t need)
+{
+  uint32_t slots = 0;
+  for (guint i = 0; i < sim->workers->len; i++)
+    {
+      const fake_worker_t *worker = sim->workers->pdata[i];
+      resource_t free = resource_sub (worker->capacity, used_on (worker));
+      for (; resource_fits (need, free); slots++)
+        free = resource_sub (free, need);
+    }
+  return slots;
+}
+
+double
+fake_cell_used_share (const fake_cell_t *sim)
+{
+  resource_t used = { 0 };
+  resource_t all = { 0 };
+  for (guint i = 0; i < sim->workers->len; i++)
+    {
+      const fake_worker_t *worker = sim->workers->pdata[i];
+      used = resource_add (used, used_on (worker));
+      all = resource_add (all, worker->capacity);
+    }
+  return (double)used.cpu_millis / (double)all.cpu_millis;
+}
+
 uint32_t
 fake_cell_running (const fake_cell_t *sim)
 {
--- a/tests/fake_cell.h
+++ b/tests/fake_cell.h
@@ -39,6 +39,7 @@
   uint32_t owner_lost;        /* each 100 ms: another owner takes over */
   uint32_t store_outage;      /* each 100 ms: saves hang for 1 to 4 s */
   uint32_t ticket_validity_ms; /* 0: queues without advice */
+  bool advice_allows_all;      /* ... on any worker; else on two thirds */
   bool nodes_busy;             /* no call for advice can be made */
   bool advice_fails;           /* calls for advice get no answer */
   bool starts_invalid;         /* workers refuse each start as invalid */
@@ -47,7 +48,10 @@
   uint32_t row_bytes;          /* the store refuses a save with a longer text;
                                   0: it takes any */
   uint32_t known_row_bytes;    /* limit that the cell is told; 0: none */
-  const char *refused_job;     /* id; each save that holds it is refused */
+  const char
+      *slow_job; /* id; its runs take SLOW_FACTOR times their estimate */
+  uint32_t slow_factor;
+  const char *refused_job; /* id; each save that holds it is refused */
 } fake_faults_t;
 
 /* Defects of the simulation, to show that the checks notice their effect.  */
@@ -92,6 +96,8 @@
 uint32_t fake_cell_advice_calls (const fake_cell_t *sim);
 /* Lets another owner take over now.  */
 void fake_cell_take_over (fake_cell_t *sim);
+/* Makes the worker with this index unreachable for FOR_MS; it runs on.  */
+void fake_cell_disconnect (fake_cell_t *sim, uint32_t at, int64_t for_ms);
 /* Makes the workers that run something unreachable for FOR_MS; they run on. */
 void fake_cell_disconnect_busy (fake_cell_t *sim, int64_t for_ms);
 /* Puts a configuration without any queue into force, for later owners too.  */
@@ -103,5 +109,16 @@
 uint32_t fake_cell_deadly_crashes (const fake_cell_t *sim);
 /* Tasks that run now.  */
 uint32_t fake_cell_running (const fake_cell_t *sim);
+/* Lines that were logged about EVENT.  */
+uint32_t fake_cell_logged (const fake_cell_t *sim, const char *event);
+/* Tasks of the job ID, or of the task ID, that run now.  */
+uint32_t fake_cell_running_of (const fake_cell_t *sim, const char *id);
+/* When the task NAME was first started, 0: never.  */
+int64_t fake_cell_first_start_ms (const fake_cell_t *sim, const char *name);
+/* Tasks of this need for which the workers have room, and the share of their
+   processors that is in use.  */
+uint32_t fake_cell_slots (const fake_cell_t *sim, resource_t need);
+double fake_cell_used_share (const fake_cell_t *sim);
+int64_t fake_cell_time_ms (const fake_cell_t *sim);
 
 #endif
--- a/tests/fake_cell_internal.h
+++ b/tests/fake_cell_internal.h
@@ -66,6 +66,7 @@
   uint32_t crashes;              /* workers that it has crashed */
   uint32_t starts_after_crashes; /* since MAX_CRASHES of them */
   int64_t started_ms;            /* last start */
+  int64_t first_start_ms;
 } fake_task_facts_t;
 
 typedef struct fake_event fake_event_t;
@@ -119,6 +120,7 @@
   int64_t store_down_until_ms;
   int64_t leases_end_ms; /* of earlier owners */
   int64_t heartbeat_ms;  /* when the last one was sent */
+  GHashTable *logged;    /* event -> number of lines */
   char *violation;
   uint32_t starts;
   uint32_t start_orders;
--- a/tests/fake_cell_worker.c
+++ b/tests/fake_cell_worker.c
@@ -131,7 +131,8 @@
           if (running == NULL)
             continue;
           present += pass == 0;
-          if (pass == 1 && present == step->count && running->end_ms == 0)
+          if (pass == 1 && present == step->count && running->end_ms == 0
+              && !running->lasting)
             running->end_ms = fake_cell_now (sim) + running->work_ms;
         }
 }
@@ -149,6 +150,8 @@
     }
   fake_task_facts_t *facts = facts_of (sim, task);
   facts->started_ms = fake_cell_now (sim);
+  if (facts->first_start_ms == 0)
+    facts->first_start_ms = facts->started_ms;
   if (facts->done_acknowledged)
     fake_cell_violate (sim, "%s run %u: starts after it was done", task, run);
   if (!step->gang && !step->lasting && facts->failures >= MAX_ATTEMPTS)
@@ -205,6 +208,16 @@
 
 static void on_deadly (fake_cell_t *sim, fake_event_t *event);
 
+/* Whether the queue of the job of TASK is advised.  */
+static bool
+needs_ticket (const fake_cell_t *sim, const char *task)
+{
+  char id[WORK_ID_LENGTH + 1];
+  g_strlcpy (id, task, sizeof id);
+  const work_job_t *job = g_hash_table_lookup (sim->decoded, id);
+  return strcmp (job->queue, "queue") == 0;
+}
+
 static order_result_t
 carry_out_start (fake_cell_t *sim, fake_event_t *event)
 {
@@ -220,7 +233,7 @@
   if (event->run <= GPOINTER_TO_UINT (
           g_hash_table_lookup (worker->closed_runs, event->task)))
     return ORDER_STALE;
-  if (sim->faults.ticket_validity_ms > 0
+  if (sim->faults.ticket_validity_ms > 0 && needs_ticket (sim, event->task)
       && (event->ticket == NULL
           || atoll (event->ticket) < fake_cell_now (sim)))
     return ORDER_NO_TICKET;
@@ -236,13 +249,16 @@
   run->gang = step->gang;
   run->lasting = step->lasting;
   run->work_ms = step->estimate_ms;
+  if (sim->faults.slow_job != NULL
+      && g_str_has_prefix (event->task, sim->faults.slow_job))
+    run->work_ms *= sim->faults.slow_factor;
   run->fails = !step->gang && fake_cell_chance (sim, sim->faults.run_fails);
   if (sim->faults.failing_job != NULL
       && g_str_has_prefix (event->task, sim->faults.failing_job))
     run->fails = true;
   run->end_ms = step->gang || (step->lasting && !run->fails)
                     ? 0
-                    : fake_cell_now (sim) + step->estimate_ms;
+                    : fake_cell_now (sim) + run->work_ms;
   g_ptr_array_add (worker->runs, run);
   if (sim->faults.deadly_task != NULL
       && g_str_has_prefix (event->task, sim->faults.deadly_task))
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -44,6 +44,7 @@
   test_rank_suites,
   test_refused_suites,
   test_replica_suites,
+  test_reserve_suites,
   test_restart_suites,
   test_fuzz_suites,
   test_platform_suites,
