cell: leave the expected use of a gang without room to others

What callers would see: a gang that does not fit, in a queue that needs tickets, keeps all steps behind it from asking for tickets, and so from starting, although no room is kept for it any more.

Cause: a search for workers to name in a call adds what the step is expected to use to each worker, so that the steps behind it do not ask for the same room. A gang without room for all its members drops the call, but its expected use stayed. The code before has it too, behind the reservation.

Change: such a gang expects nothing. A gang that does not fit, and a step whose starts pause, ask for no tickets at all.

--- a/src/cell_advice.c
+++ b/src/cell_advice.c
@@ -148,10 +148,18 @@
   cell_group_t *group;
   double expected_slots; /* that tickets and calls will yield */
   GArray *candidates;    /* candidate_t to name in a call */
+  GArray *expected;      /* expected_use_t that this search has added */
   bool reserving;        /* see cell_ask_advice */
   uint64_t number;       /* among the searches of the cell */
 } search_t;
 
+/* Part of what a worker is expected to be used for.  */
+typedef struct
+{
+  cell_worker_t *worker;
+  resource_t use;
+} expected_use_t;
+
 typedef struct
 {
   cell_worker_t *worker;
@@ -232,14 +240,30 @@
        i < slots && search->expected_slots < (double)search->group->waiting;
        i++)
     {
+      expected_use_t expected
+          = { worker,
+              { (int64_t)((double)need.cpu_millis * chance),
+                (int64_t)((double)need.memory_mib * chance),
+                (int64_t)ceil ((double)need.accelerators * chance) } };
       search->expected_slots += chance;
-      worker->expected_use.cpu_millis
-          += (int64_t)((double)need.cpu_millis * chance);
-      worker->expected_use.memory_mib
-          += (int64_t)((double)need.memory_mib * chance);
-      worker->expected_use.accelerators
-          += (int64_t)ceil ((double)need.accelerators * chance);
+      worker->expected_use = resource_add (worker->expected_use, expected.use);
+      g_array_append_val (search->expected, expected);
+    }
+}
+
+/* The group of SEARCH is not expected to start soon: what it would use is left
+   to the steps after it.  */
+static void
+expect_nothing (search_t *search)
+{
+  for (guint i = 0; i < search->expected->len; i++)
+    {
+      const expected_use_t *expected
+          = &g_array_index (search->expected, expected_use_t, i);
+      expected->worker->expected_use
+          = resource_sub (expected->worker->expected_use, expected->use);
     }
+  g_array_set_size (search->expected, 0);
 }
 
 static double
@@ -340,7 +364,10 @@
      unused.  */
   if (search->group->spec->gang && !search->reserving
       && search->expected_slots < waiting)
-    g_array_set_size (search->candidates, 0);
+    {
+      g_array_set_size (search->candidates, 0);
+      expect_nothing (search);
+    }
 }
 
 static advice_t *
@@ -397,10 +424,13 @@
   const char *queue = group->job->queue->name;
   if (g_hash_table_contains (cell->queues_without_free_node, queue))
     return false;
-  search_t search
-      = { cell,      group,
-          0.0,       g_array_new (FALSE, FALSE, sizeof (candidate_t)),
-          reserving, ++cell->last_advice_search };
+  search_t search = { cell,
+                      group,
+                      0.0,
+                      g_array_new (FALSE, FALSE, sizeof (candidate_t)),
+                      g_array_new (FALSE, FALSE, sizeof (expected_use_t)),
+                      reserving,
+                      ++cell->last_advice_search };
   double share = allowed_share (cell, queue);
   count_expected_slots (&search, share);
   if (search.expected_slots < (double)group->waiting || reserving)
@@ -413,6 +443,7 @@
   if (search.candidates->len > 0 && !sent)
     g_hash_table_add (cell->queues_without_free_node, g_strdup (queue));
   g_array_unref (search.candidates);
+  g_array_unref (search.expected);
   return sent;
 }
 
@@ -423,7 +454,9 @@
   if (reserving)
     max_calls
         = MIN (GANG_MAX_CALLS, 1 + group->spec->count / GANG_TASKS_PER_CALL);
-  if (cell->now_ms < group->next_ask_ms)
+  /* One whose starts pause, or that does not fit, has no use for tickets.  */
+  if (cell->now_ms < group->next_ask_ms || cell->now_ms < group->next_start_ms
+      || group->misfit)
     return;
   while (group->calls_in_flight < max_calls
          && try_call (cell, group, reserving))
--- a/tests/soak_node.sh
+++ b/tests/soak_node.sh
@@ -5,7 +5,8 @@
 # do not answer, the store refuses calls, does not answer or loses answers, and
 # the route moves between two services or is dropped, while jobs are submitted, submitted
 # again, cancelled and queried.  One job in six has a task that crashes
-# the worker that starts it, one in 25 has 600 tasks, and of one the store takes
+# the worker that starts it, one in 25 has 600 tasks, one is a lasting gang that
+# does not fit, and of one the store takes
 # no record but the shortest.  At the end the deadly jobs and the refused one
 # have to be reported as failed and every other accepted one as completed,
 # unless two workers or more crashed with one of its tasks, and the stand-in
@@ -108,6 +109,15 @@
     -d "{\"spec\":\"$3 $4$5\",\"steps\":[{\"count\":${6:-3},\"cpu\":$3,\"mem_mb\":10,\"estimated_ms\":$4},{\"count\":2,\"cpu\":$3,\"mem_mb\":10,\"estimated_ms\":$4,\"after\":[0]}]}"
 }
 
+# A gang that lasts and needs one worker more than a service has: it never
+# starts, and nothing may wait for it.
+submit_misfit () {
+  curl -s -m 3 -o /dev/null -H "$HOST_HEADER" \
+    -H 'Content-Type: application/json' \
+    -X POST "$(job_url 1 ffffffffffffffff)" \
+    -d "{\"spec\":\"16000 0\",\"steps\":[{\"count\":$((WORKERS / 2 + 1)),\"cpu\":16000,\"mem_mb\":10,\"estimated_ms\":1000,\"daemon\":true,\"gang_scheduled\":true}]}"
+}
+
 # Whether two workers or more crashed with a run of one task of job $1: such a
 # task may be given up.
 may_be_given_up () {
@@ -195,6 +205,7 @@
 done
 [ $ready = 1 ] || fail "no node is ready"
 
+submit_misfit
 end=$(($(date +%s) + SOAK_SECONDS))
 number=0
 : >"$WORK/accepted"
