--- a/src/cell_reserve.c
+++ b/src/cell_reserve.c
@@ -307,6 +307,7 @@
 {
   const cell_t *cell = group->job->cell;
   resource_t need = cell_task_need (group->spec);
+  long long count = plan->len;
   if (cell->now_ms < group->next_hold_log_ms)
     return;
   group->next_hold_log_ms = cell->now_ms + LOG_PERIOD_MS;
@@ -314,9 +315,8 @@
   cell_log_group (group, "room_kept",
                   "queue=%s tasks=%u cpu_millis=%lld accelerators=%lld "
                   "kept_ms=%lld left_ms=%lld starts_in_ms=%lld waited_ms=%lld",
-                  group->job->work->queue, plan->len,
-                  (long long)(need.cpu_millis * plan->len),
-                  (long long)(need.accelerators * plan->len),
+                  group->job->work->queue, plan->len, need.cpu_millis * count,
+                  need.accelerators * count,
                   (long long)(cell->now_ms - group->hold_since_ms),
                   (long long)(group->hold_until_ms - cell->now_ms),
                   (long long)(start_ms - cell->now_ms),
--- a/src/cell_save.c
+++ b/src/cell_save.c
@@ -383,9 +383,9 @@
   cell_job_t *job = row->job;
   if (row->segment == NULL)
     job->saved_state = row->state;
-  if (row->removed && !row->segment->dirty)
+  else if (row->removed && !row->segment->dirty)
     g_hash_table_remove (job->segments, &row->segment->number);
-  else if (row->segment != NULL)
+  else
     cell_each_in_segment (job, row->segment, send_saved_starts, NULL);
   for (guint i = 0; row->whole && i < job->groups->len; i++)
     {
--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -46,7 +46,11 @@
   char *text = work_job_encode (job);
   work_job_t *read = work_job_decode (text, strlen (text), NULL);
   CU_ASSERT_PTR_NOT_NULL_FATAL (read);
+  if (read == NULL)
+    return;
   CU_ASSERT_PTR_NOT_NULL_FATAL (read->terms);
+  if (read->terms == NULL)
+    return;
   CU_ASSERT_STRING_EQUAL (read->terms->name, "queue");
   CU_ASSERT_EQUAL (read->terms->priority, 2);
   CU_ASSERT_EQUAL (read->terms->max_attempts, MAX_ATTEMPTS);
@@ -63,6 +67,8 @@
   text = work_job_encode (job);
   read = work_job_decode (text, strlen (text), NULL);
   CU_ASSERT_PTR_NOT_NULL_FATAL (read);
+  if (read == NULL)
+    return;
   CU_ASSERT_PTR_NULL (read->terms);
   free (text);
   work_job_free (read);
