cell: stop the gangs of which an owner finds some members only

Callers saw: a gang of which one member runs alone, until the platform ends it for that, or for good where the platform sets no such time.

Cause: an owner is lost while it stops a gang, or after it saved the start of some members of a gang that fills several rows. Its successor takes the runs of the record as they are: the gang counts as started, so that it does not start the rest, and nothing stops the ones that run.

Ruled out: the split of wide records.

Change: cell_begin stops every ready gang with fewer running members than it has, as it does when a member is lost later.

--- a/src/cell.c
+++ b/src/cell.c
@@ -231,6 +231,22 @@
   return false;
 }
 
+/* Stops the gangs of which the records name runs of some members only: the
+   earlier owner was stopping them, or had not saved the start of all.  */
+static void
+stop_partial_gangs (cell_t *cell)
+{
+  GPtrArray *groups = g_ptr_array_copy (cell->ready_groups, NULL, NULL);
+  for (guint i = 0; i < groups->len; i++)
+    {
+      cell_group_t *group = groups->pdata[i];
+      if (group->spec->gang && group->waiting > 0
+          && group->waiting < group->spec->count)
+        cell_stop_gang (group);
+    }
+  g_ptr_array_unref (groups);
+}
+
 void
 cell_begin (cell_t *cell, const cell_inheritance_t *inheritance)
 {
@@ -254,6 +270,7 @@
       cell_expect_late_orders (cell, worker);
       cell_worker_crashed (cell, worker, "recorded");
     }
+  stop_partial_gangs (cell);
 }
 
 void
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -593,7 +593,32 @@
   cell_free (owner.cell);
 }
 
+/* Guards against a gang of which one member runs alone for good: the earlier
+   owner was lost while it stopped the gang, or before it had saved the start
+   of all members.  */
+static void
+test_partial_gang (void)
+{
+  owner_t owner;
+  make (&owner);
+  list_worker (&owner, "i-1");
+  work_job_t *job = work_job_new (JOB_ID, "queue", 1);
+  job->spec = g_strdup ("x");
+  job->steps[0].count = 3;
+  job->steps[0].gang = true;
+  job->steps[0].need = (resource_t){ 1000, 1000, 0 };
+  job->steps[0].estimate_ms = 10000;
+  cell_add_job (owner.cell, job);
+  cell_record_t row
+      = { JOB_ID, "1 R 0\ng 0 0 0 -\nt 0 a 1 0 i-1 -\nt 1 w 1 0 - -\n" };
+  CU_ASSERT_TRUE (cell_load_record (owner.cell, JOB_ID, &row, 1));
+  begin_cell (&owner);
+  CU_ASSERT_EQUAL (owner.stops, 1);
+  cell_free (owner.cell);
+}
+
 static CU_TestInfo owner_tests[] = {
+  { "a gang of which one member runs", test_partial_gang },
   { "times in the line about the end of a job", test_times_in_log },
   { "a run of a gang that is done is not lost", test_done_run_is_not_lost },
   { "leases after a pause", test_leases_after_pause },
