cell: count the chosen members of a gang in its limit for one worker

Cause: place_gang_on chooses a worker for each member before it assigns any, and takes the chosen members into account in the worker's use only. cell_spread_left counts assigned tasks.

Ruled out: the parser (the limit holds for the same step without gang_scheduled), and the room that is kept for gangs, which has a count of its own.

Change: place_gang_on counts the chosen members per worker, as the choice of kept room does; cell_spread_left takes both into account, and the check of its own in cell_reserve.c goes.

--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -276,15 +276,15 @@
   bool several_recent_jobs;       /* there are others */
   resource_t reserved;            /* for gangs, in the current pass */
   resource_t lasting_use;         /* of tasks that do not end by themselves */
-  uint32_t planned_tasks; /* of the gang for which room is being chosen */
-  uint64_t kept_pass;     /* the last pass that kept room here */
-  int64_t kept_since_ms;  /* without an interruption; 0: not kept */
-  int64_t kept_limit_ms;  /* latest end of that time */
-  int64_t kept_until_ms;  /* the first gang for which it is kept is expected to
-                             start */
-  int64_t open_until_ms;  /* no room is kept here before */
-  bool kept_room_open;    /* to the group that is being placed */
-  resource_t free_soon;   /* free now or within SOON_MS, in the current pass */
+  uint32_t planned_tasks;         /* of the gang that is being placed */
+  uint64_t kept_pass;             /* the last pass that kept room here */
+  int64_t kept_since_ms;          /* without an interruption; 0: not kept */
+  int64_t kept_limit_ms;          /* latest end of that time */
+  int64_t kept_until_ms; /* the first gang for which it is kept is expected to
+                            start */
+  int64_t open_until_ms; /* no room is kept here before */
+  bool kept_room_open;   /* to the group that is being placed */
+  resource_t free_soon;  /* free now or within SOON_MS, in the current pass */
   resource_t expected_use; /* part of FREE_SOON that the steps that asked for
                               advice so far are expected to take */
   /* In the search for workers to name in a call, see cell_advice.c.  */
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -67,7 +67,8 @@
   uint32_t limit = group->spec->spread;
   if (limit == 0)
     return group->spec->count;
-  return limit - MIN (limit, tasks_of_group (worker, group));
+  return limit
+         - MIN (limit, tasks_of_group (worker, group) + worker->planned_tasks);
 }
 
 static bool
@@ -222,9 +223,13 @@
       if (chosen[placed] == NULL)
         break;
       chosen[placed]->used = resource_add (chosen[placed]->used, need);
+      chosen[placed]->planned_tasks++;
     }
   for (uint32_t i = 0; i < placed; i++)
-    chosen[i]->used = resource_sub (chosen[i]->used, need);
+    {
+      chosen[i]->used = resource_sub (chosen[i]->used, need);
+      chosen[i]->planned_tasks = 0;
+    }
   for (uint32_t i = 0; i < count && placed == count; i++)
     {
       group->tasks[i].run = run; /* members share one run */
--- a/src/cell_reserve.c
+++ b/src/cell_reserve.c
@@ -222,9 +222,7 @@
   for (guint i = 0; i < workers->len; i++)
     {
       cell_worker_t *worker = workers->pdata[i];
-      if (!may_be_kept (cell, worker)
-          || (group->spec->spread > 0
-              && worker->planned_tasks >= group->spec->spread)
+      if (!may_be_kept (cell, worker) || cell_spread_left (group, worker) == 0
           || !resource_fits (resource_add (worker->reserved, need),
                              ending_room (worker)))
         continue;
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -64,6 +64,26 @@
   fake_cell_free (sim);
 }
 
+/* Guards against a gang that is limited to some tasks on one worker and gets
+   more there, which the simulation checks.  */
+static void
+test_gang_limit (void)
+{
+  for (uint32_t limit = 1; limit <= 3; limit++)
+    {
+      fake_cell_t *sim = fake_cell_new (1, 8, &no_faults, DEFECT_NONE);
+      work_job_t *job = job_new (1, 1, 6, 500);
+      job->steps[0].gang = true;
+      job->steps[0].need = (resource_t){ 2000, 100, 0 };
+      job->steps[0].spread = limit;
+      fake_cell_submit (sim, job);
+      fake_cell_run (sim, 2000);
+      CU_ASSERT_PTR_NULL (fake_cell_violation (sim));
+      CU_ASSERT_EQUAL (fake_cell_starts (sim), 6);
+      fake_cell_free (sim);
+    }
+}
+
 /* Guards against tasks of a cancelled job that run on.  */
 static void
 test_cancel (void)
@@ -360,6 +380,8 @@
     {
       job->steps[i].need = (resource_t){ 20, 10, 0 };
       job->steps[i].gang = g_rand_int_range (random, 0, 4) == 0;
+      if (job->steps[i].gang)
+        job->steps[i].spread = job->steps[i].count / 4 + 1;
     }
   if (g_rand_int_range (random, 0, 3) == 0)
     {
@@ -563,6 +585,7 @@
 static CU_TestInfo cell_tests[] = {
   { "a job of three steps without faults", test_job_without_faults },
   { "a gang starts with all members", test_gang },
+  { "a gang with a limit of tasks on one worker", test_gang_limit },
   { "a cancelled job's tasks end", test_cancel },
   { "an always failing job ends after its attempts", test_attempts },
   { "an always failing job beside a good one", test_failing_job },
