cell: tell a worker's lives apart when its clock was set back

Cause: the start time of a life was taken as rising. A report with a lower one was dropped as an answer of an earlier life, a row with a lower one ignored.

Ruled out: leases. The owner's log has neither runs_await_lease nor worker_silent; the worker counts as responsive all the time.

Change: a report proves a later life if its poll was sent after the known life was learned of, or if its start is above all known ones. A row of the list does so only if its start rises and no clock is known to have been set back; else it has the worker polled. Starts wait until the list shows the life that answers.

--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -225,7 +225,10 @@
   bool draining;
   int64_t may_leave_ms; /* while draining: earliest time at which it may leave;
                            0: unknown */
-  int64_t start_ms;     /* wall time of its start, 0: unknown */
+  int64_t start_ms;     /* wall time of its start, 0: unknown; tells lives
+                           apart, but a later life may have a lower one */
+  int64_t start_known_ms;   /* when START_MS was learned */
+  int64_t highest_start_ms; /* of all lives known so far */
   int64_t listed_start_ms; /* of the start to which CAPACITY and LABELS belong;
                               0: unknown */
   bool has_fencing_token;  /* it has answered a poll of this owner since its
--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -217,7 +217,8 @@
           worker = cell_find_worker (cell, fields[5]);
         }
       if (!worker->listed)
-        worker->start_ms = MAX (worker->start_ms, task->worker_start_ms);
+        worker->start_ms = worker->highest_start_ms
+            = MAX (worker->start_ms, task->worker_start_ms);
       worker->used = resource_add (worker->used, cell_task_need (group->spec));
       g_ptr_array_add (worker->tasks, task);
       group->waiting -= task->state == RUN_WAITING;
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -142,6 +142,38 @@
   stop_unanswered_starts (worker);
 }
 
+/* Takes note of a life of WORKER that is later than the known one.  */
+static void
+worker_has_life (cell_t *cell, cell_worker_t *worker, int64_t start_ms)
+{
+  if (worker->start_ms != 0)
+    worker_restarted (cell, worker, start_ms);
+  worker->start_ms = start_ms;
+  worker->start_known_ms = cell->now_ms;
+  worker->highest_start_ms = MAX (worker->highest_start_ms, start_ms);
+}
+
+/* Whether a row of the list that names a life of WORKER which started at
+   START_MS proves that it is later than the known one.  A row may be of an
+   earlier life, so only a rising start does, and only as long as the clock of
+   the machine is not known to have been set back.  */
+static bool
+row_proves_restart (const cell_worker_t *worker, int64_t start_ms)
+{
+  return start_ms > worker->start_ms
+         && worker->start_ms == worker->highest_start_ms;
+}
+
+/* The same for a report.  One of an earlier life answers a poll that was sent
+   before the known life was learned of.  */
+static bool
+report_proves_restart (const cell_worker_t *worker,
+                       const worker_report_t *report)
+{
+  return report->start_ms > worker->highest_start_ms
+         || report->sent_ms > worker->start_known_ms;
+}
+
 void
 cell_check_worker_clock (cell_t *cell, cell_worker_t *worker, int64_t sent_ms,
                          int64_t clock_ms)
@@ -196,12 +228,10 @@
   if (row->draining && !was_draining)
     cell_log (cell, "worker_draining", worker->id, "remaining_ms=%lld",
               (long long)row->remaining_ms);
-  if (row->start_ms > worker->start_ms)
-    {
-      if (worker->start_ms != 0)
-        worker_restarted (cell, worker, row->start_ms);
-      worker->start_ms = row->start_ms;
-    }
+  if (row_proves_restart (worker, row->start_ms))
+    worker_has_life (cell, worker, row->start_ms);
+  else if (row->start_ms != 0 && row->start_ms != worker->start_ms)
+    worker->check_due = true;
   worker->listed_start_ms = row->start_ms;
   cell->place_pending = true;
 }
@@ -236,7 +266,7 @@
    */
   return worker->has_fencing_token && worker->responsive && !worker->draining
          && (worker->listed_start_ms == 0
-             || worker->listed_start_ms >= worker->start_ms)
+             || worker->listed_start_ms == worker->start_ms)
          && resource_fits (worker->used, worker->capacity);
 }
 
@@ -529,14 +559,11 @@
   worker->failed_polls = 0;
   if (!worker->responsive)
     cell_log (cell, "worker_answers", id, "tasks=%u", worker->tasks->len);
-  if (report->start_ms != 0 && worker->start_ms != 0
-      && report->start_ms < worker->start_ms)
-    return;
-  if (report->start_ms > worker->start_ms)
+  if (report->start_ms != 0 && report->start_ms != worker->start_ms)
     {
-      if (worker->start_ms != 0)
-        worker_restarted (cell, worker, report->start_ms);
-      worker->start_ms = report->start_ms;
+      if (!report_proves_restart (worker, report))
+        return;
+      worker_has_life (cell, worker, report->start_ms);
     }
   if (!worker->has_fencing_token)
     cell_worker_reached (cell, worker);
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -336,7 +336,7 @@
       const char *labels[] = { worker->rack };
       /* A worker that is down changes nothing in the list.  */
       if (fake_cell_now (sim) >= worker->down_until_ms)
-        worker->listed_start_ms = worker->start_ms;
+        worker->listed_start_ms = worker->reported_start_ms;
       worker_row_t row = { .id = worker->id,
                            .address = worker->address,
                            .service = "pool",
--- a/tests/fake_cell.h
+++ b/tests/fake_cell.h
@@ -26,6 +26,8 @@
   uint32_t run_fails;
   const char *failing_job; /* id; all its runs fail */
   uint32_t worker_crash;   /* each 100 ms: a worker crashes */
+  uint32_t clock_back;     /* each crash: the next life says that it began
+                              before the last one did */
   uint32_t crash_down_ms;  /* a crashed worker is back after that time */
   bool crash_is_dark;      /* ... and answers nothing meanwhile, instead of
                               refusing connections */
--- a/tests/fake_cell_internal.h
+++ b/tests/fake_cell_internal.h
@@ -43,6 +43,7 @@
   resource_t shown_capacity; /* in the list */
   int64_t shrunk_until_ms;
   int64_t start_ms;
+  int64_t reported_start_ms; /* by the clock of its machine */
   int64_t listed_start_ms;
   int64_t lease_end_ms; /* in simulation time */
   int64_t disconnected_until_ms;
--- a/tests/fake_cell_worker.c
+++ b/tests/fake_cell_worker.c
@@ -15,6 +15,9 @@
 #define CAPACITY_LAG_MS (3000 + HEARTBEAT_MS)
 /* A worker that is gone leaves the list after this time.  */
 #define UNLISTED_AFTER_MS 4500
+/* Of the wall clocks to the clock of the simulation.  */
+#define WALL_OFFSET_MS 1000000
+#define CLOCK_BACK_MS 2000
 
 static fake_task_facts_t *
 facts_of (fake_cell_t *sim, const char *task)
@@ -472,7 +475,7 @@
   worker_report_t report
       = { .sent_ms = event->sent_ms,
           .clock_ms = fake_cell_now (sim) - worker->start_ms,
-          .start_ms = worker->start_ms,
+          .start_ms = worker->reported_start_ms,
           .runs = (report_run_t *)(void *)runs->data,
           .run_count = runs->len,
           .ends = (report_end_t *)(void *)ends->data,
@@ -541,13 +544,24 @@
   cell_worker_unlisted (sim->cell, event->target);
 }
 
+static void
+begin_life (fake_cell_t *sim, fake_worker_t *worker)
+{
+  worker->start_ms = fake_cell_now (sim);
+  if (sim->faults.clock_back > 0
+      && fake_cell_chance (sim, sim->faults.clock_back))
+    worker->reported_start_ms -= CLOCK_BACK_MS;
+  else
+    worker->reported_start_ms = WALL_OFFSET_MS + worker->start_ms;
+}
+
 static void
 on_worker_back (fake_cell_t *sim, fake_event_t *event)
 {
   fake_worker_t *worker = event->worker;
   if (fake_cell_now (sim) < worker->down_until_ms)
     return;
-  worker->start_ms = fake_cell_now (sim);
+  begin_life (sim, worker);
   if (sim->faults.crash_changes_id)
     {
       fake_event_t *unlisted
@@ -574,7 +588,7 @@
       back->owner = 0;
       back->worker = worker;
     }
-  worker->start_ms = fake_cell_now (sim);
+  begin_life (sim, worker);
   worker->lease_end_ms = 0;
   worker->token = 0;
   worker->last_end_number = 0;
@@ -685,6 +699,7 @@
   g_snprintf (worker->rack, sizeof worker->rack, "r%u", at / 3);
   worker->capacity = worker->shown_capacity = (resource_t){ 16000, 64000, 8 };
   worker->start_ms = 1;
+  worker->reported_start_ms = WALL_OFFSET_MS + worker->start_ms;
   worker->runs = g_ptr_array_new_with_free_func (run_free);
   worker->ends = g_ptr_array_new_with_free_func (end_free);
   worker->closed_runs
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -70,6 +70,8 @@
         const char *detail)
 {
   owner_t *owner = context;
+  if (g_getenv ("OWNER_LOG") != NULL)
+    g_print ("%s %s %s\n", event, subject, detail);
   if (g_str_has_prefix (event, "job_"))
     g_strlcpy (owner->end_detail, detail, sizeof owner->end_detail);
 }
@@ -514,6 +516,122 @@
   cell_free (owner.cell);
 }
 
+static void
+accept_start (owner_t *owner, uint32_t run)
+{
+  cell_start_answered (owner->cell, "i-1", owner->started_task, run,
+                       ORDER_ACCEPTED, clk_now_ms (&owner->clock.base));
+}
+
+/* Begins an owner with a task that runs on a worker, in the life that began at
+   START_MS.  */
+static void
+begin_on_life (owner_t *owner, int64_t start_ms)
+{
+  begin (owner, 1, NULL);
+  list_life (owner, "i-1", start_ms, 16000);
+  run_for (owner, 100);
+  answer_poll_as (owner, "i-1", start_ms, false);
+  run_for (owner, 100);
+  CU_ASSERT_EQUAL (owner->starts, 1);
+  accept_start (owner, 1);
+  run_for (owner, 100);
+  answer_poll_as (owner, "i-1", start_ms, true);
+  run_for (owner, 100);
+}
+
+/* Guards against a worker of which nothing is believed any more, because the
+   clock of its machine was set back before it started again: its runs would
+   count as alive for good, and it would get no others.  */
+static void
+test_lower_start (void)
+{
+  owner_t owner;
+  begin_on_life (&owner, 5000);
+  run_for (&owner, 100);
+  answer_poll_as (&owner, "i-1", 3000, false);
+  run_for (&owner, 100);
+  answer_poll_as (&owner, "i-1", 3000, false);
+  run_for (&owner, 2000);
+  /* The list still shows the capacity of the life before.  */
+  CU_ASSERT_EQUAL (owner.starts, 1);
+  list_life (&owner, "i-1", 5000, 16000);
+  run_for (&owner, 500);
+  CU_ASSERT_EQUAL (owner.starts, 1);
+  list_life (&owner, "i-1", 3000, 16000);
+  run_for (&owner, 500);
+  CU_ASSERT_EQUAL (owner.starts, 2);
+  cell_free (owner.cell);
+}
+
+/* Guards against a run that is given up because of a row of an earlier life:
+   after the clock was set back, a higher start may be one.  The worker itself
+   tells.  */
+static void
+test_row_of_earlier_life (void)
+{
+  owner_t owner;
+  begin_on_life (&owner, 5000);
+  run_for (&owner, 100);
+  answer_poll_as (&owner, "i-1", 3000, false);
+  run_for (&owner, 100);
+  list_life (&owner, "i-1", 3000, 16000);
+  answer_poll_as (&owner, "i-1", 3000, false);
+  run_for (&owner, 500);
+  CU_ASSERT_EQUAL (owner.starts, 2);
+  accept_start (&owner, 2);
+  run_for (&owner, 100);
+  int64_t now_ms = clk_now_ms (&owner.clock.base);
+  report_run_t run = { JOB_ID ".0.0.0", 2, "", 10, 0 };
+  worker_report_t report = { .sent_ms = now_ms,
+                             .clock_ms = now_ms,
+                             .start_ms = 3000,
+                             .runs = &run,
+                             .run_count = 1 };
+  cell_poll_answered (owner.cell, "i-1", &report);
+  list_life (&owner, "i-1", 6000, 16000);
+  run_for (&owner, 500);
+  CU_ASSERT_EQUAL (owner.starts, 2);
+  report.sent_ms = clk_now_ms (&owner.clock.base);
+  cell_poll_answered (owner.cell, "i-1", &report);
+  list_life (&owner, "i-1", 3000, 16000);
+  run_for (&owner, 500);
+  CU_ASSERT_EQUAL (owner.starts, 2);
+  /* It has started again after all.  */
+  list_life (&owner, "i-1", 6000, 16000);
+  run_for (&owner, 100);
+  answer_poll_as (&owner, "i-1", 6000, false);
+  run_for (&owner, 100);
+  answer_poll_as (&owner, "i-1", 6000, false);
+  run_for (&owner, 500);
+  CU_ASSERT_EQUAL (owner.starts, 3);
+  cell_free (owner.cell);
+}
+
+/* Guards against a run that is given up because of a late answer: it comes
+   from an earlier life, to a poll that was sent before the list showed the
+   known one.  */
+static void
+test_answer_of_earlier_life (void)
+{
+  owner_t owner;
+  begin (&owner, 1, NULL);
+  list_life (&owner, "i-1", 3000, 16000);
+  run_for (&owner, 100);
+  int64_t sent_ms = clk_now_ms (&owner.clock.base);
+  run_for (&owner, 100);
+  list_life (&owner, "i-1", 5000, 16000);
+  worker_report_t report
+      = { .sent_ms = sent_ms, .clock_ms = sent_ms, .start_ms = 3000 };
+  cell_poll_answered (owner.cell, "i-1", &report);
+  run_for (&owner, 100);
+  CU_ASSERT_EQUAL (owner.starts, 0);
+  answer_poll_as (&owner, "i-1", 5000, false);
+  run_for (&owner, 500);
+  CU_ASSERT_EQUAL (owner.starts, 1);
+  cell_free (owner.cell);
+}
+
 /* Guards against a start that is repeated into the next life of its worker,
    which would carry it out: while a worker is silent only polls are sent.  */
 static void
@@ -618,6 +736,9 @@
 }
 
 static CU_TestInfo owner_tests[] = {
+  { "a worker that starts again with a lower start", test_lower_start },
+  { "a row of an earlier life", test_row_of_earlier_life },
+  { "an answer of an earlier life", test_answer_of_earlier_life },
   { "a gang of which one member runs", test_partial_gang },
   { "times in the line about the end of a job", test_times_in_log },
   { "a run of a gang that is done is not lost", test_done_run_is_not_lost },
