--- a/src/cell_reserve.c
+++ b/src/cell_reserve.c
@@ -239,8 +239,8 @@
 }
 
 /* Reserves room for each member of GROUP on one of WORKERS, and appends that
-   worker to PLAN.  Returns when all of it is expected to be free; INT64_MAX,
-   with nothing reserved: it does not fit.  */
+   worker to PLAN.  Returns when all of it is expected to be free; INT64_MAX:
+   it does not fit, and PLAN has the members that do.  */
 static int64_t
 plan_members (cell_t *cell, const cell_group_t *group,
               const GPtrArray *workers, GPtrArray *plan)
