tests: late orders that the next life of a worker carries out

Callers would see: a task that was done is started a second time (TWICE).

Cause: after a start without an answer the order is repeated as it is. If the first copy is carried out only after the task is done and its worker has started anew under its id, nothing there tells it from a new order. The same holds for the acknowledgement in a late poll (KNOWN-RED 14), which the simulation dropped with the life that it was sent to.

The test runs only when it is named. Late polls reach the next life only in this test, so that the seeds of the others stay what they are.

--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -101,7 +101,8 @@
 {
   int64_t delay_ms = NETWORK_DELAY_MS;
   bool sends_answer = !fake_cell_chance (sim, sim->faults.answer_lost);
-  if (fake_cell_chance (sim, sim->faults.order_late))
+  bool late = fake_cell_chance (sim, sim->faults.order_late);
+  if (late)
     {
       delay_ms = g_rand_int_range (sim->random, 2000, 6000);
       sends_answer = false;
@@ -117,6 +118,7 @@
   order->worker_start_ms = order->worker->start_ms;
   order->call = number;
   order->sends_answer = sends_answer;
+  order->late = late;
   if (fake_cell_chance (sim, sim->faults.order_dropped))
     order->fire = drop_event;
   fake_event_t *timeout = fake_cell_event_new (sim, timeout_ms, answer);
--- a/tests/fake_cell.h
+++ b/tests/fake_cell.h
@@ -22,6 +22,8 @@
 {
   uint32_t answer_lost;   /* the call is carried out, its answer lost */
   uint32_t order_late;    /* carried out 2 to 6 s later, no answer */
+  bool late_polls_cross;  /* a late poll is carried out by a next life of its
+                             worker too, as other late orders are */
   uint32_t order_dropped; /* neither delivered nor answered */
   uint32_t run_fails;
   const char *failing_job; /* id; all its runs fail */
--- a/tests/fake_cell_internal.h
+++ b/tests/fake_cell_internal.h
@@ -94,6 +94,7 @@
   uint64_t call;           /* to which an answer belongs */
   order_result_t result;
   bool sends_answer;
+  bool late;        /* see order_late */
   GPtrArray *texts; /* id, text, id, text, ... */
 };
 
--- a/tests/fake_cell_worker.c
+++ b/tests/fake_cell_worker.c
@@ -494,7 +494,8 @@
       || answered_by_other (sim, event, fake_cell_answer_poll))
     return;
   /* A crash breaks the connection on which a poll waits.  */
-  if (event->worker_start_ms != worker->start_ms)
+  if (event->worker_start_ms != worker->start_ms
+      && !(event->late && sim->faults.late_polls_cross))
     return;
   fake_cell_advance_workers (sim);
   order_result_t result = ORDER_ACCEPTED;
--- a/tests/test.h
+++ b/tests/test.h
@@ -53,6 +53,7 @@
 extern CU_SuiteInfo test_restart_suites[];
 extern CU_SuiteInfo test_refused_suites[];
 extern CU_SuiteInfo test_ack_suites[];
+extern CU_SuiteInfo test_late_order_suites[];
 extern CU_SuiteInfo test_late_renewal_suites[];
 extern CU_SuiteInfo test_tenure_suites[];
 extern CU_SuiteInfo test_node_tenure_suites[];
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -534,6 +534,24 @@
       }
 }
 
+/* Guards against orders of an earlier life of a worker that its next life
+   carries out: a poll whose number covers ends that the owner has not seen,
+   a start of a task that is done.  */
+static void
+test_late_orders_into_next_life (void)
+{
+  static const fake_faults_t faults
+      = { .worker_crash = 20, .order_late = 40, .late_polls_cross = true };
+  for (uint32_t i = 0; i < SEEDS_PER_SCENARIO; i++)
+    {
+      char *violation = run_scenario (test_seed () + i, &faults, DEFECT_NONE);
+      if (violation != NULL)
+        printf ("\n  seed %u: %s\n", test_seed () + i, violation);
+      CU_ASSERT_PTR_NULL (violation);
+      g_free (violation);
+    }
+}
+
 /* Scenarios and seeds that failed once, with the cause.  */
 static const struct
 {
@@ -618,3 +636,13 @@
   { "cell", NULL, NULL, NULL, NULL, cell_tests },
   CU_SUITE_INFO_NULL,
 };
+
+static CU_TestInfo late_order_tests[] = {
+  { "late orders into the next life", test_late_orders_into_next_life },
+  CU_TEST_INFO_NULL,
+};
+
+CU_SuiteInfo test_late_order_suites[] = {
+  { "late orders", NULL, NULL, NULL, NULL, late_order_tests },
+  CU_SUITE_INFO_NULL,
+};
