node: log how old the version is that refuses a request

Change: no decision changes. The copy of a table keeps the time as of which all changes were reported. The handler "queues" of callers' requests becomes "route", so that the node, not platform/, decides about a request without a route. Following the configuration moves from node.c to node_config.c.

--- a/src/io/httpc_direct.c
+++ b/src/io/httpc_direct.c
@@ -2,6 +2,7 @@
 
 #include "clk.h"
 #include "http_reply.h"
+#include "log.h"
 #include "loop.h"
 #include "options.h"
 
@@ -37,6 +38,7 @@
 struct host
 {
   httpc_direct_t *direct;
+  const char *name; /* "IP:PORT", owned by the table of hosts */
   struct sockaddr_in address;
   GPtrArray *idle; /* connection_t, owned; the latest last */
   GQueue waiting;  /* direct_call_t without a connection */
@@ -66,6 +68,7 @@
   bool resent;    /* the same, and then to another one */
   bool got_bytes; /* of the reply */
   http_reply_t reply;
+  int64_t attached_ms; /* to CONNECTION */
   int64_t deadline_ms;
   ev_timer timer;
   err_kind_t failure; /* what the timer reports */
@@ -218,6 +221,7 @@
 {
   call->connection = connection;
   connection->call = call;
+  call->attached_ms = now_ms ();
   call->sent = 0;
   if (!connection->connecting)
     {
@@ -436,6 +440,19 @@
     read_reply (call);
 }
 
+/* CALL got no byte on a connection that had served calls before.  */
+static void
+note_silence (const direct_call_t *call)
+{
+  char waited[24];
+  char idle[16];
+  g_snprintf (waited, sizeof waited, "%lld",
+              (long long)(now_ms () - call->attached_ms));
+  g_snprintf (idle, sizeof idle, "%u", call->host->idle->len);
+  log_event (LOG_WARN, "connection_silent", "host", call->host->name,
+             "waited_ms", waited, "idle_connections", idle, NULL);
+}
+
 static void
 on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -457,6 +474,8 @@
     }
   if (connection != NULL && !connection->connecting && !read_reply (call))
     return;
+  if (connection != NULL && connection->reused && !call->got_bytes)
+    note_silence (call);
   finish_call (call, call->was_sent ? ERR_TIMEOUT : ERR_CONNECT_FAILED);
 }
 
@@ -554,7 +573,9 @@
   host->address.sin_port = htons (port);
   host->idle = g_ptr_array_new_with_free_func (connection_free);
   g_queue_init (&host->waiting);
-  g_hash_table_insert (direct->hosts, g_strdup (name), host);
+  char *key = g_strdup (name);
+  host->name = key;
+  g_hash_table_insert (direct->hosts, key, host);
   return host;
 }
 
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -9,12 +9,10 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Longest waits of the calls that follow tables.  A connection may go silent
-   for good, which only the timeout of such a call shows; a configuration has
-   to be in force within 2 s.  */
-#define CONFIG_WAIT_MS 700
-#define FOLLOW_SLACK_MS 900
-/* Claims need recent answers about the owners' heartbeats.  */
+/* Longest wait of the call that follows the cluster table, and time beyond it
+   until the call times out.  A connection may go silent for good, which only
+   the timeout shows.  Claims need recent answers about the owners' heartbeats.
+ */
 #define CLUSTER_WAIT_MS 250
 #define CLUSTER_SLACK_MS 600
 /* After a longer time without an answer about the cluster, the timeouts of
@@ -146,10 +144,9 @@
   cell->heartbeat_seen_ms = node_now (cell->node);
 }
 
-static void
-on_table_answered (void *context, int64_t late_ms)
+void
+node_store_answered (node_t *node, int64_t late_ms)
 {
-  node_t *node = context;
   if (late_ms < 0)
     return;
   node->store_lag_ms -= node->store_lag_ms / STORE_LAG_DECAY_DIVISOR;
@@ -161,7 +158,7 @@
 {
   node_t *node = context;
   int64_t now_ms = node_now (node);
-  on_table_answered (node, late_ms);
+  node_store_answered (node, late_ms);
   /* Heartbeats may have changed unseen meanwhile.  */
   if (now_ms - node->cluster_answered_ms > MAX_CLUSTER_UNANSWERED_MS)
     for_each_cell (node, restart_heartbeat_watch);
@@ -171,16 +168,9 @@
 static const replica_events_t cluster_events
     = { on_cluster_changed, NULL, on_cluster_answered };
 
-static void
-apply_queues (node_cell_t *cell)
-{
-  if (cell->scheduler != NULL)
-    cell_set_queues (cell->scheduler, cell->node->queues);
-}
-
 /* Callers are sent to other nodes while the store does not answer this one. */
-static void
-check_readiness (node_t *node)
+void
+node_check_readiness (node_t *node)
 {
   const platform_api_ops_t *ops = node->platform->ops;
   bool ready = !node->stopping && !node_store_unreachable (node);
@@ -188,53 +178,12 @@
   ops->end_connections (node->platform, !ready);
 }
 
-static void follow_cluster (node_t *node);
-
-static void
-on_config_changed (void *context, const char *part, const char *key,
-                   const char *value, size_t length)
-{
-  node_t *node = context;
-  platform_api_t *platform = node->platform;
-  if (strcmp (key, platform->ops->config_key (platform)) != 0 || value == NULL)
-    return;
-  GError *error = NULL;
-  queue_table_t *table
-      = platform->ops->parse_config (platform, value, length, &error);
-  char version[24];
-  if (table == NULL)
-    {
-      log_event (LOG_ERROR, "config_unreadable", "message", error->message,
-                 NULL);
-      g_clear_error (&error);
-      return;
-    }
-  g_snprintf (version, sizeof version, "%" G_GUINT64_FORMAT, table->version);
-  if (node->queues != NULL && table->version <= node->queues->version)
-    {
-      log_event (LOG_INFO, "config_ignored", "version", version, NULL);
-      queue_table_free (table);
-      return;
-    }
-  log_event (LOG_INFO, "config_in_force", "version", version, NULL);
-  queue_table_free (node->queues);
-  node->queues = table;
-  if (node->cluster == NULL)
-    follow_cluster (node);
-  for (guint i = 0; i < table->services->len; i++)
-    node_get_cell (node, table->services->pdata[i]);
-  for_each_cell (node, apply_queues);
-  check_readiness (node);
-  node->input_pending = true;
-}
-
-static const replica_events_t config_events
-    = { on_config_changed, NULL, on_table_answered };
-
-static void
-follow_cluster (node_t *node)
+void
+node_follow_cluster (node_t *node)
 {
   static const char *const parts[] = { "", NULL };
+  if (node->cluster != NULL)
+    return;
   replica_options_t options = { CLUSTER_TABLE, parts, CLUSTER_WAIT_MS,
                                 CLUSTER_SLACK_MS, NODE_CANDIDATE_GAP_MS };
   node->cluster = replica_new (node->platform, node->loop, &options,
@@ -242,17 +191,6 @@
   node_register_if_due (node);
 }
 
-static void
-follow_config (node_t *node)
-{
-  static const char *const parts[] = { "", NULL };
-  platform_api_t *platform = node->platform;
-  replica_options_t options = { platform->ops->operator_table (platform),
-                                parts, CONFIG_WAIT_MS, FOLLOW_SLACK_MS, 0 };
-  node->config
-      = replica_new (platform, node->loop, &options, &config_events, node);
-}
-
 static void
 run_cells (node_t *node)
 {
@@ -321,7 +259,8 @@
   node_register_if_due (node);
   node_list_cells_if_due (node);
   node_claim_check (node);
-  check_readiness (node);
+  node_check_config (node);
+  node_check_readiness (node);
 }
 
 static void
@@ -334,7 +273,7 @@
              NULL);
   node->stopping = true;
   node->stopping_since_ms = node_now (node);
-  check_readiness (node);
+  node_check_readiness (node);
   for_each_cell (node, node_yield_and_release);
 }
 
@@ -449,7 +388,7 @@
              platform->settings.zone, "incarnation", node->incarnation, "port",
              port, NULL);
   watch_signals (node);
-  follow_config (node);
+  node_follow_config (node);
   start_timers (node);
   ev_run (loop, 0);
   log_event (LOG_INFO, "stopped", "node", platform->settings.name, NULL);
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -188,7 +188,8 @@
                            later start compares greater */
   queue_table_t *queues;
   replica_t *config, *cluster;
-  replica_t *workers; /* NULL: this node holds no cell */
+  bool config_unconfirmed; /* for too long; it was reported */
+  replica_t *workers;      /* NULL: this node holds no cell */
   GHashTable
       *unreadable_workers; /* ids of the list's unreadable rows, owned */
   GHashTable *cells;       /* name -> node_cell_t, freed by the table */
@@ -236,6 +237,23 @@
  */
 uint32_t node_cells_held (const node_t *node);
 
+/* Follows the cluster table, if the node does not yet.  */
+void node_follow_cluster (node_t *node);
+/* The store has answered a call for changes LATE_MS later than it could have;
+   -1: not known.  */
+void node_store_answered (node_t *node, int64_t late_ms);
+/* Callers are sent to other nodes while the store does not answer this one. */
+void node_check_readiness (node_t *node);
+
+/* node_config.c */
+void node_follow_config (node_t *node);
+/* Reports a configuration that the store has not confirmed for too long.  */
+void node_check_config (node_t *node);
+/* Implements the handler route of caller_request_handlers_t.  */
+const queue_t *node_route_request (void *context, caller_request_t *request,
+                                   const char *host, const char *path,
+                                   const char **rest);
+
 /* node_register.c */
 /* Registers this node if it is not registered yet and no call or pause is
    under way.  */
--- a/src/io/node_requests.c
+++ b/src/io/node_requests.c
@@ -382,12 +382,6 @@
   return write;
 }
 
-static const queue_table_t *
-current_queues (void *context)
-{
-  return ((node_t *)context)->queues;
-}
-
 /* The store would refuse the row whenever it is sent.  */
 static void
 refuse_too_large (inbox_write_t *write)
@@ -575,5 +569,5 @@
 }
 
 const caller_request_handlers_t node_request_handlers
-    = { current_queues, handle_submit, handle_state, handle_cancel,
+    = { node_route_request, handle_submit, handle_state, handle_cancel,
         handle_pending };
--- a/src/io/platform_api.h
+++ b/src/io/platform_api.h
@@ -82,8 +82,12 @@
 /* Handlers of callers' requests.  ID points into the request.  */
 typedef struct
 {
-  /* NULL: no configuration yet.  */
-  const queue_table_t *(*queues) (void *context);
+  /* Returns the queue of a request to PATH at HOST and sets *REST to what
+     follows its prefix, or NULL after it has answered REQUEST.  The queue
+     lives until the handler of REQUEST returns.  */
+  const queue_t *(*route) (void *context, caller_request_t *request,
+                           const char *host, const char *path,
+                           const char **rest);
   /* Takes ownership of JOB.  WAIT_MS: how long the caller waits, 0: not given.
    */
   void (*submit) (void *context, caller_request_t *request,
@@ -184,9 +188,11 @@
   char *name;
   char *zone;
   char *ip;
-  uint16_t peer_port;    /* for other nodes and for metrics */
-  int64_t stop_limit_ms; /* from the signal to the process's exit */
-  int64_t cpu_millis;    /* thousandths of a core that this node may use */
+  uint16_t peer_port;      /* for other nodes and for metrics */
+  int64_t stop_limit_ms;   /* from the signal to the process's exit */
+  int64_t cpu_millis;      /* thousandths of a core that this node may use */
+  int64_t config_apply_ms; /* from the store's acknowledgement of a version of
+                              the configuration until it is in force */
   cell_options_t cells;
 } platform_api_settings_t;
 
--- a/src/io/replica.c
+++ b/src/io/replica.c
@@ -45,6 +45,9 @@
   ev_timer next_call; /* after the gap, or after a failed call */
   uint64_t seen_version;
   int64_t follow_sent_ms; /* when the last call for changes was made */
+  int64_t read_sent_ms;   /* when the first call of this read was made */
+  int64_t confirmed_ms;   /* see replica_confirmed_ms */
+  int64_t lost_ms;        /* when calls began to fail */
   uint64_t read_version;  /* smallest version in the answers of this read */
   uint32_t read_round;
   uint32_t calls_in_flight;
@@ -154,6 +157,7 @@
   drop_missing (replica);
   replica->reading = false;
   replica->seen_version = replica->read_version;
+  replica->confirmed_ms = MAX (replica->confirmed_ms, replica->read_sent_ms);
   if (replica->loaded)
     return;
   replica->loaded = true;
@@ -168,6 +172,7 @@
 begin_reading (replica_t *replica)
 {
   replica->reading = true;
+  replica->read_sent_ms = clk_now_ms (loop_clock ());
   replica->read_round++;
   replica->read_version = G_MAXUINT64;
   replica->unread_parts = replica->readers->len;
@@ -211,12 +216,35 @@
   ev_timer_start (replica->loop, &replica->next_call);
 }
 
+static void
+log_failing (replica_t *replica, bool ok)
+{
+  int64_t now_ms = clk_now_ms (loop_clock ());
+  char confirmed[24];
+  char lost[24];
+  if (replica->confirmed_ms == 0)
+    g_strlcpy (confirmed, "never", sizeof confirmed);
+  else
+    g_snprintf (confirmed, sizeof confirmed, "%lld",
+                (long long)(now_ms - replica->confirmed_ms));
+  if (!ok)
+    {
+      replica->lost_ms = now_ms;
+      log_event (LOG_WARN, "store_lost", "table", replica->table,
+                 "confirmed_ms_ago", confirmed, NULL);
+      return;
+    }
+  g_snprintf (lost, sizeof lost, "%lld",
+              (long long)(now_ms - replica->lost_ms));
+  log_event (LOG_INFO, "store_back", "table", replica->table, "lost_ms", lost,
+             "confirmed_ms_ago", confirmed, NULL);
+}
+
 static void
 report_result (replica_t *replica, bool ok, int64_t late_ms)
 {
   if (ok == replica->failing)
-    log_event (ok ? LOG_INFO : LOG_WARN, ok ? "store_back" : "store_lost",
-               "table", replica->table, NULL);
+    log_failing (replica, ok);
   replica->failing = !ok;
   /* While rows are read, an answer says nothing about the other parts.  */
   if (ok && !replica->reading && replica->events.answered != NULL)
@@ -299,6 +327,21 @@
                                 READ_TIMEOUT_MS, on_page, reader);
 }
 
+/* REPLY, an answer to the call for changes, has been applied.  */
+static void
+confirm_changes (replica_t *replica, const store_reply_t *reply,
+                 int64_t took_ms)
+{
+  int64_t as_of_ms = replica->follow_sent_ms;
+  /* The store looks once more before it answers that nothing has changed.  */
+  if (reply->count == 0 && took_ms >= replica->wait_ms)
+    as_of_ms += replica->wait_ms;
+  replica->seen_version = MAX (replica->seen_version, reply->version);
+  /* The answer says nothing of parts that are still read.  */
+  if (!replica->reading)
+    replica->confirmed_ms = MAX (replica->confirmed_ms, as_of_ms);
+}
+
 static void
 on_changes (void *context, const store_reply_t *reply)
 {
@@ -316,9 +359,9 @@
     {
       for (uint32_t i = 0; ok && i < reply->count; i++)
         apply_row (replica, &reply->rows[i]);
-      if (ok)
-        replica->seen_version = MAX (replica->seen_version, reply->version);
       int64_t took_ms = clk_now_ms (loop_clock ()) - replica->follow_sent_ms;
+      if (ok)
+        confirm_changes (replica, reply, took_ms);
       report_result (replica, ok,
                      reply->count == 0 ? MAX (took_ms - replica->wait_ms, 0)
                                        : -1);
@@ -399,6 +442,12 @@
   replica->gap_ms = gap_ms;
 }
 
+int64_t
+replica_confirmed_ms (const replica_t *replica)
+{
+  return replica->confirmed_ms;
+}
+
 bool
 replica_is_loaded (const replica_t *replica)
 {
--- a/src/io/replica.h
+++ b/src/io/replica.h
@@ -46,6 +46,10 @@
 /* Changes the gap between an answer and the next call.  */
 void replica_set_gap (replica_t *replica, int64_t gap_ms);
 bool replica_is_loaded (const replica_t *replica);
+/* All changes that the store had acknowledged at this time of loop_clock were
+   reported; 0: the rows were never read.  It is set before the event answered
+   is called.  */
+int64_t replica_confirmed_ms (const replica_t *replica);
 /* Calls the changed event for every row.  */
 void replica_replay (replica_t *replica);
 /* Value of a row, NULL if it is absent.  */
