tests: requests that an old version of the configuration decides (CONFIG)

Callers saw: a route that was added is refused with 404 for seconds after the store has acknowledged it, and a dropped one is served.

The stand-in gets doors: each node has its own way to the store, which can refuse, fall silent or reset, or lose the connections that are open.

--- a/tests/site_standin.c
+++ b/tests/site_standin.c
@@ -1,5 +1,7 @@
 #include "site_standin.h"
 
+#include "site_door.h"
+
 #include "options.h"
 
 #include <ev.h>
@@ -13,6 +15,8 @@
 #define ADVICE_MS 10
 #define FOLLOW_CHECK_S 0.05
 #define HISTORY_ROWS 4000
+/* The port of the first door, counted from that of the store.  */
+#define FIRST_DOOR 301
 /* Limits of a transaction.  */
 #define MAX_ENTRIES 100u
 #define MAX_CALL_BYTES ((size_t)1000 * 1000)
@@ -57,6 +61,8 @@
   size_t row_bytes;
   uint32_t services;
   uint32_t config_version;
+  char *route_service;   /* of the first route; NULL: it is dropped */
+  uint32_t added_routes; /* further ones */
   char *refused_job; /* rows of its record over REFUSED_BYTES are refused */
   size_t refused_bytes;
   GRand *random;
@@ -64,7 +70,7 @@
 
 typedef struct
 {
-  int64_t port, workers, seed, row_bytes, services;
+  int64_t port, workers, seed, row_bytes, services, doors;
 } settings_t;
 
 static const option_t options[] = {
@@ -78,6 +84,8 @@
     false, 1, 1 << 20, NULL, "Longest value of a row" },
   { "services", OPTION_INTEGER, offsetof (settings_t, services), "1", false, 1,
     SITE_MAX_SERVICES, NULL, "Services that share the workers" },
+  { "doors", OPTION_INTEGER, offsetof (settings_t, doors), "0", false, 0, 90,
+    NULL, "Doors to the store, on the ports from 301 above its own" },
   { NULL, 0, 0, NULL, false, 0, 0, NULL, NULL },
 };
 
@@ -538,32 +546,53 @@
   return text != NULL ? atoll (text) : 0;
 }
 
-/* Writes the next version of the configuration, in which the only route leads
-   to SERVICE; NULL: in which there is no route.  */
+static json_t *
+route_new (const char *name, const char *service)
+{
+  char *prefix = g_strdup_printf ("/%s/", name);
+  json_t *route = json_pack (
+      "{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:f, s:{s:i, s:f, "
+      "s:i}}",
+      "name", name, "host", "host", "path_prefix", prefix, "service", service,
+      "priority", 0, "max_attempts", 3, "target_latency_ms", 500, "stretch",
+      2.0, "advice", "decision_ms", ADVICE_MS, "per_worker_ms", 0.1,
+      "validity_ms", TICKET_VALIDITY_MS);
+  g_free (prefix);
+  return route;
+}
+
+/* Writes the next version of the configuration.  */
 static void
-put_config (const char *service)
+put_config (void)
 {
   json_t *services = json_array ();
   json_t *routes = json_array ();
   for (uint32_t i = 0; i < platform.services; i++)
     json_array_append_new (services,
                            json_pack ("{s:s}", "name", site_services[i]));
-  if (service != NULL)
-    json_array_append_new (
-        routes,
-        json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:f, s:{s:i, s:f, "
-                   "s:i}}",
-                   "name", "queue", "host", "host", "path_prefix", "/queue/",
-                   "service", service, "priority", 0, "max_attempts", 3,
-                   "target_latency_ms", 500, "stretch", 2.0, "advice",
-                   "decision_ms", ADVICE_MS, "per_worker_ms", 0.1,
-                   "validity_ms", TICKET_VALIDITY_MS));
+  if (platform.route_service != NULL)
+    json_array_append_new (routes,
+                           route_new ("queue", platform.route_service));
+  for (uint32_t i = 1; i <= platform.added_routes; i++)
+    {
+      char name[24];
+      g_snprintf (name, sizeof name, "added-%u", i);
+      json_array_append_new (routes, route_new (name, site_services[0]));
+    }
   site_put_row ("op", "config",
                 json_pack ("{s:i, s:o, s:o}", "version",
                            (int)++platform.config_version, "routes", routes,
                            "services", services));
 }
 
+static void
+set_route (const char *service)
+{
+  g_free (platform.route_service);
+  platform.route_service = g_strdup (service);
+  put_config ();
+}
+
 /* POST /control/refuse?job=ID&over=BYTES.  */
 static void
 refuse_job (const char *id, int64_t over_bytes)
@@ -576,6 +605,8 @@
 /* POST /control/store?mode=busy|silent&for_ms=N, /control/lose?commits=N&
    answers=N (of 1000), /control/crash?worker=N, /control/mute?worker=N&
    for_ms=N, /control/route?service=NAME (none: drops the route),
+   /control/added?count=N (routes "added-1" to "added-N"),
+   /control/door?node=N&mode=MODE&for_ms=N (see site_door.h; from 1),
    /control/load?to=ADDRESS&jobs_per_s=N (0 ends it).  */
 static void
 on_control (void *context, httpd_exchange_t *exchange,
@@ -606,7 +637,16 @@
     refuse_job (httpd_query (exchange, "job"),
                 query_number (exchange, "over"));
   else if (strcmp (what, "route") == 0)
-    put_config (httpd_query (exchange, "service"));
+    set_route (httpd_query (exchange, "service"));
+  else if (strcmp (what, "added") == 0)
+    {
+      platform.added_routes = (uint32_t)query_number (exchange, "count");
+      put_config ();
+    }
+  else if (strcmp (what, "door") == 0 && httpd_query (exchange, "mode"))
+    site_door_set ((uint32_t)query_number (exchange, "node") - 1,
+                   httpd_query (exchange, "mode"),
+                   query_number (exchange, "for_ms"));
   else if (strcmp (what, "load") == 0)
     site_load (httpd_query (exchange, "to"),
                (uint32_t)query_number (exchange, "jobs_per_s"));
@@ -664,13 +704,16 @@
   platform.server = httpd_new (platform.loop, &server, &error);
   if (platform.server == NULL
       || !site_workers_start ((uint32_t)settings.workers, platform.services,
-                              (uint16_t)(settings.port + 1), &error))
+                              (uint16_t)(settings.port + 1), &error)
+      || !site_doors_open (platform.loop, (uint32_t)settings.doors,
+                           (uint16_t)(settings.port + FIRST_DOOR),
+                           (uint16_t)settings.port, &error))
     {
       fprintf (stderr, "site-standin: %s\n", error->message);
       return 1;
     }
   httpd_add_routes (platform.server, routes, NULL);
-  put_config (site_services[0]);
+  set_route (site_services[0]);
   ev_timer_init (&check, on_follow_check, FOLLOW_CHECK_S, FOLLOW_CHECK_S);
   ev_timer_start (platform.loop, &check);
   ev_signal_init (&terminate, on_signal, SIGTERM);
--- a/tests/soak_node.sh
+++ b/tests/soak_node.sh
@@ -23,8 +23,6 @@
 WORKERS=12
 WIDE_TASKS=600
 BUILD=${BUILD:-build/release}
-WORK=$(mktemp -d "${TMPDIR:-/tmp}/magnoliadock.XXXXXX")
-CONTROL=http://127.0.0.1:$PORT/control
 HOST_HEADER='Host: host'
 
 fail () {
@@ -32,17 +30,7 @@
   exit 1
 }
 
-pid_of () { cat "$WORK/$1.pid" 2>/dev/null; }
-
-# Ends only what this script has started.
-cleanup () {
-  for name in $(seq 1 "$NODES") standin; do
-    pid=$(pid_of "$name") && kill -CONT "$pid" 2>/dev/null
-    [ -n "${pid:-}" ] && kill -KILL "$pid" 2>/dev/null
-  done
-  [ "${KEEP:-}" ] || [ "${failed:-1}" = 1 ] || rm -rf "$WORK"
-}
-trap cleanup EXIT
+. tests/node_lib.sh
 
 # Sets $RANDOM_NUMBER to the next number below $1 of the seeded sequence.
 STATE=$SEED
@@ -51,57 +39,7 @@
   RANDOM_NUMBER=$((STATE / 65536 % $1))
 }
 
-write_settings () {
-  cat >"$WORK/$1.conf" <<END
-node=edge-$1
-zone=z
-ip=127.0.0.$((10 + $1))
-internal_ports=$((PORT + 400)),$((PORT + 410))
-listen_addresses.front=127.0.0.$((10 + $1)):$((PORT + 401))
-listen_addresses.readiness=127.0.0.$((10 + $1)):$((PORT + 402))
-platform.address=127.0.0.1:$PORT
-platform.row_bytes=16384
-advice=127.0.0.1:$PORT
-limits.cpu_share=1
-limits.cores=1
-bounds.grace_s=6
-bounds.max_hold_ms=6000
-bounds.status_s=120
-END
-}
-
-start_node () {
-  MAGNOLIADOCK_SETTINGS=$WORK/$1.conf "$BUILD/magnoliadock" node \
-    >>"$WORK/$1.log" 2>&1 &
-  echo $! >"$WORK/$1.pid"
-  rm -f "$WORK/$1.ended"
-}
-
-# end_node SIGNAL NODE ends a node that may be started again.
-end_node () {
-  : >"$WORK/$2.ended"
-  kill "-$1" "$(pid_of "$2")" 2>/dev/null
-}
-
-is_running () { kill -0 "$(pid_of "$1")" 2>/dev/null; }
-
-# Fails if the stand-in, or a node that was not told to, has ended.
-check_processes () {
-  is_running standin || fail "the stand-in has ended: $(tail -n 1 "$WORK/standin.log")"
-  for node in $(seq 1 "$NODES"); do
-    is_running "$node" || [ -e "$WORK/$node.ended" ] \
-      || fail "node $node has ended: $(tail -n 1 "$WORK/$node.log")"
-  done
-}
-
-check_logs () {
-  report=$(grep -hm 1 -E 'Sanitizer|runtime error:' "$WORK"/*.log | head -n 1)
-  [ -z "$report" ] || fail "$report"
-}
-
-job_url () { echo "http://127.0.0.$((10 + $1)):$((PORT + 401))/queue/$2"; }
-
-control () { curl -s -m 3 -X POST "$CONTROL/$1" >/dev/null; }
+job_url () { echo "$(front_url "$1")/queue/$2"; }
 
 submit () { # NODE ID CPU_MILLIS WORK_MS KIND [COUNT]; prints the status
   curl -s -m 3 -o /dev/null -w '%{http_code}' -H "$HOST_HEADER" \
@@ -190,20 +128,7 @@
   done
 }
 
-"$BUILD/site-standin" --port "$PORT" --workers $WORKERS --seed "$SEED" \
-  --row-bytes 16384 --services 2 2>"$WORK/standin.log" &
-echo $! >"$WORK/standin.pid"
-for node in $(seq 1 "$NODES"); do
-  write_settings "$node"
-  start_node "$node"
-done
-ready=0
-for _ in $(seq 1 100); do
-  [ "$(curl -s -m 1 -o /dev/null -w '%{http_code}' \
-    "http://127.0.0.11:$((PORT + 402))/api/readiness")" = 200 ] && ready=1 && break
-  sleep 0.1
-done
-[ $ready = 1 ] || fail "no node is ready"
+start_all --workers $WORKERS --seed "$SEED" --row-bytes 16384 --services 2
 
 submit_misfit
 end=$(($(date +%s) + SOAK_SECONDS))
