httpc: drop all idle connections to a host with one that fell silent

Callers saw: 404 for a route that the store had acknowledged up to 7 s before (CONFIG), and 504 or late answers for seconds after the network had lost its connections.

Cause: connections may go silent for good without a reset while new ones work. The pool takes the connection that was used last first, and a call that timed out closed only its own. So each of up to 24 silent connections to the store cost one call its whole timeout: the call for changes of the configuration 1.7 s each, where two are later than 3 s after the event. Any call could meet them, also those for callers and to workers and peers.

Change: a call that gets no byte on a connection that had served calls before drops all idle connections to that host. Dropping only those that had not served a call since it was sent does not suffice: a call for changes waits 700 ms by intent, and the others may become idle and die meanwhile.

Price: a call that is lost for another reason costs up to 24 new connections to that host, opened as they are needed.

--- a/src/io/httpc_direct.c
+++ b/src/io/httpc_direct.c
@@ -440,17 +440,21 @@
     read_reply (call);
 }
 
-/* CALL got no byte on a connection that had served calls before.  */
+/* CALL got no byte on a connection that had served calls before.  Whatever made
+   that one silent may have met those that are idle too, and each would cost
+   another call its timeout.  */
 static void
-note_silence (const direct_call_t *call)
+drop_idle (const direct_call_t *call)
 {
+  GPtrArray *idle = call->host->idle;
   char waited[24];
-  char idle[16];
+  char dropped[16];
   g_snprintf (waited, sizeof waited, "%lld",
               (long long)(now_ms () - call->attached_ms));
-  g_snprintf (idle, sizeof idle, "%u", call->host->idle->len);
+  g_snprintf (dropped, sizeof dropped, "%u", idle->len);
   log_event (LOG_WARN, "connection_silent", "host", call->host->name,
-             "waited_ms", waited, "idle_connections", idle, NULL);
+             "waited_ms", waited, "dropped", dropped, NULL);
+  g_ptr_array_set_size (idle, 0);
 }
 
 static void
@@ -475,7 +479,7 @@
   if (connection != NULL && !connection->connecting && !read_reply (call))
     return;
   if (connection != NULL && connection->reused && !call->got_bytes)
-    note_silence (call);
+    drop_idle (call);
   finish_call (call, call->was_sent ? ERR_TIMEOUT : ERR_CONNECT_FAILED);
 }
 
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -150,6 +150,7 @@
   ev_io listener;
   ev_io connections[MAX_CONNECTIONS];
   uint32_t accepted, requests, finished, wanted;
+  uint32_t silent_connections; /* the first ones; they answer no more */
   const act_t *script;
   char url[64];
   httpc_result_t results[MAX_CALLS];
@@ -179,6 +180,8 @@
       close_connection (watcher);
       return;
     }
+  if (watcher < &server.connections[server.silent_connections])
+    return;
   act_t act = server.script[server.requests++];
   if (act == ANSWER || act == ANSWER_AND_CLOSE)
     write_text (watcher->fd, OK);
@@ -452,7 +455,31 @@
   server_stop ();
 }
 
+/* Guards against one timeout after the other on connections that fell silent
+   together.  */
+static void
+test_silent_connections (void)
+{
+  static const act_t script[] = { ANSWER, ANSWER, ANSWER, ANSWER };
+  const int64_t timeout_ms = 50;
+  server_start (script, 4);
+  for (uint32_t i = 0; i < 3; i++)
+    call (i, LONG_MS);
+  run_until (3);
+  CU_ASSERT_EQUAL (server.accepted, 3);
+  server.silent_connections = 3;
+  call (0, timeout_ms);
+  run_until (4);
+  CU_ASSERT_EQUAL (server.results[0].kind, ERR_TIMEOUT);
+  call (1, LONG_MS);
+  run_until (5);
+  CU_ASSERT_EQUAL (server.results[1].kind, ERR_OK);
+  CU_ASSERT_EQUAL (server.accepted, 4);
+  server_stop ();
+}
+
 static CU_TestInfo tests[] = {
+  { "connections that fall silent together", test_silent_connections },
   { "replies in pieces", test_replies },
   { "head without end", test_endless_head },
   { "calls and dead connections", test_calls },
