--- a/src/io/httpc_direct.c
+++ b/src/io/httpc_direct.c
@@ -440,9 +440,9 @@
     read_reply (call);
 }
 
-/* CALL got no byte on a connection that had served calls before.  Whatever made
-   that one silent may have met those that are idle too, and each would cost
-   another call its timeout.  */
+/* CALL got no byte on a connection that had served calls before.  Whatever
+   made that one silent may have met those that are idle too, and each would
+   cost another call its timeout.  */
 static void
 drop_idle (const direct_call_t *call)
 {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,3 +1,4 @@
+#include "httpd.h"
 #include "platform_internal.h"
 #include "test.h"
 
@@ -475,7 +476,79 @@
     }
 }
 
+static void
+keep_unanswered (void *context, httpd_exchange_t *exchange,
+                 const httpd_request_t *request)
+{
+  ++*(uint32_t *)context;
+}
+
+static void
+answer_no_changes (void *context, httpd_exchange_t *exchange,
+                   const httpd_request_t *request)
+{
+  static const char body[] = "{\"rows\":[],\"schema_version\":1}";
+  httpd_answer (exchange, 200, "application/json", body, strlen (body));
+}
+
+static void
+on_committed (void *context, const store_reply_t *reply)
+{
+  ++*(uint32_t *)context;
+}
+
+static void
+on_followed (void *context, const store_reply_t *reply)
+{
+  *(store_result_t *)context = reply->result;
+}
+
+/* Guards against a call for changes that waits behind calls without an answer,
+   for which the node would take itself for cut off from the store.  */
+static void
+test_feed_beside_hung_calls (void)
+{
+  static const httpd_route_t routes[]
+      = { { "POST", "/api/rows-tx", keep_unanswered },
+          { "GET", "/api/rows-feed", answer_no_changes },
+          { NULL, NULL, NULL } };
+  const uint32_t hung = 100;
+  const int64_t timeout_ms = 300;
+  uint32_t kept = 0;
+  uint32_t ended = 0;
+  store_result_t result = STORE_INVALID;
+  httpd_options_t options = { .listen = "127.0.0.1:0",
+                              .max_connections = 200,
+                              .max_header_bytes = 8192,
+                              .max_body_bytes = 8192 };
+  platform_t platform = { .loop = ev_loop_new (0) };
+  httpd_t *server = httpd_new (platform.loop, &options, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+  httpd_add_routes (server, routes, &kept);
+  platform.store_url
+      = g_strdup_printf ("http://127.0.0.1:%u", httpd_port (server));
+  platform_open_clients (&platform);
+  for (uint32_t i = 0; i < hung; i++)
+    platform_commit (&platform.api, NULL, 0, NULL, 0, timeout_ms, on_committed,
+                     &ended);
+  while (kept == 0)
+    ev_run (platform.loop, EVRUN_ONCE);
+  platform_follow (&platform.api, "op", 0, 0, timeout_ms, on_followed,
+                   &result);
+  while (result == STORE_INVALID)
+    ev_run (platform.loop, EVRUN_ONCE);
+  CU_ASSERT_EQUAL (result, STORE_OK);
+  CU_ASSERT_EQUAL (ended, 0);
+  while (ended < hung)
+    ev_run (platform.loop, EVRUN_ONCE);
+  platform_close_clients (&platform);
+  httpd_free (server);
+  g_free (platform.store_url);
+  ev_loop_destroy (platform.loop);
+}
+
 static CU_TestInfo platform_tests[] = {
+  { "a call for changes beside calls that hang", test_feed_beside_hung_calls },
   { "decoding of a configuration", test_config },
   { "configurations with odd numbers", test_odd_configs },
   { "answers of the advice service", test_advice },
