httpc: timeouts do not follow jumps of the time of day

For half a second after the time of day has jumped ahead by 2.4 s a call that gets no answer lasts 2.4 s longer than its timeout, the call for changes of the configuration 4.0 s; after a jump back every call ends without an answer at once, which callers get as 504.

Cause: libev counts a delay from the time at which the loop last looked at the clock. The difference to now was taken from the time of day, which libev itself follows only every half a second.

Change: the loop looks at the clock before a timer is set (ev_now_update). tests/fake_wall.c replaces the time of day in the unit tests.

--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -88,12 +88,11 @@
   ev_timer_stop (client->loop, &client->timeout);
   if (timeout_ms >= 0)
     {
-      /* libev counts the delay from ev_now, which lags behind the time at
-         which libcurl asked.  */
-      double delay_s = (double)timeout_ms / 1000.0;
+      /* libev counts the delay from the time at which the loop last looked at
+         the clock.  */
       if (timeout_ms > 0)
-        delay_s += ev_time () - ev_now (client->loop);
-      ev_timer_set (&client->timeout, delay_s, 0.0);
+        ev_now_update (client->loop);
+      ev_timer_set (&client->timeout, (double)timeout_ms / 1000.0, 0.0);
       ev_timer_start (client->loop, &client->timeout);
     }
   return 0;
--- a/src/io/httpc_direct.c
+++ b/src/io/httpc_direct.c
@@ -127,9 +127,11 @@
 {
   struct ev_loop *loop = call->host->direct->loop;
   ev_timer_stop (loop, &call->timer);
-  /* libev counts the delay from ev_now, which lags behind.  */
-  double delay_s = (double)MAX (at_ms - now_ms (), 0) / MS_PER_S;
-  ev_timer_set (&call->timer, delay_s + ev_time () - ev_now (loop), 0.0);
+  /* libev counts the delay from the time at which the loop last looked at the
+     clock.  */
+  ev_now_update (loop);
+  ev_timer_set (&call->timer, (double)MAX (at_ms - now_ms (), 0) / MS_PER_S,
+                0.0);
   ev_timer_start (loop, &call->timer);
 }
 
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -1,7 +1,10 @@
 #include "test.h"
 
+#include "clk.h"
+#include "fake_wall.h"
 #include "http_reply.h"
 #include "httpc.h"
+#include "loop.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -153,6 +156,7 @@
   uint32_t silent_connections; /* the first ones; they answer no more */
   const act_t *script;
   char url[64];
+  uint16_t port;
   httpc_result_t results[MAX_CALLS];
   httpc_call_t *calls[MAX_CALLS];
 } server;
@@ -214,8 +218,9 @@
       bind (fd, (const struct sockaddr *)&address, sizeof address), 0);
   CU_ASSERT_EQUAL_FATAL (listen (fd, 16), 0);
   getsockname (fd, (struct sockaddr *)&address, &size);
+  server.port = ntohs (address.sin_port);
   g_snprintf (server.url, sizeof server.url, "http://127.0.0.1:%u/x?y",
-              ntohs (address.sin_port));
+              server.port);
   ev_io_init (&server.listener, on_accept, fd, EV_READ);
   ev_io_start (server.loop, &server.listener);
   httpc_options_t options = { .max_connections_per_host = max_connections,
@@ -478,7 +483,37 @@
   server_stop ();
 }
 
+/* Guards against timeouts that grow or shrink by a jump of the time of day, in
+   both clients.  */
+static void
+test_wall_jumps (void)
+{
+  static const act_t script[] = { SILENT };
+  static const char *const names[] = { "127.0.0.1", "localhost" };
+  static const int64_t jumps_ms[] = { 2400, -2400 };
+  const int64_t timeout_ms = 100;
+  const int64_t slack_ms = 1000;
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    for (size_t j = 0; j < G_N_ELEMENTS (jumps_ms); j++)
+      {
+        server_start (script, 1);
+        g_snprintf (server.url, sizeof server.url, "http://%s:%u/x", names[i],
+                    server.port);
+        int64_t sent_ms = clk_now_ms (loop_clock ());
+        fake_wall_set_offset (jumps_ms[j]);
+        call (0, timeout_ms);
+        run_until (1);
+        int64_t took_ms = clk_now_ms (loop_clock ()) - sent_ms;
+        CU_ASSERT_EQUAL (server.results[0].kind, ERR_TIMEOUT);
+        CU_ASSERT_TRUE (took_ms >= timeout_ms);
+        CU_ASSERT_TRUE (took_ms < timeout_ms + slack_ms);
+        fake_wall_set_offset (0);
+        server_stop ();
+      }
+}
+
 static CU_TestInfo tests[] = {
+  { "timeouts while the time of day jumps", test_wall_jumps },
   { "connections that fall silent together", test_silent_connections },
   { "replies in pieces", test_replies },
   { "head without end", test_endless_head },
