replica: ask beside a repeated call that hangs

Callers saw: not seen. After an outage in which the store answered nothing, a node learns that the store is back when the call that it has repeated last times out, up to 0.9 s later.

Cause: while the call for changes fails it is repeated without a wait, and no other was made beside it.

Change: another one is made unless the first has just been sent: a refusal comes at once, and that call is then repeated anyway.

--- a/src/io/replica.c
+++ b/src/io/replica.c
@@ -12,6 +12,8 @@
 #define INVALID_RETRY_S 1.0
 /* Timeout of a read, which returns up to 1 MB.  */
 #define READ_TIMEOUT_MS 3000
+/* A call that does not wait and is refused has its answer by then.  */
+#define PROMPT_MS 150
 
 typedef struct
 {
@@ -479,11 +481,13 @@
 void
 replica_check (replica_t *replica, int64_t timeout_ms)
 {
-  if (replica->checking || replica->reading || replica->failing)
+  int64_t now_ms = clk_now_ms (loop_clock ());
+  if (replica->checking || replica->reading
+      || (replica->failing && now_ms - replica->follow_sent_ms < PROMPT_MS))
     return;
   replica->checking = true;
   replica->calls_in_flight++;
-  replica->check_sent_ms = clk_now_ms (loop_clock ());
+  replica->check_sent_ms = now_ms;
   replica->platform->ops->follow (replica->platform, replica->table,
                                   replica->seen_version, 0, timeout_ms,
                                   on_checked, replica);
--- a/src/io/replica.h
+++ b/src/io/replica.h
@@ -50,9 +50,9 @@
    reported; 0: the rows were never read.  It is set before the event answered
    is called.  */
 int64_t replica_confirmed_ms (const replica_t *replica);
-/* Asks for changes without waiting for one, beside the call that does, unless
-   that call has just failed (it is then repeated and does not wait either),
-   the rows are read, or the last such question is open.  */
+/* Asks for changes without waiting for one, beside the call that follows them.
+   Does nothing while the rows are read, while the last such question is open,
+   or if that call is repeated because the store refuses it.  */
 void replica_check (replica_t *replica, int64_t timeout_ms);
 /* Calls the changed event for every row.  */
 void replica_replay (replica_t *replica);
