cell: start tasks only by a recent list of workers

Callers saw: tasks that start on a worker up to 6 s after the store has acknowledged that it drains (DRAIN), which ends them early.

Cause: the same class as the late configuration. That a worker drains shows only in the list, which the owner follows by one call; while that call hung and the commits of the cell went on, it started tasks by the list as it was.

A start that waits for its save is not sent, one without an answer is not repeated meanwhile.

Ruled out: stopping unanswered starts, as for a worker that drains. That would end tasks for a list that is merely late.

--- a/src/cell.c
+++ b/src/cell.c
@@ -292,6 +292,18 @@
   cell->load = (cell_load_t){ 0 };
 }
 
+/* Tells when tasks can't be started by the list of workers, and again.  */
+static void
+report_list (cell_t *cell)
+{
+  bool stale = !cell_list_is_current (cell);
+  if (stale == cell->list_stale)
+    return;
+  cell->list_stale = stale;
+  cell_log (cell, stale ? "list_stale" : "list_current", "", "age_ms=%lld",
+            (long long)(cell->now_ms - cell->list_confirmed_ms));
+}
+
 void
 cell_run (cell_t *cell, int64_t wall_ms)
 {
@@ -311,8 +323,9 @@
       cell_retry_orders (cell);
       cell->place_pending = true;
     }
+  report_list (cell);
   if (cell->place_pending && cell->now_ms >= cell->next_place_ms
-      && cell_pass_may_begin (cell))
+      && cell_list_is_current (cell) && cell_pass_may_begin (cell))
     {
       cell->place_pending = false;
       cell_place (cell);
--- a/src/cell.h
+++ b/src/cell.h
@@ -36,6 +36,9 @@
   int64_t max_lease_ms; /* the longest that workers accept */
   int64_t retention_ms; /* how long the state of an ended job can be queried */
   int64_t max_row_bytes; /* of a row of the store; 0: 64 KiB */
+  /* No task is started while the list of workers was confirmed longer ago: a
+     worker that drains shows only there.  0: no limit.  */
+  int64_t list_limit_ms;
 } cell_options_t;
 
 /* Returns the limit of a row in bytes.  */
@@ -203,6 +206,10 @@
                        uint32_t count);
 void cell_cancel_job (cell_t *cell, const char *id);
 
+/* Every change of the list of workers that was acknowledged at AS_OF_MS was
+   reported.  */
+void cell_workers_confirmed (cell_t *cell, int64_t as_of_ms);
+
 void cell_worker_listed (cell_t *cell, const worker_row_t *row);
 void cell_worker_unlisted (cell_t *cell, const char *id);
 
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -358,11 +358,13 @@
   int64_t next_save_ms;
   int64_t save_begun_ms; /* when the save in flight was begun */
   int64_t ownership_confirmed_ms;
-  uint32_t busy_workers;  /* that ran something in the last scan */
-  int64_t answer_lost_ms; /* when a worker was last found to have answered a
-                             poll whose answer was lost; 0: never */
-  int64_t next_scan_ms;   /* of workers, orders and ended jobs */
-  cell_load_t load;       /* since the last cell_take_load */
+  int64_t list_confirmed_ms; /* see cell_workers_confirmed */
+  bool list_stale;           /* it was reported */
+  uint32_t busy_workers;     /* that ran something in the last scan */
+  int64_t answer_lost_ms;    /* when a worker was last found to have answered a
+                                poll whose answer was lost; 0: never */
+  int64_t next_scan_ms;      /* of workers, orders and ended jobs */
+  cell_load_t load;          /* since the last cell_take_load */
 };
 
 /* cell.c */
@@ -519,6 +521,8 @@
    and its capacity is known and not exceeded by the runs it has been given.
    */
 bool cell_worker_takes_starts (const cell_worker_t *worker);
+/* Whether the list of workers is recent enough to start tasks by it.  */
+bool cell_list_is_current (const cell_t *cell);
 
 /* cell_lease.c */
 /* Gives WORKER a lease, and returns its end in the worker's clock; 0: none may
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -113,7 +113,8 @@
   cell_group_t *group = task->group;
   bool advised = group->job->queue != NULL && group->job->queue->advised;
   /* Much may have changed during a slow save.  */
-  if (!cell_worker_takes_starts (task->worker)
+  if (!cell_list_is_current (group->job->cell)
+      || !cell_worker_takes_starts (task->worker)
       || !cell_may_give_lease (group->job->cell, task->worker)
       || task->worker_start_ms != task->worker->start_ms
       || (advised && cell_ticket (group, task->worker) == NULL))
@@ -453,7 +454,8 @@
       || cell->now_ms - task->start_sent_ms < gap_ms)
     return;
   /* A worker that has crashed would carry out the order in its next life.  */
-  if (!worker->responsive || !cell_may_give_lease (cell, worker))
+  if (!worker->responsive || !cell_may_give_lease (cell, worker)
+      || !cell_list_is_current (cell))
     return;
   const queue_t *queue = task->group->job->queue;
   /* Where the order may no longer be repeated, a stop makes sure that the
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -259,6 +259,20 @@
   cell_check_rack (cell, worker);
 }
 
+void
+cell_workers_confirmed (cell_t *cell, int64_t as_of_ms)
+{
+  cell->list_confirmed_ms = MAX (cell->list_confirmed_ms, as_of_ms);
+}
+
+bool
+cell_list_is_current (const cell_t *cell)
+{
+  return cell->options.list_limit_ms == 0
+         || cell->now_ms - cell->list_confirmed_ms
+                <= cell->options.list_limit_ms;
+}
+
 bool
 cell_worker_takes_starts (const cell_worker_t *worker)
 {
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -260,6 +260,7 @@
   node_list_cells_if_due (node);
   node_claim_check (node);
   node_check_config (node);
+  node_check_workers (node);
   node_check_readiness (node);
 }
 
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -480,6 +480,9 @@
 {
   if (cell->state == CELL_OWNED)
     {
+      if (cell->node->workers != NULL)
+        cell_workers_confirmed (cell->scheduler,
+                                replica_confirmed_ms (cell->node->workers));
       cell_run (cell->scheduler, wall_ms);
       log_load (cell);
       if (cell_fenced (cell->scheduler))
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -290,6 +290,8 @@
 /* Starts to follow the list of workers if this node holds a cell, and stops if
    it holds none.  */
 void node_follow_workers (node_t *node);
+/* Asks the store about the list if the last confirmation is old.  */
+void node_check_workers (node_t *node);
 /* The row KEY of the list has changed; VALUE is NULL for a removed row.  A row
    that can't be read names no worker, as if it were removed.  */
 void node_worker_changed (void *context, const char *part, const char *key,
--- a/src/io/node_workers.c
+++ b/src/io/node_workers.c
@@ -11,6 +11,10 @@
    would come in an answer of its own.  Draining workers must get no work after
    2 s.  */
 #define WORKERS_GAP_MS 300
+/* Time without a confirmation after which the store is asked for one, as a
+   part of the limit up to which tasks are started by the list.  */
+#define ASK_AFTER_DIVISOR 2
+#define ASK_TIMEOUT_MS 400
 
 /* Unlists ID in all cells but the one with the name KEPT, which may be NULL.
    Its runs there are followed at the known address until they have ended.  */
@@ -95,3 +99,13 @@
   node->workers = replica_new (node->platform, node->loop, &options,
                                &worker_events, node);
 }
+
+void
+node_check_workers (node_t *node)
+{
+  int64_t limit_ms = node->platform->settings.cells.list_limit_ms;
+  if (node->workers != NULL && replica_is_loaded (node->workers)
+      && node_now (node) - replica_confirmed_ms (node->workers)
+             > limit_ms / ASK_AFTER_DIVISOR)
+    replica_check (node->workers, ASK_TIMEOUT_MS);
+}
--- a/tests/site_standin.c
+++ b/tests/site_standin.c
@@ -61,8 +61,10 @@
   size_t row_bytes;
   uint32_t services;
   uint32_t config_version;
-  char *route_service;   /* of the first route; NULL: it is dropped */
-  uint32_t added_routes; /* further ones */
+  char *route_service;    /* of the first route; NULL: it is dropped */
+  uint32_t added_routes;  /* further ones */
+  char *quiet_table;      /* calls for its changes are not answered ... */
+  int64_t quiet_until_ms; /* ... until then */
   char *refused_job; /* rows of its record over REFUSED_BYTES are refused */
   size_t refused_bytes;
   GRand *random;
@@ -200,6 +202,9 @@
 static bool
 serve_follower (const follower_t *follower)
 {
+  if (site_now_ms () < platform.quiet_until_ms
+      && strcmp (follower->table, platform.quiet_table) == 0)
+    return false;
   json_t *rows = json_array ();
   const row_t *oldest
       = platform.history->len > 0 ? platform.history->pdata[0] : NULL;
@@ -607,6 +612,7 @@
    answers=N (of 1000), /control/crash?worker=N, /control/mute?worker=N&
    for_ms=N, /control/route?service=NAME (none: drops the route),
    /control/added?count=N (routes "added-1" to "added-N"),
+   /control/quiet?table=NAME&for_ms=N, /control/drain?worker=N,
    /control/door?node=N&mode=MODE&for_ms=N (see site_door.h; from 1),
    /control/load?to=ADDRESS&jobs_per_s=N (0 ends it).  */
 static void
@@ -634,6 +640,15 @@
   else if (strcmp (what, "mute") == 0)
     site_worker_silence ((uint32_t)query_number (exchange, "worker"),
                          query_number (exchange, "for_ms"));
+  else if (strcmp (what, "drain") == 0)
+    site_worker_drain ((uint32_t)query_number (exchange, "worker"));
+  else if (strcmp (what, "quiet") == 0)
+    {
+      g_free (platform.quiet_table);
+      platform.quiet_table = g_strdup (httpd_query (exchange, "table"));
+      platform.quiet_until_ms
+          = site_now_ms () + query_number (exchange, "for_ms");
+    }
   else if (strcmp (what, "refuse") == 0)
     refuse_job (httpd_query (exchange, "job"),
                 query_number (exchange, "over"));
--- a/tests/site_standin.h
+++ b/tests/site_standin.h
@@ -36,6 +36,10 @@
                          uint16_t first_port, GError **error);
 /* Drops all that a worker runs and restarts it under its id.  */
 void site_worker_crash (uint32_t index);
+/* A worker reports that it drains, for good; starts from SITE_DRAIN_MS later
+   on are violations.  */
+#define SITE_DRAIN_MS 2000
+void site_worker_drain (uint32_t index);
 /* A worker does not answer for FOR_MS.  */
 void site_worker_silence (uint32_t index, int64_t for_ms);
 /* Number of runs started so far, and of those running now.  */
--- a/tests/site_worker.c
+++ b/tests/site_worker.c
@@ -60,7 +60,8 @@
   int64_t start_monotonic_ms;
   int64_t start_wall_ms;
   int64_t lease_end_ms, last_lapse_ms, silent_until_ms;
-  bool crashed; /* starts anew when SILENT_UNTIL_MS has passed */
+  int64_t drains_since_ms; /* 0: it does not */
+  bool crashed;            /* starts anew when SILENT_UNTIL_MS has passed */
   uint64_t token, last_end_number;
   GPtrArray *runs, *ends;
   GHashTable *highest_run; /* task -> highest run stopped or ended */
@@ -249,6 +250,9 @@
 {
   int64_t used = 0;
   char *rest = NULL;
+  if (worker->drains_since_ms != 0
+      && site_now_ms () - worker->drains_since_ms > SITE_DRAIN_MS)
+    site_violation ("%s starts on %s, which drains", task, worker->id);
   run_t *run = g_new0 (run_t, 1);
   *run = (run_t){ .task = g_strdup (task),
                   .run = number,
@@ -397,11 +401,11 @@
 {
   json_t *row = json_pack (
       "{s:s, s:s, s:s, s:{s:i, s:i, s:i}, s:[s, s], s:s, s:I, s:i}", "service",
-      worker->service, "address", worker->address, "state", "ready",
-      "capacity", "cpu", CPU_MILLIS, "mem_mb", MEMORY_MB, "gpu", 0, "labels",
-      "a", worker->rack, "machine", worker->id, "born",
-      (json_int_t)worker->start_wall_ms, "sequence",
-      (int)++worker->row_sequence);
+      worker->service, "address", worker->address, "state",
+      worker->drains_since_ms != 0 ? "draining" : "ready", "capacity", "cpu",
+      CPU_MILLIS, "mem_mb", MEMORY_MB, "gpu", 0, "labels", "a", worker->rack,
+      "machine", worker->id, "born", (json_int_t)worker->start_wall_ms,
+      "sequence", (int)++worker->row_sequence);
   site_put_row ("servers", worker->id, row);
 }
 
@@ -543,6 +547,14 @@
   write_row (worker);
 }
 
+void
+site_worker_drain (uint32_t index)
+{
+  worker_t *worker = state.workers->pdata[index % state.workers->len];
+  worker->drains_since_ms = site_now_ms ();
+  write_row (worker);
+}
+
 void
 site_worker_silence (uint32_t index, int64_t for_ms)
 {
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -139,15 +139,22 @@
 }
 
 static void
-make (owner_t *owner)
+make_limited (owner_t *owner, int64_t list_limit_ms)
 {
-  static const cell_options_t options
-      = { .max_lease_ms = LEASE_MS, .retention_ms = 120000 };
+  const cell_options_t options = { .max_lease_ms = LEASE_MS,
+                                   .retention_ms = 120000,
+                                   .list_limit_ms = list_limit_ms };
   *owner = (owner_t){ 0 };
   clk_fake_init (&owner->clock, 100000);
   owner->cell = cell_new (&options, &owner->clock.base, &actions, owner);
 }
 
+static void
+make (owner_t *owner)
+{
+  make_limited (owner, 0);
+}
+
 /* The owner before was heard of just now.  */
 static void
 begin_cell (owner_t *owner)
@@ -735,7 +742,43 @@
   cell_free (owner.cell);
 }
 
+/* Guards against starts on a worker that has been draining for longer than it
+   takes new work, while the owner hears nothing of the list.  */
+static void
+test_old_list (void)
+{
+  const int64_t limit_ms = 1800;
+  owner_t owner;
+  make_limited (&owner, limit_ms);
+  add_job (&owner, JOB_ID, 1, NULL);
+  begin_cell (&owner);
+  list_worker (&owner, "i-1");
+  cell_workers_confirmed (owner.cell, clk_now_ms (&owner.clock.base));
+  run_for (&owner, limit_ms + CELL_TICK_MS);
+  answer_poll (&owner, "i-1", false);
+  run_for (&owner, 500);
+  CU_ASSERT_EQUAL (owner.starts, 0);
+  cell_workers_confirmed (owner.cell, clk_now_ms (&owner.clock.base));
+  run_for (&owner, 100);
+  CU_ASSERT_EQUAL (owner.starts, 1);
+  /* A start that waits for its save when the list grows old.  */
+  add_job (&owner, OTHER_JOB_ID, 1, NULL);
+  cell_run (owner.cell, clk_now_ms (&owner.clock.base));
+  clk_fake_advance_ms (&owner.clock, CELL_TICK_MS);
+  cell_run (owner.cell, clk_now_ms (&owner.clock.base));
+  CU_ASSERT_TRUE (owner.save_pending);
+  clk_fake_advance_ms (&owner.clock, limit_ms);
+  run_for (&owner, 200);
+  CU_ASSERT_EQUAL (owner.starts, 1);
+  cell_workers_confirmed (owner.cell, clk_now_ms (&owner.clock.base));
+  answer_poll (&owner, "i-1", true);
+  run_for (&owner, 200);
+  CU_ASSERT_EQUAL (owner.starts, 2);
+  cell_free (owner.cell);
+}
+
 static CU_TestInfo owner_tests[] = {
+  { "starts while the list of workers is old", test_old_list },
   { "a worker that starts again with a lower start", test_lower_start },
   { "a row of an earlier life", test_row_of_earlier_life },
   { "an answer of an earlier life", test_answer_of_earlier_life },
