node: refuse what an unreadable configuration may have a route for

Callers saw: not reported. 404 for a route that exists and that this build cannot read, or the queue of a shorter prefix takes its requests and answers 404 "expected an id".

Cause: a route that could not be read was left out, and a row that could not be read was ignored, and both then counted as if they had no route for the request: an answer that says more than the node knows, as with the late configuration. The operators' store takes only valid rows; another writer, or a newer format, may still lead here.

Change: a route of which host and prefix can be read is kept as unreadable and hides shorter ones; its requests get 503. While the newest row cannot be read, the routes of the last readable one are served and other requests get 503 instead of 404.

Weighed: refusing everything while the row cannot be read (one row would end all service). A route without a readable host or prefix is still left out.

Measured: unit-tests platform "configurations with odd numbers" (11 kinds of unreadable routes, each with the request of a shorter prefix beside) and "node config" (two rows); the former fails if unreadable routes are not matched.

--- a/src/io/node_config.c
+++ b/src/io/node_config.c
@@ -80,6 +80,7 @@
       node->platform, value, length, &error);
   freshness_replaced (freshness, version);
   keep_row (node, value, length);
+  node->config_unreadable = table == NULL;
   if (table == NULL)
     {
       log_event (LOG_ERROR, "config_unreadable", "message", error->message,
@@ -276,13 +277,14 @@
     ask_for_confirmation (node);
 }
 
-/* Answers REQUEST, which the configuration cannot decide.  */
+/* Answers REQUEST, for which there is no queue, or none that is certain.  */
 static void
 refuse_unrouted (node_t *node, caller_request_t *request, const char *path,
                  err_kind_t kind)
 {
-  const char *labels = kind == ERR_NOT_FOUND ? "reason=\"unknown_route\""
-                                             : "reason=\"stale_config\"";
+  const char *labels = kind == ERR_NOT_FOUND   ? "reason=\"unknown_route\""
+                       : kind == ERR_NO_CONFIG ? "reason=\"unreadable_config\""
+                                               : "reason=\"stale_config\"";
   char version[24];
   char age[24];
   format_number (version, (int64_t)node->queues->version);
@@ -308,9 +310,13 @@
     refuse_unrouted (node, request, path, ERR_STALE_CONFIG);
   else
     {
-      queue = queue_table_match (node->queues, host, path, rest);
+      bool unreadable = false;
+      queue = queue_table_match (node->queues, host, path, rest, &unreadable);
       if (queue == NULL)
-        refuse_unrouted (node, request, path, ERR_NOT_FOUND);
+        refuse_unrouted (node, request, path,
+                         unreadable || node->config_unreadable
+                             ? ERR_NO_CONFIG
+                             : ERR_NOT_FOUND);
     }
   return queue;
 }
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -192,6 +192,7 @@
   freshness_t config_freshness; /* of the operator's row */
   char *config_row;             /* the newest one that is known, as text */
   size_t config_row_length;
+  bool config_unreadable;     /* that row; QUEUES are of an earlier one */
   bool config_unconfirmed;    /* for too long; it was reported */
   int64_t next_config_ask_ms; /* no confirmation is asked for before */
   uint32_t config_asks;       /* questions to other nodes that are open */
--- a/src/queues.c
+++ b/src/queues.c
@@ -38,6 +38,8 @@
   queue_table_t *table = g_new0 (queue_table_t, 1);
   table->version = version;
   table->queues = g_ptr_array_new_with_free_func ((GDestroyNotify)queue_free);
+  table->unreadable
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)queue_free);
   table->services = g_ptr_array_new_with_free_func (g_free);
   return table;
 }
@@ -48,30 +50,48 @@
   if (table == NULL)
     return;
   g_ptr_array_unref (table->queues);
+  g_ptr_array_unref (table->unreadable);
   g_ptr_array_unref (table->services);
   g_free (table);
 }
 
-const queue_t *
-queue_table_match (const queue_table_t *table, const char *host,
-                   const char *path, const char **rest)
+/* Returns the one of QUEUES with the longest matching prefix and sets *LENGTH
+   to the length of that; NULL if there is none.  */
+static const queue_t *
+longest_match (const GPtrArray *queues, const char *host, const char *path,
+               size_t *length)
 {
   const queue_t *best = NULL;
-  size_t best_length = 0;
   size_t host_length = strcspn (host, ":");
-  for (guint i = 0; i < table->queues->len; i++)
+  for (guint i = 0; i < queues->len; i++)
     {
-      const queue_t *queue = table->queues->pdata[i];
-      size_t length = strlen (queue->path_prefix);
+      const queue_t *queue = queues->pdata[i];
+      size_t prefix = strlen (queue->path_prefix);
       if (strlen (queue->host) != host_length
           || g_ascii_strncasecmp (queue->host, host, host_length) != 0
-          || strncmp (path, queue->path_prefix, length) != 0
-          || (best != NULL && length <= best_length))
+          || strncmp (path, queue->path_prefix, prefix) != 0
+          || (best != NULL && prefix <= *length))
         continue;
       best = queue;
-      best_length = length;
+      *length = prefix;
     }
+  return best;
+}
+
+const queue_t *
+queue_table_match (const queue_table_t *table, const char *host,
+                   const char *path, const char **rest, bool *unreadable)
+{
+  size_t length = 0;
+  size_t unreadable_length = 0;
+  const queue_t *best = longest_match (table->queues, host, path, &length);
+  *unreadable
+      = longest_match (table->unreadable, host, path, &unreadable_length)
+            != NULL
+        && (best == NULL || unreadable_length > length);
+  if (*unreadable)
+    return NULL;
   if (best != NULL)
-    *rest = path + best_length;
+    *rest = path + length;
   return best;
 }
--- a/src/queues.h
+++ b/src/queues.h
@@ -32,8 +32,10 @@
 typedef struct
 {
   uint64_t version;
-  GPtrArray *queues;   /* queue_t, owned */
-  GPtrArray *services; /* char *, owned: names of the worker pools */
+  GPtrArray *queues;     /* queue_t, owned */
+  GPtrArray *unreadable; /* the same; of each only host and path_prefix could
+                            be read */
+  GPtrArray *services;   /* char *, owned: names of the worker pools */
 } queue_table_t;
 
 queue_table_t *queue_table_new (uint64_t version);
@@ -45,8 +47,10 @@
 
 /* Returns the queue of HOST (a port is ignored) whose path prefix is the
    longest that matches PATH, and sets *REST to what follows the prefix; NULL
-   if there is none.  */
+   if there is none.  Sets *UNREADABLE if there is one and it could not be
+   read; NULL is returned then too.  */
 const queue_t *queue_table_match (const queue_table_t *table, const char *host,
-                                  const char *path, const char **rest);
+                                  const char *path, const char **rest,
+                                  bool *unreadable);
 
 #endif
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -146,8 +146,9 @@
 {
   queue_table_t *table = platform_parse_config (NULL, text, length, NULL);
   const char *rest;
+  bool unreadable;
   if (table != NULL)
-    queue_table_match (table, "h.example", "/a/b/c", &rest);
+    queue_table_match (table, "h.example", "/a/b/c", &rest, &unreadable);
   queue_table_free (table);
 }
 
--- a/tests/test_node_config.c
+++ b/tests/test_node_config.c
@@ -14,25 +14,34 @@
 {
   const char *what;
   const char *path;
-  bool has_config;
+  enum
+  {
+    NO_ROW,
+    ROW,
+    UNREADABLE_ROW /* after one that could be read */
+  } row;
   int64_t age_ms;
   uint64_t heard_version; /* 0: none */
   int64_t heard_ago_ms;
   err_kind_t kind; /* ERR_OK: the queue is found */
 } cases[] = {
-  { "no configuration", "/queue/x", false, 0, 0, 0, ERR_NO_CONFIG },
-  { "recent", "/queue/x", true, LIMIT_MS, 0, 0, ERR_OK },
-  { "recent, no such route", "/other/x", true, LIMIT_MS, 0, 0, ERR_NOT_FOUND },
-  { "old, the route may be dropped", "/queue/x", true, LIMIT_MS + 1, 0, 0,
+  { "no configuration", "/queue/x", NO_ROW, 0, 0, 0, ERR_NO_CONFIG },
+  { "recent", "/queue/x", ROW, LIMIT_MS, 0, 0, ERR_OK },
+  { "recent, no such route", "/other/x", ROW, LIMIT_MS, 0, 0, ERR_NOT_FOUND },
+  { "old, the route may be dropped", "/queue/x", ROW, LIMIT_MS + 1, 0, 0,
     ERR_STALE_CONFIG },
-  { "old, the route may be added", "/other/x", true, LIMIT_MS + 1, 0, 0,
+  { "old, the route may be added", "/other/x", ROW, LIMIT_MS + 1, 0, 0,
     ERR_STALE_CONFIG },
-  { "a newer one was just heard of", "/queue/x", true, 100, ROW_VERSION + 1,
+  { "a newer one was just heard of", "/queue/x", ROW, 100, ROW_VERSION + 1,
     HEARD_LIMIT_MS, ERR_OK },
-  { "a newer one is known", "/queue/x", true, 100, ROW_VERSION + 1,
+  { "a newer one is known", "/queue/x", ROW, 100, ROW_VERSION + 1,
     HEARD_LIMIT_MS + 1, ERR_STALE_CONFIG },
-  { "its own version was heard of", "/queue/x", true, 100, ROW_VERSION,
+  { "its own version was heard of", "/queue/x", ROW, 100, ROW_VERSION,
     HEARD_LIMIT_MS + 1, ERR_OK },
+  { "unreadable, the route was there before", "/queue/x", UNREADABLE_ROW, 100,
+    0, 0, ERR_OK },
+  { "unreadable, the route may be added", "/other/x", UNREADABLE_ROW, 100, 0,
+    0, ERR_NO_CONFIG },
 };
 
 /* Guards against a request that is decided by a version of the configuration
@@ -53,9 +62,10 @@
       fake_site_init (&site, &node, &rows, "n1", &clock.base);
       int64_t now_ms = node_now (&node);
       freshness_init (&node.config_freshness, LIMIT_MS, HEARD_LIMIT_MS);
-      if (cases[i].has_config)
+      if (cases[i].row != NO_ROW)
         {
           fake_site_route (&node, "pool");
+          node.config_unreadable = cases[i].row == UNREADABLE_ROW;
           freshness_replaced (&node.config_freshness, ROW_VERSION);
           freshness_confirmed (&node.config_freshness, ROW_VERSION,
                                now_ms - cases[i].age_ms);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -29,8 +29,9 @@
   CU_ASSERT_EQUAL (table->version, 7);
   CU_ASSERT_EQUAL (table->services->len, 2);
   const char *rest;
-  const queue_t *queue = queue_table_match (table, "ficu95.example:8149",
-                                            "/cufi504/fi50/abc", &rest);
+  bool unreadable;
+  const queue_t *queue = queue_table_match (
+      table, "ficu95.example:8149", "/cufi504/fi50/abc", &rest, &unreadable);
   CU_ASSERT_PTR_NOT_NULL_FATAL (queue);
   if (queue == NULL)
     return;
@@ -44,14 +45,31 @@
   CU_ASSERT_TRUE (queue->advised);
   CU_ASSERT_DOUBLE_EQUAL (queue->advice_each_ms, 2.4, 0.001);
   CU_ASSERT_EQUAL (queue->ticket_validity_ms, 1500);
-  queue = queue_table_match (table, "ficu95.example", "/cufi504/x", &rest);
+  queue = queue_table_match (table, "ficu95.example", "/cufi504/x", &rest,
+                             &unreadable);
   CU_ASSERT_STRING_EQUAL (queue->name, "r-2");
   CU_ASSERT_FALSE (queue->advised);
-  CU_ASSERT_PTR_NULL (
-      queue_table_match (table, "other.example", "/cufi504/x", &rest));
+  CU_ASSERT_PTR_NULL (queue_table_match (table, "other.example", "/cufi504/x",
+                                         &rest, &unreadable));
+  CU_ASSERT_FALSE (unreadable);
   queue_table_free (table);
 }
 
+/* Guards against a route that cannot be read, whose requests are said to have
+   no queue or go to that of a shorter prefix.  */
+static void
+check_unreadable (const queue_table_t *table)
+{
+  const char *rest;
+  bool unreadable = false;
+  CU_ASSERT_PTR_NULL (queue_table_match (
+      table, "ficu95.example", "/cufi504/fi50/abc", &rest, &unreadable));
+  CU_ASSERT_TRUE (unreadable);
+  CU_ASSERT_PTR_NOT_NULL (queue_table_match (
+      table, "ficu95.example", "/cufi504/abc", &rest, &unreadable));
+  CU_ASSERT_FALSE (unreadable);
+}
+
 /* Guards against numbers of an operator's row that end all nodes at once, hide
    later versions, or count as something else.  A route that can't be read is
    left out, the others stay.  */
@@ -84,6 +102,8 @@
           = platform_parse_config (NULL, text, strlen (text), NULL);
       CU_ASSERT_PTR_NOT_NULL_FATAL (table);
       CU_ASSERT_EQUAL (table != NULL ? table->queues->len : 0, 1);
+      if (table != NULL)
+        check_unreadable (table);
       queue_table_free (table);
       g_free (text);
       g_strfreev (parts);
