node: a full store is not the fault of a job

An owner would blame the records it saves: a job whose record is refused five times is failed.

Cause: 507 counted as a call that is refused whenever it is sent (STORE_INVALID), like 400 and 413, which are about the call.

Change: a result of its own, STORE_FULL. Callers get 503 and a Retry-After of 5 s, or 504 if an earlier attempt had no answer, as before. A commit is sent again as it is, with pauses up to 2 s, and no record is blamed.

Weighed: taking 507 for 503. Attempts through other nodes and repeats each 15 ms would load a store that cannot take them.

--- a/src/io/node_commit.c
+++ b/src/io/node_commit.c
@@ -147,6 +147,16 @@
              "record_bytes", bytes, NULL);
 }
 
+/* Sends the commit again after a pause, which grows.  */
+static void
+pause_refused_commit (node_cell_t *cell)
+{
+  int64_t pause_ms = backoff_ms (++cell->commit_refusals, REFUSED_RETRY_MS,
+                                 REFUSED_MAX_RETRY_MS);
+  ev_timer_set (&cell->commit_retry, (double)pause_ms / 1000.0, 0.0);
+  ev_timer_start (cell->node->loop, &cell->commit_retry);
+}
+
 /* Handles a commit that the store refuses whenever it is sent.  An earlier
    attempt without an answer may still be applied; the next commit then finds
    the fence row changed and is sent again.  */
@@ -168,10 +178,7 @@
     }
   /* Not for the records, or not for them alone.  */
   cell->records_suspected = false;
-  int64_t pause_ms = backoff_ms (++cell->commit_refusals, REFUSED_RETRY_MS,
-                                 REFUSED_MAX_RETRY_MS);
-  ev_timer_set (&cell->commit_retry, (double)pause_ms / 1000.0, 0.0);
-  ev_timer_start (cell->node->loop, &cell->commit_retry);
+  pause_refused_commit (cell);
 }
 
 /* Handles a commit that the store rejected with a conflict.  The fence row in
@@ -232,6 +239,10 @@
     case STORE_INVALID:
       replace_refused_commit (cell);
       return;
+    case STORE_FULL:
+      /* No record is at fault.  */
+      pause_refused_commit (cell);
+      return;
     default:
       node_counter_increment (cell->node, "magnoliadock_commit_retries_total",
                               NULL);
--- a/src/io/node_requests.c
+++ b/src/io/node_requests.c
@@ -23,6 +23,8 @@
 #define DEFAULT_CALLER_WAIT_MS 3000
 #define ANSWER_MARGIN_MS 250
 #define RETRY_AFTER_MS 500
+/* A full store has room again once jobs that have ended are deleted.  */
+#define RETRY_AFTER_FULL_MS 5000
 /* Less time is not enough for an attempt.  */
 #define MIN_ATTEMPT_MS 100
 /* Time between the questions to the owner whether it has read the row of a
@@ -113,18 +115,21 @@
   finish_write (write);
 }
 
-/* The store refuses the row whenever it is sent.  An earlier attempt without
-   an answer may have been stored all the same.  */
+/* The store refuses the row, which is at fault unless the store is full.  An
+   earlier attempt without an answer may have been stored all the same.  */
 static void
-refuse_write (inbox_write_t *write)
+refuse_write (inbox_write_t *write, bool full)
 {
+  err_kind_t kind = full ? ERR_STORE_UNAVAILABLE : ERR_BAD_REQUEST;
   node_counter_increment (write->node, "magnoliadock_refused_total",
-                          "reason=\"row_refused\"");
-  log_event (LOG_ERROR, "row_refused", "id", write->id, "row", write->key,
-             "unsure", write->outcome_unknown ? "1" : "0", NULL);
+                          full ? "reason=\"store_full\""
+                               : "reason=\"row_refused\"");
+  log_event (LOG_ERROR, full ? "store_full" : "row_refused", "id", write->id,
+             "row", write->key, "unsure", write->outcome_unknown ? "1" : "0",
+             NULL);
   write->node->platform->ops->answer_error (
-      write->request, write->outcome_unknown ? ERR_TIMEOUT : ERR_BAD_REQUEST,
-      0);
+      write->request, write->outcome_unknown ? ERR_TIMEOUT : kind,
+      full ? RETRY_AFTER_FULL_MS : 0);
   finish_write (write);
 }
 
@@ -240,9 +245,9 @@
     }
   if (write->answered)
     return;
-  if (reply->result == STORE_INVALID)
+  if (reply->result == STORE_INVALID || reply->result == STORE_FULL)
     {
-      refuse_write (write);
+      refuse_write (write, reply->result == STORE_FULL);
       return;
     }
   if (reply->result != STORE_BUSY)
--- a/src/io/platform_api.h
+++ b/src/io/platform_api.h
@@ -38,7 +38,8 @@
   STORE_BUSY,         /* not applied: rate limit exceeded */
   STORE_HISTORY_LOST, /* the store no longer has the requested changes */
   STORE_UNKNOWN,      /* no answer: may be applied, also later */
-  STORE_INVALID       /* not applied; refused again whenever it is sent */
+  STORE_INVALID,      /* not applied; refused again whenever it is sent */
+  STORE_FULL          /* not applied: the store has no room */
 } store_result_t;
 
 typedef struct
