review: case 8, the next life of a minion carries out a start again (TWICE)

The case takes the place of the withdrawn one.

Tried: one start that is carried out 4 s late, one crash of one of 8 minions for 1.5 s, a queue without advice. Command: sh review/build-2.sh; sh review/8/run.sh (TROUBLE=0 without late order and crash).

--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -305,51 +305,70 @@
                  : 0);
 }
 
-/* Case "daemon": the minion of a task that lasts crashes three times.  */
+/* Case "late": a start without an answer is repeated, and its task is done; the
+   minion crashes, and its next life carries out the first start.  */
 
-/* Crashes the minion that runs the task of the only job.  */
+#define LATE_START_MS "4000"
+#define LATE_DOWN_MS "1500"
+/* From the first start to the crash of its minion.  */
+#define LATE_CRASH_MS 3000
+
+/* The only route, without advice.  */
 static void
-crash_its_minion (const char *task)
+put_plain_route (void)
 {
-  char pattern[64];
-  char line[256];
-  char target[64];
-  int worker = -1;
-  snprintf (pattern, sizeof pattern, ": start %s ", task);
-  if (drive_last_line (pattern, line, sizeof line))
-    sscanf (strstr (line, " on i-"), " on i-%d", &worker);
-  if (worker < 0)
-    drive_end (2);
-  snprintf (target, sizeof target, "/control/crash?worker=%d", worker);
-  drive_answer_t answer = drive_store_call ("POST", target, NULL);
+  static const char config[]
+      = "{\"version\":2,\"routes\":[{\"name\":\"queue\",\"host\":\"host\","
+        "\"path_prefix\":\"/queue/\",\"service\":\"pool\",\"priority\":0,"
+        "\"max_attempts\":3,\"target_latency_ms\":500,\"stretch\":2.0}],"
+        "\"services\":[{\"name\":\"pool\"}]}";
+  char *encoded = g_base64_encode ((const guchar *)config, strlen (config));
+  char *body = g_strdup_printf (
+      "{\"expect\":[],\"remove\":[],\"writes\":[{\"table\":\"op\","
+      "\"part\":\"\",\"key\":\"config\",\"value\":\"%s\"}]}",
+      encoded);
+  drive_answer_t answer = drive_store_call ("POST", "/api/rows-tx", body);
+  drive_record ("operator: version 2, a route without advice -> %d",
+                answer.status);
   g_free (answer.body);
+  g_free (body);
+  g_free (encoded);
+  drive_sleep_ms (2500);
 }
 
 static void
-play_daemon (const char *folder)
+play_late (const char *folder)
 {
-  static const char id[] = "da3e000000000001";
+  static const char id[] = "1a7e000000000001";
   static const char body[]
-      = "{\"spec\":\"1000 0\",\"steps\":[{\"count\":1,\"cpu\":1000,"
-        "\"mem_mb\":10,\"estimated_ms\":1000,\"daemon\":true}]}";
+      = "{\"spec\":\"1000 500 late\",\"steps\":[{\"count\":1,\"cpu\":1000,"
+        "\"mem_mb\":10,\"estimated_ms\":500}]}";
+  char line[256];
+  char target[64];
+  int worker = -1;
+  setenv ("LATE_MS", drive_trouble () ? LATE_START_MS : "0", 1);
+  setenv ("DOWN_MS", LATE_DOWN_MS, 1);
   drive_start (folder, 8, 1, 2);
-  if (!submit (0, id, body, 0) || !reaches ("running", 1, 5000))
+  put_plain_route ();
+  if (!submit (0, id, body, 0) || !reaches ("starts", 1, 5000))
+    drive_end (2);
+  drive_sleep_ms (LATE_CRASH_MS);
+  if (!state_is (id, "completed"))
     drive_end (2);
-  for (int crash = 1; crash <= 3; crash++)
+  if (drive_trouble ())
     {
-      drive_sleep_ms (3000);
-      if (!drive_trouble ())
-        continue;
-      crash_its_minion ("da3e000000000001.0.0.0");
-      if (!reaches ("starts", crash + 1, 8000) && crash < 3)
-        break;
+      if (drive_last_line (": no answer to the start of ", line, sizeof line))
+        sscanf (strstr (line, " on i-"), " on i-%d", &worker);
+      if (worker < 0)
+        drive_end (2);
+      snprintf (target, sizeof target, "/control/crash?worker=%d", worker);
+      drive_answer_t answer = drive_store_call ("POST", target, NULL);
+      g_free (answer.body);
     }
-  drive_sleep_ms (10000);
-  bool failed = state_is (id, "\"failed\"");
-  int64_t running = drive_figure ("running");
-  drive_record ("runs at the end: %lld; runs that ended as failed: %u",
-                (long long)running, drive_count_lines (" failed on "));
-  drive_end (failed || running == 0 ? 1 : 0);
+  drive_sleep_ms (6000);
+  uint32_t twice = drive_count_lines (": TWICE ");
+  drive_record ("tasks that started again after their end as done: %u", twice);
+  drive_end (twice > 0 ? 1 : 0);
 }
 
 /* Case "entry": another writer's entry, with fields missing, stands under the
@@ -439,7 +458,7 @@
     void (*play) (const char *folder);
   } cases[] = { { "wide", play_wide },
                 { "cancel", play_cancel },
-                { "daemon", play_daemon },
+                { "late", play_late },
                 { "entry", play_entry } };
   for (size_t i = 0; argc == 3 && i < G_N_ELEMENTS (cases); i++)
     if (strcmp (argv[1], cases[i].name) == 0)
--- a/review/standin-2/drive.c
+++ b/review/standin-2/drive.c
@@ -30,9 +30,9 @@
 /* Ports that a case takes, counted from its first one: those of the stand-in,
    of the nodes' proxies, and of the nodes at addresses of their own.  */
 #define PORTS 460
-#define FIRST_PORT 20000
-#define LAST_PORT 31500
-#define PORT_SLOTS 25
+#define FIRST_PORT 28600
+#define LAST_PORT 32600
+#define PORT_SLOTS 8
 #define FIRST_PROXY 440
 #define FRONT 401
 #define READINESS 402
@@ -582,6 +582,14 @@
   return found;
 }
 
+/* Sets VARIABLE to NAME=VALUE as it is in the environment, 0 if it is not.  */
+static void
+pass_on (char variable[40], const char *name)
+{
+  const char *value = getenv (name);
+  snprintf (variable, 40, "%s=%s", name, value != NULL ? value : "0");
+}
+
 static void
 start_standin (uint32_t workers, uint32_t services)
 {
@@ -590,19 +598,22 @@
   char shared[8];
   char record[600];
   char checkpoint[40];
+  char late[40];
+  char down[40];
   char log[160];
-  const char *bytes = getenv ("CHECKPOINT_BYTES");
   snprintf (port, sizeof port, "%u", run.port);
   snprintf (count, sizeof count, "%u", workers);
   snprintf (shared, sizeof shared, "%u", services);
   snprintf (record, sizeof record, "RECORD=%s", run.record);
-  snprintf (checkpoint, sizeof checkpoint, "CHECKPOINT_BYTES=%s",
-            bytes != NULL ? bytes : "0");
+  pass_on (checkpoint, "CHECKPOINT_BYTES");
+  pass_on (late, "LATE_MS");
+  pass_on (down, "DOWN_MS");
   snprintf (log, sizeof log, "%s/standin.log", run.work);
   char *argv[]
       = { STANDIN_PROGRAM, "--port", port,          "--workers", count,
           "--services",    shared,   "--row-bytes", "65536",     NULL };
-  char *env[] = { record, checkpoint, "PATH=/usr/bin:/bin", NULL };
+  char *env[]
+      = { record, checkpoint, late, down, "PATH=/usr/bin:/bin", NULL };
   run.standin_pid = start_process (argv, env, log);
 }
 
--- a/review/standin-2/worker.c
+++ b/review/standin-2/worker.c
@@ -11,7 +11,10 @@
    The clock of a worker counts from its start.
 
    RECORD names the file of the record.  With CHECKPOINT_BYTES, runs report a
-   checkpoint of that length.  */
+   checkpoint of that length.  With LATE_MS, the first start of a task whose
+   spec ends with " late" gets no answer and is carried out that much later, by
+   the life of the worker that there is then.  With DOWN_MS, a worker that
+   crashes is down for that long.  */
 
 #define LEASE_MS 6000
 #define STOP_DELAY_MS 50
@@ -55,6 +58,17 @@
   int64_t until_ms;
 } waiting_poll_t;
 
+/* An order without an answer that is still to be carried out.  */
+typedef struct
+{
+  char *task; /* NULL: there is none */
+  char *spec;
+  uint32_t run;
+  uint64_t token;
+  int64_t lease_until_ms; /* the worker's clock */
+  int64_t due_ms;
+} late_start_t;
+
 typedef struct
 {
   char id[16];
@@ -72,6 +86,7 @@
   GPtrArray *runs, *ends;
   GHashTable *highest_run; /* task -> highest run stopped or ended */
   GArray *waiting;         /* waiting_poll_t */
+  late_start_t late;
 } worker_t;
 
 /* A run that has ended as done.  */
@@ -88,6 +103,7 @@
   GPtrArray *workers;
   GHashTable *finished;  /* task -> finish_t of its first end as done */
   FILE *record;
+  GHashTable *delayed; /* set of tasks of which a start was delayed */
   GHashTable *crashes; /* task -> workers that it has crashed */
   GHashTable
       *crashes_under; /* task -> workers that crashed with a run of it */
@@ -281,18 +297,30 @@
   return NULL;
 }
 
+/* LEASE_UNTIL_MS: the worker's clock.  */
 static void
-extend_lease (worker_t *worker, const json_t *body)
+extend_lease_until (worker_t *worker, int64_t lease_until_ms)
 {
-  const json_t *deadline = json_object_get (body, "deadline_ms");
-  if (!json_is_integer (deadline))
-    return;
-  int64_t until_ms
-      = json_integer_value (deadline) + worker->start_monotonic_ms;
+  int64_t until_ms = lease_until_ms + worker->start_monotonic_ms;
   worker->lease_end_ms
       = MAX (worker->lease_end_ms, MIN (until_ms, site_now_ms () + LEASE_MS));
 }
 
+static void
+extend_lease (worker_t *worker, const json_t *body)
+{
+  const json_t *deadline = json_object_get (body, "deadline_ms");
+  if (json_is_integer (deadline))
+    extend_lease_until (worker, json_integer_value (deadline));
+}
+
+static int64_t
+setting (const char *name)
+{
+  const char *text = getenv (name);
+  return text != NULL ? atoll (text) : 0;
+}
+
 /* Counts a start of the deadly TASK.  */
 static void
 count_deadly_start (const worker_t *worker, const char *task, uint32_t number)
@@ -374,6 +402,60 @@
   return site_now_ms () < worker->silent_until_ms;
 }
 
+/* Delays the first start of a task whose spec says so.  Returns whether it
+   did.  */
+static bool
+delay_start (worker_t *worker, const json_t *body, const char *task,
+             uint32_t number, const char *spec)
+{
+  int64_t late_ms = setting ("LATE_MS");
+  if (late_ms <= 0 || !g_str_has_suffix (spec, " late")
+      || worker->late.task != NULL
+      || !g_hash_table_add (state.delayed, g_strdup (task)))
+    return false;
+  worker->late = (late_start_t){
+    .task = g_strdup (task),
+    .spec = g_strdup (spec),
+    .run = number,
+    .token
+    = (uint64_t)json_integer_value (json_object_get (body, "fencing_token")),
+    .lease_until_ms
+    = json_integer_value (json_object_get (body, "deadline_ms")),
+    .due_ms = site_now_ms () + late_ms
+  };
+  record_line ("no answer to the start of %s run %u on %s; it is carried out "
+               "%lld ms later",
+               task, number, worker->id, (long long)late_ms);
+  return true;
+}
+
+/* Carries out the delayed start that is due.  */
+static void
+carry_out_late (worker_t *worker)
+{
+  late_start_t late = worker->late;
+  if (late.task == NULL || site_now_ms () < late.due_ms)
+    return;
+  worker->late = (late_start_t){ 0 };
+  uint32_t highest = GPOINTER_TO_UINT (
+      g_hash_table_lookup (worker->highest_run, late.task));
+  if (late.token < worker->token || late.run <= highest
+      || find_run (worker, late.task) != NULL
+      || late.lease_until_ms <= clock_of (worker))
+    record_line ("the late start of %s run %u on %s is refused", late.task,
+                 late.run, worker->id);
+  else
+    {
+      record_line ("the late start of %s run %u on %s is carried out",
+                   late.task, late.run, worker->id);
+      worker->token = late.token;
+      extend_lease_until (worker, late.lease_until_ms);
+      start_run (worker, late.task, late.run, late.spec);
+    }
+  g_free (late.task);
+  g_free (late.spec);
+}
+
 static void
 on_start (void *context, httpd_exchange_t *exchange,
           const httpd_request_t *request)
@@ -386,7 +468,8 @@
   uint32_t number
       = (uint32_t)json_integer_value (json_object_get (body, "run"));
   end_due_runs (worker);
-  if (is_silent (worker) || task == NULL || spec == NULL)
+  if (is_silent (worker) || task == NULL || spec == NULL
+      || delay_start (worker, body, task, number, spec))
     goto out;
   if (!accept_token (worker, exchange, body))
     goto out;
@@ -399,7 +482,8 @@
   else if (json_integer_value (json_object_get (body, "deadline_ms"))
            <= clock_of (worker))
     refuse (exchange, worker, "late");
-  else if (ticket == NULL || atoll (ticket) < site_now_ms ())
+  /* A queue without advice has no tickets.  */
+  else if (ticket != NULL && atoll (ticket) < site_now_ms ())
     refuse (exchange, worker, "ticket");
   else
     {
@@ -518,6 +602,8 @@
     {
       worker->crashed = false;
       reset_worker (worker);
+      record_line ("%s starts again", worker->id);
+      carry_out_late (worker);
       write_row (worker);
     }
   for (guint i = 0; i < worker->runs->len; i++)
@@ -541,8 +627,10 @@
       worker_t *worker = state.workers->pdata[i];
       advance_crash (worker);
       end_due_runs (worker);
-      if (!is_silent (worker))
-        answer_polls (worker);
+      if (is_silent (worker))
+        continue;
+      carry_out_late (worker);
+      answer_polls (worker);
     }
 }
 
@@ -598,6 +686,8 @@
                     GError **error)
 {
   state.workers = g_ptr_array_new ();
+  state.delayed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   state.finished
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   if (getenv ("RECORD") != NULL)
@@ -643,10 +733,17 @@
 site_worker_crash (uint32_t index)
 {
   worker_t *worker = state.workers->pdata[index % state.workers->len];
-  record_line ("crash of %s with %u runs; it starts again at once", worker->id,
-               worker->runs->len);
+  int64_t down_ms = setting ("DOWN_MS");
+  record_line ("crash of %s with %u runs; it is down for %lld ms", worker->id,
+               worker->runs->len, (long long)down_ms);
   reset_worker (worker);
-  write_row (worker);
+  if (down_ms == 0)
+    {
+      write_row (worker);
+      return;
+    }
+  worker->crashed = true;
+  worker->silent_until_ms = site_now_ms () + down_ms;
 }
 
 void
