--- a/review/standin-2/cases.c
+++ b/review/cases-2.c
@@ -1,4 +1,4 @@
-#include "drive.h"
+#include "drive-2.h"
 
 #include <glib.h>
 #include <jansson.h>
@@ -100,8 +100,8 @@
 static void
 read_records (wide_record_t records[WIDE_JOBS])
 {
-  drive_answer_t answer = drive_store_call (
-      "GET", "/api/rows-get?table=record&part=pool", NULL);
+  drive_answer_t answer
+      = drive_store_call ("GET", "/api/rows-get?table=record&part=pool", NULL);
   json_t *reply = json_loads (answer.body, 0, NULL);
   const json_t *rows = json_object_get (reply, "rows");
   for (int job = 0; job < WIDE_JOBS; job++)
@@ -164,8 +164,8 @@
   drive_restart_node ((uint32_t)owner);
 }
 
-/* Kills the owner between 2 and 5 s after the store has become slow, as soon as
-   rows of a record do not fit together.  */
+/* Kills the owner between 2 and 5 s after the store has become slow, as soon
+   as rows of a record do not fit together.  */
 static void
 play_wide_trouble (void)
 {
@@ -290,8 +290,8 @@
   drive_answer_t answer = drive_call (2, "GET", id, NULL, 0);
   g_free (answer.body);
   char line[256];
-  bool started = drive_last_line (": start c0ffee00c0ffee00.0.1.", line,
-                                  sizeof line);
+  bool started
+      = drive_last_line (": start c0ffee00c0ffee00.0.1.", line, sizeof line);
   int64_t at_ms = started ? number_after (line) : 0;
   if (started)
     drive_record ("a task of the second step started %lld ms after the "
@@ -305,8 +305,8 @@
                  : 0);
 }
 
-/* Case "late": a start without an answer is repeated, and its task is done; the
-   minion crashes, and its next life carries out the first start.  */
+/* Case "late": a start without an answer is repeated, and its task is done;
+   the minion crashes, and its next life carries out the first start.  */
 
 #define LATE_START_MS "4000"
 #define LATE_DOWN_MS "1500"
--- a/review/standin-2/drive.c
+++ b/review/drive-2.c
@@ -1,4 +1,4 @@
-#include "drive.h"
+#include "drive-2.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -99,11 +99,10 @@
 static void
 remove_work_folder (void)
 {
-  static const char *const names[] = { "standin.log", "node-0.conf",
-                                       "node-0.log",  "node-1.conf",
-                                       "node-1.log",  "node-2.conf",
-                                       "node-2.log",  "node-3.conf",
-                                       "node-3.log" };
+  static const char *const names[]
+      = { "standin.log", "node-0.conf", "node-0.log",
+          "node-1.conf", "node-1.log",  "node-2.conf",
+          "node-2.log",  "node-3.conf", "node-3.log" };
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
     {
       char path[128];
@@ -215,29 +214,28 @@
   if (file == NULL)
     drive_end (2);
   print_host (node, host);
-  fprintf (
-      file,
-      "node=edge-z-%u\nrole=node\nmachine_class=edge\nserves=edge\n"
-      "ip=%s\nzone=z\nregion=r\nzones.z=r\n"
-      "listen_addresses.front=%s:%u\n"
-      "listen_addresses.readiness=%s:%u\n"
-      "internal_ports=%u,%u\nbootstrap=true\n"
-      "limits.cpu_share=1\nlimits.cores=1\nlimits.memory_mb=512\n"
-      "limits.fd_limit=4100\nheartbeat_ms=1500\norders=call\n"
-      "advice=127.0.0.1:%u\nplatform.address=127.0.0.1:%u\n"
-      "platform.form=table\nplatform.writes_per_s=800\n"
-      "platform.reads_per_s=2000\nplatform.transaction_ms=6.0\n"
-      "platform.part_writes_per_s=200\nplatform.row_bytes=65536\n"
-      "platform.cross_shard=false\nplatform.history_s=20\n"
-      "bounds.contact_ms=3000\nbounds.ack_ms=4000\nbounds.drain_ms=2000\n"
-      "bounds.grace_s=6\nbounds.loss_slack_ms=200\n"
-      "bounds.config_apply_ms=2000\nbounds.rollback_slack_ms=250\n"
-      "bounds.max_hold_ms=6000\nbounds.stop_timeout_ms=400\n"
-      "bounds.gang_timeout_ms=3000\nbounds.cancel_ms=3000\n"
-      "bounds.visible_ms=3000\nbounds.finish_s=14\nbounds.status_s=120\n"
-      "bounds.lease_ms=3000\nbounds.require_fencing=true\n",
-      node, host, host, port + FRONT, host, port + READINESS, port + 403, port + 410, port,
-      port + FIRST_PROXY + node);
+  fprintf (file,
+           "node=edge-z-%u\nrole=node\nmachine_class=edge\nserves=edge\n"
+           "ip=%s\nzone=z\nregion=r\nzones.z=r\n"
+           "listen_addresses.front=%s:%u\n"
+           "listen_addresses.readiness=%s:%u\n"
+           "internal_ports=%u,%u\nbootstrap=true\n"
+           "limits.cpu_share=1\nlimits.cores=1\nlimits.memory_mb=512\n"
+           "limits.fd_limit=4100\nheartbeat_ms=1500\norders=call\n"
+           "advice=127.0.0.1:%u\nplatform.address=127.0.0.1:%u\n"
+           "platform.form=table\nplatform.writes_per_s=800\n"
+           "platform.reads_per_s=2000\nplatform.transaction_ms=6.0\n"
+           "platform.part_writes_per_s=200\nplatform.row_bytes=65536\n"
+           "platform.cross_shard=false\nplatform.history_s=20\n"
+           "bounds.contact_ms=3000\nbounds.ack_ms=4000\nbounds.drain_ms=2000\n"
+           "bounds.grace_s=6\nbounds.loss_slack_ms=200\n"
+           "bounds.config_apply_ms=2000\nbounds.rollback_slack_ms=250\n"
+           "bounds.max_hold_ms=6000\nbounds.stop_timeout_ms=400\n"
+           "bounds.gang_timeout_ms=3000\nbounds.cancel_ms=3000\n"
+           "bounds.visible_ms=3000\nbounds.finish_s=14\nbounds.status_s=120\n"
+           "bounds.lease_ms=3000\nbounds.require_fencing=true\n",
+           node, host, host, port + FRONT, host, port + READINESS, port + 403,
+           port + 410, port, port + FIRST_PROXY + node);
   fclose (file);
 }
 
@@ -508,10 +506,9 @@
 {
   drive_answer_t answer = drive_store_call ("GET", "/control/check", NULL);
   json_t *object = json_loads (answer.body, 0, NULL);
-  int64_t figure
-      = object != NULL
-            ? json_integer_value (json_object_get (object, name))
-            : -1;
+  int64_t figure = object != NULL
+                       ? json_integer_value (json_object_get (object, name))
+                       : -1;
   json_decref (object);
   g_free (answer.body);
   return figure;
@@ -612,8 +609,7 @@
   char *argv[]
       = { STANDIN_PROGRAM, "--port", port,          "--workers", count,
           "--services",    shared,   "--row-bytes", "65536",     NULL };
-  char *env[]
-      = { record, checkpoint, late, down, "PATH=/usr/bin:/bin", NULL };
+  char *env[] = { record, checkpoint, late, down, "PATH=/usr/bin:/bin", NULL };
   run.standin_pid = start_process (argv, env, log);
 }
 
@@ -642,7 +638,8 @@
   /* Cases that run side by side begin at other ports.  */
   uint16_t port = (uint16_t)(FIRST_PORT + getpid () % PORT_SLOTS * PORTS);
   for (int tries = 0; tries < PORT_SLOTS && !ports_are_free (port); tries++)
-    port = port + 2 * PORTS > LAST_PORT ? FIRST_PORT : (uint16_t)(port + PORTS);
+    port
+        = port + 2 * PORTS > LAST_PORT ? FIRST_PORT : (uint16_t)(port + PORTS);
   run.port = port;
   run.nodes = nodes;
   start_standin (workers, services);
--- a/review/standin-2/worker.c
+++ b/review/standin-2.c
@@ -101,7 +101,7 @@
 static struct
 {
   GPtrArray *workers;
-  GHashTable *finished;  /* task -> finish_t of its first end as done */
+  GHashTable *finished; /* task -> finish_t of its first end as done */
   FILE *record;
   GHashTable *delayed; /* set of tasks of which a start was delayed */
   GHashTable *crashes; /* task -> workers that it has crashed */
@@ -201,10 +201,9 @@
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const run_t *run = worker->runs->pdata[i];
-      json_array_append_new (running, json_pack ("[s, i, s, i, i]", run->task,
-                                                 (int)run->run,
-                                                 checkpoint_of (run->task), 50,
-                                                 100));
+      json_array_append_new (
+          running, json_pack ("[s, i, s, i, i]", run->task, (int)run->run,
+                              checkpoint_of (run->task), 50, 100));
     }
   for (guint i = 0; i < worker->ends->len; i++)
     {
@@ -413,16 +412,14 @@
       || worker->late.task != NULL
       || !g_hash_table_add (state.delayed, g_strdup (task)))
     return false;
-  worker->late = (late_start_t){
-    .task = g_strdup (task),
-    .spec = g_strdup (spec),
-    .run = number,
-    .token
-    = (uint64_t)json_integer_value (json_object_get (body, "fencing_token")),
-    .lease_until_ms
-    = json_integer_value (json_object_get (body, "deadline_ms")),
-    .due_ms = site_now_ms () + late_ms
-  };
+  worker->late = (late_start_t){ .task = g_strdup (task),
+                                 .spec = g_strdup (spec),
+                                 .run = number,
+                                 .token = (uint64_t)json_integer_value (
+                                     json_object_get (body, "fencing_token")),
+                                 .lease_until_ms = json_integer_value (
+                                     json_object_get (body, "deadline_ms")),
+                                 .due_ms = site_now_ms () + late_ms };
   record_line ("no answer to the start of %s run %u on %s; it is carried out "
                "%lld ms later",
                task, number, worker->id, (long long)late_ms);
@@ -583,8 +580,8 @@
       worker->drains_since_ms != 0 ? "draining" : "ready", "capacity", "cpu",
       CPU_MILLIS, "mem_mb", MEMORY_MB, "gpu", 0, "labels", "a", worker->rack,
       "machine", worker->id, "born", (json_int_t)worker->start_wall_ms,
-      "sequence", (int)++worker->row_sequence, "zone", "z", "version", "1.0", "slots", 8,
-      "cold_remaining_ms", 0);
+      "sequence", (int)++worker->row_sequence, "zone", "z", "version", "1.0",
+      "slots", 8, "cold_remaining_ms", 0);
   if (worker->drains_since_ms != 0)
     json_object_set_new (row, "remaining_ms", json_integer (60000));
   site_put_row ("servers", worker->id, row);
