cell: let each row of a split record tell of all runs of its tasks

Cause: only the segment with a step's first task said that the step had finished; the others dropped their lines, and could be written first. The same with finished occurrences (segments dropped them before the head counted them), with the state of a failed job (an owner started a task without attempts left), with lines of occurrences that the head calls finished (the record counted as unreadable), and with segments of an ended job that names no run (kept for good, and all later ended jobs with them).

Ruled out: ends acknowledged before they are saved (the simulation checks each acknowledgement; the first violation is always a start), and rows read at different moments (nobody writes meanwhile in the simulation).

Change: a segment says that a step has finished until the segment of its first task does; once a record is split its head goes first, and until then no finished occurrence is dropped; an owner that loads a task without attempts left fails its job, and saves an ended job with segments once more.

Measured: the new test_record.c plays the loss of the owner after each commit of small records.

--- a/src/blame.c
+++ b/src/blame.c
@@ -98,6 +98,12 @@
   return is_cleared (run) ? BLAME_NONE : BLAME_UNRELATED;
 }
 
+bool
+blame_losses_exhausted (const blame_history_t *history)
+{
+  return history->losses >= BLAME_MAX_LOSSES;
+}
+
 bool
 blame_add (blame_history_t *history, blame_verdict_t verdict)
 {
@@ -109,7 +115,7 @@
   history->losses++;
   history->crashes += verdict >= BLAME_BYSTANDER;
   history->suspected += verdict >= BLAME_SUSPECT;
-  return history->losses >= BLAME_MAX_LOSSES
+  return blame_losses_exhausted (history)
          || (verdict == BLAME_CULPRIT && history->suspected >= MAX_SUSPECTED);
 }
 
--- a/src/blame.h
+++ b/src/blame.h
@@ -71,6 +71,9 @@
 /* Adds VERDICT to HISTORY.  Returns whether the task is to be given up.  */
 bool blame_add (blame_history_t *history, blame_verdict_t verdict);
 
+/* Whether HISTORY has as many losses as a task may have.  */
+bool blame_losses_exhausted (const blame_history_t *history);
+
 /* The loss of a worker, which fell between two times.  */
 typedef struct
 {
--- a/src/cell.h
+++ b/src/cell.h
@@ -35,7 +35,8 @@
 {
   int64_t max_lease_ms; /* the longest that workers accept */
   int64_t retention_ms; /* how long the state of an ended job can be queried */
-  int64_t max_row_bytes; /* of a row of the store; 0: 64 KiB */
+  int64_t max_row_bytes;  /* of a row of the store; 0: 64 KiB */
+  uint32_t max_save_rows; /* of a save; 0: 90 */
   /* No task is started while the list of workers was confirmed longer ago: a
      worker that drains shows only there.  0: no limit.  */
   int64_t list_limit_ms;
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -111,6 +111,8 @@
   rank_t rank;           /* in the current pass */
   int64_t objective_ms;  /* of its job, in the current pass */
   bool finished;
+  bool finish_stored;       /* the segment of its first task says that it has
+                               finished, or will with the save in flight */
   uint32_t calls_in_flight; /* calls for advice in flight */
   uint32_t last_call;       /* number of the last call */
   int64_t next_ask_ms;
@@ -183,6 +185,8 @@
   bool closed;          /* it has ended, and no run of it is left */
   GHashTable *segments; /* number -> cell_segment_t, owned; NULL: its record
                            is one row */
+  bool head_split;      /* the stored row under the id says that the record is
+                           split, so it has no lines of tasks */
   GPtrArray *dirty_segments; /* cell_segment_t to be saved */
   bool start_awaits_save;    /* a start waits for the next save */
   uint32_t refusals;         /* of saves of this job alone */
@@ -434,6 +438,9 @@
                            void (*each) (void *context, cell_group_t *group,
                                          uint32_t from, uint32_t to),
                            void *context);
+/* Whether SEGMENT holds the first task of GROUP.  */
+bool cell_segment_begins (const cell_segment_t *segment,
+                          const cell_group_t *group);
 /* Returns the key of the row of SEGMENT (g_free).  */
 char *cell_segment_key (const cell_job_t *job, const cell_segment_t *segment);
 /* Returns whether KEY is one, and sets *NUMBER.  */
@@ -461,6 +468,9 @@
 /* The run of TASK has ended; CHECKPOINT: its last one, may be NULL.  */
 void cell_run_ended (cell_task_t *task, end_kind_t how,
                      const char *checkpoint);
+/* Ends JOB as failed if a task of it may not start again: an earlier owner was
+   lost before it had saved that.  */
+void cell_fail_if_exhausted (cell_job_t *job);
 /* Stops all members that are not done, so that they start again together.  */
 void cell_stop_gang (cell_group_t *group);
 /* Sends unanswered starts and stops again.  */
--- a/src/cell_record.c
+++ b/src/cell_record.c
@@ -17,7 +17,8 @@
    group all of whose tasks are done has the single line "f OCCURRENCE STEP".
 
    A record that is split, see cell_segment.c, has "2 STATE FINISHED_BELOW" as
-   its only line; the others stand in its segments.  */
+   its only line; the others stand in its segments, of which several may have
+   the line of a finished group.  */
 
 #define WHOLE_RECORD '1'
 #define HEAD_OF_SEGMENTS '2'
@@ -111,7 +112,7 @@
 {
   const writer_t *writer = context;
   bool begun = false;
-  if (group->finished && from == 0)
+  if (group->finished && (from == 0 || !group->finish_stored))
     g_string_append_printf (writer->text, "f %u %u\n", group->occurrence,
                             group->step);
   for (uint32_t i = from; i < to && !group->finished; i++)
@@ -229,59 +230,92 @@
   return true;
 }
 
-static cell_group_t *
-find_loaded_group (cell_job_t *job, char **fields)
+/* A row that is being read.  */
+typedef struct
+{
+  cell_job_t *job;
+  const cell_segment_t *segment; /* NULL: the row under the id of JOB */
+  cell_group_t *group;           /* to which the next task lines belong */
+  bool skips;                    /* these lines */
+} reader_t;
+
+/* Sets the group that FIELDS name.  Returns false if there is none.  */
+static bool
+find_loaded_group (reader_t *reader, char **fields)
 {
+  cell_job_t *job = reader->job;
   uint32_t occurrence = (uint32_t)g_ascii_strtoull (fields[1], NULL, 10);
   uint32_t step = (uint32_t)g_ascii_strtoull (fields[2], NULL, 10);
+  /* The head was written first.  */
+  reader->skips = reader->segment != NULL && occurrence < job->finished_below;
   while (job->work->times > 0 && job->next_occurrence <= occurrence
          && job->next_occurrence < job->work->times)
     cell_job_add_groups (job, job->next_occurrence);
-  return cell_job_group (job, occurrence, step);
+  reader->group = cell_job_group (job, occurrence, step);
+  return reader->group != NULL || reader->skips;
+}
+
+static bool
+load_finish (reader_t *reader, char **fields)
+{
+  if (!find_loaded_group (reader, fields))
+    return false;
+  if (reader->skips)
+    return true;
+  cell_group_t *group = reader->group;
+  if (reader->segment != NULL && cell_segment_begins (reader->segment, group))
+    group->finish_stored = true;
+  if (group->finished)
+    return reader->job->segments != NULL;
+  for (uint32_t i = 0; i < group->spec->count; i++)
+    cell_set_task_state (&group->tasks[i], RUN_DONE);
+  group->finished = true;
+  g_ptr_array_remove_fast (reader->job->cell->ready_groups, group);
+  return true;
+}
+
+static bool
+load_group (reader_t *reader, char **fields)
+{
+  if (!find_loaded_group (reader, fields))
+    return false;
+  if (reader->skips)
+    return true;
+  cell_group_t *group = reader->group;
+  /* The segments of a gang were written at different times; the checkpoint of
+     each is one of the gang.  */
+  if ((group->finished || group->gang_checkpoint != NULL)
+      && reader->job->segments == NULL)
+    return false;
+  group->gang_failures = MAX (
+      group->gang_failures, (uint32_t)g_ascii_strtoull (fields[3], NULL, 10));
+  if (strcmp (fields[4], "-") != 0 && group->gang_checkpoint == NULL)
+    group->gang_checkpoint = g_strdup (fields[4]);
+  return true;
 }
 
 static bool
-load_line (cell_job_t *job, cell_group_t **group, char **fields)
+load_line (reader_t *reader, char **fields)
 {
   guint count = g_strv_length (fields);
   if (count >= 3 && fields[0][0] == 'f')
-    {
-      *group = find_loaded_group (job, fields);
-      if (*group == NULL || (*group)->finished)
-        return *group != NULL && job->segments != NULL;
-      for (uint32_t i = 0; i < (*group)->spec->count; i++)
-        cell_set_task_state (&(*group)->tasks[i], RUN_DONE);
-      (*group)->finished = true;
-      g_ptr_array_remove_fast (job->cell->ready_groups, *group);
-      return true;
-    }
+    return load_finish (reader, fields);
   if (count >= 5 && fields[0][0] == 'g')
-    {
-      *group = find_loaded_group (job, fields);
-      if (*group == NULL)
-        return false;
-      /* The segments of a gang were written at different times; the checkpoint
-         of each is one of the gang.  */
-      if (((*group)->finished || (*group)->gang_checkpoint != NULL)
-          && job->segments == NULL)
-        return false;
-      (*group)->gang_failures
-          = MAX ((*group)->gang_failures,
-                 (uint32_t)g_ascii_strtoull (fields[3], NULL, 10));
-      if (strcmp (fields[4], "-") != 0 && (*group)->gang_checkpoint == NULL)
-        (*group)->gang_checkpoint = g_strdup (fields[4]);
-      return true;
-    }
-  return count >= 7 && fields[0][0] == 't' && *group != NULL
-         && load_task (*group, fields);
+    return load_group (reader, fields);
+  if (count < 7 || fields[0][0] != 't')
+    return false;
+  return reader->skips
+         || (reader->group != NULL && load_task (reader->group, fields));
 }
 
-/* Reads the lines of TEXT behind the first SKIPPED ones.  */
+/* Reads the lines of TEXT, the row of SEGMENT, behind the first SKIPPED ones.
+ */
 static bool
-load_lines (cell_job_t *job, const char *text, uint32_t skipped)
+load_lines (cell_job_t *job, const cell_segment_t *segment, const char *text,
+            uint32_t skipped)
 {
   char **lines = g_strsplit (text, "\n", 0);
-  cell_group_t *group = NULL;
+  reader_t reader = { .job = job, .segment = segment };
   bool ok = true;
   for (char **line = lines; ok && *line != NULL; line++)
     {
@@ -291,7 +325,7 @@
           continue;
         }
       char **fields = g_strsplit (*line, " ", 0);
-      ok = load_line (job, &group, fields);
+      ok = load_line (&reader, fields);
       g_strfreev (fields);
     }
   g_strfreev (lines);
@@ -329,9 +363,10 @@
       if (!cell_parse_segment_key (rows[i].key, &number))
         continue;
       cell_begin_segments (job);
-      cell_get_segment (job, number)->stored = true;
+      cell_segment_t *segment = cell_get_segment (job, number);
+      segment->stored = true;
       if (!job->closed)
-        ok = load_lines (job, rows[i].text, 0) && ok;
+        ok = load_lines (job, segment, rows[i].text, 0) && ok;
     }
   return ok;
 }
@@ -348,9 +383,10 @@
   cell_job_state_t state = JOB_STATE_QUEUED;
   bool ok = head == NULL || load_head (job, head, &state);
   job->closed = ok && whole && state > JOB_STATE_RUNNING && count > 1;
+  job->head_split = head != NULL && !whole;
   ok = ok && load_segments (job, rows, count);
   if (ok && whole && !job->closed)
-    ok = load_lines (job, head, 1);
+    ok = load_lines (job, NULL, head, 1);
   job->started = state != JOB_STATE_QUEUED;
   job->saved_state = state;
   if (state > JOB_STATE_RUNNING)
@@ -359,13 +395,14 @@
     {
       job->state = state;
       cell_job_advance (job);
+      cell_fail_if_exhausted (job);
     }
   /* It was not split to its end, or its segments were not all removed.  */
-  if (job->segments != NULL && (head == NULL || whole))
-    {
-      cell_mark_all_segments (job);
-      cell_mark_dirty (job);
-    }
+  if (job->segments != NULL && !job->head_split)
+    cell_mark_all_segments (job);
+  if (job->segments != NULL
+      && (!job->head_split || job->state > JOB_STATE_RUNNING))
+    cell_mark_dirty (job);
   return ok;
 }
 
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -235,6 +235,32 @@
     cell_job_end (job, JOB_STATE_FAILED);
 }
 
+/* Whether GROUP, or a task of it, has used up what it may.  */
+static bool
+is_exhausted (const cell_group_t *group, uint32_t max_attempts)
+{
+  if (group->finished || group->spec->lasting)
+    return false;
+  bool found = group->gang_failures >= max_attempts;
+  for (uint32_t i = 0; i < group->spec->count && !found; i++)
+    found = group->tasks[i].failures >= max_attempts
+            || blame_losses_exhausted (&group->tasks[i].blame);
+  return found;
+}
+
+void
+cell_fail_if_exhausted (cell_job_t *job)
+{
+  if (job->state > JOB_STATE_RUNNING || job->queue == NULL)
+    return;
+  for (guint i = 0; i < job->groups->len; i++)
+    if (is_exhausted (job->groups->pdata[i], max_attempts_of (job)))
+      {
+        cell_job_end (job, JOB_STATE_FAILED);
+        return;
+      }
+}
+
 /* Counts failed runs in a row, and avoids the worker if there are too many.
    Repeated failures of one job count once: they point to the job, not to the
    worker.  */
--- a/src/cell_save.c
+++ b/src/cell_save.c
@@ -21,7 +21,7 @@
 #define SLOW_SAVE_MS 40
 /* A transaction holds at most 100 entries; node_commit.c adds the fence row,
    the heartbeat row and up to 7 removals of expired jobs' records.  */
-#define SAVE_MAX_ROWS 90
+#define SAVE_MAX_ROWS 90u
 /* Takes a link of 10 Mbit/s about 0.3 s.  */
 #define SAVE_MAX_BYTES (256 * 1024)
 /* A job fails with its refused save of this number ...  */
@@ -58,12 +58,13 @@
   cell_t *cell;
   GArray *records; /* cell_record_t; keys and texts are owned */
   size_t bytes;
+  uint32_t max_rows;
 } new_save_t;
 
 static bool
 has_room (const new_save_t *save)
 {
-  return save->records->len < SAVE_MAX_ROWS && save->bytes < SAVE_MAX_BYTES;
+  return save->records->len < save->max_rows && save->bytes < SAVE_MAX_BYTES;
 }
 
 /* Takes ownership of KEY and TEXT.  */
@@ -94,6 +95,15 @@
   add_row (save, &row, g_strdup (job->id), text);
 }
 
+static void
+set_finish_stored (void *context, cell_group_t *group, uint32_t from,
+                   uint32_t to)
+{
+  const bool *stored = context;
+  if (from == 0 && group->finished)
+    group->finish_stored = *stored;
+}
+
 /* Adds changed segments of JOB: those with lines, or REMOVED ones, which have
    none any more.  Leaves out the others and those that the save has no room
    for.  */
@@ -122,6 +132,7 @@
       saved_row_t row = { .job = job, .segment = segment, .removed = removed };
       segment->stored = true;
       cell_each_in_segment (job, segment, mark_in_save, NULL);
+      cell_each_in_segment (job, segment, set_finish_stored, &segment->stored);
       add_row (save, &row, cell_segment_key (job, segment), text);
     }
   g_ptr_array_set_size (job->dirty_segments, (gint)kept);
@@ -159,21 +170,30 @@
   cell_mark_all_segments (job);
 }
 
-/* Adds the rows of a split record that have changed.  Returns false if some
-   are left.  */
+/* Adds the head of JOB if it has changed.  Returns false if there is no room
+   for it.  */
+static bool
+take_head (new_save_t *save, cell_job_t *job)
+{
+  if (!job->head_dirty)
+    return true;
+  if (!has_room (save))
+    return false;
+  add_head (save, job, cell_encode_record (job));
+  return true;
+}
+
+/* Adds the rows of a split record that have changed, in the order that
+   cell_segment.c asks for.  Returns false if some are left.  */
 static bool
 take_segments (new_save_t *save, cell_job_t *job)
 {
   close_if_over (job);
+  if (job->head_split && !take_head (save, job))
+    return false;
   add_segments (save, job, false);
-  if (has_lines_to_save (job))
+  if (has_lines_to_save (job) || !take_head (save, job))
     return false;
-  if (job->head_dirty)
-    {
-      if (!has_room (save))
-        return false;
-      add_head (save, job, cell_encode_record (job));
-    }
   add_segments (save, job, true);
   return job->dirty_segments->len == 0;
 }
@@ -251,7 +271,7 @@
                         && (cell->suspects_next || cell->dirty_jobs->len == 0);
   if (!cell->suspects_next)
     {
-      if (cell->dirty_jobs->len > SAVE_MAX_ROWS)
+      if (cell->dirty_jobs->len > save->max_rows)
         put_awaited_first (cell);
       take_jobs (save, cell->dirty_jobs);
       cell->suspects_next = true;
@@ -342,7 +362,11 @@
   cell->next_save_ms = cell->now_ms + SAVE_PERIOD_MS;
   cell->new_ends = false;
   new_save_t save
-      = { cell, g_array_new (FALSE, FALSE, sizeof (cell_record_t)), 0 };
+      = { .cell = cell,
+          .records = g_array_new (FALSE, FALSE, sizeof (cell_record_t)),
+          .max_rows = cell->options.max_save_rows > 0
+                          ? cell->options.max_save_rows
+                          : SAVE_MAX_ROWS };
   fill_save (&save);
   mark_ends_in_save (cell);
   cell->load.saves++;
@@ -377,12 +401,23 @@
     }
 }
 
+static void
+head_saved (const saved_row_t *row)
+{
+  cell_job_t *job = row->job;
+  job->saved_state = row->state;
+  if (row->whole || job->head_split)
+    return;
+  job->head_split = true;
+  cell_job_advance (job);
+}
+
 static void
 row_saved (const saved_row_t *row)
 {
   cell_job_t *job = row->job;
   if (row->segment == NULL)
-    job->saved_state = row->state;
+    head_saved (row);
   else if (row->removed && !row->segment->dirty)
     g_hash_table_remove (job->segments, &row->segment->number);
   else
@@ -503,8 +538,13 @@
 static void
 unsave_row (const saved_row_t *row)
 {
+  bool stored = false;
   if (row->segment != NULL)
-    cell_mark_segment (row->job, row->segment);
+    {
+      cell_each_in_segment (row->job, row->segment, set_finish_stored,
+                            &stored);
+      cell_mark_segment (row->job, row->segment);
+    }
   else
     row->job->head_dirty = true;
 }
--- a/src/cell_segment.c
+++ b/src/cell_segment.c
@@ -11,10 +11,18 @@
    lines are those of cell_record.c.  The row under the job's id, the head,
    then has a first line only.
 
-   A segment that is stored goes before what the head says of its tasks.  So
-   the segments may be written one after the other, in several saves; the head
-   follows once all are written, and segments without lines are removed last.
- */
+   The rows are written in several saves, and the owner may be lost after each
+   of them.  So all that is stored at any time tells of each task that has run
+   that it has run:
+
+   - A segment that is stored goes before what the head says of its tasks.  So
+     the head of a record that is being split is replaced once all segments are
+     written.
+   - A segment whose tasks belong to a finished group says so until the segment
+     of the group's first task does.
+   - Once the record is split, the head, which tells which occurrences are
+     finished, is written before segments that no longer mention them.  Until
+     then no finished occurrence is dropped.  */
 
 /* With the longest ids, addresses and checkpoints a segment has 17 KB.  */
 #define SEGMENT_TASKS 32u
@@ -119,6 +127,12 @@
       }
 }
 
+bool
+cell_segment_begins (const cell_segment_t *segment, const cell_group_t *group)
+{
+  return task_number (group, 0) / SEGMENT_TASKS == segment->number;
+}
+
 char *
 cell_segment_key (const cell_job_t *job, const cell_segment_t *segment)
 {
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -1,5 +1,6 @@
 #include "fake_cell_internal.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -10,6 +11,9 @@
 #define HEARTBEAT_PERIOD_MS 200
 /* Of one transaction.  */
 #define STORE_MAX_ROWS 100
+#define STORE_MAX_BYTES 1000000
+/* Of one row of a record that is split.  */
+#define SEGMENT_TASKS 32
 
 int64_t
 fake_cell_now (const fake_cell_t *sim)
@@ -224,8 +228,14 @@
 store_takes (const fake_cell_t *sim, const GPtrArray *texts)
 {
   /* The owner adds a few rows of its own.  */
+  size_t bytes = 0;
   if (texts->len / 2 > STORE_MAX_ROWS - 10)
     return false;
+  /* Values are sent in base64.  */
+  for (guint i = 1; i < texts->len; i += 2)
+    bytes += texts->pdata[i] != NULL ? strlen (texts->pdata[i]) / 3 * 4 : 0;
+  if (bytes > STORE_MAX_BYTES)
+    return false;
   for (guint i = 0; i + 1 < texts->len; i += 2)
     if ((sim->faults.row_bytes > 0 && texts->pdata[i + 1] != NULL
          && strlen (texts->pdata[i + 1]) > sim->faults.row_bytes)
@@ -235,6 +245,93 @@
   return true;
 }
 
+static void
+write_row (fake_cell_t *sim, const char *key, const char *text)
+{
+  if (text != NULL)
+    g_hash_table_insert (sim->records, g_strdup (key), g_strdup (text));
+  else
+    g_hash_table_remove (sim->records, key);
+}
+
+/* Removes the lines of TEXT, the row of a segment, about finished steps whose
+   first task is in another segment.  */
+static char *
+without_foreign_finishes (const fake_cell_t *sim, const char *key,
+                          const char *text)
+{
+  char *id = g_strndup (key, WORK_ID_LENGTH);
+  const work_job_t *job = g_hash_table_lookup (sim->decoded, id);
+  uint64_t segment = g_ascii_strtoull (key + WORK_ID_LENGTH + 1, NULL, 10);
+  char **lines = g_strsplit (text, "\n", 0);
+  GString *kept = g_string_new (NULL);
+  for (char **line = lines; *line != NULL && **line != '\0'; line++)
+    {
+      unsigned occurrence = 0;
+      unsigned step = 0;
+      uint64_t first = 0;
+      uint64_t all = 0;
+      if (sscanf (*line, "f %u %u", &occurrence, &step) == 2)
+        {
+          for (uint32_t i = 0; i < job->step_count; i++)
+            {
+              first += i < step ? job->steps[i].count : 0;
+              all += job->steps[i].count;
+            }
+          if ((occurrence * all + first) / SEGMENT_TASKS != segment)
+            continue;
+        }
+      g_string_append_printf (kept, "%s\n", *line);
+    }
+  g_strfreev (lines);
+  g_free (id);
+  return g_string_free (kept, FALSE);
+}
+
+static void
+write_late_head (fake_cell_t *sim)
+{
+  if (sim->late_head[0] != NULL)
+    write_row (sim, sim->late_head[0], sim->late_head[1]);
+  g_clear_pointer (&sim->late_head[0], g_free);
+  g_clear_pointer (&sim->late_head[1], g_free);
+}
+
+/* Writes the rows of a save: TEXTS are key, text, key, text, ...  */
+static void
+apply_save (fake_cell_t *sim, const GPtrArray *texts)
+{
+  sim->saves++;
+  sim->saved_rows += texts->len / 2;
+  write_late_head (sim);
+  for (guint i = 0; i + 1 < texts->len; i += 2)
+    {
+      const char *key = texts->pdata[i];
+      const char *text = texts->pdata[i + 1];
+      bool is_head = strchr (key, '/') == NULL;
+      char *shortened = NULL;
+      sim->saved_bytes += strlen (key) + (text != NULL ? strlen (text) : 0);
+      if (sim->defect == DEFECT_HEAD_LATE && is_head)
+        {
+          write_late_head (sim);
+          sim->late_head[0] = g_strdup (key);
+          sim->late_head[1] = g_strdup (text);
+          continue;
+        }
+      if (sim->defect == DEFECT_FINISH_IN_ONE_ROW && !is_head && text != NULL)
+        text = shortened = without_foreign_finishes (sim, key, text);
+      write_row (sim, key, text);
+      g_free (shortened);
+    }
+}
+
+static void
+on_save_answered (fake_cell_t *sim, fake_event_t *event)
+{
+  cell_ownership_confirmed (sim->cell, event->sent_ms);
+  cell_save_done (sim->cell);
+}
+
 static void
 on_save_done (fake_cell_t *sim, fake_event_t *event)
 {
@@ -258,25 +355,18 @@
         cell_save_refused (sim->cell);
       return;
     }
-  for (guint i = 0; i + 1 < event->texts->len; i += 2)
-    if (event->texts->pdata[i + 1] != NULL)
-      g_hash_table_insert (sim->records, g_strdup (event->texts->pdata[i]),
-                           g_strdup (event->texts->pdata[i + 1]));
-    else
-      g_hash_table_remove (sim->records, event->texts->pdata[i]);
-  if (event->owner == sim->owner && sim->defect != DEFECT_START_BEFORE_SAVE
-      && sim->defect != DEFECT_EARLY_ACK)
+  apply_save (sim, event->texts);
+  if (event->owner != sim->owner || sim->defect == DEFECT_START_BEFORE_SAVE
+      || sim->defect == DEFECT_EARLY_ACK)
+    return;
+  if (sim->faults.save_answer_ms == 0)
     {
-      cell_ownership_confirmed (sim->cell, event->sent_ms);
-      cell_save_done (sim->cell);
+      on_save_answered (sim, event);
+      return;
     }
-}
-
-static void
-on_saved_early (fake_cell_t *sim, fake_event_t *event)
-{
-  cell_ownership_confirmed (sim->cell, event->sent_ms);
-  cell_save_done (sim->cell);
+  fake_event_t *answer = fake_cell_event_new (sim, sim->faults.save_answer_ms,
+                                              on_save_answered);
+  answer->sent_ms = event->sent_ms;
 }
 
 static void
@@ -294,7 +384,7 @@
       g_ptr_array_add (event->texts, g_strdup (records[i].text));
     }
   if (early)
-    fake_cell_event_new (sim, 1, on_saved_early);
+    fake_cell_event_new (sim, 1, on_save_answered);
 }
 
 static void
@@ -614,7 +704,8 @@
   sim->defect = defect;
   sim->options = (cell_options_t){ .max_lease_ms = LEASE_MS,
                                    .retention_ms = 120000,
-                                   .max_row_bytes = faults->known_row_bytes };
+                                   .max_row_bytes = faults->known_row_bytes,
+                                   .max_save_rows = faults->save_rows };
   sim->workers = g_ptr_array_new_with_free_func (fake_cell_worker_free);
   for (uint32_t i = 0; i < workers; i++)
     g_ptr_array_add (sim->workers, fake_cell_worker_new (i));
@@ -651,6 +742,8 @@
   g_hash_table_unref (sim->logged);
   g_ptr_array_unref (sim->workers);
   queue_table_free (sim->queues);
+  g_free (sim->late_head[0]);
+  g_free (sim->late_head[1]);
   g_free (sim->violation);
   g_free (sim);
 }
@@ -674,6 +767,36 @@
   return sim->cell;
 }
 
+uint32_t
+fake_cell_saves (const fake_cell_t *sim)
+{
+  return sim->saves;
+}
+
+uint64_t
+fake_cell_saved_rows (const fake_cell_t *sim)
+{
+  return sim->saved_rows;
+}
+
+uint64_t
+fake_cell_saved_bytes (const fake_cell_t *sim)
+{
+  return sim->saved_bytes;
+}
+
+uint32_t
+fake_cell_rows_of (const fake_cell_t *sim, const char *id)
+{
+  uint32_t count = 0;
+  GHashTableIter iterator;
+  gpointer key;
+  g_hash_table_iter_init (&iterator, sim->records);
+  while (g_hash_table_iter_next (&iterator, &key, NULL))
+    count += g_str_has_prefix (key, id);
+  return count;
+}
+
 uint32_t
 fake_cell_refused_saves (const fake_cell_t *sim)
 {
--- a/tests/fake_cell.h
+++ b/tests/fake_cell.h
@@ -49,9 +49,14 @@
   bool starts_invalid;         /* workers refuse each start as invalid */
   uint32_t answer_delay_ms;    /* most that an answer is delayed */
   uint32_t save_ms;            /* duration of each save; 0: 10 ms */
+  uint32_t save_answer_ms;     /* from the writing of a save to its answer */
   uint32_t row_bytes;          /* the store refuses a save with a longer text;
                                   0: it takes any */
   uint32_t known_row_bytes;    /* limit that the cell is told; 0: none */
+  uint32_t save_rows;          /* most rows of a save; 0: as by default */
+  /* Added to the duration of a run; NULL: nothing is.  */
+  int64_t (*extra_ms) (const work_name_t *name, const void *context);
+  const void *extra_context;
   const char
       *slow_job; /* id; its runs take SLOW_FACTOR times their estimate */
   uint32_t slow_factor;
@@ -67,6 +72,11 @@
      Both are simulated in the same way: saves are reported as done early.  */
   DEFECT_EARLY_ACK,
   DEFECT_START_BEFORE_SAVE,
+  /* Only the row of a step's first task says that the step has finished.  */
+  DEFECT_FINISH_IN_ONE_ROW,
+  /* The row under the id of a job is written one save later than the others.
+   */
+  DEFECT_HEAD_LATE,
   DEFECT_UNANSWERED_IS_REFUSED /* not simulated: after a lost answer, a
                                   refusal of the repeated order is taken as
                                   proof that the first was not carried out */
@@ -90,6 +100,13 @@
 const char *fake_cell_saved_state (const fake_cell_t *sim, const char *id);
 /* The cell of the current owner.  */
 cell_t *fake_cell_owner (fake_cell_t *sim);
+/* Saves that the store has applied.  */
+uint32_t fake_cell_saves (const fake_cell_t *sim);
+/* Rows in the store of the record of the job ID.  */
+uint32_t fake_cell_rows_of (const fake_cell_t *sim, const char *id);
+/* Rows and bytes that saves have written.  */
+uint64_t fake_cell_saved_rows (const fake_cell_t *sim);
+uint64_t fake_cell_saved_bytes (const fake_cell_t *sim);
 /* Saves that the store refused.  */
 uint32_t fake_cell_refused_saves (const fake_cell_t *sim);
 /* Runs that were started.  */
--- a/tests/fake_cell_internal.h
+++ b/tests/fake_cell_internal.h
@@ -128,7 +128,11 @@
   uint32_t start_orders;
   uint32_t advice_calls;
   uint32_t deadly_crashes;
+  uint32_t saves;
+  uint64_t saved_rows;
+  uint64_t saved_bytes;
   uint32_t refused_saves;
+  char *late_head[2]; /* key and text, for DEFECT_HEAD_LATE; owned */
   bool faults_stopped;
 };
 
--- a/tests/fake_cell_worker.c
+++ b/tests/fake_cell_worker.c
@@ -255,6 +255,9 @@
   if (sim->faults.slow_job != NULL
       && g_str_has_prefix (event->task, sim->faults.slow_job))
     run->work_ms *= sim->faults.slow_factor;
+  work_name_t name;
+  if (sim->faults.extra_ms != NULL && work_name_parse (event->task, &name))
+    run->work_ms += sim->faults.extra_ms (&name, sim->faults.extra_context);
   run->fails = !step->gang && fake_cell_chance (sim, sim->faults.run_fails);
   if (sim->faults.failing_job != NULL
       && g_str_has_prefix (event->task, sim->faults.failing_job))
--- a/tests/test.h
+++ b/tests/test.h
@@ -53,6 +53,7 @@
 extern CU_SuiteInfo test_replica_suites[];
 extern CU_SuiteInfo test_reserve_suites[];
 extern CU_SuiteInfo test_restart_suites[];
+extern CU_SuiteInfo test_record_suites[];
 extern CU_SuiteInfo test_refused_suites[];
 extern CU_SuiteInfo test_ack_suites[];
 extern CU_SuiteInfo test_late_order_suites[];
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -44,6 +44,7 @@
   test_pack_suites,
   test_pass_suites,
   test_rank_suites,
+  test_record_suites,
   test_refused_suites,
   test_replica_suites,
   test_reserve_suites,
--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -236,6 +236,49 @@
   g_free (long_text);
 }
 
+/* Guards against rows that are kept for good, and keep those of later jobs: an
+   owner is lost after it has saved that a job has ended, and before it has
+   removed the segments, which name no run.  */
+static void
+test_segments_of_ended_job (void)
+{
+  static const cell_actions_t actions = { .save = keep_rows,
+                                          .poll = ignore_poll,
+                                          .stop = ignore_stop,
+                                          .log = ignore_log };
+  static const cell_options_t options
+      = { .max_lease_ms = 6000, .retention_ms = 120000 };
+  static const cell_inheritance_t nothing = { 0 };
+  static const cell_record_t rows[] = { { "0000000000000001", "2 C 0\n" },
+                                        { "0000000000000001/0", "f 0 0\n" },
+                                        { "0000000000000001/1", "f 0 0\n" } };
+  saved_t saved = { .rows = g_hash_table_new_full (g_str_hash, g_str_equal,
+                                                   g_free, g_free) };
+  clk_fake_t clock;
+  clk_fake_init (&clock, 100000);
+  cell_t *cell = cell_new (&options, &clock.base, &actions, &saved);
+  cell_add_job (cell, job_new (1, 40, 500));
+  CU_ASSERT_TRUE (
+      cell_load_record (cell, rows[0].key, rows, G_N_ELEMENTS (rows)));
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    g_hash_table_insert (saved.rows, g_strdup (rows[i].key),
+                         g_strdup (rows[i].text));
+  cell_begin (cell, &nothing);
+  for (int i = 0; i < 10; i++)
+    {
+      clk_fake_advance_ms (&clock, 30);
+      cell_run (cell, 100000);
+      if (saved.pending)
+        cell_save_done (cell);
+      saved.pending = false;
+    }
+  CU_ASSERT_EQUAL (g_hash_table_size (saved.rows), 1);
+  CU_ASSERT_STRING_EQUAL (g_hash_table_lookup (saved.rows, rows[0].key),
+                          "1 C 0\n");
+  cell_free (cell);
+  g_hash_table_unref (saved.rows);
+}
+
 /* Guards against refused saves without an end, and against ends of other jobs
    that are never acknowledged, if the store takes no record at all of a job
    that runs.  */
@@ -711,6 +754,7 @@
   { "a record that the store refuses", test_refused_record },
   { "a record of several rows", test_wide_job },
   { "the longest rows", test_longest_rows },
+  { "segments of a job that has ended", test_segments_of_ended_job },
   { "many occurrences that are due", test_many_occurrences },
   { "a job of which the store takes no record", test_refused_job },
   { "statuses of the store", test_statuses },
