node: keep the promise of a cancel that finds no job

A query could be answered 410 although the home that it had just read named the cell of the job.

Cause: a cancel of an id that was not found wrote nothing, so a submission that was applied after the search, also late, stored a job that ran. The search did not look again at a cell that it had looked at before the home told that the job is there.

Ruled out: a cancel that the owner ignores (no row of one was stored), and, for the first fault, a search that misses a job stored before it (none in the exploration).

Change: such a cancel writes a tombstone in a transaction that expects what a submission expects; submissions expect that there is none. Whichever comes second sees the first: the cancel searches again, the submission stores the job as cancelled and removes the tombstone. A search looks at the cell that the home names in any case. A write whose expectation failed is sent again at once.

--- a/src/io/node.c
+++ b/src/io/node.c
@@ -23,6 +23,7 @@
    gives few of these while several cells have heartbeats, so those of the
    configuration's table count too.  */
 #define STORE_LAG_DECAY_DIVISOR 3
+#define WRITE_RETRY_S 0.03
 #define TICK_S (CELL_TICK_MS / 1000.0)
 #define CLAIM_CHECK_S 0.05
 /* The platform stops sending new connections after two failed readiness
@@ -258,6 +259,7 @@
     return;
   node_register_if_due (node);
   node_list_cells_if_due (node);
+  node_sweep_tombstones_if_due (node);
   node_claim_check (node);
   node_check_config (node);
   node_check_workers (node);
@@ -375,6 +377,7 @@
   node->members = g_ptr_array_new_with_free_func (node_member_free);
   adaptive_timeout_init (&node->store_timeout, STORE_MIN_TIMEOUT_MS,
                          STORE_MAX_TIMEOUT_MS);
+  node->write_retry_s = WRITE_RETRY_S;
   g_snprintf (node->incarnation, sizeof node->incarnation, "%011llx-%08x",
               (long long)clk_wall_ms (node->clock), g_random_int ());
   if (!start_serving (node, &error)
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -17,16 +17,6 @@
 /* Period of the line "owner_load".  */
 #define LOAD_PERIOD_MS 1000
 
-/* Passes over the inbox before scheduling starts.  Cancels are applied only
-   after the jobs and their records are loaded: earlier they would be ignored
-   or overwritten.  */
-enum
-{
-  REPLAY_JOBS,
-  REPLAY_CANCELS,
-  REPLAY_DONE /* the replay is complete, changes are applied as they come */
-};
-
 typedef struct
 {
   node_cell_t *cell;
@@ -211,11 +201,15 @@
                      "the row holds job %s", job->id);
       if (job != NULL)
         node_config_heard (cell->node, job->config_version);
+      bool cancelled = job != NULL && job->cancelled;
       if (error == NULL)
         cell_add_job (cell->scheduler, g_steal_pointer (&job));
       else
         log_event (LOG_ERROR, "job_unreadable", "id", key, "cell", cell->name,
                    "message", error->message, NULL);
+      /* In a replay the row of the cancel, written with this one, follows.  */
+      if (cancelled && cell->replay_pass == REPLAY_DONE)
+        cell_cancel_job (cell->scheduler, key);
       g_clear_error (&error);
       work_job_free (job);
     }
--- a/src/io/node_find.c
+++ b/src/io/node_find.c
@@ -11,8 +11,10 @@
    The row HOME_TABLE, written in the transaction that stores a job, names the
    job's cell for good, whatever the configuration says since.  Most jobs are
    in the cell that their route names, so that cell is looked at first, and the
-   home only for an id that it does not have.  A job that a node of an earlier
-   version has stored has no home; it is looked for in every cell.  */
+   home only for an id that it does not have.  Since the job may be stored
+   between these two, the cell that the home names is then looked at again.  A
+   job that a node of an earlier version has stored has no home; it is looked
+   for in every cell.  */
 
 #define LIST_TIMEOUT_MS 1500
 #define LIST_RETRY_MS 1000
@@ -26,6 +28,7 @@
   bool wants_state;
   bool reads_inbox; /* instead of the record */
   bool home_read;
+  uint64_t home_version; /* 0: there is none */
   bool via_peer;
   node_found_t done;
   void *context;
@@ -51,7 +54,8 @@
   node_inbox_part (search->id, part);
   if (search->at >= search->cells->len && search->home_read)
     {
-      found_job_t none = { .result = STORE_OK };
+      found_job_t none
+          = { .result = STORE_OK, .home_version = search->home_version };
       finish (search, &none);
       return;
     }
@@ -86,8 +90,8 @@
       char *name = g_strndup (row->value, row->length);
       cell = node_get_cell (node, name);
       g_free (name);
-      if (!g_ptr_array_find (search->cells, cell, NULL))
-        g_ptr_array_add (search->cells, cell);
+      search->home_version = row->version;
+      g_ptr_array_add (search->cells, cell);
       return;
     }
   g_hash_table_iter_init (&iterator, node->cells);
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -35,12 +35,16 @@
      inbox.CELL, part of the job's id, key ID: a job as submitted; key ID/c:
      the job is cancelled
 
-     home, the same part, key ID: the cell of the job, over all cells  */
+     home, the same part, key ID: the cell of the job, over all cells
+
+     tombstone, the same part, key ID: the id was cancelled while there was no
+     such job; see node_tombstone.c  */
 
 #define CLUSTER_TABLE "cluster"
 #define FENCE_TABLE "fence"
 #define RECORD_TABLE "record"
 #define HOME_TABLE "home"
+#define TOMBSTONE_TABLE "tombstone"
 /* Jobs are spread over the parts by the first two digits of their id: a part
    takes its writes one after another, only three a second while the store is
    60 times slower than usual, and a burst in the larger deployments brings 100
@@ -113,6 +117,16 @@
   int64_t next_ms; /* not told again before */
 } ended_tenure_t;
 
+/* Passes over the inbox before scheduling starts.  Cancels are applied only
+   after the jobs and their records are loaded: earlier they would be ignored
+   or overwritten.  */
+typedef enum
+{
+  REPLAY_JOBS,
+  REPLAY_CANCELS,
+  REPLAY_DONE /* the replay is complete, changes are applied as they come */
+} replay_pass_t;
+
 struct node_cell
 {
   node_t *node;
@@ -163,7 +177,7 @@
   ev_timer commit_retry;
   ev_timer read_retry; /* of the records, while the cell is loaded */
   uint32_t read_failures;
-  uint8_t replay_pass; /* REPLAY_x of node_cell.c */
+  replay_pass_t replay_pass;
   int64_t load_logged_ms;
   int64_t load_processor_ms; /* processor time of the process then */
   int64_t load_waited_ns;    /* node->waited_ns then */
@@ -180,6 +194,16 @@
   size_t length;
 } stored_record_t;
 
+/* The removal of old tombstones.  */
+typedef struct
+{
+  int64_t next_ms;       /* does not begin before */
+  uint64_t old_version;  /* rows up to this version are old enough */
+  uint64_t seen_version; /* highest one of a row that was seen */
+  GPtrArray *parts; /* char *, still to be read; NULL: none is under way */
+  char *from;       /* first key to be read of the first part; NULL: all */
+} tombstone_sweep_t;
+
 struct node
 {
   struct ev_loop *loop;
@@ -215,7 +239,10 @@
   bool input_pending; /* cells have input to process */
   bool stopping, registered, register_in_flight;
   bool cells_listed, list_in_flight;
-  int64_t next_list_ms;       /* the cells are not listed before */
+  int64_t next_list_ms; /* the cells are not listed before */
+  tombstone_sweep_t sweep;
+  uint32_t tombstones; /* written since ... */
+  int64_t tombstones_since_ms;
   uint32_t register_failures; /* in a row */
   int64_t next_register_ms;   /* this node does not register before */
   int64_t stopping_since_ms;
@@ -223,7 +250,8 @@
                            wait_ms */
   int64_t cluster_answered_ms; /* time of the last answer about the cluster */
   adaptive_timeout_t store_timeout; /* wait for an answer to a transaction */
-  uint32_t next_member;             /* where node_member_next continues */
+  double write_retry_s;   /* pause before a caller's write is sent again */
+  uint32_t next_member;   /* where node_member_next continues */
   uint32_t questions;     /* to owners about jobs that wait for an answer */
   int64_t idle_since_ms;  /* while stopping: start of the time without open
                              requests and held cells; 0: there are some */
@@ -434,6 +462,8 @@
   node_cell_t *cell;      /* NULL: there is no such job */
   const char *state;      /* of its record, "queued" if it has none */
   uint64_t inbox_version; /* of its row, if WANTS_STATE was false */
+  uint64_t home_version;  /* without a job: of a home that a deleted one has
+                             left; 0: none */
 } found_job_t;
 typedef void (*node_found_t) (void *context, const found_job_t *found);
 /* Finds the cell of the job ID; FIRST is where it is most likely.  FOUND lives
@@ -445,6 +475,13 @@
    service the configuration has dropped may have jobs that need an owner.  */
 void node_list_cells_if_due (node_t *node);
 
+/* node_tombstone.c */
+/* Whether this node may write another tombstone now; counts it if so.  */
+bool node_take_tombstone (node_t *node);
+/* Removes tombstones that are old enough, if this node is the one to do so and
+   the last time is long enough ago.  */
+void node_sweep_tombstones_if_due (node_t *node);
+
 /* node_notify.c */
 /* Tells the owner of CELL about the inbox row KEY, which is stored.  */
 void node_notify_owner (node_cell_t *cell, const char *key, const char *value);
--- a/src/io/node_requests.c
+++ b/src/io/node_requests.c
@@ -9,13 +9,13 @@
 
    Any node accepts a job by writing its inbox row, where the cell's owner
    finds it, and its home, which names that cell; no other node can then store
-   the same id in another cell.  A write with an unknown outcome is repeated
-   until the outcome is known or the caller's deadline has passed; the caller
-   then gets ERR_TIMEOUT, never an error that says that nothing was stored.
-   While the store is slow the owner may have read the row before the answer to
-   the write arrives, so it is asked meanwhile.  */
+   the same id in another cell.  A cancel of an id that has no job leaves a
+   tombstone, see node_tombstone.c.  A write with an unknown outcome is
+   repeated until the outcome is known or the caller's deadline has passed; the
+   caller then gets ERR_TIMEOUT, never an error that says that nothing was
+   stored. While the store is slow the owner may have read the row before the
+   answer to the write arrives, so it is asked meanwhile.  */
 
-#define RETRY_S 0.03
 /* Retries of a write that was certainly not applied.  */
 #define MAX_REFUSED_RETRIES 3
 /* Deadline of a request that names none, and the part of any deadline that is
@@ -30,6 +30,7 @@
 /* Time between the questions to the owner whether it has read the row of a
    write without an answer.  */
 #define ASK_OWNER_S 0.3
+#define CANCEL_VALUE "cancelled"
 
 typedef struct
 {
@@ -40,7 +41,11 @@
   char *id;
   node_cell_t *cell;
   uint64_t home_version; /* of a home that a deleted job has left; 0: none */
-  uint64_t job_version;  /* of the row of the job that is cancelled */
+  uint64_t job_version;  /* of the row of the job that is cancelled; 0: there
+                            is no job */
+  uint64_t tombstone_version; /* of the one that a submission removes */
+  char *cancel_key; /* of a submission that is stored as cancelled; NULL: of
+                       any other */
   int64_t deadline_ms;
   int64_t started_ms;
   int64_t sent_ms;
@@ -56,6 +61,9 @@
 } inbox_write_t;
 
 static void send_write (inbox_write_t *write);
+static void find_and_cancel (node_t *node, caller_request_t *request,
+                             node_cell_t *first, const char *id,
+                             int64_t deadline_ms);
 
 /* Frees WRITE once its caller has an answer and no call refers to it.  */
 static void
@@ -64,6 +72,7 @@
   if (!write->answered || write->open_calls > 0)
     return;
   g_free (write->key);
+  g_free (write->cancel_key);
   g_free (write->value);
   g_free (write->id);
   g_free (write);
@@ -77,6 +86,15 @@
   ev_timer_stop (write->node->loop, &write->ask_owner);
 }
 
+/* The tombstone is stored.  */
+static void
+answer_tombstone_stored (inbox_write_t *write)
+{
+  log_event (LOG_INFO, "tombstone_stored", "id", write->id, NULL);
+  write->node->platform->ops->answer_no_job (write->request);
+  finish_write (write);
+}
+
 /* The row is stored.  KNOWN: it was before, or somebody else found it.  */
 static void
 answer_written (inbox_write_t *write, bool known)
@@ -133,21 +151,27 @@
   finish_write (write);
 }
 
-/* The last attempt of WRITE was not applied, or had no answer: sends it again
-   after a pause, or gives it up.  */
+/* The last attempt of WRITE was not applied, or had no answer.  Returns
+   whether there may be another one; else gives it up.  */
+static bool
+begin_attempt (inbox_write_t *write)
+{
+  write->failed_attempts++;
+  if (node_now (write->node) < write->deadline_ms - MIN_ATTEMPT_MS
+      && (write->outcome_unknown
+          || write->failed_attempts <= MAX_REFUSED_RETRIES))
+    return true;
+  fail_write (write);
+  return false;
+}
+
+/* Sends WRITE again after a pause, or gives it up.  */
 static void
 retry_write (inbox_write_t *write)
 {
-  int64_t now_ms = node_now (write->node);
-  write->failed_attempts++;
-  if (now_ms >= write->deadline_ms - MIN_ATTEMPT_MS
-      || (!write->outcome_unknown
-          && write->failed_attempts > MAX_REFUSED_RETRIES))
-    {
-      fail_write (write);
-      return;
-    }
-  ev_timer_set (&write->retry, RETRY_S, 0.0);
+  if (!begin_attempt (write))
+    return;
+  ev_timer_set (&write->retry, write->node->write_retry_s, 0.0);
   ev_timer_start (write->node->loop, &write->retry);
 }
 
@@ -163,18 +187,43 @@
   return NULL;
 }
 
+/* Has the next attempt store the submission as a cancelled job.  */
+static void
+cancel_submission (inbox_write_t *write, const store_row_t *tombstone)
+{
+  write->tombstone_version = tombstone->version;
+  if (write->cancel_key != NULL)
+    return;
+  work_job_t *job
+      = work_job_decode (write->value, strlen (write->value), NULL);
+  job->cancelled = true;
+  char *value = work_job_encode (job);
+  g_free (write->value);
+  write->value = g_strdup (value);
+  write->cancel_key = g_strconcat (write->id, CANCEL_SUFFIX, NULL);
+  log_event (LOG_INFO, "submission_cancelled", "id", write->id, NULL);
+  free (value);
+  work_job_free (job);
+}
+
 /* A row that the submission expected to be absent is there.  Returns whether
-   it is the job; else it is only a home that a node of an earlier version has
-   left of a deleted job, and the next attempt replaces it.  */
+   it is the job; else it is a tombstone, or only a home that a node of an
+   earlier version has left of a deleted job, and the next attempt replaces
+   it.  */
 static bool
 submission_is_stored (inbox_write_t *write, const store_reply_t *reply)
 {
   const store_row_t *home = row_in (reply, HOME_TABLE, write->id);
+  const store_row_t *tombstone = row_in (reply, TOMBSTONE_TABLE, write->id);
   for (uint32_t i = 0; i < reply->count; i++)
     if (reply->rows[i].value != NULL
-        && strcmp (reply->rows[i].table, HOME_TABLE) != 0)
+        && strcmp (reply->rows[i].table, HOME_TABLE) != 0
+        && strcmp (reply->rows[i].table, TOMBSTONE_TABLE) != 0)
       return true;
   write->home_version = home != NULL ? home->version : 0;
+  write->tombstone_version = 0;
+  if (tombstone != NULL)
+    cancel_submission (write, tombstone);
   if (home != NULL)
     {
       /* The next attempt expects the job to be absent there too.  */
@@ -185,43 +234,53 @@
   return false;
 }
 
-/* Answers a cancel of which a row was not as expected, if that tells what has
-   become of it.  Returns whether it did; else the row of the job was written
-   again, and the next attempt expects it so.  */
-static bool
+/* A row of a cancel was not as expected.  Answers it if that tells what has
+   become of it, has the next attempt expect the row of the job as it is, or
+   searches for the job again.  */
+static void
 resolve_cancel (inbox_write_t *write, const store_reply_t *reply)
 {
   const char *table = write->cell->inbox_table;
   const store_row_t *job = row_in (reply, table, write->id);
   if (row_in (reply, table, write->key) != NULL)
     answer_written (write, true);
-  else if (job == NULL)
+  else if (write->job_version != 0 && job != NULL)
     {
-      write->node->platform->ops->answer_no_job (write->request);
-      finish_write (write);
+      write->job_version = job->version;
+      if (begin_attempt (write))
+        send_write (write);
     }
   else
-    write->job_version = job->version;
-  return write->answered;
+    {
+      find_and_cancel (write->node, write->request, write->cell, write->id,
+                       write->deadline_ms);
+      finish_write (write);
+    }
 }
 
 /* The store has applied WRITE, or found a row of it in conflict.  */
 static void
 handle_outcome (inbox_write_t *write, const store_reply_t *reply)
 {
+  bool leaves_tombstone = write->is_cancel && write->job_version == 0;
   if (reply->result == STORE_OK)
     {
-      node_notify_owner (write->cell, write->key, write->value);
-      if (!write->answered)
+      if (!leaves_tombstone)
+        node_notify_owner (write->cell, write->key, write->value);
+      if (!write->answered && leaves_tombstone)
+        answer_tombstone_stored (write);
+      else if (!write->answered)
         answer_written (write, false);
       return;
     }
   if (write->answered)
     return;
-  if (!write->is_cancel && submission_is_stored (write, reply))
+  if (write->is_cancel)
+    resolve_cancel (write, reply);
+  else if (submission_is_stored (write, reply))
     answer_written (write, true);
-  else if (!write->is_cancel || !resolve_cancel (write, reply))
-    retry_write (write);
+  else if (begin_attempt (write))
+    send_write (write);
 }
 
 static void
@@ -292,53 +351,91 @@
   send_write (watcher->data);
 }
 
-/* Cells that a submission expects not to have the job: all that this node
-   knows, since jobs that an earlier version has stored have no home.  */
+/* Cells that are expected not to have the job: all that this node knows, since
+   jobs that an earlier version has stored have no home.  */
 #define MAX_EXPECTED_CELLS 90u
+/* Of a submission that is stored as cancelled.  */
+#define MAX_WRITES 4u
+
+/* The rows of a transaction.  */
+typedef struct
+{
+  GArray *expect; /* store_row_t */
+  store_row_t writes[MAX_WRITES];
+  uint32_t write_count;
+} rows_t;
 
-/* Appends the rows of a submission in PART to EXPECT, an array of store_row_t,
-   and sets the two that it WRITES.  */
 static void
-submission_rows (const inbox_write_t *write, const char *part, GArray *expect,
-                 store_row_t writes[2])
+add_write (rows_t *rows, store_row_t row, const char *value)
+{
+  row.value = value;
+  row.length = value != NULL ? strlen (value) : 0;
+  rows->writes[rows->write_count++] = row;
+}
+
+/* Expects that there is no job, in any cell.  */
+static void
+expect_no_job (const inbox_write_t *write, const char *part, rows_t *rows)
 {
   GHashTableIter iterator;
   gpointer value;
   store_row_t home
       = { HOME_TABLE, part, write->id, write->home_version, NULL, 0 };
   store_row_t own = { write->cell->inbox_table, part, write->id, 0, NULL, 0 };
-  g_array_append_val (expect, home);
-  g_array_append_val (expect, own);
+  g_array_append_val (rows->expect, home);
+  g_array_append_val (rows->expect, own);
   g_hash_table_iter_init (&iterator, write->node->cells);
   while (g_hash_table_iter_next (&iterator, NULL, &value)
-         && expect->len < MAX_EXPECTED_CELLS)
+         && rows->expect->len < MAX_EXPECTED_CELLS)
     {
       const node_cell_t *cell = value;
       store_row_t other = { cell->inbox_table, part, write->id, 0, NULL, 0 };
       if (cell != write->cell)
-        g_array_append_val (expect, other);
+        g_array_append_val (rows->expect, other);
     }
-  writes[0] = own;
-  writes[0].value = write->value;
-  writes[0].length = strlen (write->value);
-  writes[1] = home;
-  writes[1].value = write->cell->name;
-  writes[1].length = strlen (write->cell->name);
 }
 
-/* The same for a cancel, which writes one row.  */
 static void
-cancel_rows (const inbox_write_t *write, const char *part, GArray *expect,
-             store_row_t writes[1])
+submission_rows (const inbox_write_t *write, const char *part, rows_t *rows)
+{
+  const char *table = write->cell->inbox_table;
+  store_row_t tombstone = { TOMBSTONE_TABLE,          part, write->id,
+                            write->tombstone_version, NULL, 0 };
+  expect_no_job (write, part, rows);
+  g_array_append_val (rows->expect, tombstone);
+  add_write (rows, (store_row_t){ table, part, write->id, 0, NULL, 0 },
+             write->value);
+  add_write (rows, (store_row_t){ HOME_TABLE, part, write->id, 0, NULL, 0 },
+             write->cell->name);
+  if (write->cancel_key != NULL)
+    add_write (rows,
+               (store_row_t){ table, part, write->cancel_key, 0, NULL, 0 },
+               CANCEL_VALUE);
+  if (write->tombstone_version != 0)
+    add_write (rows, tombstone, NULL);
+}
+
+/* The rows of the cancel of a job.  */
+static void
+cancel_rows (const inbox_write_t *write, const char *part, rows_t *rows)
 {
   const char *table = write->cell->inbox_table;
   store_row_t job = { table, part, write->id, write->job_version, NULL, 0 };
   store_row_t cancel = { table, part, write->key, 0, NULL, 0 };
-  g_array_append_val (expect, job);
-  g_array_append_val (expect, cancel);
-  writes[0] = cancel;
-  writes[0].value = write->value;
-  writes[0].length = strlen (write->value);
+  g_array_append_val (rows->expect, job);
+  g_array_append_val (rows->expect, cancel);
+  add_write (rows, cancel, write->value);
+}
+
+/* The rows of the cancel of an id without a job.  Replaces an earlier
+   tombstone.  */
+static void
+tombstone_rows (const inbox_write_t *write, const char *part, rows_t *rows)
+{
+  expect_no_job (write, part, rows);
+  add_write (rows,
+             (store_row_t){ TOMBSTONE_TABLE, part, write->id, 0, NULL, 0 },
+             write->value);
 }
 
 static void
@@ -346,23 +443,24 @@
 {
   node_t *node = write->node;
   char part[INBOX_PART_NAME_BYTES];
-  store_row_t writes[2];
-  GArray *expect = g_array_new (FALSE, FALSE, sizeof (store_row_t));
+  rows_t rows = { .expect = g_array_new (FALSE, FALSE, sizeof (store_row_t)) };
   node_inbox_part (write->id, part);
-  if (write->is_cancel)
-    cancel_rows (write, part, expect, writes);
+  if (!write->is_cancel)
+    submission_rows (write, part, &rows);
+  else if (write->job_version != 0)
+    cancel_rows (write, part, &rows);
   else
-    submission_rows (write, part, expect, writes);
+    tombstone_rows (write, part, &rows);
   write->sent_ms = node_now (node);
   write->timeout_ms = CLAMP (
       write->deadline_ms - write->sent_ms, MIN_ATTEMPT_MS,
       adaptive_timeout_with_lag (&node->store_timeout, node->store_lag_ms));
   write->open_calls++;
   node_store_commit (node, write->via_peer,
-                     (const store_row_t *)(const void *)expect->data,
-                     expect->len, writes, write->is_cancel ? 1 : 2,
+                     (const store_row_t *)(const void *)rows.expect->data,
+                     rows.expect->len, rows.writes, rows.write_count,
                      write->timeout_ms, on_written, write);
-  g_array_unref (expect);
+  g_array_unref (rows.expect);
 }
 
 static inbox_write_t *
@@ -428,13 +526,16 @@
   node_t *node;
   caller_request_t *request;
   char *id;
+  node_cell_t *first;  /* of a cancel: where the search begins */
+  int64_t deadline_ms; /* of a cancel, see find_and_cancel */
 } job_query_t;
 
 static job_query_t *
 query_new (node_t *node, caller_request_t *request, const char *id)
 {
   job_query_t *query = g_new (job_query_t, 1);
-  *query = (job_query_t){ node, request, g_strdup (id) };
+  *query
+      = (job_query_t){ .node = node, .request = request, .id = g_strdup (id) };
   return query;
 }
 
@@ -445,27 +546,17 @@
   g_free (query);
 }
 
-/* Answers QUERY if there is no job to do something with.  Returns whether it
-   did.  */
-static bool
-answer_without_job (const job_query_t *query, const found_job_t *found)
-{
-  const platform_api_ops_t *ops = query->node->platform->ops;
-  if (found->result == STORE_OK && found->cell != NULL)
-    return false;
-  if (found->result == STORE_OK)
-    ops->answer_no_job (query->request);
-  else
-    ops->answer_error (query->request, ERR_STORE_UNAVAILABLE, RETRY_AFTER_MS);
-  return true;
-}
-
 static void
 on_state_found (void *context, const found_job_t *found)
 {
   job_query_t *query = context;
-  if (!answer_without_job (query, found))
-    query->node->platform->ops->answer_state (query->request, found->state);
+  const platform_api_ops_t *ops = query->node->platform->ops;
+  if (found->result != STORE_OK)
+    ops->answer_error (query->request, ERR_STORE_UNAVAILABLE, RETRY_AFTER_MS);
+  else if (found->cell != NULL)
+    ops->answer_state (query->request, found->state);
+  else
+    ops->answer_no_job (query->request);
   query_free (query);
 }
 
@@ -503,26 +594,49 @@
 on_cancel_found (void *context, const found_job_t *found)
 {
   job_query_t *query = context;
-  if (!answer_without_job (query, found))
+  node_t *node = query->node;
+  const platform_api_ops_t *ops = node->platform->ops;
+  bool has_job = found->cell != NULL;
+  bool late = query->deadline_ms != 0
+              && node_now (node) >= query->deadline_ms - MIN_ATTEMPT_MS;
+  if (found->result != STORE_OK || late
+      || (!has_job && !node_take_tombstone (node)))
+    ops->answer_error (query->request, ERR_STORE_UNAVAILABLE, RETRY_AFTER_MS);
+  else
     {
       inbox_write_t *write
-          = write_new (query->node, query->request, found->cell, query->id, 0);
+          = write_new (node, query->request,
+                       has_job ? found->cell : query->first, query->id, 0);
       write->is_cancel = true;
       write->job_version = found->inbox_version;
+      write->home_version = found->home_version;
       write->key = g_strconcat (query->id, CANCEL_SUFFIX, NULL);
-      write->value = g_strdup ("cancelled");
+      write->value = g_strdup (CANCEL_VALUE);
+      if (query->deadline_ms != 0)
+        write->deadline_ms = query->deadline_ms;
       send_write (write);
     }
   query_free (query);
 }
 
+/* Cancels the job ID, or leaves a tombstone.  DEADLINE_MS: the time by which
+   the caller has its answer; 0: as is usual for a write that begins then.  */
+static void
+find_and_cancel (node_t *node, caller_request_t *request, node_cell_t *first,
+                 const char *id, int64_t deadline_ms)
+{
+  job_query_t *query = query_new (node, request, id);
+  query->first = first;
+  query->deadline_ms = deadline_ms;
+  node_find_job (node, first, id, false, on_cancel_found, query);
+}
+
 static void
 handle_cancel (void *context, caller_request_t *request, const queue_t *queue,
                const char *id)
 {
   node_t *node = context;
-  node_find_job (node, node_cell_for_queue (node, queue), id, false,
-                 on_cancel_found, query_new (node, request, id));
+  find_and_cancel (node, request, node_cell_for_queue (node, queue), id, 0);
 }
 
 typedef struct
--- a/src/work.c
+++ b/src/work.c
@@ -176,6 +176,7 @@
   set_integer (object, "first_due_ms", job->first_due_ms);
   set_integer (object, "interval_ms", job->interval_ms);
   set_integer (object, "accepted_ms", job->accepted_ms);
+  set_flag (object, "cancelled", job->cancelled);
   set_integer (object, "config_version", (int64_t)job->config_version);
   if (job->terms != NULL)
     json_object_set_new (object, "terms", terms_to_json (job->terms));
@@ -302,6 +303,7 @@
     }
   job = work_job_new (id, queue, (uint32_t)json_array_size (steps));
   job->spec = get_text (object, "spec");
+  job->cancelled = get_flag (object, "cancelled");
   int64_t config_version;
   if (number_member (object, "config_version", 0, NUMBER_MAX, &config_version))
     job->config_version = (uint64_t)config_version;
--- a/src/work.h
+++ b/src/work.h
@@ -59,6 +59,7 @@
   int64_t first_due_ms;    /* wall time of occurrence 0 */
   int64_t interval_ms;     /* between two occurrences */
   int64_t accepted_ms;     /* wall time of its acceptance */
+  bool cancelled;          /* before it was stored */
   uint64_t config_version; /* of the row of the configuration by which it was
                               accepted; 0: unknown */
   queue_t *terms;          /* its queue as configured then, without the fields
--- a/tests/fake_rows.h
+++ b/tests/fake_rows.h
@@ -26,6 +26,10 @@
   GPtrArray *calls; /* that wait, owned */
   GPtrArray *late;  /* to be carried out later, owned */
   uint64_t version;
+  /* Defects, to show that a test notices their effect; NULL: none.  */
+  const char *unchecked_table; /* what transactions expect of its rows is not
+                                  checked */
+  const char *hidden_table;    /* reads find no rows in it */
 } fake_rows_t;
 
 typedef struct
@@ -59,6 +63,8 @@
 /* Ends the waiting call at INDEX.  */
 void fake_rows_deliver (fake_rows_t *rows, guint index,
                         fake_delivery_t delivery);
+/* Whether the waiting call at INDEX reads TABLE.  */
+bool fake_rows_reads (const fake_rows_t *rows, guint index, const char *table);
 /* Delivers calls until none waits.  */
 void fake_rows_settle (fake_rows_t *rows);
 /* Carries out the calls that are late.  */
