work: read a row without a version of the configuration as such

Cause: a row of a job that an earlier build has stored has no config_version, and the variable that should take it had no value; the owner then heard of an arbitrary version. What callers could see, by reading: a node that hears of a version that does not exist refuses requests (503) until the store shows that, for a moment after a takeover beside such rows.

Ruled out: a value that is written wrongly (the row has no such field).

Change: the version is 0, unknown, unless the row has one.

--- a/src/work.c
+++ b/src/work.c
@@ -304,7 +304,7 @@
   job = work_job_new (id, queue, (uint32_t)json_array_size (steps));
   job->spec = get_text (object, "spec");
   job->cancelled = get_flag (object, "cancelled");
-  int64_t config_version;
+  int64_t config_version = 0;
   if (number_member (object, "config_version", 0, NUMBER_MAX, &config_version))
     job->config_version = (uint64_t)config_version;
   job->terms = terms_from_json (json_object_get (object, "terms"), queue);
--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -76,6 +76,27 @@
   work_job_free (job);
 }
 
+/* Guards against a row without the version of the configuration, as an earlier
+   build has written it, that is read with an arbitrary one: a node that hears
+   of a version which does not exist refuses requests until the store says so.
+   */
+static void
+test_row_without_version (void)
+{
+  for (int i = 0; i < 3; i++)
+    {
+      work_job_t *job = job_new (NULL);
+      job->config_version = (uint64_t)i;
+      char *text = work_job_encode (job);
+      work_job_t *read = work_job_decode (text, strlen (text), NULL);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (read);
+      CU_ASSERT_TRUE (read != NULL && read->config_version == (uint64_t)i);
+      free (text);
+      work_job_free (read);
+      work_job_free (job);
+    }
+}
+
 /* Guards against a job that fails with its first failed run because its route
    has gone, and against one without a limit of attempts: at the owner that saw
    the route go, and at the next one, which never knew it.  */
@@ -837,6 +858,8 @@
 
 static CU_TestInfo home_tests[] = {
   { "terms in the row of a job", test_terms_in_row },
+  { "a row without the version of the configuration",
+    test_row_without_version },
   { "attempts of a job without a route", test_attempts_without_route },
   { "tickets of a job without a route", test_tickets_without_route },
   { "a route that moves", test_moved_route },
