tests: a node that asks another one over connections that fell silent

The store's side is shown by test_httpc.c "connections that fall silent together" and tests/e2e_config.sh (case silent) already; this is the one between nodes.

It passes now, without a change of the product.

--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -5,6 +5,7 @@
 #include "http_reply.h"
 #include "httpc.h"
 #include "loop.h"
+#include "node_internal.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -483,6 +484,55 @@
   server_stop ();
 }
 
+static void
+note_answer (void *context, bool knows)
+{
+  *(int *)context = knows;
+  ev_break (server.loop, EVBREAK_ALL);
+}
+
+/* Guards against a node that cannot ask an owner any more because its open
+   connections to that node fell silent for good: one question goes without an
+   answer, the next one has a connection of its own.  */
+static void
+test_silent_peer (void)
+{
+  static const act_t script[] = { ANSWER, ANSWER, ANSWER };
+  clk_fake_t clock;
+  node_t node
+      = { .members = g_ptr_array_new_with_free_func (node_member_free) };
+  server_start (script, 4);
+  clk_fake_init (&clock, 100000);
+  node.clock = &clock.base;
+  node.loop = server.loop;
+  node.peer_client = server.client;
+  platform_api_t platform = { .settings = { .name = (char *)"edge-1" } };
+  node.platform = &platform;
+  char *address = g_strdup_printf ("127.0.0.1:%u", server.port);
+  node_member_set (&node, "edge-2", address, 250);
+  node_cell_t *cell = node_cell_new (&node, "pool");
+  cell->owner = g_strdup ("edge-2");
+  int knows[4] = { -1, -1, -1, -1 };
+  node_ask_owner (cell, "0000000000000001", note_answer, &knows[0]);
+  node_ask_owner (cell, "0000000000000001", note_answer, &knows[1]);
+  while (knows[0] < 0 || knows[1] < 0)
+    ev_run (server.loop, 0);
+  server.silent_connections = server.accepted;
+  for (int i = 2; i < 4; i++)
+    {
+      node_ask_owner (cell, "0000000000000001", note_answer, &knows[i]);
+      while (knows[i] < 0)
+        ev_run (server.loop, 0);
+    }
+  CU_ASSERT_EQUAL (knows[0] + knows[1], 2);
+  CU_ASSERT_EQUAL (knows[2], 0);
+  CU_ASSERT_EQUAL (knows[3], 1);
+  g_free (address);
+  node_cell_free (cell);
+  g_ptr_array_unref (node.members);
+  server_stop ();
+}
+
 /* Guards against timeouts that grow or shrink by a jump of the time of day, in
    both clients.  */
 static void
@@ -515,6 +565,7 @@
 static CU_TestInfo tests[] = {
   { "timeouts while the time of day jumps", test_wall_jumps },
   { "connections that fall silent together", test_silent_connections },
+  { "connections to another node that fall silent", test_silent_peer },
   { "replies in pieces", test_replies },
   { "head without end", test_endless_head },
   { "calls and dead connections", test_calls },
