node: bound what a write does whose expectation failed

By reading, before the landing: a write that may have been applied and whose expectation fails again and again, as with a peer that leaves rows out of its reply, would be sent without a pause until its deadline; a cancel would search as often. Now the first three attempts go at once, later ones after the pause of a refused one, and a cancel searches four times at most.

--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -112,11 +112,12 @@
 }
 
 /* Removes the groups of the oldest occurrences as far as they are finished and
-   hold no capacity; see cell_segment.c.  */
+   hold no capacity.  */
 static void
 drop_finished_occurrences (cell_job_t *job)
 {
   uint32_t steps = job->work->step_count;
+  /* The record is being split.  */
   if (job->segments != NULL && !job->head_split)
     return;
   while (job->groups->len >= steps && job->work->times > 0)
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -23,6 +23,8 @@
    gives few of these while several cells have heartbeats, so those of the
    configuration's table count too.  */
 #define STORE_LAG_DECAY_DIVISOR 3
+/* Pause before a caller's write is sent again that the store has not taken, or
+   not answered.  */
 #define WRITE_RETRY_S 0.03
 #define TICK_S (CELL_TICK_MS / 1000.0)
 #define CLAIM_CHECK_S 0.05
--- a/src/io/node_requests.c
+++ b/src/io/node_requests.c
@@ -30,6 +30,8 @@
 /* Time between the questions to the owner whether it has read the row of a
    write without an answer.  */
 #define ASK_OWNER_S 0.3
+/* For a job that is to be cancelled and is stored or deleted meanwhile.  */
+#define MAX_SEARCHES 4u
 #define CANCEL_VALUE "cancelled"
 
 typedef struct
@@ -51,6 +53,7 @@
   int64_t sent_ms;
   int64_t timeout_ms;
   uint32_t failed_attempts;
+  uint32_t searches;    /* for the job that is cancelled */
   bool outcome_unknown; /* an attempt had no answer, may be applied */
   bool via_peer;        /* the store fails for this node */
   bool is_cancel;
@@ -63,7 +66,7 @@
 static void send_write (inbox_write_t *write);
 static void find_and_cancel (node_t *node, caller_request_t *request,
                              node_cell_t *first, const char *id,
-                             int64_t deadline_ms);
+                             const inbox_write_t *before);
 
 /* Frees WRITE once its caller has an answer and no call refers to it.  */
 static void
@@ -175,6 +178,16 @@
   ev_timer_start (write->node->loop, &write->retry);
 }
 
+/* A row was not as WRITE expected, which is known now.  */
+static void
+replace_attempt (inbox_write_t *write)
+{
+  if (write->failed_attempts >= MAX_REFUSED_RETRIES)
+    retry_write (write);
+  else if (begin_attempt (write))
+    send_write (write);
+}
+
 /* Returns the row KEY of TABLE in REPLY, NULL if it is absent.  */
 static const store_row_t *
 row_in (const store_reply_t *reply, const char *table, const char *key)
@@ -247,13 +260,14 @@
   else if (write->job_version != 0 && job != NULL)
     {
       write->job_version = job->version;
-      if (begin_attempt (write))
-        send_write (write);
+      replace_attempt (write);
     }
+  else if (write->searches >= MAX_SEARCHES)
+    fail_write (write);
   else
     {
       find_and_cancel (write->node, write->request, write->cell, write->id,
-                       write->deadline_ms);
+                       write);
       finish_write (write);
     }
 }
@@ -279,8 +293,8 @@
     resolve_cancel (write, reply);
   else if (submission_is_stored (write, reply))
     answer_written (write, true);
-  else if (begin_attempt (write))
-    send_write (write);
+  else
+    replace_attempt (write);
 }
 
 static void
@@ -527,7 +541,8 @@
   caller_request_t *request;
   char *id;
   node_cell_t *first;  /* of a cancel: where the search begins */
-  int64_t deadline_ms; /* of a cancel, see find_and_cancel */
+  uint32_t searches;   /* of a cancel, with this one */
+  int64_t deadline_ms; /* of a cancel that has had a write; 0: not set */
 } job_query_t;
 
 static job_query_t *
@@ -608,6 +623,7 @@
           = write_new (node, query->request,
                        has_job ? found->cell : query->first, query->id, 0);
       write->is_cancel = true;
+      write->searches = query->searches;
       write->job_version = found->inbox_version;
       write->home_version = found->home_version;
       write->key = g_strconcat (query->id, CANCEL_SUFFIX, NULL);
@@ -619,15 +635,16 @@
   query_free (query);
 }
 
-/* Cancels the job ID, or leaves a tombstone.  DEADLINE_MS: the time by which
-   the caller has its answer; 0: as is usual for a write that begins then.  */
+/* Cancels the job ID, or leaves a tombstone.  BEFORE: the write that has found
+   that the last search is out of date; NULL: there was none.  */
 static void
 find_and_cancel (node_t *node, caller_request_t *request, node_cell_t *first,
-                 const char *id, int64_t deadline_ms)
+                 const char *id, const inbox_write_t *before)
 {
   job_query_t *query = query_new (node, request, id);
   query->first = first;
-  query->deadline_ms = deadline_ms;
+  query->searches = before != NULL ? before->searches + 1 : 1;
+  query->deadline_ms = before != NULL ? before->deadline_ms : 0;
   node_find_job (node, first, id, false, on_cancel_found, query);
 }
 
@@ -636,7 +653,7 @@
                const char *id)
 {
   node_t *node = context;
-  find_and_cancel (node, request, node_cell_for_queue (node, queue), id, 0);
+  find_and_cancel (node, request, node_cell_for_queue (node, queue), id, NULL);
 }
 
 typedef struct
