cell: raise the token for a worker with each restart

Change: a claim reserves 1,024 tokens; the owner raises its token for a worker with each restart that it learns of, and relies on the worker (starts, leases, acknowledgements) only once that has answered a poll with the raised token.

--- a/src/cell.c
+++ b/src/cell.c
@@ -24,6 +24,7 @@
   cell->now_ms = clk_now_ms (clock);
   cell->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                       (GDestroyNotify)cell_job_free);
+  cell->raises = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   cell->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                          (GDestroyNotify)cell_worker_free);
   cell->queues = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
@@ -56,6 +57,7 @@
     return;
   g_hash_table_unref (cell->jobs);
   g_hash_table_unref (cell->workers);
+  g_hash_table_unref (cell->raises);
   g_hash_table_unref (cell->queues);
   g_hash_table_unref (cell->queues_without_free_node);
   g_hash_table_unref (cell->room_lists);
--- a/src/cell.h
+++ b/src/cell.h
@@ -11,7 +11,11 @@
 
    Only one node at a time owns a cell.  The owner makes a cell_t, loads the
    jobs and their records, and calls cell_begin.  Every order to a worker
-   carries the owner's fencing token, which the caller adds.
+   carries the owner's fencing token, which the caller adds.  An order may be
+   carried out late, in the next life of its worker.  So the owner raises the
+   token for a worker with each restart that it learns of, and relies on a
+   worker only once that has answered a poll with the raised token: it then
+   refuses orders to earlier lives.
 
    A run is one attempt at a task; runs of a task are numbered from 1.  A start
    is ordered only after the record that names task, run and worker was saved.
@@ -45,10 +49,14 @@
 /* Returns the limit of a row in bytes.  */
 size_t cell_row_limit (const cell_options_t *options);
 
+/* Most times that an owner raises its token for one worker.  */
+#define CELL_MAX_RAISES 1023u
+
 typedef struct
 {
   const char *id;
   const char *address;
+  uint32_t raises; /* to be added to the owner's token */
 } cell_worker_ref_t;
 
 typedef struct
@@ -154,6 +162,7 @@
 typedef struct
 {
   int64_t sent_ms;  /* when the poll was sent */
+  uint32_t raises;  /* of the token that it carried */
   int64_t clock_ms; /* worker's clock, which restarts with the worker */
   int64_t start_ms; /* wall time of the worker's start, 0: not reported */
   const report_run_t *runs;
@@ -207,6 +216,11 @@
                        uint32_t count);
 void cell_cancel_job (cell_t *cell, const char *id);
 
+/* How often the token was raised for the worker ID so far.  A refusal of an
+   order with a lower token is one by the worker's next life, not by the order
+   of another owner.  */
+uint32_t cell_worker_raises (const cell_t *cell, const char *id);
+
 /* Every change of the list of workers that was acknowledged at AS_OF_MS was
    reported.  */
 void cell_workers_confirmed (cell_t *cell, int64_t as_of_ms);
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -235,9 +235,11 @@
   int64_t highest_start_ms; /* of all lives known so far */
   int64_t listed_start_ms; /* of the start to which CAPACITY and LABELS belong;
                               0: unknown */
-  bool has_fencing_token;  /* it has answered a poll of this owner since its
-                              start, so it refuses the orders of earlier owners;
-                              also set when it is gone and can carry out none */
+  uint32_t raises;         /* of the token of orders to it, see cell.h */
+  bool has_fencing_token;  /* it has answered a poll with the current token, so
+                              it refuses the orders of earlier owners and to
+                              its earlier lives; also set when it is gone and
+                              can carry out none */
   bool responsive;   /* cleared when a call fails, set by the next report */
   int64_t added_ms;  /* when this owner first saw it */
   int64_t silent_ms; /* when RESPONSIVE was last cleared */
@@ -314,11 +316,12 @@
   const cell_actions_t *actions;
   void *context;
   int64_t now_ms, wall_ms;
-  GHashTable *jobs;          /* id -> cell_job_t, owned */
-  GHashTable *workers;       /* id -> cell_worker_t, owned */
-  GPtrArray *worker_list;    /* borrowed, in the order of appearance */
-  GHashTable *queues;        /* name -> queue_t as configured now, owned */
-  GPtrArray *ready_groups;   /* cell_group_t that can run, not finished */
+  GHashTable *jobs;        /* id -> cell_job_t, owned */
+  GHashTable *workers;     /* id -> cell_worker_t, owned */
+  GHashTable *raises;      /* id of a worker that was removed -> its raises */
+  GPtrArray *worker_list;  /* borrowed, in the order of appearance */
+  GHashTable *queues;      /* name -> queue_t as configured now, owned */
+  GPtrArray *ready_groups; /* cell_group_t that can run, not finished */
   GPtrArray *recurring_jobs; /* cell_job_t that may have occurrences to come */
   GPtrArray *dirty_jobs;     /* cell_job_t to be saved, but for the next two */
   GQueue *suspects;      /* GPtrArray of cell_job_t: jobs to be saved together,
@@ -531,6 +534,7 @@
    and its capacity is known and not exceeded by the runs it has been given.
    */
 bool cell_worker_takes_starts (const cell_worker_t *worker);
+cell_worker_ref_t cell_worker_ref (const cell_worker_t *worker);
 /* Whether the list of workers is recent enough to start tasks by it.  */
 bool cell_list_is_current (const cell_t *cell);
 
--- a/src/cell_pace.c
+++ b/src/cell_pace.c
@@ -29,7 +29,7 @@
 set_pace (cell_t *cell, cell_task_t *task, uint32_t percent)
 {
   char name[WORK_NAME_BYTES];
-  cell_worker_ref_t ref = { task->worker->id, task->worker->address };
+  cell_worker_ref_t ref = cell_worker_ref (task->worker);
   cell_task_name (task, name);
   cell_log (cell, "pace", name, "percent=%u worker=%s", percent,
             task->worker->id);
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -26,12 +26,6 @@
 #define QUICK_RETRY_MS 50
 #define QUICK_MAX_RETRY_MS 2000
 
-static cell_worker_ref_t
-worker_ref (const cell_worker_t *worker)
-{
-  return (cell_worker_ref_t){ worker->id, worker->address };
-}
-
 static bool
 job_has_ended (const cell_task_t *task)
 {
@@ -99,7 +93,7 @@
           .ticket = group->job->queue != NULL && group->job->queue->advised
                         ? cell_ticket (group, worker)
                         : NULL };
-  cell_worker_ref_t ref = worker_ref (worker);
+  cell_worker_ref_t ref = cell_worker_ref (worker);
   cell_note_ticket_used (group, worker);
   cell->load.starts++;
   task->start_in_flight = true;
@@ -137,7 +131,7 @@
   if (task->worker->address[0] == '\0')
     return;
   cell_task_name (task, name);
-  cell_worker_ref_t ref = worker_ref (task->worker);
+  cell_worker_ref_t ref = cell_worker_ref (task->worker);
   task->stop_in_flight = true;
   cell->actions->stop (cell->context, &ref, name, task->run);
 }
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -65,11 +65,27 @@
   worker->tasks = g_ptr_array_new ();
   worker->unsaved_ends = g_array_new (FALSE, TRUE, sizeof (unsaved_end_t));
   worker->added_ms = cell->now_ms;
+  worker->raises = GPOINTER_TO_UINT (g_hash_table_lookup (cell->raises, id));
   g_hash_table_insert (cell->workers, worker->id, worker);
   g_ptr_array_add (cell->worker_list, worker);
   return worker;
 }
 
+cell_worker_ref_t
+cell_worker_ref (const cell_worker_t *worker)
+{
+  return (cell_worker_ref_t){ worker->id, worker->address, worker->raises };
+}
+
+uint32_t
+cell_worker_raises (const cell_t *cell, const char *id)
+{
+  const cell_worker_t *worker = g_hash_table_lookup (cell->workers, id);
+  return worker != NULL
+             ? worker->raises
+             : GPOINTER_TO_UINT (g_hash_table_lookup (cell->raises, id));
+}
+
 /* Treats every run on WORKER as ended, HOW, and undoes its assignments.  */
 static void
 end_all_runs (cell_worker_t *worker, end_kind_t how)
@@ -136,6 +152,7 @@
   worker->fail_streak = 0;
   worker->avoid_until_ms = 0;
   worker->has_fencing_token = false;
+  worker->raises = MIN (worker->raises + 1, CELL_MAX_RAISES);
   cell_expect_late_orders (cell, worker);
   if (life_known)
     end_reported_runs (worker);
@@ -326,7 +343,7 @@
 static void
 send_poll (cell_t *cell, cell_worker_t *worker, int64_t wait_ms)
 {
-  cell_worker_ref_t ref = { worker->id, worker->address };
+  cell_worker_ref_t ref = cell_worker_ref (worker);
   int64_t until_ms = 0;
   if (worker->has_fencing_token && worker->responsive
       && worker->failed_polls == 0)
@@ -501,7 +518,7 @@
 process_runs (cell_t *cell, cell_worker_t *worker,
               const worker_report_t *report)
 {
-  cell_worker_ref_t ref = { worker->id, worker->address };
+  cell_worker_ref_t ref = cell_worker_ref (worker);
   for (guint i = 0; i < worker->tasks->len; i++)
     ((cell_task_t *)worker->tasks->pdata[i])->reported = false;
   worker->stray_runs = 0;
@@ -583,7 +600,8 @@
     cell_worker_reached (cell, worker);
   cell->fit_epoch += !worker->responsive;
   worker->responsive = true;
-  worker->has_fencing_token = true;
+  worker->has_fencing_token
+      = worker->has_fencing_token || report->raises == worker->raises;
   worker->sampled_ms = cell->now_ms;
   worker->alive_ms = cell->now_ms;
   worker->sampled_clock_ms = report->clock_ms;
@@ -657,6 +675,10 @@
 {
   cell_worker_t *worker = g_ptr_array_remove_index (cell->worker_list, at);
   cell_forget_worker (cell, worker);
+  /* It may come back, and refuses what carries a lower token.  */
+  if (worker->raises > 0)
+    g_hash_table_insert (cell->raises, g_strdup (worker->id),
+                         GUINT_TO_POINTER (worker->raises));
   g_hash_table_remove (cell->workers, worker->id);
 }
 
--- a/src/io/node_claim.c
+++ b/src/io/node_claim.c
@@ -270,7 +270,7 @@
       cell->seen_token = token;
       return;
     }
-  cell->token = token + 1;
+  cell->token = token + TOKEN_RANGE;
   cell->commit_number = 0;
   cell->heartbeat_commit = 0;
   cell->commit_begun_ms = cell->heartbeat_sent_ms = node_now (cell->node);
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -57,6 +57,10 @@
 #define ENTRY_PREFIX "entry/"
 #define CANCEL_SUFFIX "/c"
 
+/* A claim reserves this many tokens, of which the fence row holds the last
+   one, so that any successor goes above all of them.  */
+#define TOKEN_RANGE (CELL_MAX_RAISES + 1)
+
 /* Time between two heartbeats.  Other nodes presume an owner lost after
    several.  */
 #define HEARTBEAT_MS 200
@@ -98,6 +102,7 @@
 {
   char *owner; /* NULL: there was none */
   char *incarnation;
+  uint64_t token; /* the last one that was reserved for it */
   tenure_row_t row;
   bool restarted;           /* since it wrote the row */
   int64_t heard_ms;         /* see tenure_view_t */
@@ -110,7 +115,7 @@
    be told.  */
 typedef struct
 {
-  uint64_t token;
+  uint64_t token, former_token;
   int64_t own_end_ms;       /* of the leases that it gave */
   int64_t inherited_end_ms; /* of those of the owners before it */
   bool untold, in_flight;
@@ -151,7 +156,8 @@
   /* While this node owns the cell.  */
   cell_t *scheduler;
   replica_t *inbox;
-  uint64_t token, commit_number, fence_version;
+  uint64_t token; /* the last one that is reserved for this node */
+  uint64_t commit_number, fence_version;
   former_owner_t former;
   uint64_t heartbeat_commit;  /* number of the last commit with a heartbeat */
   int64_t commit_begun_ms;    /* just before its first attempt was sent */
--- a/src/io/node_orders.c
+++ b/src/io/node_orders.c
@@ -19,18 +19,22 @@
   char *worker;
   char *task;
   uint32_t run;
+  uint32_t raises; /* of the token */
   int64_t sent_ms;
 } order_call_t;
 
 static order_call_t *
-call_new (node_cell_t *cell, const char *worker, const char *task,
+call_new (node_cell_t *cell, const cell_worker_ref_t *worker, const char *task,
           uint32_t run)
 {
   order_call_t *call = g_new (order_call_t, 1);
-  *call = (order_call_t){
-    cell, cell->epoch,          g_strdup (worker), g_strdup (task),
-    run,  node_now (cell->node)
-  };
+  *call = (order_call_t){ .cell = cell,
+                          .epoch = cell->epoch,
+                          .worker = g_strdup (worker->id),
+                          .task = g_strdup (task),
+                          .run = run,
+                          .raises = worker->raises,
+                          .sent_ms = node_now (cell->node) };
   return call;
 }
 
@@ -56,7 +60,20 @@
 static order_target_t
 target_of (const node_cell_t *cell, const cell_worker_ref_t *worker)
 {
-  return (order_target_t){ worker->id, worker->address, cell->token };
+  uint64_t token = cell->token - (TOKEN_RANGE - 1) + worker->raises;
+  return (order_target_t){ worker->id, worker->address, token };
+}
+
+/* RESULT of CALL as it is for the scheduler.  */
+static order_result_t
+result_of (const order_call_t *call, const cell_t *scheduler,
+           order_result_t result)
+{
+  /* The order was for an earlier life.  */
+  if (result == ORDER_FENCED
+      && call->raises < cell_worker_raises (scheduler, call->worker))
+    return ORDER_NOT_DELIVERED;
+  return result;
 }
 
 static void
@@ -66,7 +83,7 @@
   cell_t *scheduler = owned_scheduler (call);
   if (scheduler != NULL)
     cell_start_answered (scheduler, call->worker, call->task, call->run,
-                         result, clock_ms);
+                         result_of (call, scheduler, result), clock_ms);
   call_free (call);
 }
 
@@ -78,7 +95,7 @@
   platform_api_t *platform = cell->node->platform;
   order_target_t target = target_of (cell, worker);
   platform->ops->start (platform, &target, order, ORDER_TIMEOUT_MS, on_started,
-                        call_new (cell, worker->id, order->task, order->run));
+                        call_new (cell, worker, order->task, order->run));
 }
 
 static void
@@ -88,7 +105,7 @@
   cell_t *scheduler = owned_scheduler (call);
   if (scheduler != NULL)
     cell_stop_answered (scheduler, call->worker, call->task, call->run,
-                        result);
+                        result_of (call, scheduler, result));
   call_free (call);
 }
 
@@ -100,7 +117,7 @@
   platform_api_t *platform = cell->node->platform;
   order_target_t target = target_of (cell, worker);
   platform->ops->stop (platform, &target, task, run, ORDER_TIMEOUT_MS,
-                       on_stopped, call_new (cell, worker->id, task, run));
+                       on_stopped, call_new (cell, worker, task, run));
 }
 
 static void
@@ -119,7 +136,7 @@
   platform_api_t *platform = cell->node->platform;
   order_target_t target = target_of (cell, worker);
   platform->ops->pace (platform, &target, task, run, percent, ORDER_TIMEOUT_MS,
-                       on_paced, call_new (cell, worker->id, task, run));
+                       on_paced, call_new (cell, worker, task, run));
 }
 
 static void
@@ -130,10 +147,12 @@
   if (scheduler != NULL && report != NULL)
     {
       report->sent_ms = call->sent_ms;
+      report->raises = call->raises;
       cell_poll_answered (scheduler, call->worker, report);
     }
   else if (scheduler != NULL)
-    cell_poll_failed (scheduler, call->worker, result);
+    cell_poll_failed (scheduler, call->worker,
+                      result_of (call, scheduler, result));
   call_free (call);
 }
 
@@ -147,5 +166,5 @@
   order_target_t target = target_of (cell, worker);
   platform->ops->poll (platform, &target, lease_until_ms, acknowledged_end,
                        wait_ms, wait_ms + POLL_SLACK_MS, on_polled,
-                       call_new (cell, worker->id, "", 0));
+                       call_new (cell, worker, "", 0));
 }
--- a/src/io/node_tenure.c
+++ b/src/io/node_tenure.c
@@ -146,6 +146,7 @@
       = g_strdup (json_string_value (json_object_get (fence, "owner")));
   former->incarnation
       = g_strdup (json_string_value (json_object_get (fence, "incarnation")));
+  former->token = token;
   former->row = row;
   former->restarted = restarted;
   former->heard_ms = view.heard_ms;
@@ -200,10 +201,11 @@
   json_decref (row);
   if (!valid)
     return;
-  if (token + 1 == cell->token)
+  if (token == cell->former.token)
     shorten (cell, end_ms, "told");
   /* This node was replaced too: what it told was too long.  */
-  if (token + 1 == cell->ended.token && end_ms < cell->ended.inherited_end_ms)
+  if (token == cell->ended.former_token
+      && end_ms < cell->ended.inherited_end_ms)
     {
       cell->ended.inherited_end_ms = end_ms;
       cell->ended.untold = true;
@@ -254,6 +256,7 @@
 {
   ended_tenure_t *ended = &cell->ended;
   ended->token = cell->token;
+  ended->former_token = cell->former.token;
   ended->untold = true;
   ended->next_ms = 0;
   ended->inherited_end_ms = cell->former.leases_end_ms;
--- a/tests/fake_cell.c
+++ b/tests/fake_cell.c
@@ -118,7 +118,8 @@
   order->target = g_strdup (ref->id);
   order->task = g_strdup (task);
   order->run = run;
-  order->token = sim->token;
+  order->raises = ref->raises;
+  order->token = sim->token + ref->raises;
   order->worker_start_ms = order->worker->start_ms;
   order->call = number;
   order->sends_answer = sends_answer;
@@ -521,7 +522,7 @@
     sim->leases_end_ms = cell_leases_end_ms (sim->cell);
   cell_free (sim->cell);
   sim->owner++;
-  sim->token++;
+  sim->token += CELL_MAX_RAISES + 1;
   sim->cell = cell_new (&sim->options, &sim->clock.base, &actions, sim);
   cell_set_queues (sim->cell, sim->queues);
   fake_cell_list_workers (sim);
--- a/tests/fake_cell_internal.h
+++ b/tests/fake_cell_internal.h
@@ -82,6 +82,7 @@
   char *target; /* id of the worker that a call is meant for */
   char *task;
   uint32_t run;
+  uint32_t raises; /* of the token */
   uint64_t token;
   char *ticket;
   int64_t lease_until_ms;
--- a/tests/fake_cell_worker.c
+++ b/tests/fake_cell_worker.c
@@ -290,13 +290,23 @@
   return g_hash_table_remove (sim->calls, GSIZE_TO_POINTER (event->call));
 }
 
+/* The result of a call as the node passes it on.  */
+static order_result_t
+result_of (const fake_cell_t *sim, const fake_event_t *event)
+{
+  bool outdated
+      = event->raises < cell_worker_raises (sim->cell, event->target);
+  return event->result == ORDER_FENCED && outdated ? ORDER_NOT_DELIVERED
+                                                   : event->result;
+}
+
 void
 fake_cell_answer_start (fake_cell_t *sim, fake_event_t *event)
 {
   if (!mark_answered (sim, event))
     return;
   cell_start_answered (sim->cell, event->target, event->task, event->run,
-                       event->result, event->clock_ms);
+                       result_of (sim, event), event->clock_ms);
 }
 
 void
@@ -305,7 +315,7 @@
   if (!mark_answered (sim, event))
     return;
   cell_stop_answered (sim->cell, event->target, event->task, event->run,
-                      event->result);
+                      result_of (sim, event));
 }
 
 static bool
@@ -334,6 +344,7 @@
   event->call = order->call;
   event->sent_ms = order->sent_ms;
   event->worker_start_ms = order->worker_start_ms;
+  event->raises = order->raises;
   event->result = result;
 }
 
@@ -458,7 +469,7 @@
     event->result = ORDER_UNKNOWN;
   if (event->result != ORDER_ACCEPTED)
     {
-      cell_poll_failed (sim->cell, event->target, event->result);
+      cell_poll_failed (sim->cell, event->target, result_of (sim, event));
       return;
     }
   GArray *runs = g_array_new (FALSE, TRUE, sizeof (report_run_t));
@@ -477,6 +488,7 @@
     }
   worker_report_t report
       = { .sent_ms = event->sent_ms,
+          .raises = event->raises,
           .clock_ms = fake_cell_now (sim) - worker->start_ms,
           .start_ms = worker->reported_start_ms,
           .runs = (report_run_t *)(void *)runs->data,
@@ -523,6 +535,7 @@
       again->worker = worker;
       again->target = g_strdup (event->target);
       again->token = event->token;
+      again->raises = event->raises;
       again->acknowledged_end = event->acknowledged_end;
       again->wait_until_ms = event->wait_until_ms;
       again->sent_ms = event->sent_ms;
--- a/tests/test.h
+++ b/tests/test.h
@@ -57,7 +57,6 @@
 extern CU_SuiteInfo test_refused_suites[];
 extern CU_SuiteInfo test_ack_suites[];
 extern CU_SuiteInfo test_late_order_suites[];
-extern CU_SuiteInfo test_late_renewal_suites[];
 extern CU_SuiteInfo test_tenure_suites[];
 extern CU_SuiteInfo test_node_tenure_suites[];
 
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -400,7 +400,77 @@
   g_free (cell);
 }
 
+/* Keeps the token and the call of the last start.  */
+typedef struct
+{
+  platform_api_t platform; /* first */
+  uint64_t token;
+  order_done_t done;
+  void *context;
+} start_seen_t;
+
+static void
+keep_start (platform_api_t *api, const order_target_t *target,
+            const cell_start_order_t *order, int64_t timeout_ms,
+            order_done_t done, void *context)
+{
+  start_seen_t *seen = (start_seen_t *)api;
+  seen->token = target->token;
+  seen->done = done;
+  seen->context = context;
+}
+
+static void
+list_life (cell_t *scheduler, int64_t start_ms)
+{
+  worker_row_t row = { .id = "i-1",
+                       .address = "10.0.0.1:80",
+                       .service = "pool",
+                       .rack = "",
+                       .remaining_ms = -1,
+                       .start_ms = start_ms };
+  cell_worker_listed (scheduler, &row);
+}
+
+/* Guards against an owner that gives up its cell because a new life of a
+   worker refuses an order to the life before, or that goes on although a
+   successor's token is refused to it; and against tokens beyond the reserved
+   ones.  */
+static void
+test_raised_tokens (void)
+{
+  static const platform_api_ops_t ops = { .start = keep_start };
+  const cell_options_t options = { .max_lease_ms = 6000 };
+  const cell_start_order_t order = { .task = "t", .run = 1, .spec = "" };
+  start_seen_t seen = { .platform = { .ops = &ops } };
+  clk_fake_t clock;
+  node_t node = { .platform = &seen.platform, .clock = &clock.base };
+  clk_fake_init (&clock, 1000);
+  node.metrics = counter_registry_new ();
+  node_cell_t *cell = node_cell_new (&node, "pool");
+  cell->token = 5 * TOKEN_RANGE;
+  cell->scheduler = cell_new (&options, &clock.base, &node_cell_actions, cell);
+  list_life (cell->scheduler, 1);
+  cell_worker_ref_t worker = { "i-1", "10.0.0.1:80", 0 };
+  node_start_task (cell, &worker, &order);
+  CU_ASSERT_EQUAL (seen.token, 4 * TOKEN_RANGE + 1);
+  list_life (cell->scheduler, 2);
+  CU_ASSERT_EQUAL (cell_worker_raises (cell->scheduler, "i-1"), 1);
+  seen.done (seen.context, ORDER_FENCED, 0);
+  CU_ASSERT_FALSE (cell_fenced (cell->scheduler));
+  for (int64_t life = 3; life < 2 * (int64_t)TOKEN_RANGE; life++)
+    list_life (cell->scheduler, life);
+  worker.raises = cell_worker_raises (cell->scheduler, "i-1");
+  node_start_task (cell, &worker, &order);
+  CU_ASSERT_EQUAL (seen.token, cell->token);
+  seen.done (seen.context, ORDER_FENCED, 0);
+  CU_ASSERT_TRUE (cell_fenced (cell->scheduler));
+  node_cell_free (cell);
+  counter_registry_free (node.metrics);
+}
+
 static CU_TestInfo node_tests[] = {
+  { "tokens that are raised for a worker", test_raised_tokens },
   { "adaptive timeout of the store", test_adaptive_timeout },
   { "writes of many nodes to a slow store", test_writes_to_slow_store },
   { "ownership of the fence row", test_fence_row },
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -103,18 +103,24 @@
 }
 
 /* START_MS: of the life that answers.  RUNS: whether the first task of the job
-   runs there.  */
+   runs there.  If the answer raises the token, the poll with the raised one is
+   answered too.  */
 static void
 answer_poll_as (owner_t *owner, const char *id, int64_t start_ms, bool runs)
 {
   int64_t now_ms = clk_now_ms (&owner->clock.base);
+  uint32_t raises = cell_worker_raises (owner->cell, id);
   report_run_t run = { JOB_ID ".0.0.0", 1, "", 10, 0 };
   worker_report_t report = { .sent_ms = now_ms,
+                             .raises = raises,
                              .clock_ms = now_ms,
                              .start_ms = start_ms,
                              .runs = &run,
                              .run_count = runs };
   cell_poll_answered (owner->cell, id, &report);
+  report.raises = cell_worker_raises (owner->cell, id);
+  if (report.raises > raises)
+    cell_poll_answered (owner->cell, id, &report);
 }
 
 static void
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -34,9 +34,12 @@
   struct
   {
     int64_t sent_ms, wait_ms;
+    uint32_t raises;
     bool pending;
   } polls[2];           /* of OLD_WORKER and NEW_WORKER */
   uint32_t run;         /* on the old worker; 0: none */
+  uint32_t seen_raises; /* the highest that its current life has seen; it does
+                           nothing for a lower one */
   bool start_pending;   /* its start has no answer yet */
   int64_t lease_end_ms; /* of the old worker's life, time of the test */
   int64_t started_ms;   /* on NEW_WORKER; 0: not yet */
@@ -107,7 +110,11 @@
   state->polls[is_new].sent_ms = clk_now_ms (&state->clock.base);
   state->polls[is_new].wait_ms = wait_ms;
   state->polls[is_new].pending = true;
-  if (!is_new && lease_until_ms > 0 && old_answers (state))
+  state->polls[is_new].raises = worker->raises;
+  if (is_new || !old_answers (state))
+    return;
+  state->seen_raises = MAX (state->seen_raises, worker->raises);
+  if (lease_until_ms > 0)
     renew (state, lease_until_ms);
 }
 
@@ -155,6 +162,7 @@
   report_run_t run = { TASK, state->run, "", 100, 0 };
   worker_report_t report
       = { .sent_ms = state->polls[is_new].sent_ms,
+          .raises = state->polls[is_new].raises,
           .clock_ms = is_new ? now_ms : old_clock_ms (state),
           .start_ms = is_new || time_of (state) < 0 ? 1 : 2,
           .runs = &run,
@@ -171,6 +179,7 @@
   if (time_of (state) == 0)
     {
       state->run = 0;
+      state->seen_raises = 0;
       state->lease_end_ms = 0;
       state->start_pending = false;
       list_worker (state, OLD_WORKER, 2);
@@ -178,7 +187,7 @@
   if (time_of (state) == MAX (course->silent_ms, CELL_TICK_MS))
     list_worker (state, NEW_WORKER, 1);
   if (course->late_ms > 0 && time_of (state) == course->late_ms
-      && time_of (state) < state->lease_end_ms)
+      && state->seen_raises == 0 && time_of (state) < state->lease_end_ms)
     renew (state, START_MS + MAX_HOLD_MS);
   cell_ownership_confirmed (state->cell, now_ms - 1);
   if (state->save_pending)
@@ -254,6 +263,7 @@
 
 static CU_TestInfo restart_tests[] = {
   { "restarted and silent", test_restarted_and_silent },
+  { "a late renewal of the new life", test_late_renewal_of_new_life },
   CU_TEST_INFO_NULL,
 };
 
@@ -261,13 +271,3 @@
   { "restart", NULL, NULL, NULL, NULL, restart_tests },
   CU_SUITE_INFO_NULL,
 };
-
-static CU_TestInfo late_renewal_tests[] = {
-  { "a late renewal of the new life", test_late_renewal_of_new_life },
-  CU_TEST_INFO_NULL,
-};
-
-CU_SuiteInfo test_late_renewal_suites[] = {
-  { "late renewal", NULL, NULL, NULL, NULL, late_renewal_tests },
-  CU_SUITE_INFO_NULL,
-};
