--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -174,17 +174,18 @@
 {
 }
 
+static const cell_actions_t keeping_actions = { .save = keep_rows,
+                                                .poll = ignore_poll,
+                                                .stop = ignore_stop,
+                                                .log = ignore_log };
+static const cell_options_t keeping_options
+    = { .max_lease_ms = 6000, .retention_ms = 120000 };
+
 /* Guards against rows and transactions beyond the store's limits with the
    longest ids, addresses and checkpoints that there can be.  */
 static void
 test_longest_rows (void)
 {
-  static const cell_actions_t actions = { .save = keep_rows,
-                                          .poll = ignore_poll,
-                                          .stop = ignore_stop,
-                                          .log = ignore_log };
-  static const cell_options_t options
-      = { .max_lease_ms = 6000, .retention_ms = 120000 };
   /* The runs count as alive until then.  */
   static const cell_inheritance_t leases
       = { .leases_end_ms = 102000, .unreached_end_ms = 102000 };
@@ -201,7 +202,8 @@
         "4294967291,4294967292,4294967293,4294967294,4294967295\n",
         i, long_text, long_text);
   clk_fake_init (&clock, 100000);
-  cell_t *cell = cell_new (&options, &clock.base, &actions, &saved);
+  cell_t *cell
+      = cell_new (&keeping_options, &clock.base, &keeping_actions, &saved);
   work_job_t *job = job_new (1, WORK_MAX_STEP_TASKS, 500);
   cell_record_t row = { "0000000000000001", record->str };
   cell_add_job (cell, job);
@@ -242,12 +244,6 @@
 static void
 test_segments_of_ended_job (void)
 {
-  static const cell_actions_t actions = { .save = keep_rows,
-                                          .poll = ignore_poll,
-                                          .stop = ignore_stop,
-                                          .log = ignore_log };
-  static const cell_options_t options
-      = { .max_lease_ms = 6000, .retention_ms = 120000 };
   static const cell_inheritance_t nothing = { 0 };
   static const cell_record_t rows[] = { { "0000000000000001", "2 C 0\n" },
                                         { "0000000000000001/0", "f 0 0\n" },
@@ -256,7 +252,8 @@
                                                    g_free, g_free) };
   clk_fake_t clock;
   clk_fake_init (&clock, 100000);
-  cell_t *cell = cell_new (&options, &clock.base, &actions, &saved);
+  cell_t *cell
+      = cell_new (&keeping_options, &clock.base, &keeping_actions, &saved);
   cell_add_job (cell, job_new (1, 40, 500));
   CU_ASSERT_TRUE (
       cell_load_record (cell, rows[0].key, rows, G_N_ELEMENTS (rows)));
