httpd: end all suspended requests before the daemon is stopped

Cause: httpd_free resumed the suspended requests and ran the daemon once; that run may read requests that waited in a socket, and suspends them anew.

Change: accepting is stopped first, and the requests are resumed until none is suspended. A node ends without this call; it matters for tests and entries.

--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -641,13 +641,19 @@
 {
   if (server == NULL)
     return;
-  while (server->first_suspended != NULL)
+  httpd_stop_accepting (server);
+  /* The daemon may read, and suspend, requests that were waiting in a socket;
+     it must not be stopped with any.  */
+  do
     {
-      server->first_suspended->aborted = true;
-      httpd_wake (server->first_suspended);
+      while (server->first_suspended != NULL)
+        {
+          server->first_suspended->aborted = true;
+          httpd_wake (server->first_suspended);
+        }
+      MHD_run (server->daemon);
     }
-  MHD_run (server->daemon);
-  httpd_stop_accepting (server);
+  while (server->first_suspended != NULL);
   ev_io_stop (server->loop, &server->epoll_watcher);
   ev_prepare_stop (server->loop, &server->prepare);
   ev_idle_stop (server->loop, &server->keep_running);
