--- a/src/io/bench.c
+++ b/src/io/bench.c
@@ -18,6 +18,8 @@
   { "http", bench_http_run, "requests to entries at a fixed rate" },
   { "dispatch", bench_dispatch_run,
     "the request side of the core, without sockets" },
+  { "load", bench_load_run,
+    "jobs of a load that are served, by kind and size, without sockets" },
   { "mesh", bench_mesh_run, "links between zones by number of peers" },
   { "sched", bench_sched_run, "the task side of the core, without sockets" },
   { NULL, NULL, NULL },
--- a/src/io/bench.h
+++ b/src/io/bench.h
@@ -24,6 +24,9 @@
 /* Measures a pass of a cell by its workers and waiting steps.  */
 int bench_cell_run (int argc, char **argv);
 
+/* Plays loads against a cell and shows what is served, by kind and size.  */
+int bench_load_run (int argc, char **argv);
+
 /* Options of "bench http"; ends with a NULL name.  */
 extern const option_t bench_http_options[];
 
--- a/tests/test.h
+++ b/tests/test.h
@@ -27,6 +27,7 @@
 extern CU_SuiteInfo test_membership_suites[];
 extern CU_SuiteInfo test_odd_row_suites[];
 extern CU_SuiteInfo test_option_suites[];
+extern CU_SuiteInfo test_load_suites[];
 extern CU_SuiteInfo test_home_suites[];
 extern CU_SuiteInfo test_httpc_suites[];
 extern CU_SuiteInfo test_inquiry_suites[];
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -31,6 +31,7 @@
   test_httpc_suites,
   test_inquiry_suites,
   test_job_suites,
+  test_load_suites,
   test_lost_suites,
   test_membership_suites,
   test_node_suites,
