cell: tell how sizes of jobs fare, and what a waiting gang waits for

A hold ended as given_up for five different reasons, a gang without kept room left no line but step_waits, whose 20 lines a second go to the most urgent steps, and no figure told the sizes of jobs apart.

A size that is in time less than half as often as its queue, or a queue less than half as often as its cell, is logged as size_starves each 5 s and shown by gauges. objective_missed and step_waits add up what a gang waited for, and room_released names it.

No store call more; one pass over the waiting steps for each queue and size a second.

--- a/src/cell.c
+++ b/src/cell.c
@@ -37,6 +37,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   cell->durations
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  cell->sizes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                       (GDestroyNotify)size_stats_free);
   cell->ready_groups = g_ptr_array_new ();
   cell->recurring_jobs = g_ptr_array_new ();
   cell->dirty_jobs = g_ptr_array_new ();
@@ -63,6 +65,7 @@
   g_hash_table_unref (cell->room_lists);
   g_hash_table_unref (cell->advice_counts);
   g_hash_table_unref (cell->durations);
+  g_hash_table_unref (cell->sizes);
   g_ptr_array_unref (cell->worker_list);
   g_ptr_array_unref (cell->ready_groups);
   g_ptr_array_unref (cell->recurring_jobs);
@@ -323,6 +326,7 @@
       cell_check_workers (cell);
       cell_delete_expired_jobs (cell);
       cell_retry_orders (cell);
+      cell_check_sizes (cell);
       cell->place_pending = true;
     }
   report_list (cell);
--- a/src/cell.h
+++ b/src/cell.h
@@ -314,6 +314,24 @@
 } cell_load_t;
 void cell_take_load (cell_t *cell, cell_load_t *load);
 
+/* How the jobs of a queue and size fared in the last minute; jobs that last or
+   recur are left out.  */
+typedef struct
+{
+  const char *queue;
+  const char *size; /* "largest_tenth", "next_fifth", "others", "all" */
+  uint32_t in_time;
+  uint32_t missed;         /* late, or not expected to be in time any more */
+  int64_t longest_wait_ms; /* of those of which nothing runs */
+  bool starves; /* in time less than half as often as all jobs of the queue, or
+                   for "all", of the cell */
+} cell_size_t;
+
+/* Calls EACH with each queue and size.  */
+void cell_each_size (const cell_t *cell,
+                     void (*each) (void *context, const cell_size_t *size),
+                     void *context);
+
 /* Whether a worker has refused an order because another owner has a higher
    token.  */
 bool cell_fenced (const cell_t *cell);
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -4,6 +4,7 @@
 #include "blame.h"
 #include "cell.h"
 #include "rank.h"
+#include "size_stats.h"
 #include "tenure.h"
 
 /* NAME
@@ -78,6 +79,18 @@
   bool reported;         /* listed in the last report of its worker */
 };
 
+/* What a gang that can't start waits for.  */
+typedef enum
+{
+  WAIT_PLACE,   /* room is kept for gangs that go before it */
+  WAIT_ANSWERS, /* of the advice service */
+  WAIT_ROOM,    /* that is kept for it to become free */
+  WAIT_PAUSE,   /* after a hold that did not lead to a start */
+  WAIT_MISFIT,  /* it does not fit, whatever ends */
+  WAIT_VALUE,   /* its result has lost its value, so no room is kept */
+  WAIT_REASONS
+} wait_reason_t;
+
 /* What the advice service said about one worker for a group.  */
 typedef struct
 {
@@ -128,6 +141,8 @@
   int64_t hold_ended_ms; /* end of the last one; 0: there was none */
   int64_t next_hold_ms;  /* no room is kept for it before */
   int64_t next_hold_log_ms;
+  int64_t wait_ms[WAIT_REASONS]; /* what it has waited for so far ... */
+  int64_t wait_seen_ms;          /* ... until then; 0: nothing */
   bool hold_logged;
   bool misfit; /* it would not fit if all that ends had ended, as was found ...
                 */
@@ -180,6 +195,8 @@
   cell_job_state_t state;
   cell_job_state_t saved_state;
   bool started;         /* a task has started */
+  size_class_t size;    /* among the jobs of its queue */
+  bool judged;          /* counted as in time or missed */
   bool dirty;           /* the record differs from what was saved */
   bool head_dirty;      /* its row under the id does */
   bool closed;          /* it has ended, and no run of it is left */
@@ -347,6 +364,8 @@
                                            current pass */
   GHashTable *advice_counts; /* name of a queue -> advice_counts_t, owned */
   GHashTable *durations;     /* name of a queue -> rank_durations_t, owned */
+  GHashTable *sizes;         /* name of a queue -> size_stats_t, owned */
+  int64_t next_sizes_ms;     /* when sizes that starve are logged next */
   GArray *losses;            /* blame_loss_t of workers that crashed lately */
   resource_t room;   /* capacity of all listed workers, in the last pass */
   resource_t in_use; /* of ROOM */
@@ -568,6 +587,24 @@
 /* Learns from a group whose tasks are all done.  */
 void cell_note_group_finished (cell_group_t *group);
 
+/* cell_sizes.c: outcomes by queue and size, and what gangs wait for */
+/* The outcomes of QUEUE; belongs to CELL.  */
+size_stats_t *cell_sizes_of (cell_t *cell, const char *queue);
+/* Finds out the size of JOB, which has arrived.  */
+void cell_size_job (cell_job_t *job);
+/* Counts JOB once, as in time or missed.  */
+void cell_judge_job (cell_job_t *job, bool in_time);
+/* The job of the waiting GROUP is not expected to end in time any more: counts
+   and logs it.  */
+void cell_note_missed (cell_group_t *group);
+/* GROUP has waited for REASON since it was last noted.  */
+void cell_note_wait (cell_group_t *group, wait_reason_t reason);
+const char *cell_wait_name (wait_reason_t reason);
+/* Returns "REASON:MS,..." (g_free).  */
+char *cell_wait_times (const cell_group_t *group);
+/* Logs the sizes that starve, now and then.  */
+void cell_check_sizes (cell_t *cell);
+
 /* cell_place.c */
 /* Runs a placement pass over all waiting groups, most urgent first.  */
 void cell_place (cell_t *cell);
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -222,9 +222,10 @@
   else if (objective_ms > 0 && age_ms > objective_ms)
     event = "job_late";
   cell_log (cell, event, job->id,
-            "queue=%s age_ms=%lld objective_ms=%lld first_start_ms=%lld "
-            "runs=%u failed=%u lost=%u steps=%s",
-            job->work->queue, (long long)age_ms, (long long)objective_ms,
+            "queue=%s size=%s age_ms=%lld objective_ms=%lld "
+            "first_start_ms=%lld runs=%u failed=%u lost=%u steps=%s",
+            job->work->queue, size_class_name (job->size), (long long)age_ms,
+            (long long)objective_ms,
             since_acceptance (job, job->first_start_ms), job->runs,
             job->failed_runs, job->lost_runs, times);
   g_free (times);
@@ -254,6 +255,9 @@
     return;
   job->state = state;
   cell_mark_dirty (job);
+  if (state == JOB_STATE_COMPLETED)
+    cell_judge_job (job, job->cell->now_ms - job->added_ms
+                             <= cell_objective_ms (job, 0));
   log_job_end (job);
   stop_job (job);
 }
@@ -287,6 +291,7 @@
   job->saved_state = JOB_STATE_QUEUED;
   job->durations = cell_durations_of (cell, work->queue);
   cell_choose_queue (job);
+  cell_size_job (job);
   g_hash_table_insert (cell->jobs, job->id, job);
   if (work->times > 0)
     {
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -342,7 +342,6 @@
   uint32_t denied = 0;
   uint32_t full = 0;
   uint32_t ticketless = 0;
-  char name[WORK_NAME_BYTES];
   if (!explanation_due (cell, group))
     return;
   group->next_explain_ms = cell->now_ms + EXPLAIN_PERIOD_MS;
@@ -362,14 +361,17 @@
       else
         ticketless++;
     }
-  work_step_name_format (name, group->job->id, group->occurrence, group->step);
-  cell_log (cell, "step_waits", name,
-            "queue=%s tasks=%u waited_ms=%lld slack_ms=%lld silent=%u "
-            "unfit=%u denied=%u full=%u no_ticket=%u asking=%u",
-            group->job->work->queue, group->waiting,
-            (long long)(cell->now_ms - group->ready_ms),
-            (long long)group->rank.slack_ms, unresponsive, ineligible, denied,
-            full, ticketless, group->calls_in_flight);
+  char *waits = group->spec->gang ? cell_wait_times (group) : NULL;
+  cell_log_group (
+      group, "step_waits",
+      "queue=%s size=%s tasks=%u waited_ms=%lld slack_ms=%lld silent=%u "
+      "unfit=%u denied=%u full=%u no_ticket=%u asking=%u%s%s",
+      group->job->work->queue, size_class_name (group->job->size),
+      group->waiting, (long long)(cell->now_ms - group->ready_ms),
+      (long long)group->rank.slack_ms, unresponsive, ineligible, denied, full,
+      ticketless, group->calls_in_flight, waits != NULL ? " waits=" : "",
+      waits != NULL ? waits : "");
+  g_free (waits);
 }
 
 /* Places what can be placed of GROUP now.  */
@@ -391,39 +393,54 @@
   g_ptr_array_unref (workers);
 }
 
-/* Whether room is to be kept for GROUP if it can't start now.  */
-static bool
-keeps_room (cell_t *cell, cell_group_t *group, uint32_t reserving_gangs)
+/* What GROUP, a gang that can't start now, waits for; WAIT_ROOM: room is to be
+   kept for it.  */
+static wait_reason_t
+find_wait (cell_t *cell, cell_group_t *group, uint32_t reserving_gangs)
+{
+  if (reserving_gangs >= RESERVING_MAX_GANGS)
+    return WAIT_PLACE;
+  if (cell->now_ms < group->next_hold_ms)
+    return WAIT_PAUSE;
+  if (group->rank.tier == RANK_TOO_LATE
+      && !cell_under_half_in_use (cell, group))
+    return WAIT_VALUE;
+  return cell_gang_fits_at_last (cell, group) ? WAIT_ROOM : WAIT_MISFIT;
+}
+
+/* Keeps room for GROUP, a gang.  Returns what it waits for now.  */
+static wait_reason_t
+keep_room (cell_t *cell, cell_group_t *group, uint32_t *reserving_gangs)
 {
-  return group->spec->gang && group->waiting == group->spec->count
-         && reserving_gangs < RESERVING_MAX_GANGS
-         && cell->now_ms >= group->next_hold_ms
-         && (group->rank.tier != RANK_TOO_LATE
-             || cell_under_half_in_use (cell, group))
-         && cell_gang_fits_at_last (cell, group);
+  GPtrArray *workers = collect_reservable (cell, group);
+  bool kept = cell_keep_room (cell, group, workers);
+  *reserving_gangs += kept;
+  g_ptr_array_unref (workers);
+  if (kept)
+    return WAIT_ROOM;
+  return cell->now_ms < group->next_hold_ms ? WAIT_PAUSE : WAIT_ANSWERS;
 }
 
 static void
 place_group (cell_t *cell, cell_group_t *group, uint32_t *reserving_gangs)
 {
   bool advised = needs_ticket (group);
-  bool reserve = false;
+  wait_reason_t wait = WAIT_REASONS;
   if (cell->kept_workers->len > 0)
     cell_open_kept_room (cell, group);
   place_now (cell, group);
-  if (group->waiting > 0)
-    reserve = keeps_room (cell, group, *reserving_gangs);
+  if (group->spec->gang && group->waiting == group->spec->count)
+    wait = find_wait (cell, group, *reserving_gangs);
   if (group->waiting > 0 && advised)
-    cell_ask_advice (cell, group, reserve);
+    cell_ask_advice (cell, group, wait == WAIT_ROOM);
   cell_close_kept_room (cell);
-  if (reserve)
-    {
-      GPtrArray *workers = collect_reservable (cell, group);
-      *reserving_gangs += cell_keep_room (cell, group, workers);
-      g_ptr_array_unref (workers);
-    }
+  if (wait == WAIT_ROOM)
+    wait = keep_room (cell, group, reserving_gangs);
   else
-    cell_end_hold (group, group->waiting > 0 ? "given_up" : "started");
+    cell_end_hold (group,
+                   wait < WAIT_REASONS ? cell_wait_name (wait) : "started");
+  if (wait < WAIT_REASONS)
+    cell_note_wait (group, wait);
   if (group->waiting > 0)
     log_wait_reasons (cell, group);
 }
--- a/src/cell_rank.c
+++ b/src/cell_rank.c
@@ -133,6 +133,8 @@
     left_ms += (int64_t)GANG_GATHER_MS * group->spec->count;
   group->rank = rank_of_step (priority, since_ms, group->objective_ms, left_ms,
                               now_ms);
+  if (group->rank.slack_ms < 0)
+    cell_note_missed (group);
 }
 
 void
--- /dev/null
+++ b/src/cell_sizes.c
@@ -0,0 +1,190 @@
+#include "cell_internal.h"
+
+#include <string.h>
+
+/* NAME
+     cell_sizes - outcomes of jobs by queue and size, and where gangs wait
+
+   Lasting jobs and recurring ones have no size.  A job counts as missed as
+   soon as it is not expected to end in time any more, so that starvation shows
+   while it lasts.  */
+
+/* An accelerator counts as so many cores.  */
+#define ACCELERATOR_CORES 8
+#define CHECK_PERIOD_MS 5000
+
+static const char *const wait_names[WAIT_REASONS]
+    = { "place", "answers", "room", "pause", "misfit", "value" };
+
+size_stats_t *
+cell_sizes_of (cell_t *cell, const char *queue)
+{
+  size_stats_t *stats = g_hash_table_lookup (cell->sizes, queue);
+  if (stats == NULL)
+    {
+      stats = size_stats_new ();
+      g_hash_table_insert (cell->sizes, g_strdup (queue), stats);
+    }
+  return stats;
+}
+
+static bool
+has_size (const cell_job_t *job)
+{
+  return job->work->times == 0 && !work_job_has_lasting_step (job->work);
+}
+
+static double
+core_seconds (const work_job_t *work)
+{
+  double sum = 0.0;
+  for (uint32_t i = 0; i < work->step_count; i++)
+    {
+      const work_step_t *step = &work->steps[i];
+      double cores = (double)step->need.cpu_millis / 1000.0
+                     + (double)step->need.accelerators * ACCELERATOR_CORES;
+      sum += cores * step->count * (double)step->estimate_ms / 1000.0;
+    }
+  return sum;
+}
+
+void
+cell_size_job (cell_job_t *job)
+{
+  job->size = SIZE_OTHERS;
+  if (has_size (job))
+    job->size = size_stats_add (cell_sizes_of (job->cell, job->work->queue),
+                                core_seconds (job->work));
+}
+
+void
+cell_judge_job (cell_job_t *job, bool in_time)
+{
+  cell_t *cell = job->cell;
+  if (job->judged || !has_size (job))
+    return;
+  job->judged = true;
+  size_stats_judge (cell_sizes_of (cell, job->work->queue), job->size, in_time,
+                    cell->now_ms);
+}
+
+char *
+cell_wait_times (const cell_group_t *group)
+{
+  GString *text = g_string_new (NULL);
+  for (int i = 0; i < WAIT_REASONS; i++)
+    g_string_append_printf (text, "%s%s:%lld", i > 0 ? "," : "", wait_names[i],
+                            (long long)group->wait_ms[i]);
+  return g_string_free (text, FALSE);
+}
+
+const char *
+cell_wait_name (wait_reason_t reason)
+{
+  return wait_names[reason];
+}
+
+void
+cell_note_wait (cell_group_t *group, wait_reason_t reason)
+{
+  int64_t now_ms = group->job->cell->now_ms;
+  group->wait_ms[reason]
+      += now_ms - MAX (group->wait_seen_ms, group->ready_ms);
+  group->wait_seen_ms = now_ms;
+}
+
+void
+cell_note_missed (cell_group_t *group)
+{
+  cell_job_t *job = group->job;
+  if (job->judged || !has_size (job))
+    return;
+  cell_judge_job (job, false);
+  char *waits = cell_wait_times (group);
+  cell_log_group (
+      group, "objective_missed",
+      "queue=%s size=%s tasks=%u cpu_millis=%lld accelerators=%lld "
+      "age_ms=%lld objective_ms=%lld waits=%s",
+      job->work->queue, size_class_name (job->size), group->spec->count,
+      (long long)group->spec->need.cpu_millis,
+      (long long)group->spec->need.accelerators,
+      (long long)(job->cell->now_ms - job->added_ms),
+      (long long)group->objective_ms, waits);
+  g_free (waits);
+}
+
+/* Longest time that a job of QUEUE and SIZE, SIZE_CLASSES: of any size, has
+   waited without any of its tasks running.  */
+static int64_t
+longest_wait_ms (const cell_t *cell, const char *queue, size_class_t size)
+{
+  int64_t longest_ms = 0;
+  for (guint i = 0; i < cell->ready_groups->len; i++)
+    {
+      const cell_group_t *group = cell->ready_groups->pdata[i];
+      const cell_job_t *job = group->job;
+      if (group->waiting < group->spec->count || !has_size (job)
+          || (size != SIZE_CLASSES && job->size != size)
+          || strcmp (job->work->queue, queue) != 0)
+        continue;
+      longest_ms = MAX (longest_ms, cell->now_ms - group->ready_ms);
+    }
+  return longest_ms;
+}
+
+void
+cell_each_size (const cell_t *cell,
+                void (*each) (void *context, const cell_size_t *size),
+                void *context)
+{
+  GHashTableIter iterator;
+  gpointer key;
+  gpointer value;
+  size_counts_t all = { 0 };
+  g_hash_table_iter_init (&iterator, cell->sizes);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      size_counts_t counts
+          = size_stats_recent (value, SIZE_CLASSES, cell->now_ms);
+      all.in_time += counts.in_time;
+      all.missed += counts.missed;
+    }
+  g_hash_table_iter_init (&iterator, cell->sizes);
+  while (g_hash_table_iter_next (&iterator, &key, &value))
+    {
+      size_counts_t of_queue
+          = size_stats_recent (value, SIZE_CLASSES, cell->now_ms);
+      for (size_class_t size = 0; size <= SIZE_CLASSES; size++)
+        {
+          size_counts_t counts = size_stats_recent (value, size, cell->now_ms);
+          bool starves
+              = size_starves (counts, size == SIZE_CLASSES ? all : of_queue);
+          cell_size_t row
+              = { .queue = key,
+                  .size = size_class_name (size),
+                  .in_time = counts.in_time,
+                  .missed = counts.missed,
+                  .longest_wait_ms = longest_wait_ms (cell, key, size),
+                  .starves = starves };
+          each (context, &row);
+        }
+    }
+}
+
+static void
+log_starving (void *context, const cell_size_t *size)
+{
+  if (size->starves)
+    cell_log (context, "size_starves", size->queue,
+              "size=%s in_time=%u missed=%u longest_wait_ms=%lld", size->size,
+              size->in_time, size->missed, (long long)size->longest_wait_ms);
+}
+
+void
+cell_check_sizes (cell_t *cell)
+{
+  if (cell->now_ms < cell->next_sizes_ms)
+    return;
+  cell->next_sizes_ms = cell->now_ms + CHECK_PERIOD_MS;
+  cell_each_size (cell, log_starving, cell);
+}
--- a/src/io/bench_cell.c
+++ b/src/io/bench_cell.c
@@ -153,11 +153,12 @@
 } bench_load_t;
 
 static void
-on_job_ended (void *context, const char *id, const char *event)
+on_log (void *context, const char *event, const char *subject)
 {
   bench_load_t *load = context;
-  load->jobs_ended++;
-  load->jobs_in_time += strcmp (event, "job_completed") == 0;
+  bool in_time = strcmp (event, "job_completed") == 0;
+  load->jobs_in_time += in_time;
+  load->jobs_ended += in_time || strcmp (event, "job_late") == 0;
 }
 
 static int64_t
@@ -327,7 +328,7 @@
           .callers = (uint32_t)settings->callers,
           .look_ns = settings->look_ns,
           .uneven = UNEVEN,
-          .job_ended = on_job_ended,
+          .logged = on_log,
           .context = &load };
   double shares[G_N_ELEMENTS (kinds)];
   for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
--- a/src/io/bench_load.c
+++ b/src/io/bench_load.c
@@ -114,9 +114,10 @@
               .finish_ms = settings->finish_ms,
               .uneven = UNEVEN };
       int64_t *ended_ms = g_new0 (int64_t, load->jobs->len + 1);
-      uint64_t calls = load_play (load, &play, ended_ms);
-      printf ("load seed=%u jobs=%u advice_calls=%llu\n", seed,
-              load->jobs->len, (unsigned long long)calls);
+      load_play_stats_t stats = load_play (load, &play, ended_ms);
+      printf ("load seed=%u jobs=%u advice_calls=%llu starving=%u\n", seed,
+              load->jobs->len, (unsigned long long)stats.advice_calls,
+              stats.starving);
       print_results ("play", seed, load, ended_ms);
       if (settings->bound)
         print_bound (seed, load, ended_ms);
--- a/src/io/cell_site.c
+++ b/src/io/cell_site.c
@@ -275,10 +275,8 @@
         const char *detail)
 {
   const cell_site_t *site = context;
-  if (site->options.job_ended != NULL
-      && (strcmp (event, "job_completed") == 0
-          || strcmp (event, "job_late") == 0))
-    site->options.job_ended (site->options.context, subject, event);
+  if (site->options.logged != NULL)
+    site->options.logged (site->options.context, event, subject);
 }
 
 static const cell_actions_t actions
--- a/src/io/cell_site.h
+++ b/src/io/cell_site.h
@@ -22,9 +22,8 @@
   int64_t look_ns;  /* time that a pass takes for each worker it looks at, in
                        which the owner does nothing else */
   double uneven;    /* durations differ by up to this share */
-  /* Takes ownership of the result of a job; may be NULL.  EVENT: what the cell
-     logs about its end.  */
-  void (*job_ended) (void *context, const char *id, const char *event);
+  /* Gets what the cell logs; may be NULL.  */
+  void (*logged) (void *context, const char *event, const char *subject);
   void *context;
 } cell_site_options_t;
 
--- a/src/io/load_play.c
+++ b/src/io/load_play.c
@@ -3,6 +3,7 @@
 #include "cell_site.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #define MAX_ATTEMPTS 4
 #define TICKET_MS 2000
@@ -14,6 +15,7 @@
   cell_site_t *site;
   int64_t begun_ms; /* time of the site when the load begins */
   int64_t *ended_ms;
+  uint32_t starving;
 } play_t;
 
 /* Jobs are numbered from 1.  */
@@ -24,11 +26,13 @@
 }
 
 static void
-on_job_ended (void *context, const char *id, const char *event)
+on_log (void *context, const char *event, const char *subject)
 {
-  const play_t *play = context;
-  uint64_t number = strtoull (id, NULL, 16);
-  play->ended_ms[number - 1] = cell_site_now_ms (play->site) - play->begun_ms;
+  play_t *play = context;
+  play->starving += strcmp (event, "size_starves") == 0;
+  if (strcmp (event, "job_completed") == 0 || strcmp (event, "job_late") == 0)
+    play->ended_ms[strtoull (subject, NULL, 16) - 1]
+        = cell_site_now_ms (play->site) - play->begun_ms;
 }
 
 bool
@@ -83,7 +87,7 @@
   cell_site_submit (play->site, work);
 }
 
-uint64_t
+load_play_stats_t
 load_play (const load_t *load, const load_play_options_t *options,
            int64_t *ended_ms)
 {
@@ -92,7 +96,7 @@
   const cell_site_options_t site_options = { .seed = options->seed,
                                              .callers = options->callers,
                                              .uneven = options->uneven,
-                                             .job_ended = on_job_ended,
+                                             .logged = on_log,
                                              .context = &play };
   double shares[LOAD_MAX_KINDS];
   cell_site_stats_t stats;
@@ -122,5 +126,5 @@
     }
   cell_site_stats (play.site, &stats);
   cell_site_free (play.site);
-  return stats.advice_calls;
+  return (load_play_stats_t){ stats.advice_calls, play.starving };
 }
--- a/src/io/load_play.h
+++ b/src/io/load_play.h
@@ -14,10 +14,16 @@
   double uneven;     /* durations differ by up to this share */
 } load_play_options_t;
 
-/* Sets ENDED_MS, one for each job of LOAD, to when it ended, 0: it did not.
-   Returns the calls for advice.  */
-uint64_t load_play (const load_t *load, const load_play_options_t *options,
-                    int64_t *ended_ms);
+typedef struct
+{
+  uint64_t advice_calls;
+  uint32_t starving; /* lines about a size that starves */
+} load_play_stats_t;
+
+/* Sets ENDED_MS, one for each job of LOAD, to when it ended, 0: it did not. */
+load_play_stats_t load_play (const load_t *load,
+                             const load_play_options_t *options,
+                             int64_t *ended_ms);
 
 /* Whether worker WORKER may run the job at index JOB, as the simulated advice
    service decides.  */
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -92,6 +92,35 @@
   set_gauge (cell, "magnoliadock_longest_hold_ms", load->longest_hold_ms);
 }
 
+static void
+show_size (void *context, const cell_size_t *size)
+{
+  const node_cell_t *cell = context;
+  const struct
+  {
+    const char *name;
+    int64_t value;
+  } gauges[]
+      = { { "magnoliadock_size_in_time_jobs", size->in_time },
+          { "magnoliadock_size_missed_jobs", size->missed },
+          { "magnoliadock_size_longest_wait_ms", size->longest_wait_ms },
+          { "magnoliadock_size_starves", size->starves } };
+  char *labels = g_strdup_printf ("cell=\"%s\",queue=\"%s\",size=\"%s\"",
+                                  cell->name, size->queue, size->size);
+  for (size_t i = 0; i < G_N_ELEMENTS (gauges); i++)
+    counter_set (counter_gauge (cell->node->metrics, gauges[i].name, labels),
+                 gauges[i].value);
+  g_free (labels);
+}
+
+/* The next owner shows it.  */
+static void
+hide_size (void *context, const cell_size_t *size)
+{
+  const cell_size_t nothing = { .queue = size->queue, .size = size->size };
+  show_size (context, &nothing);
+}
+
 /* Frees everything that belongs to the ownership.  */
 static void
 drop_ownership (node_cell_t *cell)
@@ -111,9 +140,12 @@
   cell->commit_removal_count = 0;
   replica_free (cell->inbox);
   cell->inbox = NULL;
-  cell_free (cell->scheduler);
   if (cell->scheduler != NULL)
-    show_kept_room (cell, &(cell_load_t){ 0 });
+    {
+      show_kept_room (cell, &(cell_load_t){ 0 });
+      cell_each_size (cell->scheduler, hide_size, cell);
+    }
+  cell_free (cell->scheduler);
   cell->scheduler = NULL;
   node_former_free (cell);
 }
@@ -458,6 +490,7 @@
       (long long)load.kept_cpu_millis, (long long)load.kept_accelerators,
       (long long)load.longest_hold_ms, load.misfit_steps);
   show_kept_room (cell, &load);
+  cell_each_size (cell->scheduler, show_size, cell);
   /* The first period began with an earlier ownership.  */
   if (cell->load_logged_ms != 0)
     log_event (LOG_INFO, "owner_load", "cell", cell->name, "detail", detail,
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -205,10 +205,38 @@
   load_free (load);
 }
 
+/* Guards against a size of job that starves unseen by operators: gangs that
+   are too wide for their fleet beside others that are served.  */
+static void
+test_starving (void)
+{
+  const load_play_options_t options
+      = { .seed = 1, .callers = 10, .finish_ms = 5000 };
+  for (uint32_t wide = 1; wide <= 3; wide += 2)
+    {
+      GString *text = g_string_new (HEAD);
+      for (int i = 0; i < 120; i++)
+        g_string_append_printf (text, "job %d gang %u 1 1 8 100 100\n",
+                                500 * i, i % 10 == 9 ? wide : 1);
+      load_t *load = load_parse (text->str, NULL);
+      int64_t *ended_ms = g_new0 (int64_t, load->jobs->len);
+      load_play_stats_t stats = load_play (load, &options, ended_ms);
+      /* A gang of three does not fit; its size is told each 5 s.  */
+      CU_ASSERT_EQUAL (stats.starving > 0, wide == 3);
+      g_free (ended_ms);
+      load_free (load);
+      g_string_free (text, TRUE);
+    }
+}
+
 static CU_TestInfo load_tests[] = {
-  { "reading", test_parse },       { "drawing", test_draw },
-  { "sizes", test_sizes },         { "bound and packing", test_pack },
-  { "simulated site", test_play }, CU_TEST_INFO_NULL,
+  { "reading", test_parse },
+  { "drawing", test_draw },
+  { "sizes", test_sizes },
+  { "bound and packing", test_pack },
+  { "simulated site", test_play },
+  { "a size that starves", test_starving },
+  CU_TEST_INFO_NULL,
 };
 
 CU_SuiteInfo test_load_suites[] = {
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -58,6 +58,7 @@
   test_sched_suites,
   test_settings_suites,
   test_share_suites,
+  test_size_stats_suites,
   test_tenure_suites,
 };
 /* clang-format on */
