cell: keep room for a gang on the workers that have it first

Cause: a hold was planned on the workers with the most room within 1.5 s. The class: a choice by another measure than the one by which it is judged.

Ruled out: the bound of a hold; holds that were not refused began late, too.

Change: a plan takes the workers that are expected to have the room first; when their runs end is found out once in a pass.

--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -303,9 +303,12 @@
   resource_t reserved;            /* for gangs, in the current pass */
   resource_t lasting_use;         /* of tasks that do not end by themselves */
   uint32_t planned_tasks;         /* of the gang that is being placed */
-  uint64_t kept_pass;             /* the last pass that kept room here */
-  int64_t kept_since_ms;          /* without an interruption; 0: not kept */
-  int64_t kept_limit_ms;          /* latest end of that time */
+  GArray *ends;          /* cell_end_t of its tasks, in their order, as
+                            of ... */
+  uint64_t ends_pass;    /* ... this pass; 0: not known */
+  uint64_t kept_pass;    /* the last pass that kept room here */
+  int64_t kept_since_ms; /* without an interruption; 0: not kept */
+  int64_t kept_limit_ms; /* latest end of that time */
   int64_t kept_until_ms; /* the first gang for which it is kept is expected to
                             start */
   int64_t open_until_ms; /* no room is kept here before */
@@ -318,6 +321,13 @@
   uint64_t advice_search; /* ... if the search has this number */
 };
 
+/* When a run is expected to end, and the room that it leaves.  */
+typedef struct
+{
+  int64_t at_ms; /* INT64_MAX: not by itself */
+  resource_t room;
+} cell_end_t;
+
 /* Workers named in the answered calls for advice of a queue, and how many of
    them were allowed.  */
 typedef struct
--- a/src/cell_reserve.c
+++ b/src/cell_reserve.c
@@ -1,7 +1,5 @@
 #include "cell_internal.h"
 
-#include <math.h>
-
 /* NAME
      cell_reserve - room that is kept for waiting gangs
 
@@ -64,48 +62,51 @@
                          : now_ms + MAX (now_ms - end_ms, OVERDUE_MIN_MS);
 }
 
-typedef struct
-{
-  int64_t at_ms;
-  resource_t room;
-} end_t;
-
 static int
 compare_ends (gconstpointer a, gconstpointer b)
 {
-  const end_t *left = a;
-  const end_t *right = b;
+  const cell_end_t *left = a;
+  const cell_end_t *right = b;
   return left->at_ms < right->at_ms ? -1 : left->at_ms > right->at_ms;
 }
 
+/* Finds out when the runs on WORKER are expected to end, unless this pass has
+   done so.  */
+static void
+find_ends (const cell_t *cell, cell_worker_t *worker)
+{
+  if (worker->ends_pass == cell->pass_stats.passes)
+    return;
+  worker->ends_pass = cell->pass_stats.passes;
+  g_array_set_size (worker->ends, 0);
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const cell_task_t *task = worker->tasks->pdata[i];
+      cell_end_t end = { expected_end_ms (cell, task),
+                         cell_task_need (task->group->spec) };
+      g_array_append_val (worker->ends, end);
+    }
+  g_array_sort (worker->ends, compare_ends);
+}
+
 /* When WORKER is expected to have the room NEED, as its tasks end.  */
 static int64_t
-room_at_ms (const cell_t *cell, const cell_worker_t *worker, resource_t need)
+room_at_ms (const cell_t *cell, cell_worker_t *worker, resource_t need)
 {
   resource_t free = resource_sub (worker->capacity, worker->used);
   if (resource_fits (need, free))
     return cell->now_ms;
-  GArray *ends = g_array_new (FALSE, FALSE, sizeof (end_t));
-  for (guint i = 0; i < worker->tasks->len; i++)
+  find_ends (cell, worker);
+  for (guint i = 0; i < worker->ends->len; i++)
     {
-      const cell_task_t *task = worker->tasks->pdata[i];
-      end_t end = { expected_end_ms (cell, task),
-                    cell_task_need (task->group->spec) };
-      g_array_append_val (ends, end);
-    }
-  g_array_sort (ends, compare_ends);
-  int64_t at_ms = INT64_MAX;
-  for (guint i = 0; i < ends->len && at_ms == INT64_MAX; i++)
-    {
-      const end_t *end = &g_array_index (ends, end_t, i);
-      free = resource_add (free, end->room);
+      const cell_end_t *end = &g_array_index (worker->ends, cell_end_t, i);
       if (end->at_ms == INT64_MAX)
         break;
+      free = resource_add (free, end->room);
       if (resource_fits (need, free))
-        at_ms = end->at_ms;
+        return end->at_ms;
     }
-  g_array_unref (ends);
-  return at_ms;
+  return INT64_MAX;
 }
 
 /* The room of WORKER that no task holds for good.  */
@@ -210,59 +211,85 @@
   return cell->now_ms >= worker->open_until_ms;
 }
 
-/* Returns the worker of WORKERS with the most room soon that can take one more
-   member of GROUP, NULL if there is none.  */
-static cell_worker_t *
-next_worker (cell_t *cell, const cell_group_t *group, const GPtrArray *workers)
+/* A worker that could take a member of a gang.  */
+typedef struct
 {
-  resource_t need = cell_task_need (group->spec);
-  cell_worker_t *best = NULL;
-  double best_share = -INFINITY;
+  cell_worker_t *worker;
+  int64_t at_ms; /* when it is expected to have the room; INT64_MAX: it does
+                    not take one more */
+} seat_t;
+
+/* When WORKER is expected to have room for one more member of GROUP, beside
+   what is reserved there.  */
+static int64_t
+next_seat_ms (const cell_t *cell, const cell_group_t *group,
+              cell_worker_t *worker)
+{
+  resource_t need
+      = resource_add (worker->reserved, cell_task_need (group->spec));
+  if (cell_spread_left (group, worker) == 0
+      || !resource_fits (need, ending_room (worker)))
+    return INT64_MAX;
+  return room_at_ms (cell, worker, need);
+}
+
+/* Returns the seats for GROUP on WORKERS: seat_t (g_array_unref).  */
+static GArray *
+find_seats (cell_t *cell, const cell_group_t *group, const GPtrArray *workers)
+{
+  GArray *seats = g_array_new (FALSE, FALSE, sizeof (seat_t));
   cell->pass_stats.workers_looked_at += workers->len;
   for (guint i = 0; i < workers->len; i++)
     {
-      cell_worker_t *worker = workers->pdata[i];
-      if (!may_be_kept (cell, worker) || cell_spread_left (group, worker) == 0
-          || !resource_fits (resource_add (worker->reserved, need),
-                             ending_room (worker)))
+      seat_t seat = { .worker = workers->pdata[i] };
+      if (!may_be_kept (cell, seat.worker))
         continue;
-      double share = resource_dominant_share (
-          resource_sub (worker->free_soon, worker->reserved),
-          worker->capacity);
-      if (share > best_share)
-        {
-          best = worker;
-          best_share = share;
-        }
+      seat.at_ms = next_seat_ms (cell, group, seat.worker);
+      if (seat.at_ms != INT64_MAX)
+        g_array_append_val (seats, seat);
     }
-  return best;
+  return seats;
 }
 
-/* Reserves room for each member of GROUP on one of WORKERS, and appends that
-   worker to PLAN.  Returns when all of it is expected to be free; INT64_MAX:
-   it does not fit, and PLAN has the members that do.  */
+/* Returns the seat that is free first, NULL if there is none.  */
+static seat_t *
+first_seat (const GArray *seats)
+{
+  seat_t *first = NULL;
+  for (guint i = 0; i < seats->len; i++)
+    {
+      seat_t *seat = &g_array_index (seats, seat_t, i);
+      if (seat->at_ms != INT64_MAX
+          && (first == NULL || seat->at_ms < first->at_ms))
+        first = seat;
+    }
+  return first;
+}
+
+/* Reserves room for each member of GROUP on those of WORKERS that have it
+   first, and appends these to PLAN.  Returns when all of it is expected to be
+   free; INT64_MAX: it does not fit, and PLAN has the members that do.  */
 static int64_t
 plan_members (cell_t *cell, const cell_group_t *group,
               const GPtrArray *workers, GPtrArray *plan)
 {
   resource_t need = cell_task_need (group->spec);
   int64_t start_ms = cell->now_ms;
+  GArray *seats = find_seats (cell, group, workers);
   while (plan->len < group->spec->count)
     {
-      cell_worker_t *worker = next_worker (cell, group, workers);
-      if (worker == NULL)
+      seat_t *seat = first_seat (seats);
+      if (seat == NULL)
         break;
-      worker->reserved = resource_add (worker->reserved, need);
-      worker->planned_tasks++;
-      g_ptr_array_add (plan, worker);
+      start_ms = MAX (start_ms, seat->at_ms);
+      seat->worker->reserved = resource_add (seat->worker->reserved, need);
+      seat->worker->planned_tasks++;
+      g_ptr_array_add (plan, seat->worker);
+      seat->at_ms = next_seat_ms (cell, group, seat->worker);
     }
   for (guint i = 0; i < plan->len; i++)
-    {
-      cell_worker_t *worker = plan->pdata[i];
-      if (worker->planned_tasks > 0)
-        start_ms = MAX (start_ms, room_at_ms (cell, worker, worker->reserved));
-      worker->planned_tasks = 0;
-    }
+    ((cell_worker_t *)plan->pdata[i])->planned_tasks = 0;
+  g_array_unref (seats);
   return plan->len == group->spec->count ? start_ms : INT64_MAX;
 }
 
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -38,6 +38,7 @@
   cell_group_t *group = task->group;
   worker->used = resource_add (worker->used, cell_task_need (group->spec));
   g_ptr_array_add (worker->tasks, task);
+  worker->ends_pass = 0;
   group->job->cell->pass_stats.placed++;
   group->waiting -= 1;
   task->worker = worker;
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -48,6 +48,7 @@
   g_hash_table_unref (worker->labels);
   g_ptr_array_unref (worker->tasks);
   g_array_unref (worker->unsaved_ends);
+  g_array_unref (worker->ends);
   g_free (worker);
 }
 
@@ -64,6 +65,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   worker->tasks = g_ptr_array_new ();
   worker->unsaved_ends = g_array_new (FALSE, TRUE, sizeof (unsaved_end_t));
+  worker->ends = g_array_new (FALSE, FALSE, sizeof (cell_end_t));
   worker->added_ms = cell->now_ms;
   worker->raises = GPOINTER_TO_UINT (g_hash_table_lookup (cell->raises, id));
   g_hash_table_insert (cell->workers, worker->id, worker);
