rank: let the sizes of a queue that miss more objectives go first

Cause: steps in time are ordered by slack, which is the same for a wide step as for a narrow one, but a wide step needs much room at a time, so it starts later after it has become the first, and misses its objective more often. What has missed it stands behind all that has not, of which there is always enough under such a load. So lateness, and with it being left out, was decided by size. The class: an order that is fair by time and unfair by what a job needs.

Ruled out: the fleet's room (load_pack serves all sizes); a longer time to gather for each member, 1,000 ms instead of 300, makes the narrow ones late instead; places that a gang keeps until it starts serve wide gangs at the price of small work.

Change: of the steps of one tier and priority, those whose size has missed more objectives while waiting than its queue, over a minute, go before the others, and are not deferred behind a more urgent queue. This keeps itself in balance: a size goes first until it fares like its queue. What ran at once and ended late does not count, since going first does not mend it.

--- a/src/cell.c
+++ b/src/cell.c
@@ -37,8 +37,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   cell->durations
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  cell->sizes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                       (GDestroyNotify)size_stats_free);
+  cell->sizes = cell_sizes_new ();
   cell->ready_groups = g_ptr_array_new ();
   cell->recurring_jobs = g_ptr_array_new ();
   cell->dirty_jobs = g_ptr_array_new ();
--- a/src/cell.h
+++ b/src/cell.h
@@ -3,6 +3,7 @@
 
 #include "clk.h"
 #include "queues.h"
+#include "size_stats.h"
 #include "work.h"
 
 /* NAME
@@ -320,8 +321,7 @@
 {
   const char *queue;
   const char *size; /* "largest_tenth", "next_fifth", "others", "all" */
-  uint32_t in_time;
-  uint32_t missed;         /* late, or not expected to be in time any more */
+  size_counts_t counts;
   int64_t longest_wait_ms; /* of those of which nothing runs */
   bool starves; /* in time less than half as often as all jobs of the queue, or
                    for "all", of the cell */
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -4,7 +4,6 @@
 #include "blame.h"
 #include "cell.h"
 #include "rank.h"
-#include "size_stats.h"
 #include "tenure.h"
 
 /* NAME
@@ -23,6 +22,7 @@
 typedef struct cell_group cell_group_t;
 typedef struct cell_task cell_task_t;
 typedef struct cell_worker cell_worker_t;
+typedef struct queue_sizes queue_sizes_t;
 typedef struct room_list room_list_t;
 
 /* State of a task with regard to its last run.  */
@@ -195,6 +195,7 @@
   cell_job_state_t state;
   cell_job_state_t saved_state;
   bool started;         /* a task has started */
+  queue_sizes_t *sizes; /* of its queue; belongs to the cell */
   size_class_t size;    /* among the jobs of its queue */
   bool judged;          /* counted as in time or missed */
   bool dirty;           /* the record differs from what was saved */
@@ -374,7 +375,7 @@
                                            current pass */
   GHashTable *advice_counts; /* name of a queue -> advice_counts_t, owned */
   GHashTable *durations;     /* name of a queue -> rank_durations_t, owned */
-  GHashTable *sizes;         /* name of a queue -> size_stats_t, owned */
+  GHashTable *sizes;         /* name of a queue -> queue_sizes_t, owned */
   int64_t next_sizes_ms;     /* when sizes that starve are logged next */
   GArray *losses;            /* blame_loss_t of workers that crashed lately */
   resource_t room;   /* capacity of all listed workers, in the last pass */
@@ -598,12 +599,17 @@
 void cell_note_group_finished (cell_group_t *group);
 
 /* cell_sizes.c: outcomes by queue and size, and what gangs wait for */
+GHashTable *cell_sizes_new (void);
 /* The outcomes of QUEUE; belongs to CELL.  */
-size_stats_t *cell_sizes_of (cell_t *cell, const char *queue);
+queue_sizes_t *cell_sizes_of (cell_t *cell, const char *queue);
+/* Finds out, for a pass, which queues and sizes fare worse.  */
+void cell_compare_sizes (cell_t *cell);
+/* Whether the jobs of the size of JOB miss more objectives than its queue.  */
+bool cell_size_fares_worse (const cell_job_t *job);
 /* Finds out the size of JOB, which has arrived.  */
 void cell_size_job (cell_job_t *job);
-/* Counts JOB once, as in time or missed.  */
-void cell_judge_job (cell_job_t *job, bool in_time);
+/* Counts the OUTCOME of JOB, once.  */
+void cell_judge_job (cell_job_t *job, size_outcome_t outcome);
 /* The job of the waiting GROUP is not expected to end in time any more: counts
    and logs it.  */
 void cell_note_missed (cell_group_t *group);
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -257,7 +257,9 @@
   cell_mark_dirty (job);
   if (state == JOB_STATE_COMPLETED)
     cell_judge_job (job, job->cell->now_ms - job->added_ms
-                             <= cell_objective_ms (job, 0));
+                                 <= cell_objective_ms (job, 0)
+                             ? SIZE_IN_TIME
+                             : SIZE_LATE);
   log_job_end (job);
   stop_job (job);
 }
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -478,6 +478,7 @@
       cell->in_use = resource_add (cell->in_use, worker->used);
     }
   cell_begin_holds (cell);
+  cell_compare_sizes (cell);
   g_hash_table_remove_all (cell->queues_without_free_node);
   g_hash_table_remove_all (cell->room_lists);
 }
--- a/src/cell_rank.c
+++ b/src/cell_rank.c
@@ -133,6 +133,7 @@
     left_ms += (int64_t)GANG_GATHER_MS * group->spec->count;
   group->rank = rank_of_step (priority, since_ms, group->objective_ms, left_ms,
                               now_ms);
+  group->rank.favoured = cell_size_fares_worse (job);
   if (group->rank.slack_ms < 0)
     cell_note_missed (group);
 }
--- a/src/cell_sizes.c
+++ b/src/cell_sizes.c
@@ -16,16 +16,81 @@
 static const char *const wait_names[WAIT_REASONS]
     = { "place", "answers", "room", "pause", "misfit", "value" };
 
-size_stats_t *
+struct queue_sizes
+{
+  size_stats_t *stats;
+  /* In the current pass: whether it misses more objectives than ...  */
+  bool fares_worse[SIZE_CLASSES]; /* ... the queue, by size */
+  bool queue_fares_worse;         /* ... the cell */
+};
+
+static void
+queue_sizes_free (void *data)
+{
+  queue_sizes_t *sizes = data;
+  size_stats_free (sizes->stats);
+  g_free (sizes);
+}
+
+GHashTable *
+cell_sizes_new (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                queue_sizes_free);
+}
+
+queue_sizes_t *
 cell_sizes_of (cell_t *cell, const char *queue)
 {
-  size_stats_t *stats = g_hash_table_lookup (cell->sizes, queue);
-  if (stats == NULL)
+  queue_sizes_t *sizes = g_hash_table_lookup (cell->sizes, queue);
+  if (sizes == NULL)
+    {
+      sizes = g_new0 (queue_sizes_t, 1);
+      sizes->stats = size_stats_new ();
+      g_hash_table_insert (cell->sizes, g_strdup (queue), sizes);
+    }
+  return sizes;
+}
+
+/* What became of the jobs of all queues lately.  */
+static size_counts_t
+all_counts (const cell_t *cell)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  size_counts_t all = { 0 };
+  g_hash_table_iter_init (&iterator, cell->sizes);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    all = size_counts_add (all,
+                           size_stats_recent (((queue_sizes_t *)value)->stats,
+                                              SIZE_CLASSES, cell->now_ms));
+  return all;
+}
+
+void
+cell_compare_sizes (cell_t *cell)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  size_counts_t all = all_counts (cell);
+  g_hash_table_iter_init (&iterator, cell->sizes);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
-      stats = size_stats_new ();
-      g_hash_table_insert (cell->sizes, g_strdup (queue), stats);
+      queue_sizes_t *sizes = value;
+      size_counts_t of_queue
+          = size_stats_recent (sizes->stats, SIZE_CLASSES, cell->now_ms);
+      sizes->queue_fares_worse = size_fares_worse (of_queue, all);
+      for (int i = 0; i < SIZE_CLASSES; i++)
+        sizes->fares_worse[i] = size_fares_worse (
+            size_stats_recent (sizes->stats, (size_class_t)i, cell->now_ms),
+            of_queue);
     }
-  return stats;
+}
+
+bool
+cell_size_fares_worse (const cell_job_t *job)
+{
+  return job->sizes->fares_worse[job->size];
 }
 
 static bool
@@ -51,21 +116,19 @@
 void
 cell_size_job (cell_job_t *job)
 {
+  job->sizes = cell_sizes_of (job->cell, job->work->queue);
   job->size = SIZE_OTHERS;
   if (has_size (job))
-    job->size = size_stats_add (cell_sizes_of (job->cell, job->work->queue),
-                                core_seconds (job->work));
+    job->size = size_stats_add (job->sizes->stats, core_seconds (job->work));
 }
 
 void
-cell_judge_job (cell_job_t *job, bool in_time)
+cell_judge_job (cell_job_t *job, size_outcome_t outcome)
 {
-  cell_t *cell = job->cell;
   if (job->judged || !has_size (job))
     return;
   job->judged = true;
-  size_stats_judge (cell_sizes_of (cell, job->work->queue), job->size, in_time,
-                    cell->now_ms);
+  size_stats_judge (job->sizes->stats, job->size, outcome, job->cell->now_ms);
 }
 
 char *
@@ -99,7 +162,7 @@
   cell_job_t *job = group->job;
   if (job->judged || !has_size (job))
     return;
-  cell_judge_job (job, false);
+  cell_judge_job (job, SIZE_MISSED);
   char *waits = cell_wait_times (group);
   cell_log_group (
       group, "objective_missed",
@@ -140,32 +203,22 @@
   GHashTableIter iterator;
   gpointer key;
   gpointer value;
-  size_counts_t all = { 0 };
-  g_hash_table_iter_init (&iterator, cell->sizes);
-  while (g_hash_table_iter_next (&iterator, NULL, &value))
-    {
-      size_counts_t counts
-          = size_stats_recent (value, SIZE_CLASSES, cell->now_ms);
-      all.in_time += counts.in_time;
-      all.missed += counts.missed;
-    }
+  size_counts_t all = all_counts (cell);
   g_hash_table_iter_init (&iterator, cell->sizes);
   while (g_hash_table_iter_next (&iterator, &key, &value))
     {
+      const size_stats_t *stats = ((queue_sizes_t *)value)->stats;
       size_counts_t of_queue
-          = size_stats_recent (value, SIZE_CLASSES, cell->now_ms);
+          = size_stats_recent (stats, SIZE_CLASSES, cell->now_ms);
       for (size_class_t size = 0; size <= SIZE_CLASSES; size++)
         {
-          size_counts_t counts = size_stats_recent (value, size, cell->now_ms);
-          bool starves
-              = size_starves (counts, size == SIZE_CLASSES ? all : of_queue);
           cell_size_t row
               = { .queue = key,
                   .size = size_class_name (size),
-                  .in_time = counts.in_time,
-                  .missed = counts.missed,
-                  .longest_wait_ms = longest_wait_ms (cell, key, size),
-                  .starves = starves };
+                  .counts = size_stats_recent (stats, size, cell->now_ms),
+                  .longest_wait_ms = longest_wait_ms (cell, key, size) };
+          row.starves = size_starves (row.counts,
+                                      size == SIZE_CLASSES ? all : of_queue);
           each (context, &row);
         }
     }
@@ -176,8 +229,9 @@
 {
   if (size->starves)
     cell_log (context, "size_starves", size->queue,
-              "size=%s in_time=%u missed=%u longest_wait_ms=%lld", size->size,
-              size->in_time, size->missed, (long long)size->longest_wait_ms);
+              "size=%s in_time=%u late=%u missed=%u longest_wait_ms=%lld",
+              size->size, size->counts.in_time, size->counts.late,
+              size->counts.missed, (long long)size->longest_wait_ms);
 }
 
 void
--- a/src/io/node_cell.c
+++ b/src/io/node_cell.c
@@ -101,8 +101,9 @@
     const char *name;
     int64_t value;
   } gauges[]
-      = { { "magnoliadock_size_in_time_jobs", size->in_time },
-          { "magnoliadock_size_missed_jobs", size->missed },
+      = { { "magnoliadock_size_in_time_jobs", size->counts.in_time },
+          { "magnoliadock_size_late_jobs", size->counts.late },
+          { "magnoliadock_size_missed_jobs", size->counts.missed },
           { "magnoliadock_size_longest_wait_ms", size->longest_wait_ms },
           { "magnoliadock_size_starves", size->starves } };
   char *labels = g_strdup_printf ("cell=\"%s\",queue=\"%s\",size=\"%s\"",
--- a/src/rank.c
+++ b/src/rank.c
@@ -101,8 +101,9 @@
 rank_of_step (uint32_t priority, int64_t since_ms, int64_t objective_ms,
               int64_t left_ms, int64_t now_ms)
 {
-  rank_t rank
-      = { RANK_ON_TIME, priority, since_ms + objective_ms - now_ms - left_ms };
+  rank_t rank = { .tier = RANK_ON_TIME,
+                  .priority = priority,
+                  .slack_ms = since_ms + objective_ms - now_ms - left_ms };
   if (rank.slack_ms < -(RANK_LATE_MAX_OBJECTIVES - 1) * objective_ms)
     rank.tier = RANK_TOO_LATE;
   else if (rank.slack_ms < 0)
@@ -115,19 +116,24 @@
 rank_t
 rank_without_objective (uint32_t priority, int64_t since_ms, int64_t now_ms)
 {
-  return (rank_t){ RANK_ON_TIME, priority, since_ms - now_ms };
+  return (rank_t){ .tier = RANK_ON_TIME,
+                   .priority = priority,
+                   .slack_ms = since_ms - now_ms };
 }
 
 rank_t
 rank_of_restart (uint32_t priority, int64_t since_ms, int64_t now_ms)
 {
-  return (rank_t){ RANK_RESTART, priority, since_ms - now_ms };
+  return (rank_t){ .tier = RANK_RESTART,
+                   .priority = priority,
+                   .slack_ms = since_ms - now_ms };
 }
 
 void
 rank_defer (rank_t *rank, uint32_t highest_priority, int64_t objective_ms)
 {
-  if (rank->tier == RANK_ON_TIME && rank->priority > highest_priority
+  if (rank->tier == RANK_ON_TIME && !rank->favoured
+      && rank->priority > highest_priority
       && (double)rank->slack_ms > CAN_WAIT_SHARE * (double)objective_ms)
     rank->tier = RANK_CAN_WAIT;
 }
@@ -139,6 +145,8 @@
     return left->tier < right->tier ? -1 : 1;
   if (left->priority != right->priority)
     return left->priority < right->priority ? -1 : 1;
+  if (left->favoured != right->favoured)
+    return left->favoured ? -1 : 1;
   if (left->slack_ms != right->slack_ms)
     return left->slack_ms < right->slack_ms ? -1 : 1;
   return 0;
--- a/src/rank.h
+++ b/src/rank.h
@@ -20,9 +20,11 @@
    When urgent jobs flood in, steps that can still be on time go before those
    that cannot, and steps with much slack give way.  When gangs wait for whole
    workers, those that would just miss their objectives go after those with a
-   margin; least slack first would let each of them miss in turn.  When one
-   kind of work fills the fleet, jobs whose result has lost its value go
-   last.  */
+   margin; least slack first would let each of them miss in turn.  When the
+   fleet cannot do all, wide steps would be late more often, since they need
+   much room at a time; so sizes that have missed more go first until they fare
+   like the others.  When one kind of work fills the fleet, jobs whose result
+   has lost its value go last.  */
 
 #define RANK_LATE_MAX_OBJECTIVES 3
 /* Workers named by the call for advice that an objective counts.  */
@@ -83,7 +85,9 @@
 {
   rank_tier_t tier;
   uint32_t priority; /* of the queue; lower is more urgent */
-  int64_t slack_ms;  /* time left until the step has to start */
+  bool favoured;    /* jobs of its size have missed their objectives more often
+                       than others of its queue */
+  int64_t slack_ms; /* time left until the step has to start */
 } rank_t;
 
 /* The rank of a step whose job should end OBJECTIVE_MS after SINCE_MS, and of
@@ -96,11 +100,11 @@
                                int64_t now_ms);
 /* The same for a lasting step of which a task has to run again.  */
 rank_t rank_of_restart (uint32_t priority, int64_t since_ms, int64_t now_ms);
-/* Lets a step with much slack wait while a step of a queue with
-   HIGHEST_PRIORITY waits.  */
+/* Lets a step with much slack that is not favoured wait while a step of a
+   queue with HIGHEST_PRIORITY waits.  */
 void rank_defer (rank_t *rank, uint32_t highest_priority,
                  int64_t objective_ms);
-/* By tier, then priority, then slack; as for qsort.  */
+/* By tier, then priority, then favour, then slack; as for qsort.  */
 int rank_compare (const rank_t *left, const rank_t *right);
 
 #endif
--- a/src/size_stats.c
+++ b/src/size_stats.c
@@ -63,8 +63,8 @@
 }
 
 void
-size_stats_judge (size_stats_t *stats, size_class_t size, bool in_time,
-                  int64_t now_ms)
+size_stats_judge (size_stats_t *stats, size_class_t size,
+                  size_outcome_t outcome, int64_t now_ms)
 {
   int64_t number = now_ms / BUCKET_MS;
   bucket_t *bucket = &stats->buckets[number % BUCKETS];
@@ -73,8 +73,16 @@
       memset (bucket, 0, sizeof *bucket);
       bucket->number = number;
     }
-  bucket->counts[size].in_time += in_time;
-  bucket->counts[size].missed += !in_time;
+  bucket->counts[size].in_time += outcome == SIZE_IN_TIME;
+  bucket->counts[size].late += outcome == SIZE_LATE;
+  bucket->counts[size].missed += outcome == SIZE_MISSED;
+}
+
+size_counts_t
+size_counts_add (size_counts_t a, size_counts_t b)
+{
+  return (size_counts_t){ a.in_time + b.in_time, a.late + b.late,
+                          a.missed + b.missed };
 }
 
 size_counts_t
@@ -88,21 +96,27 @@
       if (bucket->number <= now_ms / BUCKET_MS - BUCKETS)
         continue;
       for (int j = 0; j < SIZE_CLASSES; j++)
-        {
-          if (size != SIZE_CLASSES && (int)size != j)
-            continue;
-          sum.in_time += bucket->counts[j].in_time;
-          sum.missed += bucket->counts[j].missed;
-        }
+        if (size == SIZE_CLASSES || (int)size == j)
+          sum = size_counts_add (sum, bucket->counts[j]);
     }
   return sum;
 }
 
+static uint64_t
+total (size_counts_t counts)
+{
+  return (uint64_t)counts.in_time + counts.late + counts.missed;
+}
+
 bool
 size_starves (size_counts_t part, size_counts_t all)
 {
-  uint64_t of_part = (uint64_t)part.in_time + part.missed;
-  uint64_t of_all = (uint64_t)all.in_time + all.missed;
-  return of_part >= MIN_JUDGED
-         && 2 * part.in_time * of_all < all.in_time * of_part;
+  return total (part) >= MIN_JUDGED
+         && 2 * part.in_time * total (all) < all.in_time * total (part);
+}
+
+bool
+size_fares_worse (size_counts_t part, size_counts_t all)
+{
+  return part.missed * total (all) > all.missed * total (part);
 }
--- a/src/size_stats.h
+++ b/src/size_stats.h
@@ -25,10 +25,17 @@
 /* "largest_tenth" and so on; SIZE_CLASSES: "all".  */
 const char *size_class_name (size_class_t size);
 
+/* What became of a job.  */
+typedef enum
+{
+  SIZE_IN_TIME,
+  SIZE_LATE,  /* all of it has run, and ended after its objective */
+  SIZE_MISSED /* while it waited it was too late to end in time */
+} size_outcome_t;
+
 typedef struct
 {
-  uint32_t in_time;
-  uint32_t missed; /* their objectives */
+  uint32_t in_time, late, missed;
 } size_counts_t;
 
 typedef struct size_stats size_stats_t;
@@ -40,16 +47,20 @@
    size.  */
 size_class_t size_stats_add (size_stats_t *stats, double work);
 
-/* Counts a job of SIZE that has ended in time, or has missed its objective.
-   Times rise.  */
-void size_stats_judge (size_stats_t *stats, size_class_t size, bool in_time,
-                       int64_t now_ms);
+/* Counts a job of SIZE.  Times rise.  */
+void size_stats_judge (size_stats_t *stats, size_class_t size,
+                       size_outcome_t outcome, int64_t now_ms);
 /* What was counted for SIZE, or for all if that is SIZE_CLASSES.  */
 size_counts_t size_stats_recent (const size_stats_t *stats, size_class_t size,
                                  int64_t now_ms);
+size_counts_t size_counts_add (size_counts_t a, size_counts_t b);
 
 /* Whether PART of ALL jobs starves: it ends in time less than half as often,
    and at least five jobs say so.  */
 bool size_starves (size_counts_t part, size_counts_t all);
+/* Whether jobs of PART miss their objectives while they wait more often than
+   ALL do.  What ends late although it ran at once does not count: it gains
+   nothing by going before others.  */
+bool size_fares_worse (size_counts_t part, size_counts_t all);
 
 #endif
--- a/tests/test_rank.c
+++ b/tests/test_rank.c
@@ -103,12 +103,35 @@
   CU_ASSERT_EQUAL (rank_compare (&urgent, &urgent), 0);
 }
 
+/* Guards against a size of job that fares worse and stays behind, and against
+   its favour going beyond its queue.  Load pattern: more work than room, wide
+   steps beside narrow ones.  */
+static void
+test_favour (void)
+{
+  rank_t narrow = rank_of_step (1, 0, 10000, 5000, 4000);
+  rank_t wide = rank_of_step (1, 0, 10000, 5000, 2000);
+  rank_t wide_late = rank_of_step (1, 0, 10000, 5000, 6000);
+  rank_t urgent = rank_of_step (0, 0, 10000, 5000, 2000);
+  rank_t deferred = wide;
+  CU_ASSERT_TRUE (rank_compare (&narrow, &wide) < 0);
+  wide.favoured = wide_late.favoured = true;
+  CU_ASSERT_TRUE (rank_compare (&wide, &narrow) < 0);
+  CU_ASSERT_TRUE (rank_compare (&narrow, &wide_late) < 0);
+  CU_ASSERT_TRUE (rank_compare (&urgent, &wide) < 0);
+  rank_defer (&deferred, 0, 10000);
+  rank_defer (&wide, 0, 10000);
+  CU_ASSERT_EQUAL (deferred.tier, RANK_CAN_WAIT);
+  CU_ASSERT_EQUAL (wide.tier, RANK_ON_TIME);
+}
+
 static CU_TestInfo rank_tests[] = {
   { "longest chain of steps", test_chain },
   { "duration of the longest task", test_longest_task },
   { "steps that run in waves", test_waves },
   { "tier by the time that is left", test_tiers },
   { "order of urgent, batch and lasting steps", test_order },
+  { "sizes that fare worse", test_favour },
   CU_TEST_INFO_NULL,
 };
 
--- a/tests/test_size_stats.c
+++ b/tests/test_size_stats.c
@@ -28,8 +28,8 @@
 test_window (void)
 {
   size_stats_t *stats = size_stats_new ();
-  size_stats_judge (stats, SIZE_OTHERS, true, 1000);
-  size_stats_judge (stats, SIZE_LARGEST_TENTH, false, 20000);
+  size_stats_judge (stats, SIZE_OTHERS, SIZE_IN_TIME, 1000);
+  size_stats_judge (stats, SIZE_LARGEST_TENTH, SIZE_MISSED, 20000);
   size_counts_t others = size_stats_recent (stats, SIZE_OTHERS, 20000);
   size_counts_t all = size_stats_recent (stats, SIZE_CLASSES, 20000);
   CU_ASSERT_EQUAL (others.in_time, 1);
@@ -39,7 +39,7 @@
   all = size_stats_recent (stats, SIZE_CLASSES, 1000 + SIZE_WINDOW_MS);
   CU_ASSERT_EQUAL (all.in_time, 0);
   CU_ASSERT_EQUAL (all.missed, 1);
-  size_stats_judge (stats, SIZE_OTHERS, true, 1000 + SIZE_WINDOW_MS);
+  size_stats_judge (stats, SIZE_OTHERS, SIZE_IN_TIME, 1000 + SIZE_WINDOW_MS);
   all = size_stats_recent (stats, SIZE_CLASSES, 1000 + SIZE_WINDOW_MS);
   CU_ASSERT_EQUAL (all.in_time, 1);
   size_stats_free (stats);
@@ -55,20 +55,47 @@
     size_counts_t part, all;
     bool starves;
   } cases[] = {
-    { { 2, 8 }, { 80, 20 }, true },   { { 5, 5 }, { 80, 20 }, false },
-    { { 0, 4 }, { 80, 20 }, false },  { { 0, 5 }, { 80, 20 }, true },
-    { { 1, 9 }, { 10, 90 }, false },  { { 0, 9 }, { 0, 90 }, false },
-    { { 40, 0 }, { 80, 20 }, false },
+    { { 2, 0, 8 }, { 80, 0, 20 }, true },
+    { { 2, 8, 0 }, { 80, 0, 20 }, true },
+    { { 5, 0, 5 }, { 80, 0, 20 }, false },
+    { { 0, 0, 4 }, { 80, 0, 20 }, false },
+    { { 0, 0, 5 }, { 80, 0, 20 }, true },
+    { { 1, 0, 9 }, { 10, 0, 90 }, false },
+    { { 0, 0, 9 }, { 0, 0, 90 }, false },
+    { { 40, 0, 0 }, { 80, 0, 20 }, false },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     CU_ASSERT_EQUAL (size_starves (cases[i].part, cases[i].all),
                      cases[i].starves);
 }
 
+/* Guards against sizes that go before others for what going first does not
+   mend.  */
+static void
+test_fares_worse (void)
+{
+  static const struct
+  {
+    size_counts_t part, all;
+    bool worse;
+  } cases[] = {
+    { { 9, 0, 1 }, { 95, 0, 5 }, true },
+    { { 9, 1, 0 }, { 95, 0, 5 }, false },
+    { { 0, 9, 0 }, { 95, 0, 5 }, false },
+    { { 19, 0, 1 }, { 95, 0, 5 }, false },
+    { { 0, 0, 0 }, { 95, 0, 5 }, false },
+    { { 0, 0, 9 }, { 0, 0, 90 }, false },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    CU_ASSERT_EQUAL (size_fares_worse (cases[i].part, cases[i].all),
+                     cases[i].worse);
+}
+
 static CU_TestInfo size_stats_tests[] = {
   { "classes", test_classes },
   { "window", test_window },
   { "starvation", test_starves },
+  { "faring worse", test_fares_worse },
   CU_TEST_INFO_NULL,
 };
 
