cell: bound the room kept for gangs by share, wider for queues that fare worse

Cause: room was kept for ten gangs, whatever the cell: 17% of the workers of one with 151, half of them in one with 48. Without a place a gang may neither keep room nor ask for advice. The class: a bound in numbers where the cost and the need grow with the cell.

Ruled out: no bound (kept room stands idle, small work loses more than gangs gain); a bound for the idle part alone (the largest gangs lose).

Change: room is kept for no further gang once a sixth of the cell's room is kept, a third for a gang whose queue has missed more objectives than the cell in the last minute. So neither kind of work keeps ahead of the other.

--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -604,6 +604,8 @@
 queue_sizes_t *cell_sizes_of (cell_t *cell, const char *queue);
 /* Finds out, for a pass, which queues and sizes fare worse.  */
 void cell_compare_sizes (cell_t *cell);
+/* Whether the jobs of the queue of JOB miss more objectives than the cell.  */
+bool cell_queue_fares_worse (const cell_job_t *job);
 /* Whether the jobs of the size of JOB miss more objectives than its queue.  */
 bool cell_size_fares_worse (const cell_job_t *job);
 /* Finds out the size of JOB, which has arrived.  */
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -19,8 +19,11 @@
 /* From this progress on, the end of a run is extrapolated from its progress
    rather than taken from the job's estimate.  */
 #define PROGRESS_MIN_PERCENT 10u
-/* Gangs for which one pass reserves capacity.  */
-#define RESERVING_MAX_GANGS 10u
+/* No further gang gets room kept for it once this share of the cell's room is
+   kept; the second one holds for a queue that misses more objectives than the
+   cell.  A limit in gangs would not grow with the cell.  */
+#define MAX_KEPT_SHARE (1.0 / 6.0)
+#define MAX_KEPT_SHARE_BEHIND (1.0 / 3.0)
 /* The reasons why a step waits are logged when it has waited this long, and
    again after each period.  */
 #define EXPLAIN_AFTER_MS 1000
@@ -393,12 +396,21 @@
   g_ptr_array_unref (workers);
 }
 
+/* Whether so much room is kept that GROUP gets none.  */
+static bool
+enough_is_kept (const cell_t *cell, const cell_group_t *group)
+{
+  double limit = cell_queue_fares_worse (group->job) ? MAX_KEPT_SHARE_BEHIND
+                                                     : MAX_KEPT_SHARE;
+  return resource_dominant_share (cell->kept, cell->room) >= limit;
+}
+
 /* What GROUP, a gang that can't start now, waits for; WAIT_ROOM: room is to be
    kept for it.  */
 static wait_reason_t
-find_wait (cell_t *cell, cell_group_t *group, uint32_t reserving_gangs)
+find_wait (cell_t *cell, cell_group_t *group)
 {
-  if (reserving_gangs >= RESERVING_MAX_GANGS)
+  if (enough_is_kept (cell, group))
     return WAIT_PLACE;
   if (cell->now_ms < group->next_hold_ms)
     return WAIT_PAUSE;
@@ -410,11 +422,10 @@
 
 /* Keeps room for GROUP, a gang.  Returns what it waits for now.  */
 static wait_reason_t
-keep_room (cell_t *cell, cell_group_t *group, uint32_t *reserving_gangs)
+keep_room (cell_t *cell, cell_group_t *group)
 {
   GPtrArray *workers = collect_reservable (cell, group);
   bool kept = cell_keep_room (cell, group, workers);
-  *reserving_gangs += kept;
   g_ptr_array_unref (workers);
   if (kept)
     return WAIT_ROOM;
@@ -422,7 +433,7 @@
 }
 
 static void
-place_group (cell_t *cell, cell_group_t *group, uint32_t *reserving_gangs)
+place_group (cell_t *cell, cell_group_t *group)
 {
   bool advised = needs_ticket (group);
   wait_reason_t wait = WAIT_REASONS;
@@ -430,12 +441,12 @@
     cell_open_kept_room (cell, group);
   place_now (cell, group);
   if (group->spec->gang && group->waiting == group->spec->count)
-    wait = find_wait (cell, group, *reserving_gangs);
+    wait = find_wait (cell, group);
   if (group->waiting > 0 && advised)
     cell_ask_advice (cell, group, wait == WAIT_ROOM);
   cell_close_kept_room (cell);
   if (wait == WAIT_ROOM)
-    wait = keep_room (cell, group, reserving_gangs);
+    wait = keep_room (cell, group);
   else
     cell_end_hold (group,
                    wait < WAIT_REASONS ? cell_wait_name (wait) : "started");
@@ -536,7 +547,6 @@
   begin_pass (cell);
   GPtrArray *ranked = rank_groups (cell);
   bool sheds = sheds_too_late (cell, ranked->len);
-  uint32_t reserving_gangs = 0;
   cell->load.waiting_steps = ranked->len;
   cell->load.too_late_steps = 0;
   cell->load.misfit_steps = 0;
@@ -548,7 +558,7 @@
       cell->load.too_late_steps += group->rank.tier == RANK_TOO_LATE;
       cell->load.misfit_steps += group->misfit;
       if (!sheds || group->rank.tier != RANK_TOO_LATE)
-        place_group (cell, group, &reserving_gangs);
+        place_group (cell, group);
     }
   cell_end_holds (cell);
   end_pass (cell, ranked->len);
--- a/src/cell_sizes.c
+++ b/src/cell_sizes.c
@@ -87,6 +87,12 @@
     }
 }
 
+bool
+cell_queue_fares_worse (const cell_job_t *job)
+{
+  return job->sizes->queue_fares_worse;
+}
+
 bool
 cell_size_fares_worse (const cell_job_t *job)
 {
--- a/src/io/bench_load.c
+++ b/src/io/bench_load.c
@@ -115,9 +115,10 @@
               .uneven = UNEVEN };
       int64_t *ended_ms = g_new0 (int64_t, load->jobs->len + 1);
       load_play_stats_t stats = load_play (load, &play, ended_ms);
-      printf ("load seed=%u jobs=%u advice_calls=%llu starving=%u\n", seed,
-              load->jobs->len, (unsigned long long)stats.advice_calls,
-              stats.starving);
+      printf ("load seed=%u jobs=%u advice_calls=%llu starving=%u "
+              "most_kept=%.2f\n",
+              seed, load->jobs->len, (unsigned long long)stats.advice_calls,
+              stats.starving, stats.most_kept_share);
       print_results ("play", seed, load, ended_ms);
       if (settings->bound)
         print_bound (seed, load, ended_ms);
--- a/src/io/load_play.c
+++ b/src/io/load_play.c
@@ -15,7 +15,7 @@
   cell_site_t *site;
   int64_t begun_ms; /* time of the site when the load begins */
   int64_t *ended_ms;
-  uint32_t starving;
+  load_play_stats_t stats;
 } play_t;
 
 /* Jobs are numbered from 1.  */
@@ -29,7 +29,7 @@
 on_log (void *context, const char *event, const char *subject)
 {
   play_t *play = context;
-  play->starving += strcmp (event, "size_starves") == 0;
+  play->stats.starving += strcmp (event, "size_starves") == 0;
   if (strcmp (event, "job_completed") == 0 || strcmp (event, "job_late") == 0)
     play->ended_ms[strtoull (subject, NULL, 16) - 1]
         = cell_site_now_ms (play->site) - play->begun_ms;
@@ -87,6 +87,19 @@
   cell_site_submit (play->site, work);
 }
 
+/* After a pass.  */
+static void
+note_kept_room (play_t *play, const load_t *load)
+{
+  cell_load_t kept;
+  cell_take_load (cell_site_cell (play->site), &kept);
+  resource_t room = { load->capacity.cpu_millis * load->workers, 0,
+                      load->capacity.accelerators * load->workers };
+  resource_t use = { kept.kept_cpu_millis, 0, kept.kept_accelerators };
+  play->stats.most_kept_share
+      = MAX (play->stats.most_kept_share, resource_dominant_share (use, room));
+}
+
 load_play_stats_t
 load_play (const load_t *load, const load_play_options_t *options,
            int64_t *ended_ms)
@@ -122,9 +135,11 @@
            next++)
         submit (&play, load, next);
       left_ms -= next == load->jobs->len;
-      cell_site_advance (play.site);
+      if (cell_site_advance (play.site) >= 0)
+        note_kept_room (&play, load);
     }
   cell_site_stats (play.site, &stats);
   cell_site_free (play.site);
-  return (load_play_stats_t){ stats.advice_calls, play.starving };
+  play.stats.advice_calls = stats.advice_calls;
+  return play.stats;
 }
--- a/src/io/load_play.h
+++ b/src/io/load_play.h
@@ -17,7 +17,8 @@
 typedef struct
 {
   uint64_t advice_calls;
-  uint32_t starving; /* lines about a size that starves */
+  uint32_t starving;      /* lines about a size that starves */
+  double most_kept_share; /* of the processors or accelerators, for gangs */
 } load_play_stats_t;
 
 /* Sets ENDED_MS, one for each job of LOAD, to when it ended, 0: it did not. */
--- a/tests/test_sizes.c
+++ b/tests/test_sizes.c
@@ -56,25 +56,54 @@
   if (g_file_get_contents (row->file, &text, NULL, NULL))
     load = load_parse (text, NULL);
   g_free (text);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (load);
+  if (load == NULL)
+    return NULL;
   load_draw (load, seed, TRAFFIC_MS, row->rate);
   if (row->workers > 0)
     load->workers = row->workers;
   return load;
 }
 
+/* The largest share of the room of LOAD that one gang needs.  */
+static double
+largest_gang_share (const load_t *load)
+{
+  double largest = 0.0;
+  resource_t room = { load->capacity.cpu_millis * load->workers,
+                      load->capacity.memory_mib * load->workers,
+                      load->capacity.accelerators * load->workers };
+  for (guint i = 0; i < load->jobs->len; i++)
+    {
+      const load_job_t *job = &g_array_index (load->jobs, load_job_t, i);
+      resource_t need = { job->need.cpu_millis * job->tasks,
+                          job->need.memory_mib * job->tasks,
+                          job->need.accelerators * job->tasks };
+      if (load_kind_of (load, job)->gang)
+        largest = MAX (largest, resource_dominant_share (need, room));
+    }
+  return largest;
+}
+
 /* Plays one load; says which sizes are not served.  */
 static void
 play (const size_case_t *row, uint32_t seed)
 {
   load_t *load = read_load (row, seed);
+  if (load == NULL)
+    {
+      CU_FAIL ("the load cannot be read");
+      return;
+    }
   const load_play_options_t options = { .seed = seed,
                                         .callers = row->callers,
                                         .finish_ms = FINISH_MS,
                                         .uneven = UNEVEN };
   load_result_t results[LOAD_MAX_KINDS][LOAD_SIZES] = { 0 };
   int64_t *ended_ms = g_new0 (int64_t, load->jobs->len);
-  load_play (load, &options, ended_ms);
+  load_play_stats_t stats = load_play (load, &options, ended_ms);
+  /* Room is kept for no further gang once a third is.  */
+  CU_ASSERT_TRUE (stats.most_kept_share
+                  <= 1.0 / 3.0 + largest_gang_share (load));
   load_results (load, ended_ms, results);
   for (guint kind = 0; kind < load->kinds->len; kind++)
     for (load_size_t size = LOAD_LARGEST_TENTH; size <= LOAD_NEXT_FIFTH;
