cell: find the longest waits of all sizes in one look

Cause: each second the waiting steps were gone through four times for each queue, which grows with queues x steps; and queues whose last job is long gone were shown for good.

Measured: unit-tests load and sizes pass as before.

--- a/src/cell_sizes.c
+++ b/src/cell_sizes.c
@@ -12,6 +12,8 @@
 /* An accelerator counts as so many cores.  */
 #define ACCELERATOR_CORES 8
 #define CHECK_PERIOD_MS 5000
+/* A queue without jobs is shown for so long, until its counts are 0.  */
+#define SHOWN_MS (2 * SIZE_WINDOW_MS)
 
 static const char *const wait_names[WAIT_REASONS]
     = { "place", "answers", "room", "pause", "misfit", "value" };
@@ -22,6 +24,9 @@
   /* In the current pass: whether it misses more objectives than ...  */
   bool fares_worse[SIZE_CLASSES]; /* ... the queue, by size */
   bool queue_fares_worse;         /* ... the cell */
+  int64_t active_ms;              /* when a job last came, ended or waited */
+  int64_t longest_wait_ms[SIZE_CLASSES + 1]; /* at the last look; the last one
+                                                is of all sizes */
 };
 
 static void
@@ -123,6 +128,7 @@
 cell_size_job (cell_job_t *job)
 {
   job->sizes = cell_sizes_of (job->cell, job->work->queue);
+  job->sizes->active_ms = job->cell->now_ms;
   job->size = SIZE_OTHERS;
   if (has_size (job))
     job->size = size_stats_add (job->sizes->stats, core_seconds (job->work));
@@ -134,6 +140,7 @@
   if (job->judged || !has_size (job))
     return;
   job->judged = true;
+  job->sizes->active_ms = job->cell->now_ms;
   size_stats_judge (job->sizes->stats, job->size, outcome, job->cell->now_ms);
 }
 
@@ -182,23 +189,53 @@
   g_free (waits);
 }
 
-/* Longest time that a job of QUEUE and SIZE, SIZE_CLASSES: of any size, has
-   waited without any of its tasks running.  */
-static int64_t
-longest_wait_ms (const cell_t *cell, const char *queue, size_class_t size)
+/* Finds out for each queue and size how long a job has waited of which no task
+   runs.  */
+static void
+find_longest_waits (const cell_t *cell)
 {
-  int64_t longest_ms = 0;
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init (&iterator, cell->sizes);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    memset (((queue_sizes_t *)value)->longest_wait_ms, 0,
+            sizeof ((queue_sizes_t *)value)->longest_wait_ms);
   for (guint i = 0; i < cell->ready_groups->len; i++)
     {
       const cell_group_t *group = cell->ready_groups->pdata[i];
       const cell_job_t *job = group->job;
-      if (group->waiting < group->spec->count || !has_size (job)
-          || (size != SIZE_CLASSES && job->size != size)
-          || strcmp (job->work->queue, queue) != 0)
+      queue_sizes_t *sizes = job->sizes;
+      int64_t waited_ms = cell->now_ms - group->ready_ms;
+      if (group->waiting < group->spec->count || !has_size (job))
         continue;
-      longest_ms = MAX (longest_ms, cell->now_ms - group->ready_ms);
+      sizes->active_ms = cell->now_ms;
+      sizes->longest_wait_ms[job->size]
+          = MAX (sizes->longest_wait_ms[job->size], waited_ms);
+      sizes->longest_wait_ms[SIZE_CLASSES]
+          = MAX (sizes->longest_wait_ms[SIZE_CLASSES], waited_ms);
+    }
+}
+
+/* Calls EACH with the sizes of QUEUE.  */
+static void
+each_size_of (const cell_t *cell, const char *queue,
+              const queue_sizes_t *sizes, size_counts_t all,
+              void (*each) (void *context, const cell_size_t *size),
+              void *context)
+{
+  size_counts_t of_queue
+      = size_stats_recent (sizes->stats, SIZE_CLASSES, cell->now_ms);
+  for (size_class_t size = 0; size <= SIZE_CLASSES; size++)
+    {
+      cell_size_t row
+          = { .queue = queue,
+              .size = size_class_name (size),
+              .counts = size_stats_recent (sizes->stats, size, cell->now_ms),
+              .longest_wait_ms = sizes->longest_wait_ms[size] };
+      row.starves
+          = size_starves (row.counts, size == SIZE_CLASSES ? all : of_queue);
+      each (context, &row);
     }
-  return longest_ms;
 }
 
 void
@@ -210,23 +247,13 @@
   gpointer key;
   gpointer value;
   size_counts_t all = all_counts (cell);
+  find_longest_waits (cell);
   g_hash_table_iter_init (&iterator, cell->sizes);
   while (g_hash_table_iter_next (&iterator, &key, &value))
     {
-      const size_stats_t *stats = ((queue_sizes_t *)value)->stats;
-      size_counts_t of_queue
-          = size_stats_recent (stats, SIZE_CLASSES, cell->now_ms);
-      for (size_class_t size = 0; size <= SIZE_CLASSES; size++)
-        {
-          cell_size_t row
-              = { .queue = key,
-                  .size = size_class_name (size),
-                  .counts = size_stats_recent (stats, size, cell->now_ms),
-                  .longest_wait_ms = longest_wait_ms (cell, key, size) };
-          row.starves = size_starves (row.counts,
-                                      size == SIZE_CLASSES ? all : of_queue);
-          each (context, &row);
-        }
+      const queue_sizes_t *sizes = value;
+      if (cell->now_ms - sizes->active_ms < SHOWN_MS)
+        each_size_of (cell, key, sizes, all, each, context);
     }
 }
 
