resource: one measure of cores; waits of a gang without its runs

Cause: the weight of an accelerator stood twice, and the times that a gang waited for each reason counted the time that it ran before it waited again.

Change: resource_cores; a gang that has started begins anew.

Measured: unit-tests load, reserve, owner, sizes and size stats pass.

--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -142,7 +142,7 @@
   int64_t next_hold_ms;  /* no room is kept for it before */
   int64_t next_hold_log_ms;
   int64_t wait_ms[WAIT_REASONS]; /* what it has waited for so far ... */
-  int64_t wait_seen_ms;          /* ... until then; 0: nothing */
+  int64_t wait_seen_ms;          /* ... until then; 0: it does not wait */
   bool hold_logged;
   bool misfit; /* it would not fit if all that ends had ended, as was found ...
                 */
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -452,6 +452,8 @@
                    wait < WAIT_REASONS ? cell_wait_name (wait) : "started");
   if (wait < WAIT_REASONS)
     cell_note_wait (group, wait);
+  else
+    group->wait_seen_ms = 0;
   if (group->waiting > 0)
     log_wait_reasons (cell, group);
 }
--- a/src/cell_sizes.c
+++ b/src/cell_sizes.c
@@ -9,8 +9,6 @@
    soon as it is not expected to end in time any more, so that starvation shows
    while it lasts.  */
 
-/* An accelerator counts as so many cores.  */
-#define ACCELERATOR_CORES 8
 #define CHECK_PERIOD_MS 5000
 /* A queue without jobs is shown for so long, until its counts are 0.  */
 #define SHOWN_MS (2 * SIZE_WINDOW_MS)
@@ -117,9 +115,8 @@
   for (uint32_t i = 0; i < work->step_count; i++)
     {
       const work_step_t *step = &work->steps[i];
-      double cores = (double)step->need.cpu_millis / 1000.0
-                     + (double)step->need.accelerators * ACCELERATOR_CORES;
-      sum += cores * step->count * (double)step->estimate_ms / 1000.0;
+      sum += resource_cores (step->need) * step->count
+             * (double)step->estimate_ms / 1000.0;
     }
   return sum;
 }
@@ -164,8 +161,8 @@
 cell_note_wait (cell_group_t *group, wait_reason_t reason)
 {
   int64_t now_ms = group->job->cell->now_ms;
-  group->wait_ms[reason]
-      += now_ms - MAX (group->wait_seen_ms, group->ready_ms);
+  if (group->wait_seen_ms > 0)
+    group->wait_ms[reason] += now_ms - group->wait_seen_ms;
   group->wait_seen_ms = now_ms;
 }
 
--- a/src/load.c
+++ b/src/load.c
@@ -342,9 +342,8 @@
 double
 load_core_seconds (const load_job_t *job)
 {
-  double cores = (double)job->need.cpu_millis / MS_PER_S
-                 + (double)(job->need.accelerators * LOAD_ACCELERATOR_CORES);
-  return cores * job->tasks * (double)job->task_ms / MS_PER_S;
+  return resource_cores (job->need) * job->tasks * (double)job->task_ms
+         / MS_PER_S;
 }
 
 typedef struct
--- a/src/load.h
+++ b/src/load.h
@@ -87,10 +87,8 @@
    its true duration on a sound worker.  */
 int64_t load_objective_ms (const load_t *load, const load_job_t *job);
 
-/* Seconds of a core that JOB needs; an accelerator counts as LOAD_ACCELERATOR_
-   CORES cores.  */
+/* Seconds of a core that JOB needs, see resource_cores.  */
 double load_core_seconds (const load_job_t *job);
-#define LOAD_ACCELERATOR_CORES 8
 
 /* Sizes by which a load is judged: the jobs of a kind in the order of their
    work.  */
--- a/src/resource.c
+++ b/src/resource.c
@@ -1,5 +1,7 @@
 #include "resource.h"
 
+#define ACCELERATOR_CORES 8
+
 bool
 resource_negative (resource_t r)
 {
@@ -22,3 +24,10 @@
   share = larger_ratio (share, used.memory_mib, total.memory_mib);
   return larger_ratio (share, used.accelerators, total.accelerators);
 }
+
+double
+resource_cores (resource_t r)
+{
+  return (double)r.cpu_millis / 1000.0
+         + (double)r.accelerators * ACCELERATOR_CORES;
+}
--- a/src/resource.h
+++ b/src/resource.h
@@ -40,6 +40,10 @@
          && need.accelerators <= free.accelerators;
 }
 
+/* Returns how many cores R counts as, by which work is compared: an
+   accelerator counts as 8, memory as none.  */
+double resource_cores (resource_t r);
+
 /* Returns whether any dimension of R is negative.  */
 bool resource_negative (resource_t r);
 
