--- a/review/workers-3.c
+++ b/review/workers-3.c
@@ -60,6 +60,7 @@
   uint32_t sequence;
   int64_t born_ms, clock_from_ms;
   int64_t lease_end_ms, silent_until_ms, drains_since_ms;
+  bool down; /* crashed; starts anew when SILENT_UNTIL_MS has passed */
   uint64_t token, last_end;
   GPtrArray *runs, *ends;
   GHashTable *highest; /* task -> highest run stopped or ended */
@@ -507,11 +508,39 @@
   site_put_row ("servers", worker->id, row);
 }
 
+static void
+begin_life (worker_t *worker)
+{
+  struct timespec wall;
+  clock_gettime (CLOCK_REALTIME, &wall);
+  worker->clock_from_ms = site_now_ms ();
+  worker->born_ms = wall.tv_sec * INT64_C (1000) + wall.tv_nsec / 1000000;
+  worker->lease_end_ms = 0;
+  worker->token = worker->last_end = 0;
+  g_ptr_array_set_size (worker->runs, 0);
+  g_ptr_array_set_size (worker->ends, 0);
+  g_hash_table_remove_all (worker->highest);
+}
+
+static void
+come_back (worker_t *worker)
+{
+  worker->down = false;
+  begin_life (worker);
+  note (worker, "back", "-", 0);
+  write_row (worker);
+}
+
 static void
 on_tick (struct ev_loop *loop, ev_timer *watcher, int revents)
 {
   for (guint i = 0; i < workers->len; i++)
-    end_due_runs (workers->pdata[i]);
+    {
+      worker_t *worker = workers->pdata[i];
+      if (worker->down && !is_silent (worker))
+        come_back (worker);
+      end_due_runs (worker);
+    }
   for (guint i = 0; i < workers->len; i++)
     if (!is_silent (workers->pdata[i]))
       answer_polls (workers->pdata[i]);
@@ -521,21 +550,8 @@
 on_heartbeat (struct ev_loop *loop, ev_timer *watcher, int revents)
 {
   for (guint i = 0; i < workers->len; i++)
-    write_row (workers->pdata[i]);
-}
-
-static void
-begin_life (worker_t *worker)
-{
-  struct timespec wall;
-  clock_gettime (CLOCK_REALTIME, &wall);
-  worker->clock_from_ms = site_now_ms ();
-  worker->born_ms = wall.tv_sec * INT64_C (1000) + wall.tv_nsec / 1000000;
-  worker->lease_end_ms = 0;
-  worker->token = worker->last_end = 0;
-  g_ptr_array_set_size (worker->runs, 0);
-  g_ptr_array_set_size (worker->ends, 0);
-  g_hash_table_remove_all (worker->highest);
+    if (!((worker_t *)workers->pdata[i])->down)
+      write_row (workers->pdata[i]);
 }
 
 bool
@@ -584,10 +600,13 @@
 site_worker_crash (uint32_t index)
 {
   worker_t *worker = workers->pdata[index % workers->len];
+  const char *text = getenv ("STANDIN_DOWN_MS");
+  note (worker, "crash", "-", 0);
   while (worker->runs->len > 0)
     end_with_gang (worker, worker->runs->len - 1, "crashed");
-  begin_life (worker);
-  write_row (worker);
+  worker->down = true;
+  worker->silent_until_ms
+      = site_now_ms () + (text != NULL ? atoll (text) : 0);
 }
 
 void
