--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -2,6 +2,7 @@
 # A gang of two fails as a whole while one of its minions is cut off, and the
 # node that owns the cell is killed before that minion is back.  The gang has
 # failed once; the next owner must not count that run a second time.
+# Writes record.txt beside this file.  TROUBLE=0 leaves out the disruption.
 set -u
 CASE=$(cd "$(dirname "$0")" && pwd)
 . "$CASE/../lib-3.sh"
